--- /dev/null
+++ b/cucumber.mjs
@@ -0,0 +1,5 @@
+export default {
+    paths: ["packages/*/src/**/*.feature", "features/**/*.feature"],
+    import: ["packages/*/src/**/*.steps.ts", "features/**/*.steps.ts"],
+    format: ["summary", "json:.work/cucumber.json"],
+};
--- /dev/null
+++ b/features/thin-path.feature
@@ -0,0 +1,15 @@
+Feature: A request is served end to end
+
+    Scenario Outline: <interface> answers with exactly the adapter version asked for, <mode>
+        Given a fleet of 2 gateways and 3 engines
+        And adapter "levy" with versions "6,7" offered to caller "linz" as "urgent" with default "7"
+        When caller "linz" asks gateway <gateway> for model "<model>" by "<interface>", <mode>
+        Then the answer is whole and ran "<ran>"
+        And the engines ran only "<ran>"
+
+        Examples:
+            | interface  | mode     | gateway | model  | ran    |
+            | completion | whole    | 1       | levy@6 | levy@6 |
+            | completion | streamed | 2       | levy@7 | levy@7 |
+            | chat       | whole    | 2       | levy   | levy@7 |
+            | chat       | streamed | 1       | levy@6 | levy@6 |
--- /dev/null
+++ b/packages/api/bin/fulmarcleat-api.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/config/src/commitChange.ts
@@ -0,0 +1,73 @@
+import { ServeError } from "@fulmarcleat/errors";
+import { createId } from "@fulmarcleat/ids";
+import type { ChangeId, OperatorName } from "@fulmarcleat/ids";
+import type { KvClient } from "@fulmarcleat/kv";
+import type { ConfigChange, ConfigOp } from "@fulmarcleat/resources";
+import { CONFIG_LOG_KEY, EMPTY_LOG } from "./configLog.js";
+import type { ConfigLog } from "./configLog.js";
+import { parseConfigLog } from "./parseConfigLog.js";
+
+/** Decides what to write on top of the log as it stands; throws ServeError to refuse. */
+export type ChangeBuilder = (log: ConfigLog, seq: number) => ConfigOp;
+
+/** Who changes what, and when. */
+export interface CommitOptions {
+    readonly kv: KvClient;
+    readonly by: OperatorName;
+    readonly wallMs: number;
+}
+
+const MAX_ATTEMPTS = 64;
+
+/**
+ * Commits one change; it is accepted once this returns.
+ *
+ * @param build - Makes the change on top of the present log
+ * @param options - Client, operator and time
+ * @returns the accepted change
+ * @throws ServeError `kv_unavailable` with `not_run`, or `kv_unknown` where the write is undecided
+ *
+ * @example
+ * const change = await commitChange(() => ({ kind: "put", resource }), { kv, by, wallMs });
+ */
+export async function commitChange(build: ChangeBuilder, options: CommitOptions): Promise<ConfigChange> {
+    const changeId = createId<ChangeId>();
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+        const entry = await options.kv.read("config", CONFIG_LOG_KEY);
+        const log = entry === undefined ? EMPTY_LOG : parseConfigLog(entry.value);
+        const seq = Math.max(log.baseSeq, log.changes.at(-1)?.seq ?? 0) + 1;
+        const change: ConfigChange = { seq, changeId, by: options.by, atMs: options.wallMs, op: build(log, seq) };
+        const outcome = await options.kv.write({
+            purpose: "config",
+            key: CONFIG_LOG_KEY,
+            expectedRevision: entry?.revision ?? 0,
+            value: JSON.stringify({ ...log, changes: [...log.changes, change] }),
+            isOwn: value => parseConfigLog(value).changes.some(present => present.changeId === changeId),
+        });
+        switch (outcome.kind) {
+            case "applied":
+                return change;
+            case "refused":
+                break;
+            case "unavailable":
+                throw new ServeError("the key-value service is away; nothing was changed", {
+                    ...DETAILS,
+                    code: "kv_unavailable",
+                    outcome: "not_run",
+                });
+            case "unknown":
+                throw new ServeError("the change may or may not have been accepted", {
+                    ...DETAILS,
+                    code: "kv_unknown",
+                    outcome: "unknown",
+                });
+        }
+    }
+    throw new ServeError("too many changes at once; nothing was changed", {
+        ...DETAILS,
+        code: "conflict",
+        outcome: "not_run",
+    });
+}
+
+const DETAILS = { step: "commit change", peer: "KV", retryAfterMs: 1000 } as const;
--- /dev/null
+++ b/packages/config/src/configLog.ts
@@ -0,0 +1,38 @@
+import { brandId } from "@fulmarcleat/ids";
+import type { ChangeId, OperatorName } from "@fulmarcleat/ids";
+import { resourceSchema } from "@fulmarcleat/resources";
+import type { ConfigChange } from "@fulmarcleat/resources";
+import { z } from "zod";
+
+/** Key of the log; its compare-and-swap is the moment at which a change is accepted. */
+export const CONFIG_LOG_KEY = "config/log";
+
+/** The latest changes; what is older lies in the pages. */
+export interface ConfigLog {
+    /** Last change that every page holds. */
+    readonly baseSeq: number;
+    /** Changes after the base, in order and without gaps; may hold some from before it. */
+    readonly changes: readonly ConfigChange[];
+}
+
+/** The log of a deployment in which nothing was accepted yet. */
+export const EMPTY_LOG: ConfigLog = { baseSeq: 0, changes: [] };
+
+const refSchema = z.object({
+    kind: z.enum(["Adapter", "Offer", "Caller", "Operator", "Upstream", "Service", "Policy"]),
+    name: z.string(),
+});
+
+const changeSchema = z.object({
+    seq: z.int(),
+    changeId: z.string().transform(text => brandId<ChangeId>(text)),
+    by: z.string().transform(text => brandId<OperatorName>(text)),
+    atMs: z.number(),
+    op: z.discriminatedUnion("kind", [
+        z.object({ kind: z.literal("put"), resource: resourceSchema }),
+        z.object({ kind: z.literal("delete"), ref: refSchema }),
+    ]),
+});
+
+/** How the log lies in the key-value service. */
+export const configLogSchema = z.object({ baseSeq: z.int(), changes: z.array(changeSchema) });
--- /dev/null
+++ b/packages/drivers/src/createHttpEngine.ts
@@ -0,0 +1,279 @@
+import { ServeError } from "@fulmarcleat/errors";
+import { brandId } from "@fulmarcleat/ids";
+import type { Incarnation, InstanceName, RequestId } from "@fulmarcleat/ids";
+import { createParser } from "eventsource-parser";
+import type { EventSourceMessage } from "eventsource-parser";
+import { Agent } from "undici";
+import type { Dispatcher } from "undici";
+import { z } from "zod";
+import { callJson } from "./callJson.js";
+import type {
+    EngineDriver,
+    EngineReport,
+    EngineRequest,
+    EngineToken,
+    OrderResult,
+    StreamResult,
+} from "./engineDriver.js";
+import { isUnsent } from "./isUnsent.js";
+
+/** Settings of the connection to one engine. */
+export interface HttpEngineOptions {
+    /** Address, such as `http://127.0.0.1:8000`. */
+    readonly url: string;
+    /** Longest wait for a connection, in milliseconds. */
+    readonly connectTimeoutMs: number;
+    /** Longest silence on an open stream, in milliseconds. */
+    readonly silenceMs: number;
+}
+
+const END_OF_STREAM = "[DONE]";
+
+const orderSchema = z.object({
+    status: z.enum(["done", "refused"]),
+    reason: z.enum(["full", "old_fence", "not_found", "in_use", "failed"]).default("failed"),
+    message: z.string().default(""),
+});
+const reportSchema = z.object({
+    incarnation: z.string(),
+    instances: z.array(z.object({ instance: z.string(), running: z.number() })),
+    running: z.number(),
+    waiting: z.number(),
+    batchSlots: z.number(),
+    adapterPlaces: z.number(),
+});
+const chunkSchema = z.object({
+    model: z.string(),
+    choices: z.array(z.object({
+        text: z.string().optional(),
+        delta: z.object({ content: z.string().nullish() }).optional(),
+        finish_reason: z.enum(["stop", "length"]).nullish(),
+    })).min(1),
+});
+const refusalSchema = z.object({ error: z.object({ code: z.string().default(""), message: z.string().default("") }) });
+
+/**
+ * Creates a driver for an engine with the OpenAI interface, dynamic adapters and resumable streams.
+ *
+ * @param options - Address and timeouts
+ * @returns the driver
+ *
+ * @example
+ * const engine = createHttpEngine({ url, connectTimeoutMs: 1000, silenceMs: 5000 });
+ */
+export function createHttpEngine(options: HttpEngineOptions): EngineDriver {
+    let dispatcher = createAgent(options);
+    const order = async (path: string, body: unknown, signal: AbortSignal): Promise<OrderResult> => {
+        const call = {
+            dispatcher,
+            origin: options.url,
+            method: "POST",
+            path,
+            body,
+            accept: [200, 409],
+            schema: orderSchema,
+            signal,
+        } as const;
+        return toOrderResult((await callJson({ ...call, step: "engine order", code: "upstream_failed" })).body);
+    };
+    return {
+        load: ({ instance, weights, fence }, signal) =>
+            order("/v1/load_lora_adapter", { lora_name: instance, lora_path: weights, fence }, signal),
+        unload: (instance, fence, signal) => order("/v1/unload_lora_adapter", { lora_name: instance, fence }, signal),
+        report: signal => readReport(dispatcher, options, signal),
+        openStream: req =>
+            openStream(dispatcher, options, {
+                method: "POST",
+                path: req.input.kind === "chat" ? "/v1/chat/completions" : "/v1/completions",
+                body: writeRequest(req),
+                signal: req.signal,
+            }),
+        resumeStream: (requestId, afterIndex, signal) =>
+            openStream(dispatcher, options, {
+                method: "GET",
+                path: `/v1/streams/${encodeURIComponent(requestId)}`,
+                lastEventId: afterIndex,
+                signal,
+            }),
+        cancelStream: requestId => cancelStream(dispatcher, options, requestId),
+        probe: signal => probe(options, signal),
+        reconnect: async () => {
+            const former = dispatcher;
+            dispatcher = createAgent(options);
+            await former.destroy();
+        },
+        close: () => dispatcher.destroy(),
+    };
+}
+
+function writeRequest(req: EngineRequest): string {
+    const { input, sampling } = req;
+    return JSON.stringify({
+        model: req.instance,
+        ...(input.kind === "chat" ? { messages: input.messages } : { prompt: input.prompt }),
+        temperature: sampling.temperature,
+        top_p: sampling.topP,
+        seed: sampling.seed,
+        stop: sampling.stop,
+        max_tokens: req.maxTokens,
+        priority: req.priority,
+        request_id: req.requestId,
+        stream: true,
+    });
+}
+
+interface StreamCall {
+    readonly method: "GET" | "POST";
+    readonly path: string;
+    readonly body?: string;
+    readonly lastEventId?: number;
+    readonly signal: AbortSignal;
+}
+
+function createAgent(options: HttpEngineOptions): Agent {
+    return new Agent({
+        connectTimeout: options.connectTimeoutMs,
+        headersTimeout: options.silenceMs,
+        bodyTimeout: options.silenceMs,
+    });
+}
+
+async function openStream(dispatcher: Dispatcher, options: HttpEngineOptions, call: StreamCall): Promise<StreamResult> {
+    try {
+        const res = await dispatcher.request({
+            origin: options.url,
+            method: call.method,
+            path: call.path,
+            headers: {
+                "content-type": "application/json",
+                ...(call.lastEventId === undefined ? {} : { "last-event-id": String(call.lastEventId) }),
+            },
+            body: call.body,
+            signal: call.signal,
+        });
+        if (res.statusCode === 200) {
+            return { kind: "accepted", tokens: readTokens(res, options) };
+        }
+        return readRefusal(res);
+    }
+    catch (cause) {
+        const outcome = isUnsent(cause) ? "not_run" : "unknown";
+        throw new ServeError("the engine did not answer", {
+            code: "upstream_failed",
+            step: "open stream",
+            peer: options.url,
+            outcome,
+            cause,
+        });
+    }
+}
+
+async function readRefusal(res: Dispatcher.ResponseData): Promise<StreamResult> {
+    const { error } = refusalSchema.parse(await res.body.json());
+    switch (res.statusCode) {
+        case 404:
+            return { kind: "refused", reason: "not_loaded", message: error.message };
+        case 410:
+            return { kind: "refused", reason: "leaving", message: error.message };
+        default:
+            return { kind: "refused", reason: "overloaded", message: error.message };
+    }
+}
+
+async function* readTokens(res: Dispatcher.ResponseData, options: HttpEngineOptions): AsyncGenerator<EngineToken> {
+    const details = { code: "stream_broken", step: "read stream", peer: options.url, outcome: "unknown" } as const;
+    let ended = false;
+    try {
+        for await (const event of readEvents(res.body)) {
+            if (event.data === END_OF_STREAM) {
+                ended = true;
+                continue;
+            }
+            yield readToken(event);
+        }
+    }
+    catch (cause) {
+        throw new ServeError("the stream broke", { ...details, cause });
+    }
+    if (!ended) {
+        throw new ServeError("the stream ended early", details);
+    }
+}
+
+async function* readEvents(bytes: AsyncIterable<Uint8Array>): AsyncGenerator<EventSourceMessage> {
+    const decoder = new TextDecoder();
+    let ready: EventSourceMessage[] = [];
+    const parser = createParser({ onEvent: event => ready.push(event) });
+    for await (const chunk of bytes) {
+        parser.feed(decoder.decode(chunk, { stream: true }));
+        const events = ready;
+        ready = [];
+        yield* events;
+    }
+}
+
+function readToken(event: EventSourceMessage): EngineToken {
+    const chunk = chunkSchema.parse(JSON.parse(event.data));
+    const choice = chunk.choices[0];
+    return {
+        index: Number(event.id),
+        text: choice?.text ?? choice?.delta?.content ?? "",
+        instance: brandId<InstanceName>(chunk.model),
+        finishReason: choice?.finish_reason ?? undefined,
+    };
+}
+
+async function readReport(
+    dispatcher: Dispatcher,
+    options: HttpEngineOptions,
+    signal: AbortSignal,
+): Promise<EngineReport> {
+    const call = {
+        dispatcher,
+        origin: options.url,
+        method: "GET",
+        path: "/load",
+        accept: [200],
+        schema: reportSchema,
+        signal,
+    } as const;
+    const { body } = await callJson({ ...call, step: "engine report", code: "upstream_failed" });
+    return {
+        ...body,
+        incarnation: brandId<Incarnation>(body.incarnation),
+        instances: body.instances.map(entry => ({
+            instance: brandId<InstanceName>(entry.instance),
+            running: entry.running,
+        })),
+    };
+}
+
+async function cancelStream(dispatcher: Dispatcher, options: HttpEngineOptions, requestId: RequestId): Promise<void> {
+    const path = `/v1/streams/${encodeURIComponent(requestId)}/cancel`;
+    const res = await dispatcher.request({
+        origin: options.url,
+        method: "POST",
+        path,
+        signal: AbortSignal.timeout(options.silenceMs),
+    });
+    await res.body.dump();
+}
+
+async function probe(options: HttpEngineOptions, signal: AbortSignal): Promise<boolean> {
+    const dispatcher = createAgent(options);
+    try {
+        const res = await dispatcher.request({ origin: options.url, method: "GET", path: "/health", signal });
+        await res.body.dump();
+        return res.statusCode === 200;
+    }
+    catch {
+        return false;
+    }
+    finally {
+        await dispatcher.destroy();
+    }
+}
+
+function toOrderResult(body: z.infer<typeof orderSchema>): OrderResult {
+    return body.status === "done" ? { kind: "done" } : { kind: "refused", reason: body.reason, message: body.message };
+}
--- /dev/null
+++ b/packages/drivers/src/createHttpService.ts
@@ -0,0 +1,78 @@
+import { ServeError } from "@fulmarcleat/errors";
+import { Agent } from "undici";
+import type { Dispatcher } from "undici";
+import { isUnsent } from "./isUnsent.js";
+import type { ServiceAnswer, ServiceCall, ServiceDriver } from "./serviceDriver.js";
+
+/** Settings of the connection to one plain service. */
+export interface HttpServiceOptions {
+    readonly url: string;
+    /** Longest wait for a connection, in milliseconds. */
+    readonly connectTimeoutMs: number;
+}
+
+/**
+ * Creates a driver for a plain HTTP service.
+ *
+ * @param options - Address and timeout
+ * @returns the driver
+ *
+ * @example
+ * const answer = await createHttpService({ url, connectTimeoutMs: 1000 }).call(call);
+ */
+export function createHttpService(options: HttpServiceOptions): ServiceDriver {
+    const shared = createAgent(options);
+    return {
+        call: call => call.freshConnection ? callOnce(options, call) : send(shared, options, call),
+        close: () => shared.destroy(),
+    };
+}
+
+function createAgent(options: HttpServiceOptions): Agent {
+    return new Agent({ connectTimeout: options.connectTimeoutMs });
+}
+
+async function callOnce(options: HttpServiceOptions, call: ServiceCall): Promise<ServiceAnswer> {
+    const dispatcher = createAgent(options);
+    try {
+        return await send(dispatcher, options, call);
+    }
+    finally {
+        await dispatcher.destroy();
+    }
+}
+
+async function send(dispatcher: Dispatcher, options: HttpServiceOptions, call: ServiceCall): Promise<ServiceAnswer> {
+    try {
+        const res = await dispatcher.request({
+            origin: options.url,
+            method: call.method,
+            path: call.path,
+            headers: call.headers,
+            body: call.body.byteLength === 0 ? null : call.body,
+            signal: call.signal,
+        });
+        const body = new Uint8Array(await res.body.arrayBuffer());
+        return { status: res.statusCode, headers: flattenHeaders(res.headers), body };
+    }
+    catch (cause) {
+        const outcome = isUnsent(cause) ? "not_run" : "unknown";
+        throw new ServeError("the service did not answer", {
+            code: "upstream_failed",
+            step: "call service",
+            peer: options.url,
+            outcome,
+            cause,
+        });
+    }
+}
+
+function flattenHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): Record<string, string> {
+    const flat: Record<string, string> = {};
+    for (const [name, value] of Object.entries(headers)) {
+        if (value !== undefined) {
+            flat[name] = Array.isArray(value) ? value.join(", ") : value;
+        }
+    }
+    return flat;
+}
--- /dev/null
+++ b/packages/drivers/src/index.ts
@@ -0,0 +1,14 @@
+export { createEtcdKv } from "./createEtcdKv.js";
+export type { EtcdKvOptions } from "./createEtcdKv.js";
+export { createHttpEngine } from "./createHttpEngine.js";
+export type { HttpEngineOptions } from "./createHttpEngine.js";
+export { createHttpHostList } from "./createHttpHostList.js";
+export { createHttpService } from "./createHttpService.js";
+export type { HttpServiceOptions } from "./createHttpService.js";
+export { createHttpWeightStore } from "./createHttpWeightStore.js";
+export type * from "./engineDriver.js";
+export type * from "./hostListDriver.js";
+export type * from "./kvDriver.js";
+export type * from "./serviceDriver.js";
+export { splitLines } from "./splitLines.js";
+export type * from "./weightStoreDriver.js";
--- /dev/null
+++ b/packages/errors/src/toErrorBody.ts
@@ -0,0 +1,46 @@
+import type { Outcome } from "./outcome.js";
+import type { ServeError } from "./serveError.js";
+
+/** Body of an error answer. */
+export interface ErrorBody {
+    readonly error: {
+        readonly code: string;
+        readonly type: string;
+        readonly message: string;
+        readonly step: string;
+        readonly peer: string;
+        readonly outcome: Outcome;
+        readonly request_id: string;
+        readonly retry_after_seconds?: number;
+    };
+}
+
+const MS_PER_SECOND = 1000;
+
+/**
+ * Gives the JSON body of an error answer.
+ *
+ * @param err - The error
+ * @param requestId - Id of the request that it answers
+ * @returns the body
+ *
+ * @example
+ * res.end(JSON.stringify(toErrorBody(err, requestId)));
+ */
+export function toErrorBody(err: ServeError, requestId: string): ErrorBody {
+    const retry = err.retryAfterMs === undefined
+        ? {}
+        : { retry_after_seconds: Math.max(1, Math.ceil(err.retryAfterMs / MS_PER_SECOND)) };
+    return {
+        error: {
+            code: err.code,
+            type: err.code,
+            message: err.message,
+            step: err.step,
+            peer: err.peer,
+            outcome: err.outcome,
+            request_id: requestId,
+            ...retry,
+        },
+    };
+}
--- /dev/null
+++ b/packages/events/src/eventCatalogue.ts
@@ -0,0 +1,38 @@
+/** Numbered log events; docs/EVENTS.md lists each. 1xx process, 2xx peers and membership, 3xx ownership, 4xx requests, 5xx configuration, 6xx KV, 7xx operators, 9xx tools. */
+export const EVENT_CATALOGUE = {
+    100: "process started",
+    101: "process ready",
+    102: "process stopping",
+    103: "process stopped",
+    104: "stop limit reached",
+    105: "process failed",
+    200: "peer connected",
+    201: "peer lost",
+    202: "peer refused",
+    203: "session lapsed",
+    300: "engine owned",
+    301: "engine released",
+    302: "engine lost",
+    303: "adapter loaded",
+    304: "adapter load failed",
+    305: "adapter evicted",
+    306: "engine restarted empty",
+    307: "engine silent",
+    400: "request refused",
+    401: "request failed",
+    402: "request retried",
+    403: "stream resumed",
+    404: "adapter mismatch",
+    500: "configuration in force",
+    501: "configuration incomplete",
+    502: "change accepted",
+    503: "change refused",
+    600: "KV unavailable",
+    601: "KV available",
+    602: "KV write ambiguous",
+    700: "operator request refused",
+    900: "stand-in fault set",
+} as const satisfies Readonly<Record<number, string>>;
+
+/** Number of a log event. */
+export type EventNumber = keyof typeof EVENT_CATALOGUE;
--- /dev/null
+++ b/packages/events/src/index.ts
@@ -0,0 +1,6 @@
+export { createEventLog } from "./createEventLog.js";
+export type { EventFields, EventLevel, EventLog, EventLogOptions } from "./createEventLog.js";
+export { createMetrics } from "./createMetrics.js";
+export type { Labels, Metrics } from "./createMetrics.js";
+export { EVENT_CATALOGUE } from "./eventCatalogue.js";
+export type { EventNumber } from "./eventCatalogue.js";
--- /dev/null
+++ b/packages/fleet/src/startFleet.ts
@@ -0,0 +1,182 @@
+import { commitChange } from "@fulmarcleat/config";
+import { createEtcdKv } from "@fulmarcleat/drivers";
+import { createEventLog, createMetrics } from "@fulmarcleat/events";
+import { gatewaySettingsSchema, startGateway } from "@fulmarcleat/gateway";
+import type { Gateway } from "@fulmarcleat/gateway";
+import { brandId, createSystemClock } from "@fulmarcleat/ids";
+import type { OperatorName } from "@fulmarcleat/ids";
+import { createKvClient } from "@fulmarcleat/kv";
+import type { KvClient } from "@fulmarcleat/kv";
+import { resourceSchema } from "@fulmarcleat/resources";
+import type { Resource } from "@fulmarcleat/resources";
+import {
+    DEFAULT_ENGINE,
+    DEFAULT_WEIGHT_LIMITS,
+    startEngineStandin,
+    startHostListStandin,
+    startKvStandin,
+    startServiceStandin,
+    startWeightStandin,
+} from "@fulmarcleat/standin";
+import type {
+    EngineStandin,
+    EngineStandinOptions,
+    HostListStandin,
+    KvStandin,
+    ServiceStandin,
+    WeightLimits,
+    WeightStandin,
+} from "@fulmarcleat/standin";
+
+/** Sizes and times of a fleet in one process. */
+export interface FleetOptions {
+    readonly gateways: number;
+    readonly engines: number;
+    readonly failureDomains: readonly string[];
+    readonly engine?: Partial<EngineStandinOptions>;
+    readonly weights?: Partial<WeightLimits>;
+    /** Further settings of each gateway. */
+    readonly gateway?: Readonly<Record<string, unknown>>;
+    /** Resources that are there from the start, besides the engines. */
+    readonly resources?: readonly unknown[];
+    readonly fencing?: "checked" | "ignored";
+}
+
+/** Gateways and stand-ins that run as tasks of one process. */
+export interface Fleet {
+    readonly kv: KvStandin;
+    readonly weights: WeightStandin;
+    readonly hosts: HostListStandin;
+    readonly service: ServiceStandin;
+    readonly engines: readonly EngineStandin[];
+    readonly gateways: readonly Gateway[];
+    readonly kvClient: KvClient;
+    /** Last change that was accepted. */
+    readonly changes: number;
+    /** Puts resources into force, one change each. */
+    apply(resources: readonly unknown[]): Promise<void>;
+    startGateway(number: number): Promise<Gateway>;
+    stop(): Promise<void>;
+}
+
+/** Key of the peers in a fleet in one process. */
+const FLEET_PEER_KEY = "fleet-in-one-process-peer-key-0123456789";
+/** Base model of a fleet in one process. */
+export const FLEET_BASE_MODEL = "base-13b";
+
+const LOCAL = { host: "127.0.0.1", port: 0 } as const;
+const OPERATOR = brandId<OperatorName>("fleet");
+
+/**
+ * Starts gateways and stand-ins as tasks of one process, on loopback.
+ *
+ * @param options - Sizes and times
+ * @returns the running fleet
+ *
+ * @example
+ * const fleet = await startFleet({ gateways: 2, engines: 3, failureDomains: ["wien-a"] });
+ */
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+    const kv = await startKvStandin(LOCAL);
+    const weights = await startWeightStandin(LOCAL, { ...DEFAULT_WEIGHT_LIMITS, ...options.weights });
+    const hosts = await startHostListStandin(LOCAL, []);
+    const service = await startServiceStandin(LOCAL);
+    const engines = await Promise.all(
+        listNumbers(options.engines).map(number =>
+            startEngineStandin(LOCAL, {
+                ...DEFAULT_ENGINE,
+                ...options.engine,
+                id: `engine-${number}`,
+                weightStoreUrl: weights.url,
+            })
+        ),
+    );
+    const kvClient = createKvClient({
+        driver: createEtcdKv({ url: kv.url, timeoutMs: 2000 }),
+        clock: createSystemClock(),
+        metrics: createMetrics(),
+        log: createEventLog({ process: "fleet", level: 0 }),
+        resolveMs: 4000,
+    });
+    let changes = 0;
+    const apply = async (resources: readonly unknown[]): Promise<void> => {
+        for (const resource of resources) {
+            const checked: Resource = resourceSchema.parse(resource);
+            const change = await commitChange(() => ({ kind: "put", resource: checked }), {
+                kv: kvClient,
+                by: OPERATOR,
+                wallMs: Date.now(),
+            });
+            changes = change.seq;
+        }
+    };
+    await apply([describeUpstream(options, engines), ...options.resources ?? []]);
+    const start = (number: number): Promise<Gateway> =>
+        startGateway(gatewaySettingsSchema.parse({
+            host: `entry-${number}`,
+            failureDomain: options.failureDomains[(number - 1) % options.failureDomains.length],
+            peerKey: FLEET_PEER_KEY,
+            callers: LOCAL,
+            peers: LOCAL,
+            kv: { url: kv.url },
+            hostList: { url: hosts.url },
+            logLevel: 0,
+            helloMs: 200,
+            claimMs: 200,
+            reportMs: 200,
+            ...options.gateway,
+        }));
+    const gateways: Gateway[] = [];
+    const list = (): void =>
+        hosts.setHosts(gateways.map((gateway, at) => ({
+            host: gateway.host,
+            address: LOCAL.host,
+            port: gateway.peerPort,
+            failureDomain: options.failureDomains[at % options.failureDomains.length] ?? "",
+            state: "live" as const,
+        })));
+    for (const number of listNumbers(options.gateways)) {
+        gateways.push(await start(number));
+    }
+    list();
+    await Promise.all(gateways.map(gateway => gateway.ready));
+    return {
+        kv,
+        weights,
+        hosts,
+        service,
+        engines,
+        gateways,
+        kvClient,
+        get changes() {
+            return changes;
+        },
+        apply,
+        startGateway: start,
+        async stop() {
+            await Promise.all(gateways.map(gateway => gateway.stop()));
+            await Promise.all([...engines, kv, weights, hosts, service].map(standin => standin.close()));
+            await kvClient.close();
+        },
+    };
+}
+
+function listNumbers(count: number): readonly number[] {
+    return Array.from({ length: count }, (unused, at) => at + 1);
+}
+
+function describeUpstream(options: FleetOptions, engines: readonly EngineStandin[]): unknown {
+    return {
+        kind: "Upstream",
+        metadata: { name: "model-engines" },
+        spec: {
+            baseModel: FLEET_BASE_MODEL,
+            fencing: options.fencing ?? "checked",
+            engines: engines.map((engine, at) => ({
+                id: engine.id,
+                url: engine.url,
+                failureDomain: options.failureDomains[at % options.failureDomains.length],
+            })),
+        },
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/createCallerHandler.ts
@@ -0,0 +1,234 @@
+import type { EngineDriver } from "@fulmarcleat/drivers";
+import { ServeError, toServeError } from "@fulmarcleat/errors";
+import type { EventLog, Metrics } from "@fulmarcleat/events";
+import { createId } from "@fulmarcleat/ids";
+import type { CallerName, Clock, EngineId, RequestId } from "@fulmarcleat/ids";
+import { hashSecret } from "@fulmarcleat/resources";
+import type { PolicySpec } from "@fulmarcleat/resources";
+import findMyWay from "find-my-way";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { authenticateCaller } from "./authenticateCaller.js";
+import type { OfferIndex } from "./buildOfferIndex.js";
+import { createAnswerSink } from "./createAnswerSink.js";
+import type { PlaceRouter } from "./createPlaceRouter.js";
+import type { Generation } from "./generation.js";
+import { limitPriority } from "./limitPriority.js";
+import { parseModel } from "./parseModel.js";
+import { readBody } from "./readBody.js";
+import { readCallerHeaders } from "./readCallerHeaders.js";
+import { readGenerationBody } from "./readGenerationBody.js";
+import type { GenerationKind } from "./readGenerationBody.js";
+import { resolveModel } from "./resolveModel.js";
+import { runGeneration } from "./runGeneration.js";
+import { sendError } from "./sendError.js";
+
+/** What callers' requests need. */
+export interface CallerHandlerOptions {
+    readonly readIndex: () => OfferIndex;
+    readonly readPolicy: () => PolicySpec;
+    readonly router: PlaceRouter;
+    readonly findEngine: (engine: EngineId) => EngineDriver | undefined;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly log: EventLog;
+    readonly maxBodyBytes: number;
+    readonly bodyTimeoutMs: number;
+    readonly isReady: () => boolean;
+    readonly recordStep: (
+        requestId: RequestId,
+        generation: Generation | undefined,
+        step: string,
+        detail: string,
+    ) => void;
+    readonly claim: (generation: Generation) => Promise<void>;
+}
+
+/** Answers one HTTP request. */
+export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => void;
+
+interface CallContext extends CallerHandlerOptions {
+    readonly req: IncomingMessage;
+    readonly res: ServerResponse;
+    readonly requestId: RequestId;
+    readonly receivedMs: number;
+}
+
+/**
+ * Creates the handler of callers' requests.
+ *
+ * @param options - Configuration, router and limits
+ * @returns the handler
+ *
+ * @example
+ * const server = createServer(createCallerHandler(options));
+ */
+export function createCallerHandler(options: CallerHandlerOptions): HttpHandler {
+    const router = findMyWay<findMyWay.HTTPVersion.V1>({
+        defaultRoute: (req, res) => void handle(options, req, res, refuseUnknownPath),
+    });
+    router.on("POST", "/v1/completions", (req, res) => handle(options, req, res, call => generate("completion", call)));
+    router.on("POST", "/v1/chat/completions", (req, res) => handle(options, req, res, call => generate("chat", call)));
+    router.on("GET", "/v1/models", (req, res) => handle(options, req, res, listModels));
+    router.on("GET", "/healthz", (req, res) => sendJson(res, 200, { status: "ok" }));
+    router.on(
+        "GET",
+        "/readyz",
+        (req, res) => sendJson(res, options.isReady() ? 200 : 503, { ready: options.isReady() }),
+    );
+    router.on("GET", "/metrics", async (req, res) => {
+        res.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+        res.end(await options.metrics.expose());
+    });
+    return (req, res) => router.lookup(req, res);
+}
+
+async function handle(
+    options: CallerHandlerOptions,
+    req: IncomingMessage,
+    res: ServerResponse,
+    answer: (call: CallContext) => Promise<void>,
+): Promise<void> {
+    const requestId = createId<RequestId>();
+    res.setHeader("x-request-id", requestId);
+    try {
+        if (!options.isReady()) {
+            throw new ServeError("this host does not take new work", {
+                code: "not_ready",
+                step: "accept",
+                peer: "self",
+                outcome: "not_run",
+                retryAfterMs: 1000,
+            });
+        }
+        await answer({ ...options, req, res, requestId, receivedMs: options.clock.nowMs() });
+    }
+    catch (err) {
+        const failure = toServeError(err, { code: "internal", step: "serve", peer: "self", outcome: "unknown" });
+        options.metrics.count("refusals_total", { reason: failure.code, outcome: failure.outcome });
+        options.log.write("info", failure.outcome === "not_run" ? 400 : 401, {
+            requestId,
+            code: failure.code,
+            step: failure.step,
+            peer: failure.peer,
+            outcome: failure.outcome,
+        });
+        options.recordStep(requestId, undefined, "error", `${failure.code} ${failure.outcome} at ${failure.step}`);
+        sendError(res, failure, requestId);
+    }
+}
+
+function refuseUnknownPath(): Promise<void> {
+    throw new ServeError("there is no such path", {
+        code: "not_found",
+        step: "route",
+        peer: "caller",
+        outcome: "not_run",
+    });
+}
+
+async function generate(kind: GenerationKind, call: CallContext): Promise<void> {
+    const { req, res, requestId, clock, metrics } = call;
+    const index = call.readIndex();
+    const caller = authenticateCaller(index, req.headers.authorization);
+    const headers = readCallerHeaders(req.headers);
+    const text = (await readBody(req, { maxBytes: call.maxBodyBytes, timeoutMs: call.bodyTimeoutMs, clock })).toString(
+        "utf8",
+    );
+    const body = readGenerationBody(kind, parseJson(text));
+    const offered = resolveModel(index, caller, parseModel(body.model));
+    const policy = call.readPolicy();
+    const priority = limitPriority(offered.priority, headers.priority);
+    const deadlineMs = call.receivedMs + Math.min(headers.deadlineMs ?? policy.defaultDeadlineMs, policy.maxRequestMs);
+    const generation: Generation = {
+        requestId,
+        caller,
+        offered,
+        priority,
+        input: body.input,
+        sampling: body.sampling,
+        maxTokens: body.maxTokens,
+        deadlineMs,
+        key: headers.key,
+        requestHash: hashSecret(`${req.url ?? ""}\n${text}`),
+    };
+    const model = `${offered.adapter}@${offered.version}`;
+    const sink = createAnswerSink(res, {
+        kind,
+        stream: body.stream,
+        requestId,
+        model,
+        createdMs: clock.wallMs(),
+        onFirstPiece: () => metrics.record("time_to_first_token", clock.nowMs() - call.receivedMs, { class: priority }),
+        onWhole: () => undefined,
+    });
+    const ending = endWithCaller(call, deadlineMs);
+    metrics.count("requests_total", { class: priority });
+    call.recordStep(requestId, generation, "accept", `${model} ${priority}`);
+    try {
+        await runGeneration(generation, sink, {
+            ...call,
+            recordStep: (of, step, detail) => call.recordStep(requestId, of, step, detail),
+            signal: ending.signal,
+        });
+        call.recordStep(requestId, generation, "answered", model);
+    }
+    finally {
+        ending.clear();
+    }
+}
+
+interface CallEnding {
+    readonly signal: AbortSignal;
+    clear(): void;
+}
+
+function endWithCaller(call: CallContext, deadlineMs: number): CallEnding {
+    const controller = new AbortController();
+    const cancelTimer = call.clock.setTimer(Math.max(0, deadlineMs - call.clock.nowMs()), () => controller.abort());
+    const onClose = (): void => {
+        if (!call.res.writableFinished) {
+            controller.abort();
+        }
+    };
+    call.res.on("close", onClose);
+    return {
+        signal: controller.signal,
+        clear() {
+            cancelTimer();
+            call.res.removeListener("close", onClose);
+        },
+    };
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch (cause) {
+        throw new ServeError("the body is not JSON", {
+            code: "bad_request",
+            step: "read body",
+            peer: "caller",
+            outcome: "not_run",
+            cause,
+        });
+    }
+}
+
+function listModels(call: CallContext): Promise<void> {
+    const index = call.readIndex();
+    const caller: CallerName = authenticateCaller(index, call.req.headers.authorization);
+    const names = new Set(
+        index.listOffered(caller).flatMap(offer =>
+            offer.spec.versions.map(version => `${offer.spec.adapter}@${version}`)
+        ),
+    );
+    const data = [...names].sort().map(id => ({ id, object: "model", created: 0, owned_by: "fulmarcleat" }));
+    sendJson(call.res, 200, { object: "list", data });
+    return Promise.resolve();
+}
+
+function sendJson(res: ServerResponse, status: number, body: unknown): void {
+    res.writeHead(status, { "content-type": "application/json" });
+    res.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -0,0 +1,33 @@
+import { brandId } from "@fulmarcleat/ids";
+import type { FailureDomain, HostId } from "@fulmarcleat/ids";
+import { listenSchema, peerKeySchema } from "@fulmarcleat/settings";
+import { z } from "zod";
+
+/** Settings of a gateway process. */
+export const gatewaySettingsSchema = z.strictObject({
+    host: z.string().min(1).transform(text => brandId<HostId>(text)),
+    failureDomain: z.string().min(1).transform(text => brandId<FailureDomain>(text)),
+    peerKey: peerKeySchema,
+    /** Where callers connect. */
+    callers: listenSchema,
+    /** Where the system's other processes connect. */
+    peers: z.strictObject({ host: z.string().min(1), port: z.int().min(0).max(65535) }),
+    kv: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
+    hostList: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
+    helloMs: z.int().min(50).default(1000),
+    silenceMs: z.int().min(100).default(5000),
+    leaseMs: z.int().min(1000).default(10_000),
+    claimMs: z.int().min(50).default(1000),
+    reportMs: z.int().min(50).default(500),
+    orderMs: z.int().min(100).default(10_000),
+    connectTimeoutMs: z.int().min(50).default(1000),
+    streamSilenceMs: z.int().min(100).default(10_000),
+    maxBodyBytes: z.int().min(1024).default(4 * 1024 * 1024),
+    bodyTimeoutMs: z.int().min(100).default(10_000),
+    /** Longest time for running answers to finish after SIGTERM. */
+    stopLimitMs: z.int().min(0).default(300_000),
+    logLevel: z.int().min(0).max(5).default(3),
+});
+
+/** Settings of a gateway process. */
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- /dev/null
+++ b/packages/gateway/src/generation.ts
@@ -0,0 +1,31 @@
+import type { EngineInput, Sampling } from "@fulmarcleat/drivers";
+import type { CallerName, RequestId } from "@fulmarcleat/ids";
+import type { Priority } from "@fulmarcleat/resources";
+import type { OfferedVersion } from "./buildOfferIndex.js";
+
+/** One checked request for generated text. */
+export interface Generation {
+    readonly requestId: RequestId;
+    readonly caller: CallerName;
+    readonly offered: OfferedVersion;
+    readonly priority: Priority;
+    readonly input: EngineInput;
+    readonly sampling: Sampling;
+    readonly maxTokens: number;
+    /** When the answer must be whole, in milliseconds of the host's clock. */
+    readonly deadlineMs: number;
+    /** Key of a request that may run at most once. */
+    readonly key: string | undefined;
+    /** Hash of what was asked, to tell a repeat from another request under the same key. */
+    readonly requestHash: string;
+}
+
+/** Where the pieces of an answer go. */
+export interface AnswerSink {
+    /** Takes one piece; resolves once the caller can take more. */
+    write(text: string): Promise<void>;
+    /** Ends a whole answer. */
+    finish(reason: "stop" | "length", tokens: number): Promise<void>;
+    /** Whether anything went to the caller. */
+    readonly started: boolean;
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,4 @@
+export { gatewaySettingsSchema } from "./gatewaySettings.js";
+export type { GatewaySettings } from "./gatewaySettings.js";
+export { startGateway } from "./startGateway.js";
+export type { Gateway } from "./startGateway.js";
--- /dev/null
+++ b/packages/gateway/src/limitPriority.feature
@@ -0,0 +1,13 @@
+Feature: limitPriority
+
+    Scenario Outline: an offer of <offered> asked for as <asked> runs as <result>
+        Then limitPriority of [<offered>, <asked>] gives <result>
+
+        Examples:
+            | offered  | asked    | result   |
+            | "urgent" | "urgent" | "urgent" |
+            | "urgent" | "bulk"   | "bulk"   |
+            | "normal" | "urgent" | "normal" |
+            | "bulk"   | "urgent" | "bulk"   |
+            | "bulk"   | "normal" | "bulk"   |
+            | "normal" | "bulk"   | "bulk"   |
--- /dev/null
+++ b/packages/gateway/src/readGenerationBody.ts
@@ -0,0 +1,106 @@
+import type { EngineInput, Sampling } from "@fulmarcleat/drivers";
+import { ServeError } from "@fulmarcleat/errors";
+import { z } from "zod";
+
+/** Which of the two interfaces a request came through. */
+export type GenerationKind = "completion" | "chat";
+
+/** The checked body of a request for generated text. */
+export interface GenerationBody {
+    readonly model: string;
+    readonly input: EngineInput;
+    readonly sampling: Sampling;
+    readonly maxTokens: number;
+    readonly stream: boolean;
+}
+
+const MAX_TOKENS = 131_072;
+const DEFAULT_MAX_TOKENS = 256;
+
+const maxTokens = z.int().min(1).max(MAX_TOKENS);
+const common = {
+    model: z.string().min(1).max(300),
+    max_tokens: maxTokens.nullish(),
+    stream: z.boolean().nullish(),
+    temperature: z.number().min(0).max(2).nullish(),
+    top_p: z.number().min(0).max(1).nullish(),
+    seed: z.int().nullish(),
+    stop: z.union([z.string(), z.array(z.string()).max(4)]).nullish(),
+    n: z.literal(1).nullish(),
+};
+const textPart = z.object({ type: z.literal("text"), text: z.string() });
+const completionSchema = z.looseObject({
+    ...common,
+    prompt: z.union([z.string(), z.array(z.string()).length(1).transform(list => list[0] ?? "")]),
+});
+const chatSchema = z.looseObject({
+    ...common,
+    max_completion_tokens: maxTokens.nullish(),
+    messages: z.array(z.object({
+        role: z.enum(["system", "developer", "user", "assistant"]),
+        content: z.union([z.string(), z.array(textPart).transform(parts => parts.map(part => part.text).join(""))]),
+    })).min(1).max(10_000),
+});
+
+/**
+ * Checks the JSON body of a request for generated text.
+ *
+ * @param kind - Which interface it came through
+ * @param body - The parsed JSON
+ * @returns the checked body
+ * @throws ServeError `bad_request`, naming the field
+ *
+ * @example
+ * const body = readGenerationBody("chat", JSON.parse(text));
+ */
+export function readGenerationBody(kind: GenerationKind, body: unknown): GenerationBody {
+    switch (kind) {
+        case "completion": {
+            const parsed = check(completionSchema, body);
+            return {
+                ...readCommon(parsed),
+                input: { kind: "text", prompt: parsed.prompt },
+                maxTokens: parsed.max_tokens ?? DEFAULT_MAX_TOKENS,
+            };
+        }
+        case "chat": {
+            const parsed = check(chatSchema, body);
+            const limit = parsed.max_completion_tokens ?? parsed.max_tokens ?? DEFAULT_MAX_TOKENS;
+            return { ...readCommon(parsed), input: { kind: "chat", messages: parsed.messages }, maxTokens: limit };
+        }
+    }
+}
+
+function check<T>(schema: z.ZodType<T>, body: unknown): T {
+    const result = schema.safeParse(body);
+    if (result.success) {
+        return result.data;
+    }
+    const [issue] = result.error.issues;
+    const field = issue === undefined || issue.path.length === 0 ? "body" : issue.path.join(".");
+    const details = { code: "bad_request", step: "read body", peer: "caller", outcome: "not_run" } as const;
+    throw new ServeError(`${field}: ${issue?.message ?? "not allowed"}`, details);
+}
+
+interface CommonFields {
+    readonly model: string;
+    readonly stream?: boolean | null | undefined;
+    readonly temperature?: number | null | undefined;
+    readonly top_p?: number | null | undefined;
+    readonly seed?: number | null | undefined;
+    readonly stop?: string | string[] | null | undefined;
+}
+
+function readCommon(parsed: CommonFields): Pick<GenerationBody, "model" | "stream" | "sampling"> {
+    const stop = typeof parsed.stop === "string" ? [parsed.stop] : parsed.stop ?? undefined;
+    return {
+        model: parsed.model,
+        stream: parsed.stream ?? false,
+        sampling: {
+            temperature: parsed.temperature ?? undefined,
+            topP: parsed.top_p ?? undefined,
+            seed: parsed.seed ?? undefined,
+            stop,
+        },
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/runGeneration.ts
@@ -0,0 +1,245 @@
+import type { EngineDriver, EngineToken } from "@fulmarcleat/drivers";
+import { ServeError, toServeError } from "@fulmarcleat/errors";
+import type { EventLog, Metrics } from "@fulmarcleat/events";
+import type { Clock, EngineId } from "@fulmarcleat/ids";
+import type { Priority } from "@fulmarcleat/resources";
+import type { HeldPlace, PlaceRouter } from "./createPlaceRouter.js";
+import type { AnswerSink, Generation } from "./generation.js";
+
+/** What a run needs. */
+export interface GenerationContext {
+    readonly router: PlaceRouter;
+    readonly findEngine: (engine: EngineId) => EngineDriver | undefined;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly log: EventLog;
+    readonly recordStep: (generation: Generation, step: string, detail: string) => void;
+    /** Commits the right to run a non-repeatable request; throws where it may not run. */
+    readonly claim: (generation: Generation) => Promise<void>;
+    /** Ends when the caller goes away or the deadline passes. */
+    readonly signal: AbortSignal;
+}
+
+const MAX_ATTEMPTS = 4;
+const MAX_RESUMES = 3;
+const ENGINE_PRIORITY: Readonly<Record<Priority, number>> = { urgent: 0, normal: 10, bulk: 20 };
+
+/**
+ * Runs one request on exactly the adapter version it asks for and passes on the whole answer.
+ *
+ * @param generation - The request
+ * @param sink - Where the answer goes
+ * @param context - Router, engines and counters
+ * @returns nothing, once the answer is whole
+ * @throws ServeError with the request's true outcome
+ *
+ * @example
+ * await runGeneration(generation, sink, context);
+ */
+export async function runGeneration(
+    generation: Generation,
+    sink: AnswerSink,
+    context: GenerationContext,
+): Promise<void> {
+    let avoid: readonly EngineId[] = [];
+    let isClaimed = false;
+    for (let attempt = 1;; attempt += 1) {
+        const held = await context.router.acquire({ ...generation, avoid });
+        context.recordStep(generation, "place", `${held.engine} ${held.instance}`);
+        try {
+            if (generation.key !== undefined && !isClaimed) {
+                await context.claim(generation);
+                isClaimed = true;
+            }
+            await streamOnce(generation, held, sink, context);
+            context.router.release(held, "finished");
+            return;
+        }
+        catch (err) {
+            const failure = toServeError(err, { code: "internal", step: "run", peer: held.engine, outcome: "unknown" });
+            context.router.release(held, failure.code === "upstream_refused" ? "not_loaded" : "failed");
+            if (!mayRetry(generation, failure, sink, attempt, context)) {
+                throw failure;
+            }
+            context.metrics.count("retries_total", { reason: failure.code });
+            context.log.write("info", 402, {
+                requestId: generation.requestId,
+                reason: failure.code,
+                engine: held.engine,
+            });
+            context.recordStep(generation, "retry", failure.code);
+            avoid = [...avoid, held.engine];
+        }
+    }
+}
+
+function mayRetry(
+    generation: Generation,
+    failure: ServeError,
+    sink: AnswerSink,
+    attempt: number,
+    context: GenerationContext,
+): boolean {
+    if (sink.started || context.signal.aborted || attempt >= MAX_ATTEMPTS || !RETRYABLE_CODES.has(failure.code)) {
+        return false;
+    }
+    return failure.outcome === "not_run" || generation.key === undefined;
+}
+
+const RETRYABLE_CODES: ReadonlySet<string> = new Set([
+    "upstream_failed",
+    "upstream_refused",
+    "upstream_silent",
+    "stream_broken",
+]);
+
+async function streamOnce(
+    generation: Generation,
+    held: HeldPlace,
+    sink: AnswerSink,
+    context: GenerationContext,
+): Promise<void> {
+    const engine = context.findEngine(held.engine);
+    if (engine === undefined) {
+        throw new ServeError("the engine is no longer configured", {
+            code: "no_upstream",
+            step: "open stream",
+            peer: held.engine,
+            outcome: "not_run",
+        });
+    }
+    if (!context.router.mayStart(held)) {
+        throw new ServeError("the place is too old to start a request", {
+            code: "upstream_refused",
+            step: "open stream",
+            peer: held.engine,
+            outcome: "not_run",
+        });
+    }
+    const onAbort = (): void => void engine.cancelStream(generation.requestId).catch(() => undefined);
+    context.signal.addEventListener("abort", onAbort, { once: true });
+    try {
+        await readWhole(generation, held, engine, sink, context);
+    }
+    finally {
+        context.signal.removeEventListener("abort", onAbort);
+    }
+}
+
+async function readWhole(
+    generation: Generation,
+    held: HeldPlace,
+    engine: EngineDriver,
+    sink: AnswerSink,
+    context: GenerationContext,
+): Promise<void> {
+    let next = 0;
+    let tokens = await openTokens(generation, held, engine, context);
+    for (let resumes = 0;; resumes += 1) {
+        try {
+            for await (const token of tokens) {
+                checkToken(token, next, held);
+                next += 1;
+                await sink.write(token.text);
+                if (token.finishReason !== undefined) {
+                    await sink.finish(token.finishReason, next);
+                    return;
+                }
+            }
+            throw new ServeError("the stream ended early", {
+                code: "stream_broken",
+                step: "read stream",
+                peer: held.engine,
+                outcome: "ran",
+            });
+        }
+        catch (err) {
+            const failure = toServeError(err, {
+                code: "stream_broken",
+                step: "read stream",
+                peer: held.engine,
+                outcome: "ran",
+            });
+            tokens = await resumeTokens(generation, held, engine, context, { failure, next, resumes });
+        }
+    }
+}
+
+async function openTokens(
+    generation: Generation,
+    held: HeldPlace,
+    engine: EngineDriver,
+    context: GenerationContext,
+): Promise<AsyncIterable<EngineToken>> {
+    const { requestId, input, sampling, maxTokens, priority } = generation;
+    const result = await engine.openStream({
+        requestId,
+        instance: held.instance,
+        input,
+        sampling,
+        maxTokens,
+        priority: ENGINE_PRIORITY[priority],
+        signal: context.signal,
+    });
+    if (result.kind === "refused") {
+        throw new ServeError(`the engine refused: ${result.reason}`, {
+            code: "upstream_refused",
+            step: "open stream",
+            peer: held.engine,
+            outcome: "not_run",
+        });
+    }
+    return result.tokens;
+}
+
+interface BrokenStream {
+    readonly failure: ServeError;
+    readonly next: number;
+    readonly resumes: number;
+}
+
+async function resumeTokens(
+    generation: Generation,
+    held: HeldPlace,
+    engine: EngineDriver,
+    context: GenerationContext,
+    broken: BrokenStream,
+): Promise<AsyncIterable<EngineToken>> {
+    const { failure, next, resumes } = broken;
+    const ran = new ServeError(failure.message, {
+        code: failure.code,
+        step: failure.step,
+        peer: held.engine,
+        outcome: "ran",
+        cause: failure,
+    });
+    if (context.signal.aborted || resumes >= MAX_RESUMES || failure.code !== "stream_broken") {
+        throw ran;
+    }
+    const result = await engine.resumeStream(generation.requestId, next - 1, context.signal).catch(() => undefined);
+    if (result === undefined || result.kind === "refused") {
+        throw ran;
+    }
+    context.metrics.count("stream_resumes_total");
+    context.log.write("info", 403, { requestId: generation.requestId, engine: held.engine, after: next });
+    return result.tokens;
+}
+
+function checkToken(token: EngineToken, expected: number, held: HeldPlace): void {
+    if (token.instance !== held.instance) {
+        throw new ServeError("the engine ran another adapter", {
+            code: "adapter_mismatch",
+            step: "check answer",
+            peer: held.engine,
+            outcome: "ran",
+        });
+    }
+    if (token.index !== expected) {
+        throw new ServeError("a piece of the answer is missing", {
+            code: "stream_broken",
+            step: "check answer",
+            peer: held.engine,
+            outcome: "ran",
+        });
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/startGateway.ts
@@ -0,0 +1,339 @@
+import { startConfigTask } from "@fulmarcleat/config";
+import { createEtcdKv, createHttpEngine, createHttpHostList } from "@fulmarcleat/drivers";
+import type { EngineDriver } from "@fulmarcleat/drivers";
+import { ServeError } from "@fulmarcleat/errors";
+import { createEventLog, createMetrics } from "@fulmarcleat/events";
+import type { EventLog, Metrics } from "@fulmarcleat/events";
+import { createHasher } from "@fulmarcleat/hashing";
+import { rankByRendezvous } from "@fulmarcleat/hashing";
+import { createId, createSystemClock } from "@fulmarcleat/ids";
+import type { EngineId, HostId, Incarnation, RequestId } from "@fulmarcleat/ids";
+import { createKvClient } from "@fulmarcleat/kv";
+import { startMembershipTask } from "@fulmarcleat/membership";
+import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
+import type { OwnableEngine } from "@fulmarcleat/ownership";
+import { readPolicy } from "@fulmarcleat/resources";
+import type { PolicySpec } from "@fulmarcleat/resources";
+import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
+import type { Empty, PeerHello, PlaceAsk, PlaceReply, StatusReply } from "@fulmarcleat/wire";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { buildOfferIndex } from "./buildOfferIndex.js";
+import type { ConfiguredEngine } from "./buildOfferIndex.js";
+import { createCallerHandler } from "./createCallerHandler.js";
+import { createDecisionLog } from "./createDecisionLog.js";
+import { createPlaceRouter } from "./createPlaceRouter.js";
+import type { GatewaySettings } from "./gatewaySettings.js";
+import { startSessionTask } from "./startSessionTask.js";
+
+/** A running gateway. */
+export interface Gateway {
+    readonly host: HostId;
+    readonly url: string;
+    readonly peerPort: number;
+    readonly metrics: Metrics;
+    readonly ready: Promise<void>;
+    /** Planned stop: no new work, running answers finish, engines are given up. */
+    stop(): Promise<void>;
+    /** What a stop at its limit would cut off, in words. */
+    describeUnfinished(): string;
+    /** Resolves once this host's configuration holds a change. */
+    configReached(seq: number): Promise<void>;
+}
+
+const MAX_DECISIONS = 10_000;
+const DONE: Empty = { done: true };
+const BURST_LOADS = 2;
+
+/**
+ * Starts a gateway with all its tasks.
+ *
+ * @param cfg - Checked settings
+ * @returns the running gateway
+ *
+ * @example
+ * const gateway = await startGateway(await loadSettings(gatewaySettingsSchema, file));
+ */
+export async function startGateway(cfg: GatewaySettings): Promise<Gateway> {
+    const clock = createSystemClock();
+    const metrics = createMetrics();
+    const log: EventLog = createEventLog({ process: `gateway ${cfg.host}`, level: cfg.logLevel as 3 });
+    const hash = await createHasher();
+    const incarnation = createId<Incarnation>();
+    const decisions = createDecisionLog(MAX_DECISIONS);
+    const kv = createKvClient({ driver: createEtcdKv(cfg.kv), clock, metrics, log, resolveMs: cfg.kv.timeoutMs * 2 });
+    const peers = createPeerClient({
+        host: cfg.host,
+        peerKey: cfg.peerKey,
+        clock,
+        metrics,
+        heartbeatMs: cfg.helloMs,
+        silenceMs: cfg.silenceMs,
+    });
+    const drivers = new Map<EngineId, { readonly url: string; readonly driver: EngineDriver }>();
+    let leaving = false;
+
+    const config = startConfigTask({ kv, log, metrics });
+    let index = buildOfferIndex(config.snapshot);
+    config.subscribe(snapshot => {
+        index = buildOfferIndex(snapshot);
+    });
+    const ensureDriver = (entry: ConfiguredEngine): EngineDriver => {
+        const present = drivers.get(entry.engine);
+        if (present?.url === entry.url) {
+            return present.driver;
+        }
+        const driver = createHttpEngine({
+            url: entry.url,
+            connectTimeoutMs: cfg.connectTimeoutMs,
+            silenceMs: cfg.streamSilenceMs,
+        });
+        drivers.set(entry.engine, { url: entry.url, driver });
+        return driver;
+    };
+    const findEngine = (engine: EngineId): EngineDriver | undefined => {
+        const entry = index.engines.find(candidate => candidate.engine === engine);
+        return entry === undefined ? undefined : ensureDriver(entry);
+    };
+    const describeSelf = (): PeerHello => ({
+        host: cfg.host,
+        incarnation,
+        leaving,
+        configSeq: config.snapshot.seq,
+        ownedEngines: ownership.owned.map(task => task.state.engine),
+    });
+    const membership = startMembershipTask({
+        host: cfg.host,
+        incarnation,
+        hostList: createHttpHostList(cfg.hostList),
+        peers,
+        clock,
+        metrics,
+        log,
+        helloMs: cfg.helloMs,
+        silenceMs: cfg.silenceMs,
+        describeSelf: () => describeSelf(),
+        onReplaced: (host, former) => ownership.hostReplaced(host, former),
+    });
+    const recordDecision = (
+        decision: {
+            step: string;
+            detail: string;
+            adapter: PlaceAsk["adapter"] | undefined;
+            requestId: RequestId | undefined;
+        },
+    ): void =>
+        decisions.record({
+            atMs: clock.wallMs(),
+            host: cfg.host,
+            step: decision.step,
+            detail: decision.detail,
+            adapter: decision.adapter,
+            requestId: decision.requestId,
+        });
+    const chooseReplicas = (ask: PlaceAsk, ratePerSecond: number): readonly EngineId[] => {
+        const adapter = index.findAdapter(ask.adapter);
+        const engines = adapter === undefined
+            ? [ask.engine]
+            : index.listEngines(adapter.spec.baseModel).filter(entry => !entry.draining).map(entry => entry.engine);
+        const wanted = Math.min(
+            engines.length,
+            Math.max(1, Math.ceil(ratePerSecond / readPolicy(config.snapshot).replicaRate)),
+        );
+        return rankByRendezvous(hash, `${ask.adapter}@${ask.version}`, engines).slice(0, wanted);
+    };
+    const askPeer = (host: HostId) => {
+        const member = membership.find(host);
+        if (member === undefined) {
+            throw new ServeError("the host is not known", {
+                code: "peer_failed",
+                step: "find peer",
+                peer: host,
+                outcome: "not_run",
+            });
+        }
+        return member;
+    };
+    const share = (): { loadsPerSecond: number; maxInTransit: number; burst: number } => {
+        const policy = readPolicy(config.snapshot);
+        const part = ownership.owned.length / Math.max(1, index.engines.length);
+        return {
+            loadsPerSecond: policy.storeLoadsPerSecond * part,
+            maxInTransit: Math.max(1, Math.floor(policy.storeMaxInTransit * part)),
+            burst: BURST_LOADS,
+        };
+    };
+    const ownership = startOwnershipTask({
+        host: cfg.host,
+        incarnation,
+        kv,
+        hash,
+        clock,
+        metrics,
+        log,
+        budget: createLoadBudgetTask(clock, () => share()),
+        claimMs: cfg.claimMs,
+        reportMs: cfg.reportMs,
+        orderMs: cfg.orderMs,
+        leaseMs: cfg.leaseMs,
+        listEngines: () => listOwnable(index.engines, readPolicy(config.snapshot), ensureDriver),
+        listHosts: () => membership.liveHosts,
+        askHeld: (host, ask) =>
+            host === cfg.host
+                ? Promise.resolve(router.describeHeld(ask))
+                : peers.ask(askPeer(host), "placesHeld", ask, cfg.silenceMs),
+        chooseReplicas,
+        recordDecision,
+    });
+    const findOwner = (engine: EngineId): HostId | undefined => {
+        if (ownership.find(engine)?.state.phase === "owned") {
+            return cfg.host;
+        }
+        return membership.members.find(member =>
+            member.host !== cfg.host && member.state !== "silent" && member.ownedEngines.includes(engine)
+        )?.host;
+    };
+    const answerPlace = (ask: PlaceAsk): Promise<PlaceReply> => {
+        const task = ownership.find(ask.engine);
+        return task === undefined || task.state.phase !== "owned"
+            ? Promise.resolve({ kind: "not_owner", owner: undefined })
+            : task.ask(ask);
+    };
+    const router = createPlaceRouter({
+        host: cfg.host,
+        incarnation,
+        hash,
+        clock,
+        metrics,
+        listEngines: offered => index.listEngines(offered.baseModel),
+        findOwner,
+        ask: (owner, ask) =>
+            owner === cfg.host ? answerPlace(ask) : peers.ask(askPeer(owner), "place", ask, ask.waitMs + cfg.silenceMs),
+        end: async (owner, end) => {
+            if (owner === cfg.host) {
+                ownership.find(end.engine)?.end(end);
+                return;
+            }
+            await peers.ask(askPeer(owner), "placeEnd", end, cfg.silenceMs);
+        },
+    });
+    const describeStatus = (): StatusReply => ({
+        host: cfg.host,
+        incarnation,
+        configSeq: config.snapshot.seq,
+        ready: config.complete && !leaving,
+        leaving,
+        ownedEngines: ownership.owned.map(task => task.state.engine),
+        engines: ownership.owned.map(task => task.status()),
+    });
+    const peerServer = await createPeerServer({
+        host: cfg.host,
+        peerKey: cfg.peerKey,
+        listen: cfg.peers,
+        clock,
+        metrics,
+        silenceMs: cfg.silenceMs,
+        handlers: {
+            hello: ask => Promise.resolve(membership.handleHello(ask)),
+            place: answerPlace,
+            placeEnd: ask => {
+                ownership.find(ask.engine)?.end(ask);
+                return Promise.resolve(DONE);
+            },
+            placesHeld: ask => Promise.resolve(router.describeHeld(ask)),
+            status: () => Promise.resolve(describeStatus()),
+            explain: ask => Promise.resolve({ decisions: decisions.find(ask) }),
+        },
+    });
+    const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
+    const server = createServer(createCallerHandler({
+        readIndex: () => index,
+        readPolicy: () => readPolicy(config.snapshot),
+        router,
+        findEngine,
+        clock,
+        metrics,
+        log,
+        maxBodyBytes: cfg.maxBodyBytes,
+        bodyTimeoutMs: cfg.bodyTimeoutMs,
+        isReady: () => config.complete && !leaving,
+        recordStep: (requestId, generation, step, detail) =>
+            recordDecision({ step, detail, requestId, adapter: generation?.offered.adapter }),
+        claim: () =>
+            Promise.reject(
+                new ServeError("keyed requests are not served yet", {
+                    code: "kv_unavailable",
+                    step: "claim",
+                    peer: "self",
+                    outcome: "not_run",
+                    retryAfterMs: 1000,
+                }),
+            ),
+    }));
+    await new Promise<void>(resolve => server.listen(cfg.callers.port, cfg.callers.host, resolve));
+    const { port } = server.address() as AddressInfo;
+    log.write("info", 100, { host: cfg.host, callers: port, peers: peerServer.port });
+    return {
+        host: cfg.host,
+        url: `http://${cfg.callers.host}:${port}`,
+        peerPort: peerServer.port,
+        metrics,
+        configReached: seq =>
+            new Promise(resolve => {
+                const stopWaiting = config.subscribe(snapshot => {
+                    if (snapshot.seq >= seq) {
+                        stopWaiting();
+                        resolve();
+                    }
+                });
+                if (config.snapshot.seq >= seq) {
+                    stopWaiting();
+                    resolve();
+                }
+            }),
+        describeUnfinished: () => `${router.heldCount} running answers`,
+        ready: Promise.all([config.ready, membership.ready]).then(() => undefined),
+        async stop() {
+            leaving = true;
+            log.write("info", 102, { host: cfg.host });
+            await membership.announce();
+            await new Promise<void>(resolve => {
+                server.close(() => resolve());
+                server.closeIdleConnections();
+            });
+            await ownership.release();
+            ownership.stop();
+            await session.stop();
+            membership.stop();
+            config.stop();
+            peers.close();
+            await peerServer.close();
+            await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
+            await kv.close();
+            log.write("info", 103, { host: cfg.host });
+        },
+    };
+}
+
+function listOwnable(
+    engines: readonly ConfiguredEngine[],
+    policy: PolicySpec,
+    ensureDriver: (entry: ConfiguredEngine) => EngineDriver,
+): readonly OwnableEngine[] {
+    return engines.map(entry => ({
+        engine: entry.engine,
+        failureDomain: entry.failureDomain,
+        driver: ensureDriver(entry),
+        limits: {
+            queueLimit: policy.queueLimit,
+            callerQueueLimit: policy.callerQueueLimit,
+            agingMs: policy.agingMs,
+            maxRequestMs: policy.maxRequestMs,
+            replicaRate: policy.replicaRate,
+            batchSlots: policy.engineBatchSlots,
+            adapterPlaces: policy.engineAdapterPlaces,
+            fencing: entry.fencing,
+            draining: entry.draining,
+        },
+    }));
+}
--- /dev/null
+++ b/packages/membership/src/memberView.ts
@@ -0,0 +1,16 @@
+import type { EngineId, FailureDomain, HostId, Incarnation } from "@fulmarcleat/ids";
+
+/** A host as this one knows it. */
+export interface Member {
+    readonly host: HostId;
+    readonly address: string;
+    readonly port: number;
+    readonly failureDomain: FailureDomain;
+    /** `silent`: listed, but it has not answered lately. */
+    readonly state: "live" | "silent" | "leaving";
+    /** Undefined until it has answered once. */
+    readonly incarnation: Incarnation | undefined;
+    readonly heardMs: number;
+    readonly configSeq: number;
+    readonly ownedEngines: readonly EngineId[];
+}
--- /dev/null
+++ b/packages/ownership/src/createEngineState.ts
@@ -0,0 +1,28 @@
+import type { EngineId } from "@fulmarcleat/ids";
+import type { EngineLimits, EngineState } from "./engineState.js";
+
+/**
+ * Creates the state of an engine that this host does not own.
+ *
+ * @param engine - The engine
+ * @param limits - Limits from the configuration
+ * @returns the state
+ *
+ * @example
+ * let state = createEngineState(engine, limits);
+ */
+export function createEngineState(engine: EngineId, limits: EngineLimits): EngineState {
+    return {
+        engine,
+        phase: "unowned",
+        fence: 0,
+        lastLoad: 0,
+        engineIncarnation: undefined,
+        limits,
+        instances: [],
+        places: [],
+        waiting: [],
+        backoffs: [],
+        inheritance: undefined,
+    };
+}
--- /dev/null
+++ b/packages/ownership/src/engineState.ts
@@ -0,0 +1,108 @@
+import type {
+    AdapterName,
+    AdapterVersion,
+    CallerName,
+    EngineId,
+    HostId,
+    Incarnation,
+    InstanceName,
+    PlaceId,
+    RequestId,
+} from "@fulmarcleat/ids";
+import type { DecayedRate } from "@fulmarcleat/placement";
+import type { Priority } from "@fulmarcleat/resources";
+
+/**
+ * How far an instance is. `doubtful`: its load order got no answer.
+ * `foreign`: an earlier owner loaded it, and it may still be in use or be evicted by that owner.
+ */
+export type InstanceStatus = "loading" | "doubtful" | "ready" | "unloading" | "foreign";
+
+/** One load of an adapter on the engine. */
+export interface Instance {
+    readonly instance: InstanceName;
+    readonly adapter: AdapterName;
+    readonly version: AdapterVersion;
+    readonly status: InstanceStatus;
+    /** When it came into its status, in milliseconds. */
+    readonly sinceMs: number;
+    readonly lastUsedMs: number;
+    readonly rate: DecayedRate;
+    /** Requests that run on it by the engine's last report. */
+    readonly reportedRunning: number;
+    /** Places ended since that report was asked for. */
+    readonly endedSinceReport: number;
+}
+
+/** One place in the engine's batch that a host holds. */
+export interface Place {
+    readonly place: PlaceId;
+    readonly instance: InstanceName;
+    readonly host: HostId;
+    readonly incarnation: Incarnation;
+    readonly grantedMs: number;
+    /** When its holder was found gone; it is kept until the engine shows no run that could be its. */
+    readonly orphanedMs: number | undefined;
+}
+
+/** A request that waits for a place. */
+export interface Waiting {
+    readonly place: PlaceId;
+    readonly requestId: RequestId;
+    readonly adapter: AdapterName;
+    readonly version: AdapterVersion;
+    readonly weights: string;
+    readonly caller: CallerName;
+    readonly priority: Priority;
+    readonly host: HostId;
+    readonly incarnation: Incarnation;
+    readonly arrivedMs: number;
+    readonly deadlineMs: number;
+}
+
+/** An adapter whose last load failed. */
+export interface LoadBackoff {
+    readonly adapter: AdapterName;
+    readonly version: AdapterVersion;
+    readonly failures: number;
+    readonly untilMs: number;
+}
+
+/** What the owner must do before it may touch instances of an earlier owner. */
+export interface Inheritance {
+    /** Hosts that have not yet said which places they hold. */
+    readonly unansweredHosts: readonly HostId[];
+    /** Whether the earlier owner can no longer order anything on this engine. */
+    readonly formerIsGone: boolean;
+    /** From when no request of before can still run, in milliseconds. */
+    readonly safeAtMs: number;
+}
+
+/** Limits and settings that the configuration gives. */
+export interface EngineLimits {
+    readonly queueLimit: number;
+    readonly callerQueueLimit: number;
+    readonly agingMs: number;
+    readonly maxRequestMs: number;
+    readonly replicaRate: number;
+    readonly batchSlots: number;
+    readonly adapterPlaces: number;
+    readonly fencing: "checked" | "ignored";
+    readonly draining: boolean;
+}
+
+/** One engine as its owner knows it. */
+export interface EngineState {
+    readonly engine: EngineId;
+    /** Whether this host may order loads and grant places. */
+    readonly phase: "unowned" | "owned" | "releasing";
+    readonly fence: number;
+    readonly lastLoad: number;
+    readonly engineIncarnation: Incarnation | undefined;
+    readonly limits: EngineLimits;
+    readonly instances: readonly Instance[];
+    readonly places: readonly Place[];
+    readonly waiting: readonly Waiting[];
+    readonly backoffs: readonly LoadBackoff[];
+    readonly inheritance: Inheritance | undefined;
+}
--- /dev/null
+++ b/packages/ownership/src/isUsable.ts
@@ -0,0 +1,19 @@
+import type { AdapterName, AdapterVersion } from "@fulmarcleat/ids";
+import type { Instance } from "./engineState.js";
+
+/**
+ * Tells whether an instance may serve requests for an adapter's version.
+ *
+ * @param instance - The instance
+ * @param wanted - Adapter and version asked for
+ * @returns whether it is ready and is exactly that adapter and version
+ *
+ * @example
+ * const serving = state.instances.find(instance => isUsable(instance, waiting));
+ */
+export function isUsable(
+    instance: Instance,
+    wanted: { readonly adapter: AdapterName; readonly version: AdapterVersion },
+): boolean {
+    return instance.status === "ready" && instance.adapter === wanted.adapter && instance.version === wanted.version;
+}
--- /dev/null
+++ b/packages/ownership/src/startEngineTask.ts
@@ -0,0 +1,196 @@
+import type { EngineDriver } from "@fulmarcleat/drivers";
+import type { EventLog, Metrics } from "@fulmarcleat/events";
+import type { CancelTimer, Clock, EngineId, HostId } from "@fulmarcleat/ids";
+import type { Decision, EngineStatus, PlaceAsk, PlaceEnd, PlaceReply } from "@fulmarcleat/wire";
+import { PLACE_START_MS } from "./applyReport.js";
+import { countPins } from "./countPins.js";
+import { createEngineState } from "./createEngineState.js";
+import type { EngineEffect } from "./engineEffect.js";
+import type { EngineMessage } from "./engineMessage.js";
+import type { EngineLimits, EngineState } from "./engineState.js";
+import type { LoadBudgetTask } from "./loadBudgetTask.js";
+import { reduceEngine } from "./reduceEngine.js";
+
+/** Settings of the task that owns one engine. */
+export interface EngineTaskOptions {
+    readonly engine: EngineId;
+    readonly host: HostId;
+    readonly driver: EngineDriver;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly log: EventLog;
+    readonly limits: EngineLimits;
+    readonly budget: LoadBudgetTask;
+    /** Time between the engine's reports, in milliseconds. */
+    readonly reportMs: number;
+    /** Longest wait for an engine's answer to an order, in milliseconds. */
+    readonly orderMs: number;
+    readonly recordDecision: (decision: Omit<Decision, "host" | "atMs">) => void;
+    /** Which engines serve an adapter at a rate of requests. */
+    readonly chooseReplicas: (ask: PlaceAsk, ratePerSecond: number) => readonly EngineId[];
+    /** Gives up the ownership record. */
+    readonly onReleased: (fence: number) => void;
+}
+
+/** The task that owns one engine. */
+export interface EngineTask {
+    readonly state: EngineState;
+    ask(ask: PlaceAsk): Promise<PlaceReply>;
+    end(end: PlaceEnd): void;
+    send(message: EngineMessage): void;
+    status(): EngineStatus;
+    stop(): void;
+}
+
+interface PendingReply {
+    readonly ask: PlaceAsk;
+    readonly resolve: (reply: PlaceReply) => void;
+}
+
+const TICK_MS = 50;
+
+/**
+ * Starts the task that owns one engine.
+ *
+ * @param options - Driver, limits and counters
+ * @returns the task
+ *
+ * @example
+ * const task = startEngineTask({ engine, driver, ...rest });
+ */
+export function startEngineTask(options: EngineTaskOptions): EngineTask {
+    const { clock, driver, engine, metrics, log } = options;
+    const replies = new Map<string, PendingReply>();
+    const stopping = new AbortController();
+    let state = createEngineState(engine, options.limits);
+    let cancelTick: CancelTimer = () => undefined;
+    let cancelReport: CancelTimer = () => undefined;
+
+    const send = (message: EngineMessage): void => {
+        const loadsAllowed = options.budget.allowed();
+        const step = reduceEngine(state, message, { nowMs: clock.nowMs(), loadsAllowed });
+        state = step.state;
+        step.effects.forEach(run);
+    };
+    const run = (effect: EngineEffect): void => {
+        switch (effect.kind) {
+            case "grant":
+                replyGranted(effect);
+                return;
+            case "refuse":
+                reply(effect.waiting.place, {
+                    kind: "refused",
+                    code: effect.code,
+                    message: effect.message,
+                    retryAfterMs: effect.retryAfterMs,
+                });
+                return;
+            case "load":
+                void load(effect);
+                return;
+            case "unload":
+                void unload(effect);
+                return;
+            case "released":
+                options.onReleased(effect.fence);
+                return;
+            case "decision":
+                options.recordDecision(effect);
+                return;
+        }
+    };
+    const reply = (place: string, body: PlaceReply): void => {
+        replies.get(place)?.resolve(body);
+        replies.delete(place);
+    };
+    const replyGranted = (effect: Extract<EngineEffect, { kind: "grant" }>): void => {
+        const { waiting, instance, fence, waitedMs, loadStallMs, ratePerSecond } = effect;
+        const pending = replies.get(waiting.place);
+        const replicas = pending === undefined ? [engine] : options.chooseReplicas(pending.ask, ratePerSecond);
+        metrics.record("load_stall", loadStallMs, { class: waiting.priority });
+        reply(waiting.place, {
+            kind: "granted",
+            place: waiting.place,
+            instance,
+            fence,
+            waitedMs,
+            startWithinMs: PLACE_START_MS,
+            replicas,
+            credits: undefined,
+            loadStallMs,
+        });
+    };
+    const load = async (effect: Extract<EngineEffect, { kind: "load" }>): Promise<void> => {
+        options.budget.started();
+        const result = await driver.load(effect, AbortSignal.timeout(options.orderMs)).catch(() => undefined);
+        options.budget.ended();
+        const isDone = result?.kind === "done";
+        metrics.count(isDone ? "loads_total" : "load_failures_total", { engine });
+        log.write(isDone ? "info" : "warn", isDone ? 303 : 304, { engine, instance: effect.instance });
+        send({ kind: "loadAnswered", instance: effect.instance, result });
+    };
+    const unload = async (effect: Extract<EngineEffect, { kind: "unload" }>): Promise<void> => {
+        const result = await driver.unload(effect.instance, effect.fence, AbortSignal.timeout(options.orderMs)).catch(
+            () => undefined,
+        );
+        metrics.count("evictions_total", { engine, result: result?.kind ?? "unknown" });
+        log.write("info", 305, { engine, instance: effect.instance });
+        send({ kind: "unloadAnswered", instance: effect.instance, result });
+    };
+    const tick = (): void => {
+        if (state.waiting.length > 0) {
+            send({ kind: "tick" });
+        }
+        cancelTick = clock.setTimer(TICK_MS, tick);
+    };
+    const pollReport = async (): Promise<void> => {
+        const askedMs = clock.nowMs();
+        if (state.phase === "owned") {
+            const report = await driver.report(AbortSignal.timeout(options.orderMs)).catch(() => undefined);
+            if (report !== undefined && !stopping.signal.aborted) {
+                send({ kind: "report", report, askedMs });
+            }
+        }
+        if (!stopping.signal.aborted) {
+            cancelReport = clock.setTimer(options.reportMs, () => void pollReport());
+        }
+    };
+    tick();
+    void pollReport();
+    return {
+        get state() {
+            return state;
+        },
+        ask: ask =>
+            new Promise(resolve => {
+                replies.set(ask.place, { ask, resolve });
+                const nowMs = clock.nowMs();
+                send({ kind: "ask", waiting: { ...ask, arrivedMs: nowMs, deadlineMs: nowMs + ask.waitMs } });
+            }),
+        end: end => end.ends.forEach(({ place, use }) => send({ kind: "placeEnd", place, use })),
+        send,
+        status: () => describe(state, options),
+        stop() {
+            stopping.abort();
+            cancelTick();
+            cancelReport();
+        },
+    };
+}
+
+function describe(state: EngineState, options: EngineTaskOptions): EngineStatus {
+    return {
+        engine: state.engine,
+        owner: options.host,
+        fence: state.fence,
+        draining: state.limits.draining,
+        running: state.places.length,
+        waiting: state.waiting.length,
+        instances: state.instances.map(instance => ({
+            instance: instance.instance,
+            state: instance.status,
+            pins: countPins(state, instance),
+            ratePerSecond: instance.rate.perSecond,
+        })),
+    };
+}
--- /dev/null
+++ b/packages/program/src/index.ts
@@ -0,0 +1,2 @@
+export { runProgram } from "./runProgram.js";
+export type { Program, RunningProgram } from "./runProgram.js";
--- /dev/null
+++ b/packages/resources/src/index.ts
@@ -0,0 +1,11 @@
+export { applyChanges } from "./applyChanges.js";
+export type { ConfigChange, ConfigOp } from "./configChange.js";
+export { EMPTY_SNAPSHOT } from "./configSnapshot.js";
+export type { ConfigSnapshot } from "./configSnapshot.js";
+export { formatResourceKey } from "./formatResourceKey.js";
+export { hashSecret } from "./hashSecret.js";
+export { listResources } from "./listResources.js";
+export { matchSecret } from "./matchSecret.js";
+export { readPolicy } from "./readPolicy.js";
+export { readResource } from "./readResource.js";
+export * from "./schemas.js";
--- /dev/null
+++ b/packages/resources/src/readResource.ts
@@ -0,0 +1,22 @@
+import type { ConfigSnapshot } from "./configSnapshot.js";
+import { formatResourceKey } from "./formatResourceKey.js";
+import type { ResourceKind, ResourceOf } from "./schemas.js";
+
+/**
+ * Reads one resource of a snapshot.
+ *
+ * @param snapshot - The snapshot
+ * @param kind - Kind of the resource
+ * @param name - Name of the resource
+ * @returns the resource, or undefined where there is none
+ *
+ * @example
+ * readResource(snapshot, "Adapter", "levy")?.spec.baseModel;
+ */
+export function readResource<Kind extends ResourceKind>(
+    snapshot: ConfigSnapshot,
+    kind: Kind,
+    name: string,
+): ResourceOf<Kind> | undefined {
+    return snapshot.resources.get(formatResourceKey({ kind, name })) as ResourceOf<Kind> | undefined;
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,4 @@
+export { listenSchema, peerKeySchema, tlsSchema } from "./listenSchema.js";
+export type { ListenSettings } from "./listenSchema.js";
+export { loadSettings } from "./loadSettings.js";
+export { parseSettings } from "./parseSettings.js";
--- /dev/null
+++ b/packages/settings/src/loadSettings.ts
@@ -0,0 +1,29 @@
+import { ServeError } from "@fulmarcleat/errors";
+import { readFile } from "node:fs/promises";
+import type { z } from "zod";
+import { parseSettings } from "./parseSettings.js";
+
+/**
+ * Reads a settings file and checks it.
+ *
+ * @param schema - What is allowed
+ * @param file - Path of the file
+ * @returns the checked settings
+ * @throws ServeError `settings_invalid` where the file can't be read or is not allowed
+ *
+ * @example
+ * const cfg = await loadSettings(gatewaySchema, "gateway.jsonc");
+ */
+export async function loadSettings<T>(schema: z.ZodType<T>, file: string): Promise<T> {
+    return parseSettings(schema, await readText(file), { file });
+}
+
+async function readText(file: string): Promise<string> {
+    try {
+        return await readFile(file, "utf8");
+    }
+    catch (cause) {
+        const details = { code: "settings_invalid", step: "read settings", peer: file, outcome: "not_run" } as const;
+        throw new ServeError(`${file}: the file can't be read`, { ...details, cause });
+    }
+}
--- /dev/null
+++ b/packages/spec/src/checkedSpecifications.ts
@@ -0,0 +1,4 @@
+import type { CheckedSpecification } from "./specification.js";
+
+/** Every specification that `check:model` explores. */
+export const CHECKED_SPECIFICATIONS: readonly CheckedSpecification[] = [];
--- /dev/null
+++ b/packages/spec/src/exploreSpecification.ts
@@ -0,0 +1,104 @@
+import { fromTransition } from "xstate";
+import { getAdjacencyMap } from "xstate/graph";
+import type { Exploration, Specification, Violation } from "./specification.js";
+
+interface VisitedState<State> {
+    readonly state: State;
+    readonly targets: readonly { readonly label: string; readonly key: string }[];
+}
+
+interface GraphEdge<State, Event> {
+    readonly event: Event;
+    readonly state: { readonly context: State };
+}
+
+interface Visit {
+    readonly depth: number;
+    readonly from: string | undefined;
+    readonly label: string;
+}
+
+/**
+ * Visits every state that a specification can reach and checks its invariants.
+ *
+ * @param spec - The specification
+ * @returns counts and violations, each with its shortest trace
+ *
+ * @example
+ * const { violations } = exploreSpecification(idempotencySpecification({}));
+ */
+export function exploreSpecification<State extends object, Event extends { readonly type: string }>(
+    spec: Specification<State, Event>,
+): Exploration {
+    const graph = readGraph(spec);
+    const visits = walk(graph, JSON.stringify(spec.initial));
+    const violations: Violation[] = [];
+    let transitions = 0;
+    let depth = 0;
+    for (const [key, visit] of visits) {
+        const visited = graph.get(key);
+        if (visited === undefined) {
+            continue;
+        }
+        transitions += visited.targets.length;
+        depth = Math.max(depth, visit.depth);
+        for (const invariant of spec.invariants) {
+            const message = invariant.check(visited.state);
+            if (message !== undefined && !violations.some(found => found.invariant === invariant.name)) {
+                violations.push({ invariant: invariant.name, message, trace: readTrace(visits, key) });
+            }
+        }
+    }
+    if (graph.size >= spec.limit) {
+        violations.push({ invariant: "bounded", message: `more than ${spec.limit} states`, trace: [] });
+    }
+    return { name: spec.name, states: visits.size, transitions, depth, invariants: spec.invariants.length, violations };
+}
+
+function readGraph<State extends object, Event extends { readonly type: string }>(
+    spec: Specification<State, Event>,
+): ReadonlyMap<string, VisitedState<State>> {
+    const logic = fromTransition((state: State, event: Event) => spec.step(state, event), spec.initial);
+    const adjacency = getAdjacencyMap(logic, {
+        events: snapshot => [...spec.listEvents(snapshot.context)],
+        serializeState: snapshot => JSON.stringify(snapshot.context) as never,
+        serializeEvent: event => JSON.stringify(event) as never,
+        limit: spec.limit,
+    });
+    const graph = new Map<string, VisitedState<State>>();
+    for (const [key, entry] of Object.entries(adjacency)) {
+        const targets = Object.values(entry.transitions as Record<string, GraphEdge<State, Event>>).map(target => ({
+            label: JSON.stringify(target.event),
+            key: JSON.stringify(target.state.context),
+        }));
+        graph.set(key, { state: entry.state.context, targets });
+    }
+    return graph;
+}
+
+function walk<State>(graph: ReadonlyMap<string, VisitedState<State>>, start: string): ReadonlyMap<string, Visit> {
+    const visits = new Map<string, Visit>([[start, { depth: 0, from: undefined, label: "" }]]);
+    let frontier: readonly string[] = [start];
+    while (frontier.length > 0) {
+        const next: string[] = [];
+        for (const key of frontier) {
+            const depth = (visits.get(key)?.depth ?? 0) + 1;
+            for (const target of graph.get(key)?.targets ?? []) {
+                if (!visits.has(target.key)) {
+                    visits.set(target.key, { depth, from: key, label: target.label });
+                    next.push(target.key);
+                }
+            }
+        }
+        frontier = next;
+    }
+    return visits;
+}
+
+function readTrace(visits: ReadonlyMap<string, Visit>, key: string): readonly string[] {
+    const trace: string[] = [];
+    for (let visit = visits.get(key); visit?.from !== undefined; visit = visits.get(visit.from)) {
+        trace.unshift(visit.label);
+    }
+    return trace;
+}
--- /dev/null
+++ b/packages/spec/src/index.ts
@@ -0,0 +1,4 @@
+export { CHECKED_SPECIFICATIONS } from "./checkedSpecifications.js";
+export { exploreSpecification } from "./exploreSpecification.js";
+export { formatExploration } from "./formatExploration.js";
+export type * from "./specification.js";
--- /dev/null
+++ b/packages/standin/src/index.ts
@@ -0,0 +1,11 @@
+export type { EngineOrderRecord, EngineRecord, EngineRun } from "./engineRecord.js";
+export { DEFAULT_ENGINE, startEngineStandin } from "./startEngineStandin.js";
+export type { EngineFaults, EngineStandin, EngineStandinOptions } from "./startEngineStandin.js";
+export { startHostListStandin } from "./startHostListStandin.js";
+export type { HostListStandin, StandinHost } from "./startHostListStandin.js";
+export { startKvStandin } from "./startKvStandin.js";
+export type { KvFaults, KvRecord, KvStandin, StandinAddress } from "./startKvStandin.js";
+export { startServiceStandin } from "./startServiceStandin.js";
+export type { ServiceFaults, ServiceRun, ServiceStandin } from "./startServiceStandin.js";
+export { DEFAULT_WEIGHT_LIMITS, startWeightStandin } from "./startWeightStandin.js";
+export type { WeightLimits, WeightRecord, WeightStandin } from "./startWeightStandin.js";
--- /dev/null
+++ b/packages/standin/src/startEngineStandin.ts
@@ -0,0 +1,377 @@
+import { randomUUID } from "node:crypto";
+import type { ServerResponse } from "node:http";
+import { setTimeout as wait } from "node:timers/promises";
+import { Agent } from "undici";
+import { z } from "zod";
+import { createFaultRoute, createStandinServer, sendJson } from "./createStandinServer.js";
+import type { StandinCall, StandinRoute, StandinServer } from "./createStandinServer.js";
+import { createEngineBatch } from "./engineBatch.js";
+import type { EngineOrderRecord, EngineRecord, EngineRun } from "./engineRecord.js";
+import type { StandinAddress } from "./startKvStandin.js";
+
+/** Settings of an engine stand-in. */
+export interface EngineStandinOptions {
+    readonly id: string;
+    /** Address of the weight store. */
+    readonly weightStoreUrl: string;
+    readonly batchSlots: number;
+    readonly adapterPlaces: number;
+    /** Time of one token, in milliseconds. */
+    readonly tokenMs: number;
+    /** Whether orders with an old fencing number are refused. */
+    readonly checksFences: boolean;
+    /** How long a stream without a reader is kept, in milliseconds. */
+    readonly keepStreamMs: number;
+}
+
+const faultSchema = z.strictObject({
+    down: z.boolean().optional(),
+    delayMs: z.int().min(0).optional(),
+    checksFences: z.boolean().optional(),
+    failLoads: z.int().min(0).optional(),
+    stallLoadMs: z.int().min(0).optional(),
+    reportLagMs: z.int().min(0).optional(),
+    loseReports: z.boolean().optional(),
+    dropCacheEvents: z.boolean().optional(),
+    cutStreamsAfterTokens: z.int().min(1).optional(),
+    canResume: z.boolean().optional(),
+    silence: z.boolean().optional(),
+    restart: z.boolean().optional(),
+    leaving: z.boolean().optional(),
+    echoInstance: z.string().optional(),
+});
+
+/** Faults of an engine. */
+export type EngineFaults = z.infer<typeof faultSchema>;
+
+/** A running engine stand-in. */
+export interface EngineStandin {
+    readonly id: string;
+    readonly url: string;
+    setFaults(faults: EngineFaults): void;
+    record(): EngineRecord;
+    close(): Promise<void>;
+}
+
+/** Sizes of the brief's engines. */
+export const DEFAULT_ENGINE: Omit<EngineStandinOptions, "id" | "weightStoreUrl"> = {
+    batchSlots: 16,
+    adapterPlaces: 8,
+    tokenMs: 5,
+    checksFences: true,
+    keepStreamMs: 5000,
+};
+
+const completionSchema = z.object({
+    model: z.string(),
+    prompt: z.string().optional(),
+    messages: z.array(z.object({ role: z.string(), content: z.string() })).optional(),
+    max_tokens: z.int().min(1).default(16),
+    priority: z.number().default(0),
+    request_id: z.string(),
+});
+const loadSchema = z.object({ lora_name: z.string(), lora_path: z.string(), fence: z.number() });
+const unloadSchema = z.object({ lora_name: z.string(), fence: z.number() });
+
+interface LiveStream {
+    readonly run: EngineRun;
+    readonly sent: string[];
+    reader: ServerResponse | undefined;
+    done: boolean;
+}
+
+interface ReportBody {
+    readonly incarnation: string;
+    readonly instances: readonly { readonly instance: string; readonly running: number }[];
+    readonly running: number;
+    readonly waiting: number;
+    readonly batchSlots: number;
+    readonly adapterPlaces: number;
+}
+
+/**
+ * Starts a small model engine: batches, adapters, priorities, resumable streams and faults.
+ *
+ * @param address - Where to listen
+ * @param options - Sizes and behaviour
+ * @returns the running stand-in
+ *
+ * @example
+ * const engine = await startEngineStandin(address, { ...DEFAULT_ENGINE, id: "e1", weightStoreUrl });
+ */
+export async function startEngineStandin(
+    address: StandinAddress,
+    options: EngineStandinOptions,
+): Promise<EngineStandin> {
+    const batch = createEngineBatch({ slots: options.batchSlots, stepMs: options.tokenMs });
+    const dispatcher = new Agent();
+    const loaded = new Set<string>();
+    const loading = new Set<string>();
+    const streams = new Map<string, LiveStream>();
+    const runs: EngineRun[] = [];
+    const orders: EngineOrderRecord[] = [];
+    const refused: Record<string, number> = {};
+    const reports: { readonly atMs: number; readonly body: ReportBody }[] = [];
+    let faults: EngineFaults = {};
+    let checksFences = options.checksFences;
+    let highestFence = 0;
+    let incarnation: string = randomUUID();
+    let evictedInUse = 0;
+
+    const refuseOrder = (
+        call: StandinCall,
+        record: Omit<EngineOrderRecord, "atMs" | "running">,
+        reason: string,
+    ): undefined => {
+        orders.push({ ...record, atMs: performance.now(), running: 0 });
+        sendJson(call.res, 409, { status: "refused", reason, message: `${record.order} refused: ${reason}` });
+        return undefined;
+    };
+    const isOldFence = (fence: number): boolean => {
+        const isOld = checksFences && fence < highestFence;
+        highestFence = Math.max(highestFence, fence);
+        return isOld;
+    };
+    const fetchWeights = async (path: string): Promise<boolean> => {
+        const res = await dispatcher.request({
+            origin: options.weightStoreUrl,
+            method: "GET",
+            path: `/weights/${encodeURIComponent(path)}`,
+        });
+        await res.body.dump();
+        return res.statusCode === 200;
+    };
+    const load = async (call: StandinCall): Promise<unknown> => {
+        const { lora_name: instance, lora_path: path, fence } = loadSchema.parse(call.body);
+        const record = { order: "load", instance, fence } as const;
+        const startedIn = incarnation;
+        if (isOldFence(fence)) {
+            return refuseOrder(call, { ...record, result: "old_fence" }, "old_fence");
+        }
+        if (!loaded.has(instance)) {
+            if (loaded.size + loading.size >= options.adapterPlaces) {
+                return refuseOrder(call, { ...record, result: "full" }, "full");
+            }
+            loading.add(instance);
+            await wait(faults.stallLoadMs ?? 0);
+            const fetched = await fetchWeights(path).catch(() => false);
+            loading.delete(instance);
+            const fails = (faults.failLoads ?? 0) > 0;
+            if (fails) {
+                faults = { ...faults, failLoads: (faults.failLoads ?? 0) - 1 };
+            }
+            if (!fetched || fails || startedIn !== incarnation) {
+                return refuseOrder(call, { ...record, result: "failed" }, "failed");
+            }
+            loaded.add(instance);
+        }
+        orders.push({ ...record, atMs: performance.now(), result: "done", running: 0 });
+        return { status: "done" };
+    };
+    const unload = (call: StandinCall): unknown => {
+        const { lora_name: instance, fence } = unloadSchema.parse(call.body);
+        const record = { order: "unload", instance, fence } as const;
+        if (isOldFence(fence)) {
+            return refuseOrder(call, { ...record, result: "old_fence" }, "old_fence");
+        }
+        if (!loaded.delete(instance)) {
+            return refuseOrder(call, { ...record, result: "not_found" }, "not_found");
+        }
+        const running = batch.countRunning(instance);
+        evictedInUse += running > 0 ? 1 : 0;
+        orders.push({ ...record, atMs: performance.now(), result: "done", running });
+        return { status: "done" };
+    };
+    const refuseRun = (res: ServerResponse, status: number, code: string): undefined => {
+        refused[code] = (refused[code] ?? 0) + 1;
+        sendJson(res, status, { error: { code, message: code } });
+        return undefined;
+    };
+    const complete = (call: StandinCall): undefined => {
+        const body = completionSchema.parse(call.body);
+        if (faults.leaving === true) {
+            return refuseRun(call.res, 410, "leaving");
+        }
+        if (!loaded.has(body.model)) {
+            return refuseRun(call.res, 404, "not_loaded");
+        }
+        const run: EngineRun = {
+            requestId: body.request_id,
+            instance: body.model,
+            prompt: body.prompt ?? JSON.stringify(body.messages),
+            priority: body.priority,
+            receivedAtMs: performance.now(),
+            firstTokenAtMs: undefined,
+            endedAtMs: undefined,
+            tokens: 0,
+            end: undefined,
+        };
+        runs.push(run);
+        const stream: LiveStream = { run, sent: [], reader: undefined, done: false };
+        streams.set(run.requestId, stream);
+        attach(stream, call.res, 0);
+        batch.add({
+            requestId: run.requestId,
+            instance: run.instance,
+            priority: run.priority,
+            maxTokens: body.max_tokens,
+            onToken: (index, isLast) => emitToken(stream, index, isLast),
+        });
+        return undefined;
+    };
+    const emitToken = (stream: LiveStream, index: number, isLast: boolean): void => {
+        const { run } = stream;
+        run.firstTokenAtMs ??= performance.now();
+        run.tokens += 1;
+        const model = faults.echoInstance ?? run.instance;
+        const text = `${run.instance.split("#")[0]}:${index} `;
+        const chunk = {
+            id: run.requestId,
+            object: "text_completion",
+            model,
+            choices: [{ index: 0, text, finish_reason: isLast ? "length" : null }],
+        };
+        stream.sent.push(`id: ${index}\ndata: ${JSON.stringify(chunk)}\n\n`);
+        stream.reader?.write(stream.sent[index] ?? "");
+        if (faults.cutStreamsAfterTokens !== undefined && index + 1 === faults.cutStreamsAfterTokens) {
+            stream.reader?.destroy();
+        }
+        if (isLast) {
+            finish(stream);
+        }
+    };
+    const finish = (stream: LiveStream): void => {
+        stream.done = true;
+        stream.run.endedAtMs = performance.now();
+        stream.run.end = "finished";
+        stream.reader?.end("data: [DONE]\n\n");
+        setTimeout(() => streams.delete(stream.run.requestId), options.keepStreamMs).unref();
+    };
+    const attach = (stream: LiveStream, res: ServerResponse, fromIndex: number): void => {
+        stream.reader?.destroy();
+        stream.reader = res;
+        res.writeHead(200, { "content-type": "text/event-stream" });
+        res.flushHeaders();
+        res.on("close", () => {
+            if (stream.reader === res) {
+                stream.reader = undefined;
+                setTimeout(() => dropOrphan(stream), options.keepStreamMs).unref();
+            }
+        });
+        stream.sent.slice(fromIndex).forEach(event => res.write(event));
+        if (stream.done) {
+            res.end("data: [DONE]\n\n");
+        }
+    };
+    const dropOrphan = (stream: LiveStream): void => {
+        if (stream.reader === undefined && !stream.done) {
+            cancel(stream.run.requestId);
+        }
+    };
+    const cancel = (requestId: string): boolean => {
+        const stream = streams.get(requestId);
+        streams.delete(requestId);
+        if (stream === undefined || stream.done) {
+            return false;
+        }
+        batch.remove(requestId);
+        stream.run.end = "cancelled";
+        stream.run.endedAtMs = performance.now();
+        stream.reader?.destroy();
+        return true;
+    };
+    const resume = (call: StandinCall): undefined => {
+        const stream = streams.get(call.params["id"] ?? "");
+        if (stream === undefined || faults.canResume === false) {
+            return refuseRun(call.res, 404, "not_found");
+        }
+        attach(stream, call.res, Number(call.req.headers["last-event-id"] ?? -1) + 1);
+        return undefined;
+    };
+    const restart = (): void => {
+        for (const stream of streams.values()) {
+            if (!stream.done) {
+                stream.run.end = "lost";
+                stream.run.endedAtMs = performance.now();
+            }
+            stream.reader?.destroy();
+        }
+        streams.clear();
+        batch.clear();
+        loaded.clear();
+        loading.clear();
+        highestFence = 0;
+        incarnation = randomUUID();
+    };
+    const report = (call: StandinCall): unknown => {
+        if (faults.loseReports === true) {
+            call.req.socket.destroy();
+            return undefined;
+        }
+        const nowMs = performance.now();
+        const body: ReportBody = {
+            incarnation,
+            instances: [...loaded].map(instance => ({ instance, running: batch.countRunning(instance) })),
+            running: batch.running,
+            waiting: batch.waiting,
+            batchSlots: options.batchSlots,
+            adapterPlaces: options.adapterPlaces,
+        };
+        reports.push({ atMs: nowMs, body });
+        const lagMs = faults.reportLagMs ?? 0;
+        while (reports.length > 1 && (reports[1]?.atMs ?? nowMs) <= nowMs - lagMs) {
+            reports.shift();
+        }
+        return reports[0]?.body;
+    };
+    const setFaults = (changed: EngineFaults): void => {
+        const { silence, restart: restarts, ...kept } = changed;
+        faults = { ...faults, ...kept };
+        checksFences = changed.checksFences ?? checksFences;
+        server.setFaults({
+            ...(changed.down === undefined ? {} : { down: changed.down }),
+            ...(changed.delayMs === undefined ? {} : { delayMs: changed.delayMs }),
+        });
+        if (restarts === true) {
+            restart();
+        }
+        if (silence === true) {
+            server.silenceConnections();
+        }
+    };
+    const readRecord = (): EngineRecord => ({
+        runs: [...runs],
+        orders: [...orders],
+        evictedInUse,
+        refused: { ...refused },
+        batch: { slots: options.batchSlots, ...batch.counts() },
+    });
+    const routes: StandinRoute[] = [
+        { method: "POST", path: "/v1/load_lora_adapter", answer: load },
+        { method: "POST", path: "/v1/unload_lora_adapter", answer: unload },
+        { method: "POST", path: "/v1/completions", answer: complete },
+        { method: "POST", path: "/v1/chat/completions", answer: complete },
+        { method: "GET", path: "/v1/streams/:id", answer: resume },
+        {
+            method: "POST",
+            path: "/v1/streams/:id/cancel",
+            answer: call => ({ cancelled: cancel(call.params["id"] ?? "") }),
+        },
+        { method: "GET", path: "/load", answer: report },
+        { method: "GET", path: "/health", answer: () => ({ status: "ok" }) },
+        { method: "GET", path: "/record", answer: readRecord },
+        createFaultRoute(faultSchema, setFaults),
+    ];
+    const server: StandinServer = await createStandinServer({ ...address, routes });
+    return {
+        id: options.id,
+        url: server.url,
+        setFaults,
+        record: readRecord,
+        close: async () => {
+            batch.clear();
+            await server.close();
+            await dispatcher.destroy();
+        },
+    };
+}
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,15 @@
+export {
+    After,
+    AfterAll,
+    Before,
+    Given,
+    setDefaultTimeout,
+    setWorldConstructor,
+    Then,
+    When,
+    World,
+} from "@cucumber/cucumber";
+export type { DataTable } from "@cucumber/cucumber";
+export * as fc from "fast-check";
+export { deepStrictEqual, ok, strictEqual } from "node:assert";
+export { registerTable } from "./registerTable.js";
--- /dev/null
+++ b/packages/wire/src/createPeerClient.ts
@@ -0,0 +1,196 @@
+import { ServeError } from "@fulmarcleat/errors";
+import type { Metrics } from "@fulmarcleat/events";
+import type { CancelTimer, Clock, HostId } from "@fulmarcleat/ids";
+import { randomBytes } from "node:crypto";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import { computeMac } from "./computeMac.js";
+import { createAskTable } from "./createAskTable.js";
+import type { AskTable } from "./createAskTable.js";
+import { createFrameReader } from "./createFrameReader.js";
+import { encodeFrame } from "./encodeFrame.js";
+import type { Frame } from "./frame.js";
+import { isSameMac } from "./isSameMac.js";
+import type { AskOf, ExchangeName, ReplyOf } from "./messages.js";
+
+/** Where a peer listens. */
+export interface PeerAddress {
+    readonly host: HostId;
+    readonly address: string;
+    readonly port: number;
+}
+
+/** Settings of connections to peers. */
+export interface PeerClientOptions {
+    readonly host: HostId;
+    readonly peerKey: string;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    /** Time between heartbeats, in milliseconds. */
+    readonly heartbeatMs: number;
+    /** Longest silence of a peer before its connection is replaced, in milliseconds. */
+    readonly silenceMs: number;
+}
+
+/** Connections to peers, one for each, opened on demand. */
+export interface PeerClient {
+    /** Asks a peer; throws ServeError `peer_failed`, `not_run` where nothing was sent, else `unknown`. */
+    ask<Name extends ExchangeName>(
+        to: PeerAddress,
+        name: Name,
+        body: AskOf<Name>,
+        timeoutMs: number,
+    ): Promise<ReplyOf<Name>>;
+    close(): void;
+}
+
+interface Link {
+    readonly socket: Socket;
+    readonly asks: AskTable;
+    readonly verified: Promise<void>;
+}
+
+const NONCE_BYTES = 16;
+
+/**
+ * Creates the connections of a process to its peers.
+ *
+ * @param options - Own name, key and heartbeat
+ * @returns the connections
+ *
+ * @example
+ * const reply = await peers.ask(owner, "place", ask, 1000);
+ */
+export function createPeerClient(options: PeerClientOptions): PeerClient {
+    const links = new Map<string, Link>();
+    return {
+        async ask(to, name, body, timeoutMs) {
+            const link = openLink(links, to, options);
+            await withinTimeout(link.verified, options.clock, timeoutMs, to.host);
+            const { id, reply } = link.asks.add(timeoutMs);
+            options.metrics.count("peer_asks_sent_total", { name });
+            writeFrame(link.socket, { t: "ask", id, name, body }, options.metrics);
+            return await reply as ReplyOf<typeof name>;
+        },
+        close() {
+            links.forEach(link => link.socket.destroy());
+            links.clear();
+        },
+    };
+}
+
+function openLink(links: Map<string, Link>, to: PeerAddress, options: PeerClientOptions): Link {
+    const key = `${to.host}|${to.address}|${to.port}`;
+    const present = links.get(key);
+    if (present !== undefined) {
+        return present;
+    }
+    const link = connectLink(to, options, () => links.delete(key));
+    links.set(key, link);
+    return link;
+}
+
+function connectLink(to: PeerAddress, options: PeerClientOptions, forget: () => void): Link {
+    const socket = connect({ host: to.address, port: to.port, noDelay: true });
+    const asks = createAskTable(options.clock, to.host);
+    const reader = createFrameReader();
+    const nonce = randomBytes(NONCE_BYTES).toString("hex");
+    let cancelHeartbeat: CancelTimer = () => undefined;
+    const beat = (): void => {
+        writeFrame(socket, { t: "ping" }, options.metrics);
+        cancelHeartbeat = options.clock.setTimer(options.heartbeatMs, beat);
+    };
+    const verified = new Promise<void>((resolve, reject) => {
+        socket.setTimeout(options.silenceMs, () => socket.destroy());
+        socket.on("error", () => socket.destroy());
+        socket.on("close", () => {
+            forget();
+            cancelHeartbeat();
+            reject(createError(to.host, "the connection could not be opened", "not_run"));
+            asks.failAll("the connection to the peer is gone");
+        });
+        socket.on("data", chunk => {
+            try {
+                reader(chunk).forEach(frame => handleFrame(frame, { socket, asks, nonce, to, options, resolve, beat }));
+            }
+            catch {
+                socket.destroy();
+            }
+        });
+    });
+    verified.catch(() => undefined);
+    return { socket, asks, verified };
+}
+
+interface LinkContext {
+    readonly socket: Socket;
+    readonly asks: AskTable;
+    readonly nonce: string;
+    readonly to: PeerAddress;
+    readonly options: PeerClientOptions;
+    readonly resolve: () => void;
+    readonly beat: () => void;
+}
+
+function handleFrame(frame: Frame, link: LinkContext): void {
+    const { peerKey, host, metrics } = link.options;
+    switch (frame.t) {
+        case "challenge": {
+            const mac = computeMac(peerKey, ["client", frame.nonce, link.nonce, host]);
+            writeFrame(link.socket, { t: "proof", host, nonce: link.nonce, mac }, metrics);
+            return;
+        }
+        case "welcome":
+            if (
+                frame.host !== link.to.host
+                || !isSameMac(frame.mac, computeMac(peerKey, ["server", link.nonce, frame.host]))
+            ) {
+                metrics.count("peer_refusals_total", { reason: "unauthenticated" });
+                link.socket.destroy();
+                return;
+            }
+            link.resolve();
+            link.beat();
+            return;
+        case "reply":
+            link.asks.settle(frame.id, frame.body);
+            return;
+        case "error":
+            link.asks.fail(frame.id, `${frame.code}: ${frame.message}`);
+            return;
+        case "pong":
+        case "ping":
+        case "proof":
+        case "ask":
+            return;
+    }
+}
+
+function writeFrame(socket: Socket, frame: Frame, metrics: Metrics): void {
+    if (socket.destroyed) {
+        return;
+    }
+    const bytes = encodeFrame(frame);
+    metrics.count("peer_sent_bytes_total", {}, bytes.length);
+    socket.write(bytes);
+}
+
+async function withinTimeout(verified: Promise<void>, clock: Clock, timeoutMs: number, peer: HostId): Promise<void> {
+    let cancel: CancelTimer = () => undefined;
+    const expired = new Promise<never>((resolve, reject) => {
+        cancel = clock.setTimer(
+            timeoutMs,
+            () => reject(createError(peer, "the peer did not verify in time", "not_run")),
+        );
+    });
+    try {
+        await Promise.race([verified, expired]);
+    }
+    finally {
+        cancel();
+    }
+}
+
+function createError(peer: HostId, message: string, outcome: "not_run" | "unknown"): ServeError {
+    return new ServeError(message, { code: "peer_failed", step: "ask peer", peer, outcome });
+}
--- /dev/null
+++ b/packages/wire/src/createPeerServer.ts
@@ -0,0 +1,174 @@
+import { toServeError } from "@fulmarcleat/errors";
+import type { Metrics } from "@fulmarcleat/events";
+import type { Clock, HostId } from "@fulmarcleat/ids";
+import { randomBytes } from "node:crypto";
+import { createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import { computeMac } from "./computeMac.js";
+import { createFrameReader } from "./createFrameReader.js";
+import { encodeFrame } from "./encodeFrame.js";
+import type { Frame } from "./frame.js";
+import { isSameMac } from "./isSameMac.js";
+import type { AskOf, ExchangeName, ReplyOf } from "./messages.js";
+
+/** Handlers of the exchanges that a process answers. */
+export type PeerHandlers = {
+    readonly [Name in ExchangeName]?: (ask: AskOf<Name>, from: HostId) => Promise<ReplyOf<Name>>;
+};
+
+/** Settings of a listener for peers. */
+export interface PeerServerOptions {
+    readonly host: HostId;
+    readonly peerKey: string;
+    readonly listen: { readonly host: string; readonly port: number };
+    readonly handlers: PeerHandlers;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    /** Longest silence of a peer before its connection is closed, in milliseconds. */
+    readonly silenceMs: number;
+}
+
+/** A listener for peers. */
+export interface PeerServer {
+    readonly port: number;
+    close(): Promise<void>;
+}
+
+const NONCE_BYTES = 16;
+const UNVERIFIED_FRAME_BYTES = 4096;
+
+/**
+ * Listens for peers and answers their asks.
+ *
+ * @param options - Address, key and handlers
+ * @returns the listener
+ *
+ * @example
+ * const server = await createPeerServer({ host, peerKey, listen, handlers, clock, metrics, silenceMs: 6000 });
+ */
+export async function createPeerServer(options: PeerServerOptions): Promise<PeerServer> {
+    const sockets = new Set<Socket>();
+    const server = createServer({ noDelay: true }, socket => {
+        sockets.add(socket);
+        socket.on("close", () => sockets.delete(socket));
+        serveSocket(socket, options);
+    });
+    await listen(server, options.listen);
+    const address = server.address();
+    return {
+        port: typeof address === "object" && address !== null ? address.port : options.listen.port,
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                sockets.forEach(socket => socket.destroy());
+            }),
+    };
+}
+
+function listen(server: Server, address: { readonly host: string; readonly port: number }): Promise<void> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(address.port, address.host, () => {
+            server.removeListener("error", reject);
+            resolve();
+        });
+    });
+}
+
+function serveSocket(socket: Socket, options: PeerServerOptions): void {
+    const nonce = randomBytes(NONCE_BYTES).toString("hex");
+    let from: HostId | undefined;
+    let reader = createFrameReader({ maxBytes: UNVERIFIED_FRAME_BYTES });
+    socket.setTimeout(options.silenceMs, () => socket.destroy());
+    socket.on("error", () => socket.destroy());
+    socket.on("data", chunk => {
+        try {
+            for (const frame of reader(chunk)) {
+                if (from === undefined) {
+                    from = verifyProof(frame, nonce, options);
+                    reader = createFrameReader();
+                    send(socket, writeWelcome(frame, options));
+                }
+                else {
+                    answerFrame(socket, frame, from, options);
+                }
+            }
+        }
+        catch (err) {
+            options.metrics.count("peer_refusals_total", { reason: toServeError(err, INTERNAL).code });
+            socket.destroy();
+        }
+    });
+    send(socket, { t: "challenge", nonce });
+}
+
+const INTERNAL = { code: "internal", step: "serve peer", peer: "unverified", outcome: "not_run" } as const;
+
+function verifyProof(frame: Frame, nonce: string, options: PeerServerOptions): HostId {
+    if (
+        frame.t === "proof"
+        && isSameMac(frame.mac, computeMac(options.peerKey, ["client", nonce, frame.nonce, frame.host]))
+    ) {
+        return frame.host;
+    }
+    throw toServeError("the peer does not know the key", {
+        code: "unauthenticated",
+        step: "verify peer",
+        peer: "unverified",
+        outcome: "not_run",
+    });
+}
+
+function writeWelcome(frame: Frame, options: PeerServerOptions): Frame {
+    const clientNonce = frame.t === "proof" ? frame.nonce : "";
+    return {
+        t: "welcome",
+        host: options.host,
+        mac: computeMac(options.peerKey, ["server", clientNonce, options.host]),
+    };
+}
+
+function answerFrame(socket: Socket, frame: Frame, from: HostId, options: PeerServerOptions): void {
+    switch (frame.t) {
+        case "ping":
+            send(socket, { t: "pong" });
+            return;
+        case "ask":
+            void answerAsk(socket, frame, from, options);
+            return;
+        case "pong":
+        case "challenge":
+        case "proof":
+        case "welcome":
+        case "reply":
+        case "error":
+            return;
+    }
+}
+
+async function answerAsk(
+    socket: Socket,
+    frame: Extract<Frame, { t: "ask" }>,
+    from: HostId,
+    options: PeerServerOptions,
+): Promise<void> {
+    const handler = options.handlers[frame.name] as ((ask: unknown, from: HostId) => Promise<unknown>) | undefined;
+    options.metrics.count("peer_asks_total", { name: frame.name });
+    try {
+        if (handler === undefined) {
+            send(socket, { t: "error", id: frame.id, code: "not_found", message: `no handler for ${frame.name}` });
+            return;
+        }
+        send(socket, { t: "reply", id: frame.id, body: await handler(frame.body, from) });
+    }
+    catch (err) {
+        const { code, message } = toServeError(err, INTERNAL);
+        send(socket, { t: "error", id: frame.id, code, message });
+    }
+}
+
+function send(socket: Socket, frame: Frame): void {
+    if (!socket.destroyed) {
+        socket.write(encodeFrame(frame));
+    }
+}
