Claim keys by group commit and resolve writes in doubt

Cause: a lost reply of the key-value service left a write undecided, each watcher cost a call of its own, and keyed requests had no owner. Conclusion: nothing is granted before its write is known.

--- /dev/null
+++ b/packages/idempotency/src/parseClaimPage.ts
@@ -0,0 +1,29 @@
+import { z } from "zod";
+import type { ClaimPage } from "./claimPage.js";
+
+const pageSchema = z.object({
+    entries: z.record(
+        z.string(),
+        z.object({
+            requestHash: z.string(),
+            nonce: z.string(),
+            atMs: z.number(),
+            state: z.enum(["open", "ran", "unknown"]),
+        }),
+    ),
+    writes: z.array(z.string()),
+});
+
+/**
+ * Reads a partition's page.
+ *
+ * @param value - The value in the key-value service
+ * @returns the page
+ * @throws ZodError or SyntaxError where the value is no page
+ *
+ * @example
+ * const page = parseClaimPage(entry.value);
+ */
+export function parseClaimPage(value: string): ClaimPage {
+    return pageSchema.parse(JSON.parse(value));
+}
--- /dev/null
+++ b/packages/kv/src/createKvClient.steps.ts
@@ -0,0 +1,134 @@
+import type { KvDriver, KvEntry, KvSwapResult } from "@fulmarcleat/drivers";
+import { ServeError } from "@fulmarcleat/errors";
+import { createEventLog, createMetrics } from "@fulmarcleat/events";
+import { createManualClock } from "@fulmarcleat/ids";
+import type { ManualClock } from "@fulmarcleat/ids";
+import { deepStrictEqual, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { createKvClient } from "./createKvClient.js";
+import type { KvClient } from "./createKvClient.js";
+import type { KvOutcome } from "./kvOutcome.js";
+
+interface ClientWorld {
+    clock: ManualClock;
+    client: KvClient;
+    swaps: number;
+    openWatches: number;
+    outcome: KvOutcome;
+    seen: string[][];
+    stopping: AbortController[];
+}
+
+const RESOLVE_MS = 500;
+const STEP_MS = 50;
+const ROUNDS = 40;
+
+Given("a KV client over a driver that answers {}", function(this: ClientWorld, answersText: string) {
+    const answers = JSON.parse(answersText) as string[];
+    this.clock = createManualClock(0);
+    this.swaps = 0;
+    this.openWatches = 0;
+    const driver = createScriptedDriver(this, answers);
+    this.client = createKvClient({
+        driver,
+        clock: this.clock,
+        metrics: createMetrics(),
+        log: createEventLog({ process: "test", level: 0 }),
+        resolveMs: RESOLVE_MS,
+    });
+});
+
+When("the KV client writes {string} with its nonce in it", async function(this: ClientWorld, value: string) {
+    const writing = this.client.write({
+        purpose: "claim",
+        key: "k",
+        expectedRevision: 3,
+        value,
+        isOwn: current => current.split("+").includes(value),
+    });
+    let isDone = false;
+    void writing.then(() => {
+        isDone = true;
+    });
+    for (let round = 0; round < ROUNDS && !isDone; round += 1) {
+        await settlePromises();
+        this.clock.advance(STEP_MS);
+    }
+    this.outcome = await writing;
+    await this.client.close();
+});
+
+Then("the KV write ended as {string} after {int} swaps", function(this: ClientWorld, kind: string, swaps: number) {
+    deepStrictEqual({ kind: this.outcome.kind, swaps: this.swaps }, { kind, swaps });
+});
+
+When("{int} subscribers watch the same key through the KV client", async function(this: ClientWorld, count: number) {
+    this.seen = Array.from({ length: count }, () => []);
+    this.stopping = this.seen.map(() => new AbortController());
+    this.seen.forEach((seen, at) => {
+        const signal = this.stopping[at]?.signal ?? AbortSignal.abort();
+        this.client.watch("config", "k", entry => seen.push(entry.value), signal);
+    });
+    await settlePromises();
+});
+
+Then(
+    "the KV driver has {int} open watch and each subscriber saw the value once",
+    function(this: ClientWorld, count: number) {
+        strictEqual(this.openWatches, count);
+        this.seen.forEach(seen => deepStrictEqual(seen, ["present"]));
+    },
+);
+
+When("all subscribers of the KV client end", async function(this: ClientWorld) {
+    this.stopping.forEach(controller => controller.abort());
+    await settlePromises();
+    await this.client.close();
+});
+
+Then("the KV driver has {int} open watches", function(this: ClientWorld, count: number) {
+    strictEqual(this.openWatches, count);
+});
+
+function createScriptedDriver(world: ClientWorld, answers: readonly string[]): KvDriver {
+    const present: KvEntry = { value: "present", revision: 7 };
+    return {
+        get: () => Promise.resolve(present),
+        swap() {
+            const answer = answers[world.swaps] ?? "unsent";
+            world.swaps += 1;
+            return answerSwap(answer);
+        },
+        grantLease: () => Promise.reject(createFailure("not_run")),
+        keepAlive: () => Promise.resolve(true),
+        revokeLease: () => Promise.resolve(),
+        async *watch(key, afterRevision, signal) {
+            world.openWatches += 1;
+            await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
+            world.openWatches -= 1;
+            yield { kind: "deleted", revision: afterRevision };
+        },
+        close: () => Promise.resolve(),
+    };
+}
+
+function answerSwap(answer: string): Promise<KvSwapResult> {
+    const [kind = "", value = ""] = answer.split(" ");
+    switch (kind) {
+        case "applied":
+            return Promise.resolve({ kind: "applied", revision: 4 });
+        case "conflict":
+            return Promise.resolve({ kind: "conflict", current: { value, revision: 9 } });
+        case "lost":
+            return Promise.reject(createFailure("unknown"));
+        default:
+            return Promise.reject(createFailure("not_run"));
+    }
+}
+
+function createFailure(outcome: "not_run" | "unknown"): ServeError {
+    return new ServeError("no answer", { code: "kv_unavailable", step: "KV call", peer: "driver", outcome });
+}
+
+function settlePromises(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+}
--- a/packages/kv/src/createKvClient.ts
+++ b/packages/kv/src/createKvClient.ts
@@ -1,11 +1,17 @@
 import type { KvDriver, KvEntry, KvSwap, LeaseId } from "@fulmarcleat/drivers";
 import { ServeError } from "@fulmarcleat/errors";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
-import type { Clock } from "@fulmarcleat/ids";
+import type { CancelTimer, Clock } from "@fulmarcleat/ids";
+import { createCallGate } from "./createCallGate.js";
+import type { CallGate } from "./createCallGate.js";
+import { createSharedWatches } from "./createSharedWatches.js";
+import { judgeSwap } from "./judgeSwap.js";
+import type { SwapAttempt } from "./judgeSwap.js";
 import type { KvOutcome } from "./kvOutcome.js";
+import type { CallBudget } from "./takeCallToken.js";
 
 /** Why a call is made; the calls are counted by it. */
-export type KvPurpose = "config" | "claim" | "owner" | "session";
+export type KvPurpose = "config" | "claim" | "owner" | "session" | "probe";
 
 /** A write whose lost reply can be resolved by reading back. */
 export interface KvWrite extends KvSwap {
@@ -22,6 +28,10 @@
     readonly log: EventLog;
     /** How long a write in doubt is pursued, in milliseconds. */
     readonly resolveMs: number;
+    /** Longest wait for an answer before the service counts as away, in milliseconds. */
+    readonly slowMs?: number;
+    /** Calls that this process may make; those over it wait. */
+    readonly budget?: CallBudget;
 }
 
 /** The key-value service with typed outcomes. */
@@ -34,12 +44,16 @@
     revokeLease(lease: LeaseId): Promise<void>;
     /** Calls `notify` with each state of a key until `signal` ends; reconnects by itself. */
     watch(purpose: KvPurpose, key: string, notify: (entry: KvEntry) => void, signal: AbortSignal): void;
-    /** Whether the last call was answered. */
+    /** Whether calls are answered, and soon. */
     readonly available: boolean;
     close(): Promise<void>;
 }
 
 const RETRY_MS = 100;
+const PROBE_MS = 250;
+const PROBE_KEY = "probe";
+const DEFAULT_SLOW_MS = 1000;
+const DEFAULT_BUDGET: CallBudget = { callsPerSecond: 200, burst: 400 };
 
 /**
  * Creates a client that resolves writes in doubt by repeating and reading back.
@@ -52,108 +66,70 @@
  */
 export function createKvClient(options: KvClientOptions): KvClient {
     const { driver, clock, metrics, log } = options;
-    let available = true;
-    const note = (isAvailable: boolean): void => {
-        if (isAvailable !== available) {
-            available = isAvailable;
-            log.write(isAvailable ? "info" : "warn", isAvailable ? 601 : 600);
+    const gate = createCallGate({
+        clock,
+        metrics,
+        log,
+        budget: options.budget ?? DEFAULT_BUDGET,
+        slowMs: options.slowMs ?? DEFAULT_SLOW_MS,
+    });
+    const watches = createSharedWatches({ driver, gate, clock, retryMs: RETRY_MS });
+    let isClosed = false;
+    let cancelProbe: CancelTimer = () => undefined;
+    const probe = async (): Promise<void> => {
+        if (!gate.available) {
+            await gate.run("probe", "get", () => driver.get(PROBE_KEY)).catch(() => undefined);
         }
-    };
-    const call = async <T>(purpose: KvPurpose, kind: string, run: () => Promise<T>): Promise<T> => {
-        metrics.count("kv_calls_total", { purpose, kind });
-        try {
-            const result = await run();
-            note(true);
-            return result;
-        }
-        catch (err) {
-            note(false);
-            throw err;
-        }
-    };
-    const attempt = async (write: KvWrite): Promise<KvOutcome> => {
-        try {
-            const result = await call(write.purpose, "swap", () => driver.swap(write));
-            if (result.kind === "applied") {
-                return { kind: "applied", entry: { value: write.value, revision: result.revision } };
-            }
-            const { current } = result;
-            return current !== undefined && write.isOwn(current.value)
-                ? { kind: "applied", entry: current }
-                : { kind: "refused", current };
-        }
-        catch (err) {
-            const isUnsent = err instanceof ServeError && err.outcome === "not_run";
-            return { kind: isUnsent ? "unavailable" : "unknown" };
+        if (!isClosed) {
+            cancelProbe = clock.setTimer(PROBE_MS, () => void probe());
         }
     };
+    cancelProbe = clock.setTimer(PROBE_MS, () => void probe());
     return {
-        read: (purpose, key) => call(purpose, "get", () => driver.get(key)),
-        async write(write) {
-            const deadlineMs = clock.nowMs() + options.resolveMs;
-            let outcome = await attempt(write);
-            let isInDoubt = outcome.kind === "unknown";
-            while (isInDoubt && isUndecided(outcome) && clock.nowMs() < deadlineMs) {
-                metrics.count("kv_doubts_total", { purpose: write.purpose });
-                await pause(clock, RETRY_MS);
-                outcome = await attempt(write);
-            }
-            isInDoubt = isInDoubt && isUndecided(outcome);
-            return isInDoubt ? { kind: "unknown" } : outcome;
-        },
-        grantLease: ttlMs => call("session", "grant", () => driver.grantLease(ttlMs)),
-        keepAlive: lease => call("session", "keepalive", () => driver.keepAlive(lease)),
-        revokeLease: lease => call("session", "revoke", () => driver.revokeLease(lease)),
-        watch(purpose, key, notify, signal) {
-            void watchForever({ driver, clock, call, purpose, key, notify, signal });
-        },
+        read: (purpose, key) => gate.run(purpose, "get", () => driver.get(key)),
+        write: write => writeSurely(write, options, gate),
+        grantLease: ttlMs => gate.run("session", "grant", () => driver.grantLease(ttlMs)),
+        keepAlive: lease => gate.run("session", "keepalive", () => driver.keepAlive(lease)),
+        revokeLease: lease => gate.run("session", "revoke", () => driver.revokeLease(lease)),
+        watch: (purpose, key, notify, signal) => watches.add(purpose, key, notify, signal),
         get available() {
-            return available;
+            return gate.available;
+        },
+        close() {
+            isClosed = true;
+            cancelProbe();
+            return driver.close();
         },
-        close: () => driver.close(),
     };
 }
 
-function isUndecided(outcome: KvOutcome): boolean {
-    return outcome.kind === "unknown" || outcome.kind === "unavailable";
-}
-
-function pause(clock: Clock, ms: number): Promise<void> {
-    return new Promise(resolve => clock.setTimer(ms, resolve));
-}
-
-interface WatchContext {
-    readonly driver: KvDriver;
-    readonly clock: Clock;
-    readonly call: <T>(purpose: KvPurpose, kind: string, run: () => Promise<T>) => Promise<T>;
-    readonly purpose: KvPurpose;
-    readonly key: string;
-    readonly notify: (entry: KvEntry) => void;
-    readonly signal: AbortSignal;
-}
-
-async function watchForever(context: WatchContext): Promise<void> {
-    let revision = 0;
-    while (!context.signal.aborted) {
-        try {
-            const current = await context.call(context.purpose, "get", () => context.driver.get(context.key));
-            revision = deliver(context, current, revision);
-            await context.call(context.purpose, "watch", async () => {
-                for await (const event of context.driver.watch(context.key, revision, context.signal)) {
-                    revision = deliver(context, event.kind === "put" ? event.entry : undefined, revision);
-                }
-            });
+async function writeSurely(write: KvWrite, options: KvClientOptions, gate: CallGate): Promise<KvOutcome> {
+    const { clock, metrics, log } = options;
+    const deadlineMs = clock.nowMs() + options.resolveMs;
+    let wasLost = false;
+    for (;;) {
+        const attempt = await attemptSwap(write, options.driver, gate);
+        const verdict = judgeSwap(attempt, { value: write.value, isOwn: write.isOwn, wasLost });
+        if (verdict.kind !== "undecided") {
+            return verdict;
         }
-        catch {
-            await pause(context.clock, RETRY_MS);
+        if (!wasLost) {
+            log.write("warn", 602, { purpose: write.purpose, key: write.key });
         }
+        wasLost = true;
+        metrics.count("kv_doubts_total", { purpose: write.purpose });
+        if (clock.nowMs() + RETRY_MS >= deadlineMs) {
+            return { kind: "unknown" };
+        }
+        await new Promise<void>(resolve => clock.setTimer(RETRY_MS, resolve));
     }
 }
 
-function deliver(context: WatchContext, entry: KvEntry | undefined, revision: number): number {
-    if (entry === undefined || entry.revision <= revision) {
-        return revision;
+async function attemptSwap(write: KvWrite, driver: KvDriver, gate: CallGate): Promise<SwapAttempt> {
+    try {
+        return { kind: "answered", result: await gate.run(write.purpose, "swap", () => driver.swap(write)) };
+    }
+    catch (err) {
+        return err instanceof ServeError && err.outcome === "not_run" ? { kind: "unsent" } : { kind: "lost" };
     }
-    context.notify(entry);
-    return entry.revision;
 }
--- /dev/null
+++ b/packages/kv/src/decideAvailable.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { decideAvailable } from "./decideAvailable.js";
+
+registerTable("decideAvailable", decideAvailable);
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -87,8 +87,10 @@
 
 /** Asks an idempotency partition's owner for the right to run a request once. */
 export interface ClaimAsk {
+    /** `look` asks only what is known of the key. */
+    readonly mode: "claim" | "look";
     readonly partition: number;
-    readonly caller: CallerName;
+    /** Hash of the caller's name and its key. */
     readonly key: string;
     /** Hash of the request; a key may not be used again for another. */
     readonly requestHash: string;
@@ -98,17 +100,27 @@
 }
 
 /** A first answer, kept for a repeat. */
-export interface KeptAnswer {
-    readonly status: number;
-    readonly contentType: string;
-    readonly body: string;
-    readonly ranModel: string;
-}
+export type KeptAnswer =
+    | {
+        readonly kind: "generation";
+        readonly text: string;
+        readonly finishReason: "stop" | "length";
+        readonly tokens: number;
+        readonly ranModel: string;
+    }
+    | {
+        readonly kind: "service";
+        readonly status: number;
+        readonly contentType: string;
+        readonly body: Uint8Array;
+    };
 
 /** A partition owner's answer to a claim. */
 export type ClaimReply =
     /** The claim is committed; the asker alone may start the request. */
     | { readonly kind: "granted" }
+    /** Nothing is known of the key; replied to a look only. */
+    | { readonly kind: "free" }
     | { readonly kind: "replay"; readonly answer: KeptAnswer }
     /** It ran, and its answer is no longer kept. */
     | { readonly kind: "ran" }
@@ -119,13 +131,12 @@
     /** Nothing was committed; the request did not run. */
     | { readonly kind: "unavailable"; readonly retryAfterMs: number }
     /** The claim's write is undecided; the request is not started and the key stays spent. */
-    | { readonly kind: "undecided" }
-    | { readonly kind: "not_owner" };
+    | { readonly kind: "undecided" };
 
 /** Tells a partition's owner how a claimed request ended. */
 export interface ClaimEnd {
     readonly partition: number;
-    readonly caller: CallerName;
+    /** Hash of the caller's name and its key. */
     readonly key: string;
     readonly nonce: Nonce;
     /** `not_run` frees the key; `unknown` leaves it spent. */
