Serve keyed requests and plain services at most once

Cause: keyed requests were refused as not served, and plain services had no route. Change: claims go through the host that groups their partition, with the own host as fallback; ends and first answers are reported before the caller can repeat; a request under a key goes out on a fresh connection; plain services are served, repeatable ones with retries, others under a key.

--- /dev/null
+++ b/features/once-services.steps.ts
@@ -0,0 +1,128 @@
+import { Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import type { CallerAnswer, FleetWorld } from "./fleetWorld.js";
+import "./fleetWorld.js";
+import { INVOICE_CALLER, nameAnswer, waitForConfig } from "./onceWorld.js";
+
+const ORDER = JSON.stringify({ bottle: 1 });
+
+Given(
+    "a plain billing service with its first url {word}",
+    async function(this: FleetWorld, first: string) {
+        const { url } = this.fleet.service;
+        await applyBilling(this, first === "closed" ? [await findClosedUrl(), url] : [url, url], false);
+        await this.call(1, "/services/billing/prices", { headers: authorize(this) });
+        this.answers = [];
+    },
+);
+
+Given("the billing faults {string}", async function(this: FleetWorld, fault: string) {
+    const { service } = this.fleet;
+    switch (fault) {
+        case "none":
+            return;
+        case "lost reply":
+            service.setFaults({ loseReplies: 1 });
+            return;
+        case "silence":
+            service.setFaults({ silence: true });
+            return;
+        case "draining":
+            await applyBilling(this, [service.url], true);
+            return;
+        case "KV down":
+            this.fleet.kv.setFaults({ down: true });
+            await waitUntilRefused(this);
+            return;
+        default:
+            throw new Error(`no such fault: ${fault}`);
+    }
+});
+
+When(
+    "{word} {string} is called {int} times with {} on the billing service",
+    async function(this: FleetWorld, method: string, path: string, times: number, key: string) {
+        for (let time = 0; time < times; time += 1) {
+            const gateway = time % this.fleet.gateways.length + 1;
+            await this.call(gateway, `/services/billing${path}`, {
+                method,
+                headers: {
+                    ...authorize(this),
+                    ...(method === "POST" ? { "content-type": "application/json" } : {}),
+                    ...(key === "a key" ? { "idempotency-key": "order-1" } : {}),
+                },
+                ...(method === "POST" ? { body: ORDER } : {}),
+            });
+        }
+    },
+);
+
+Then(
+    "the billing service ran {int} calls and every billing answer is true",
+    function(this: FleetWorld, runs: number) {
+        const record = this.fleet.service.record().slice(WARM_UP_CALLS);
+        strictEqual(record.length, runs);
+        for (const answer of this.answers) {
+            if (nameAnswer(answer).endsWith(":not_run")) {
+                strictEqual(record.length, 0, "not_run was said of what ran");
+            }
+        }
+    },
+);
+
+Then("the billing answers are {string}", function(this: FleetWorld, expected: string) {
+    strictEqual(this.answers.map(describeAnswer).join(", "), expected);
+});
+
+const WARM_UP_CALLS = 1;
+
+function describeAnswer(answer: CallerAnswer): string {
+    if (answer.status !== 200) {
+        return nameAnswer(answer);
+    }
+    return answer.headers.get("fulmarcleat-replay") === "true" ? "200 replay" : "200";
+}
+
+function authorize(world: FleetWorld): Record<string, string> {
+    return { authorization: `Bearer ${world.keyOf(INVOICE_CALLER)}` };
+}
+
+async function applyBilling(world: FleetWorld, urls: readonly string[], draining: boolean): Promise<void> {
+    await world.fleet.apply([{
+        kind: "Service",
+        metadata: { name: "billing" },
+        spec: {
+            urls,
+            callers: [INVOICE_CALLER],
+            routes: [
+                { method: "POST", path: "/orders", repeatable: false, timeoutMs: 5000 },
+                { method: "GET", path: "/prices", repeatable: true, timeoutMs: 5000 },
+            ],
+            draining,
+        },
+    }]);
+    await waitForConfig(world);
+}
+
+async function waitUntilRefused(world: FleetWorld): Promise<void> {
+    for (let gateway = 1; gateway <= world.fleet.gateways.length; gateway += 1) {
+        for (let isAway = false; !isAway;) {
+            const answer = await world.call(gateway, "/v1/completions", {
+                method: "POST",
+                headers: { ...authorize(world), "idempotency-key": `probe-${gateway}-${world.answers.length}` },
+                body: JSON.stringify({ model: "levy@7", prompt: "probe", max_tokens: 1 }),
+            });
+            isAway = nameAnswer(answer) === "kv_unavailable:not_run";
+        }
+    }
+    world.answers = [];
+}
+
+async function findClosedUrl(): Promise<string> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise<void>(resolve => server.close(() => resolve()));
+    return `http://127.0.0.1:${port}`;
+}
--- /dev/null
+++ b/features/once.steps.ts
@@ -0,0 +1,231 @@
+import { createMetrics } from "@fulmarcleat/events";
+import { FLEET_PEER_KEY } from "@fulmarcleat/fleet";
+import { brandId, createSystemClock } from "@fulmarcleat/ids";
+import type { HostId, Nonce, RequestId } from "@fulmarcleat/ids";
+import { hashSecret } from "@fulmarcleat/resources";
+import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { createPeerClient } from "@fulmarcleat/wire";
+import { setTimeout as wait } from "node:timers/promises";
+import type { FleetWorld } from "./fleetWorld.js";
+import "./fleetWorld.js";
+import {
+    checkInvoiceTruth,
+    INVOICE_CALLER,
+    INVOICE_PROMPT,
+    nameAnswer,
+    sendInvoice,
+    startInvoicing,
+} from "./onceWorld.js";
+
+const KEY = "invoice-2024-11";
+const SLOW_KV_MS = 150;
+const MANY = 1_000_000;
+const POLL_MS = 20;
+const PARTITIONS = 64;
+const KEY_LENGTH = 32;
+const WARM_UP = "warm up";
+
+Given(
+    "an invoicing fleet of {int} gateways and {int} engines",
+    async function(this: FleetWorld, gateways: number, engines: number) {
+        await startInvoicing(this, gateways, engines);
+    },
+);
+
+Given("the invoicing faults {string}", async function(this: FleetWorld, faults: string) {
+    await sendInvoice(this, { gateway: 1, key: undefined, stream: false, prompt: WARM_UP });
+    this.answers = [];
+    for (const fault of faults.split(", ")) {
+        await setFault(this, fault);
+    }
+});
+
+async function setFault(world: FleetWorld, fault: string): Promise<void> {
+    const { kv, engines } = world.fleet;
+    switch (fault) {
+        case "none":
+            return;
+        case "lost KV reply":
+            kv.setFaults({ loseReplies: 1 });
+            return;
+        case "lost KV request":
+            kv.setFaults({ loseRequests: 1 });
+            return;
+        case "slow KV":
+            kv.setFaults({ delayMs: SLOW_KV_MS });
+            return;
+        case "no KV reply to writes":
+            kv.setFaults({ loseReplies: MANY });
+            return;
+        case "KV down":
+            kv.setFaults({ down: true });
+            await waitUntilAway(world);
+            return;
+        case "cut stream":
+            engines.forEach(engine => engine.setFaults({ cutStreamsAfterTokens: 2 }));
+            return;
+        case "cut stream for good":
+            engines.forEach(engine => engine.setFaults({ cutStreamsAfterTokens: 2, canResume: false }));
+            return;
+        case "silent engine":
+            engines.forEach(engine => engine.setFaults({ silence: true }));
+            return;
+        case "refusing engine":
+            engines[0]?.setFaults({ leaving: true });
+            return;
+        default:
+            throw new Error(`no such fault: ${fault}`);
+    }
+}
+
+async function waitUntilAway(world: FleetWorld): Promise<void> {
+    for (let gateway = 1; gateway <= world.fleet.gateways.length; gateway += 1) {
+        for (let probe = 0;; probe += 1) {
+            const call = { gateway, key: `probe-${gateway}-${probe}`, stream: false, prompt: WARM_UP };
+            if (nameAnswer(await sendInvoice(world, call)) === "kv_unavailable:not_run") {
+                break;
+            }
+            await wait(POLL_MS);
+        }
+    }
+    world.answers = [];
+}
+
+When("the levy invoice is sent {} under one key", async function(this: FleetWorld, manner: string) {
+    const send = (gateway: number, stream: boolean) =>
+        sendInvoice(this, { gateway, key: KEY, stream, prompt: INVOICE_PROMPT });
+    switch (manner) {
+        case "twice in turn":
+            await send(1, false);
+            await send(1, false);
+            return;
+        case "twice through two gateways":
+            await send(1, false);
+            await send(2, false);
+            return;
+        case "whole then streamed":
+            await send(1, false);
+            await send(2, true);
+            return;
+        case "streamed then whole":
+            await send(1, true);
+            await send(2, false);
+            return;
+        case "five times at once":
+            await Promise.all([1, 2, 3, 1, 2].map(gateway => send(gateway, false)));
+            return;
+        default:
+            throw new Error(`no such manner: ${manner}`);
+    }
+});
+
+When("another invoice is sent under the same key", async function(this: FleetWorld) {
+    await sendInvoice(this, { gateway: 2, key: KEY, stream: false, prompt: "another invoice" });
+});
+
+When("an invoice lookup without a key is sent", async function(this: FleetWorld) {
+    await sendInvoice(this, { gateway: 2, key: undefined, stream: false, prompt: "lookup" });
+});
+
+When("the key-value service of the invoices is back", function(this: FleetWorld) {
+    this.fleet.kv.setFaults({ down: false });
+});
+
+When("a fresh levy invoice is sent until the key-value service is used again", async function(this: FleetWorld) {
+    for (;;) {
+        const call = { gateway: 1, key: "fresh-invoice", stream: false, prompt: "fresh invoice" };
+        if (nameAnswer(await sendInvoice(this, call)) !== "kv_unavailable:not_run") {
+            return;
+        }
+        await wait(POLL_MS);
+    }
+});
+
+Given("a host claims the invoice's key and is gone", async function(this: FleetWorld) {
+    const [gateway] = this.fleet.gateways;
+    ok(gateway !== undefined);
+    const clock = createSystemClock();
+    const peers = createPeerClient({
+        host: brandId<HostId>("entry-gone"),
+        peerKey: FLEET_PEER_KEY,
+        clock,
+        metrics: createMetrics(),
+        heartbeatMs: 200,
+        silenceMs: 5000,
+    });
+    const key = hashSecret(`${INVOICE_CALLER}\u0000${KEY}`).slice(0, KEY_LENGTH);
+    const address = { host: gateway.host, address: "127.0.0.1", port: gateway.peerPort };
+    const reply = await peers.ask(address, "claim", {
+        mode: "claim",
+        partition: parseInt(key.slice(0, 8), 16) % PARTITIONS,
+        key,
+        requestHash: hashInvoice(),
+        nonce: brandId<Nonce>("gone-1"),
+        requestId: brandId<RequestId>("gone-1"),
+        waitMs: 3000,
+    }, 5000);
+    peers.close();
+    strictEqual(reply.kind, "granted");
+});
+
+function hashInvoice(): string {
+    const asked = Object.entries({ model: "levy@7", prompt: INVOICE_PROMPT, max_tokens: 6 })
+        .sort(([a], [b]) => a < b ? -1 : 1);
+    return hashSecret(`/v1/completions\n${JSON.stringify(asked)}`).slice(0, KEY_LENGTH);
+}
+
+When("the first invoicing gateway stops", async function(this: FleetWorld) {
+    const [gateway] = this.fleet.gateways;
+    const address = gateway?.url ?? "";
+    await gateway?.stop();
+    const isOpen = await fetch(`${address}/healthz`).then(() => true, () => false);
+    strictEqual(isOpen, false);
+});
+
+When("the levy invoice is sent through the other gateways under the same key", async function(this: FleetWorld) {
+    await sendInvoice(this, { gateway: 2, key: KEY, stream: false, prompt: INVOICE_PROMPT });
+    await sendInvoice(this, { gateway: 3, key: KEY, stream: false, prompt: INVOICE_PROMPT });
+});
+
+Then("the invoice ran {int} and every invoice answer is true", function(this: FleetWorld, runs: number) {
+    const ran = this.fleet.engines.flatMap(engine => engine.record().runs).filter(run => run.prompt === INVOICE_PROMPT);
+    strictEqual(ran.length, runs, this.answers.map(nameAnswer).join(", "));
+    this.answers.forEach(answer => checkInvoiceTruth(this, answer));
+});
+
+Then("the last invoice answer is {string}", function(this: FleetWorld, expected: string) {
+    strictEqual(nameAnswer(this.answers.at(-1)), expected);
+});
+
+Then(/^the invoice answers are (.*)$/, function(this: FleetWorld, expected: string) {
+    const names = this.answers.map(nameAnswer);
+    switch (expected) {
+        case "whole then replay":
+            strictEqual(names.join(", "), "whole, replay");
+            return;
+        case "one whole":
+            strictEqual(names.filter(name => name === "whole").length, 1, names.join(", "));
+            names.forEach(name => ok(ONE_WHOLE.has(name), names.join(", ")));
+            return;
+        case "kv_unavailable:not_run twice":
+            strictEqual(names.join(", "), "kv_unavailable:not_run, kv_unavailable:not_run");
+            this.answers.forEach(answer => ok(Number(answer.headers.get("retry-after")) > 0));
+            return;
+        case "kv_unknown:unknown then spent":
+            strictEqual(names[0], "kv_unknown:unknown");
+            ok(SPENT.has(names[1] ?? ""), names.join(", "));
+            return;
+        case "stream_broken:ran then spent":
+            strictEqual(names.join(", "), "stream_broken:ran, key_spent:ran");
+            return;
+        default:
+            throw new Error(`no such expectation: ${expected}`);
+    }
+});
+
+const ONE_WHOLE: ReadonlySet<string> = new Set(["whole", "replay", "key_in_progress:unknown"]);
+const SPENT: ReadonlySet<string> = new Set([
+    "kv_unknown:unknown",
+    "key_in_progress:unknown",
+    "kv_unavailable:not_run",
+]);
--- a/packages/drivers/src/createHttpEngine.ts
+++ b/packages/drivers/src/createHttpEngine.ts
@@ -82,10 +82,11 @@
         unload: (instance, fence, signal) => order("/v1/unload_lora_adapter", { lora_name: instance, fence }, signal),
         report: signal => readReport(dispatcher, options, signal),
         openStream: req =>
-            openStream(dispatcher, options, {
+            openStream(req.freshConnection ? createAgent(options) : dispatcher, options, {
                 method: "POST",
                 path: req.input.kind === "chat" ? "/v1/chat/completions" : "/v1/completions",
                 body: writeRequest(req),
+                isOnly: req.freshConnection,
                 signal: req.signal,
             }),
         resumeStream: (requestId, afterIndex, signal) =>
@@ -127,6 +128,8 @@
     readonly path: string;
     readonly body?: string;
     readonly lastEventId?: number;
+    /** Whether the connection is closed once this call has ended. */
+    readonly isOnly?: boolean;
     readonly signal: AbortSignal;
 }
 
@@ -166,6 +169,11 @@
             cause,
         });
     }
+    finally {
+        if (call.isOnly === true) {
+            void dispatcher.close().catch(() => undefined);
+        }
+    }
 }
 
 async function readRefusal(res: Dispatcher.ResponseData): Promise<StreamResult> {
--- a/packages/drivers/src/engineDriver.ts
+++ b/packages/drivers/src/engineDriver.ts
@@ -64,6 +64,8 @@
     readonly maxTokens: number;
     /** Lower runs first. */
     readonly priority: number;
+    /** Opens a new connection; for requests that may run at most once. */
+    readonly freshConnection: boolean;
     readonly signal: AbortSignal;
 }
 
--- a/packages/fleet/src/startFleet.ts
+++ b/packages/fleet/src/startFleet.ts
@@ -60,7 +60,7 @@
 }
 
 /** Key of the peers in a fleet in one process. */
-const FLEET_PEER_KEY = "fleet-in-one-process-peer-key-0123456789";
+export const FLEET_PEER_KEY = "fleet-in-one-process-peer-key-0123456789";
 /** Base model of a fleet in one process. */
 export const FLEET_BASE_MODEL = "base-13b";
 
--- a/packages/gateway/src/createCallerHandler.ts
+++ b/packages/gateway/src/createCallerHandler.ts
@@ -1,9 +1,8 @@
-import type { EngineDriver } from "@fulmarcleat/drivers";
+import type { EngineDriver, ServiceDriver } from "@fulmarcleat/drivers";
 import { ServeError, toServeError } from "@fulmarcleat/errors";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import { createId } from "@fulmarcleat/ids";
 import type { CallerName, Clock, EngineId, RequestId } from "@fulmarcleat/ids";
-import { hashSecret } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
 import findMyWay from "find-my-way";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -11,7 +10,8 @@
 import type { OfferIndex } from "./buildOfferIndex.js";
 import { createAnswerSink } from "./createAnswerSink.js";
 import type { PlaceRouter } from "./createPlaceRouter.js";
-import type { Generation } from "./generation.js";
+import type { AnswerSink, Generation } from "./generation.js";
+import { hashRequest } from "./hashRequest.js";
 import { limitPriority } from "./limitPriority.js";
 import { parseModel } from "./parseModel.js";
 import { readBody } from "./readBody.js";
@@ -20,7 +20,10 @@
 import type { GenerationKind } from "./readGenerationBody.js";
 import { resolveModel } from "./resolveModel.js";
 import { runGeneration } from "./runGeneration.js";
+import { runKeyedGeneration } from "./runKeyedGeneration.js";
 import { sendError } from "./sendError.js";
+import { serveService } from "./serveService.js";
+import type { KeyedClaims } from "./startClaimTask.js";
 
 /** What callers' requests need. */
 export interface CallerHandlerOptions {
@@ -40,7 +43,8 @@
         step: string,
         detail: string,
     ) => void;
-    readonly claim: (generation: Generation) => Promise<void>;
+    readonly claims: KeyedClaims;
+    readonly findService: (url: string) => ServiceDriver;
 }
 
 /** Answers one HTTP request. */
@@ -68,6 +72,11 @@
     });
     router.on("POST", "/v1/completions", (req, res) => handle(options, req, res, call => generate("completion", call)));
     router.on("POST", "/v1/chat/completions", (req, res) => handle(options, req, res, call => generate("chat", call)));
+    router.on(
+        ["GET", "POST", "PUT", "PATCH", "DELETE"],
+        "/services/*",
+        (req, res) => handle(options, req, res, serveService),
+    );
     router.on("GET", "/v1/models", (req, res) => handle(options, req, res, listModels));
     router.on("GET", "/healthz", (req, res) => sendJson(res, 200, { status: "ok" }));
     router.on(
@@ -134,7 +143,8 @@
     const text = (await readBody(req, { maxBytes: call.maxBodyBytes, timeoutMs: call.bodyTimeoutMs, clock })).toString(
         "utf8",
     );
-    const body = readGenerationBody(kind, parseJson(text));
+    const parsed = parseJson(text);
+    const body = readGenerationBody(kind, parsed);
     const offered = resolveModel(index, caller, parseModel(body.model));
     const policy = call.readPolicy();
     const priority = limitPriority(offered.priority, headers.priority);
@@ -149,27 +159,39 @@
         maxTokens: body.maxTokens,
         deadlineMs,
         key: headers.key,
-        requestHash: hashSecret(`${req.url ?? ""}\n${text}`),
+        requestHash: hashRequest(req.url ?? "", parsed),
     };
     const model = `${offered.adapter}@${offered.version}`;
-    const sink = createAnswerSink(res, {
-        kind,
-        stream: body.stream,
-        requestId,
-        model,
-        createdMs: clock.wallMs(),
-        onFirstPiece: () => metrics.record("time_to_first_token", clock.nowMs() - call.receivedMs, { class: priority }),
-        onWhole: () => undefined,
-    });
+    const createSink = (ran: string, replayed: boolean): AnswerSink => {
+        if (replayed) {
+            res.setHeader("fulmarcleat-replay", "true");
+        }
+        return createAnswerSink(res, {
+            kind,
+            stream: body.stream,
+            requestId,
+            model: ran,
+            createdMs: clock.wallMs(),
+            onFirstPiece: () =>
+                metrics.record("time_to_first_token", clock.nowMs() - call.receivedMs, { class: priority }),
+            onWhole: () => undefined,
+        });
+    };
     const ending = endWithCaller(call, deadlineMs);
     metrics.count("requests_total", { class: priority });
     call.recordStep(requestId, generation, "accept", `${model} ${priority}`);
     try {
-        await runGeneration(generation, sink, {
+        const context = {
             ...call,
-            recordStep: (of, step, detail) => call.recordStep(requestId, of, step, detail),
+            recordStep: (of: Generation, step: string, detail: string) => call.recordStep(requestId, of, step, detail),
             signal: ending.signal,
-        });
+        };
+        if (headers.key === undefined) {
+            await runGeneration(generation, createSink(model, false), { ...context, claim: () => Promise.resolve() });
+        }
+        else {
+            await runKeyedGeneration(generation, headers.key, { ...context, createSink });
+        }
         call.recordStep(requestId, generation, "answered", model);
     }
     finally {
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -14,6 +14,21 @@
     peers: z.strictObject({ host: z.string().min(1), port: z.int().min(0).max(65535) }),
     kv: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
     hostList: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
+    /** Keyed requests. */
+    keyed: z.strictObject({
+        /** How long a key is remembered. */
+        retentionMs: z.int().min(60_000).default(86_400_000),
+        /** Pages in the key-value service; the same on every host. */
+        partitions: z.int().min(1).max(4096).default(64),
+        /** How long claims are gathered for one write. */
+        gatherMs: z.int().min(0).max(1000).default(5),
+        /** How long ends wait for a write that carries them. */
+        endMs: z.int().min(10).max(10_000).default(500),
+        /** Longest wait for a claim. */
+        waitMs: z.int().min(100).default(3000),
+        /** Memory for first answers. */
+        keptAnswerBytes: z.int().min(0).default(16_777_216),
+    }).prefault({}),
     helloMs: z.int().min(50).default(1000),
     silenceMs: z.int().min(100).default(5000),
     leaseMs: z.int().min(1000).default(10_000),
--- a/packages/gateway/src/runGeneration.ts
+++ b/packages/gateway/src/runGeneration.ts
@@ -3,6 +3,7 @@
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import type { Clock, EngineId } from "@fulmarcleat/ids";
 import type { Priority } from "@fulmarcleat/resources";
+import type { PlaceUse } from "@fulmarcleat/wire";
 import type { HeldPlace, PlaceRouter } from "./createPlaceRouter.js";
 import type { AnswerSink, Generation } from "./generation.js";
 
@@ -57,7 +58,7 @@
         }
         catch (err) {
             const failure = toServeError(err, { code: "internal", step: "run", peer: held.engine, outcome: "unknown" });
-            context.router.release(held, failure.code === "upstream_refused" ? "not_loaded" : "failed");
+            context.router.release(held, readUse(failure, generation.key === undefined || isClaimed));
             if (!mayRetry(generation, failure, sink, attempt, context)) {
                 throw failure;
             }
@@ -73,6 +74,13 @@
     }
 }
 
+function readUse(failure: ServeError, mayHaveStarted: boolean): PlaceUse {
+    if (!mayHaveStarted) {
+        return "unused";
+    }
+    return failure.code === "upstream_refused" ? "not_loaded" : "failed";
+}
+
 function mayRetry(
     generation: Generation,
     failure: ServeError,
@@ -116,6 +124,14 @@
             outcome: "not_run",
         });
     }
+    if (context.signal.aborted) {
+        throw new ServeError("the caller is gone or its deadline has passed", {
+            code: "deadline_passed",
+            step: "open stream",
+            peer: held.engine,
+            outcome: "not_run",
+        });
+    }
     const onAbort = (): void => void engine.cancelStream(generation.requestId).catch(() => undefined);
     context.signal.addEventListener("abort", onAbort, { once: true });
     try {
@@ -179,6 +195,7 @@
         sampling,
         maxTokens,
         priority: ENGINE_PRIORITY[priority],
+        freshConnection: generation.key !== undefined,
         signal: context.signal,
     });
     if (result.kind === "refused") {
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -23,7 +23,10 @@
 import { createCallerHandler } from "./createCallerHandler.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
+import { createServicePool } from "./createServicePool.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { listClaimHosts } from "./listClaimHosts.js";
+import { startClaimTask } from "./startClaimTask.js";
 import { startSessionTask } from "./startSessionTask.js";
 
 /** A running gateway. */
@@ -44,6 +47,8 @@
 const MAX_DECISIONS = 10_000;
 const DONE: Empty = { done: true };
 const BURST_LOADS = 2;
+const MAX_CLAIM_PAGE_BYTES = 900_000;
+const CLAIM_RETRY_MS = 1000;
 
 /**
  * Starts a gateway with all its tasks.
@@ -217,6 +222,26 @@
             await peers.ask(askPeer(owner), "placeEnd", end, cfg.silenceMs);
         },
     });
+    const claims = startClaimTask({
+        ...cfg.keyed,
+        host: cfg.host,
+        incarnation,
+        kv,
+        hash,
+        clock,
+        metrics,
+        readLimits: () => ({
+            retentionMs: cfg.keyed.retentionMs,
+            maxRunMs: readPolicy(config.snapshot).maxRequestMs,
+            maxPageBytes: MAX_CLAIM_PAGE_BYTES,
+            maxAnswerBytes: cfg.keyed.keptAnswerBytes / cfg.keyed.partitions,
+            retryAfterMs: CLAIM_RETRY_MS,
+        }),
+        listHosts: () => listClaimHosts(membership.liveHosts, cfg.host),
+        askPeer: (host, ask, timeoutMs) => peers.ask(askPeer(host), "claim", ask, timeoutMs),
+        endPeer: (host, end) => peers.ask(askPeer(host), "claimEnd", end, cfg.helloMs),
+    });
+    const services = createServicePool(cfg.connectTimeoutMs);
     const describeStatus = (): StatusReply => ({
         host: cfg.host,
         incarnation,
@@ -240,6 +265,11 @@
                 ownership.find(ask.engine)?.end(ask);
                 return Promise.resolve(DONE);
             },
+            claim: claims.handleAsk,
+            claimEnd: end => {
+                claims.handleEnd(end);
+                return Promise.resolve(DONE);
+            },
             placesHeld: ask => Promise.resolve(router.describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
             explain: ask => Promise.resolve({ decisions: decisions.find(ask) }),
@@ -259,16 +289,8 @@
         isReady: () => config.complete && !leaving,
         recordStep: (requestId, generation, step, detail) =>
             recordDecision({ step, detail, requestId, adapter: generation?.offered.adapter }),
-        claim: () =>
-            Promise.reject(
-                new ServeError("keyed requests are not served yet", {
-                    code: "kv_unavailable",
-                    step: "claim",
-                    peer: "self",
-                    outcome: "not_run",
-                    retryAfterMs: 1000,
-                }),
-            ),
+        claims,
+        findService: services.find,
     }));
     await new Promise<void>(resolve => server.listen(cfg.callers.port, cfg.callers.host, resolve));
     const { port } = server.address() as AddressInfo;
@@ -294,6 +316,9 @@
         describeUnfinished: () => `${router.heldCount} running answers`,
         ready: Promise.all([config.ready, membership.ready]).then(() => undefined),
         async stop() {
+            if (leaving) {
+                return;
+            }
             leaving = true;
             log.write("info", 102, { host: cfg.host });
             await membership.announce();
@@ -301,7 +326,9 @@
                 server.close(() => resolve());
                 server.closeIdleConnections();
             });
-            await ownership.release();
+            await claims.stop();
+            await services.close();
+            await ownership.release().catch(() => metrics.count("release_failures_total"));
             ownership.stop();
             await session.stop();
             membership.stop();
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -95,8 +95,9 @@
     /** Hash of the request; a key may not be used again for another. */
     readonly requestHash: string;
     readonly nonce: Nonce;
-    readonly host: HostId;
     readonly requestId: RequestId;
+    /** How long the asker waits, in milliseconds. */
+    readonly waitMs: number;
 }
 
 /** A first answer, kept for a repeat. */
