--- /dev/null
+++ b/packages/capacity/src/index.ts
@@ -0,0 +1,2 @@
+export { fitSlope } from "./fitSlope.js";
+export type { Reading, Slope } from "./fitSlope.js";
