--- a/packages/config/src/configLog.ts
+++ b/packages/config/src/configLog.ts
@@ -1,6 +1,6 @@
 import { brandId } from "@fulmarcleat/ids";
 import type { ChangeId, OperatorName } from "@fulmarcleat/ids";
-import { resourceSchema } from "@fulmarcleat/resources";
+import { RESOURCE_KINDS, resourceSchema } from "@fulmarcleat/resources";
 import type { ConfigChange } from "@fulmarcleat/resources";
 import { z } from "zod";
 
@@ -11,17 +11,14 @@
 export interface ConfigLog {
     /** Last change that every page holds. */
     readonly baseSeq: number;
-    /** Changes after the base, in order and without gaps; may hold some from before it. */
+    /** The latest changes, in order and without gaps; may begin before the base. */
     readonly changes: readonly ConfigChange[];
 }
 
 /** The log of a deployment in which nothing was accepted yet. */
 export const EMPTY_LOG: ConfigLog = { baseSeq: 0, changes: [] };
 
-const refSchema = z.object({
-    kind: z.enum(["Adapter", "Offer", "Caller", "Operator", "Upstream", "Service", "Policy"]),
-    name: z.string(),
-});
+const refSchema = z.object({ kind: z.enum(RESOURCE_KINDS), name: z.string() });
 
 const changeSchema = z.object({
     seq: z.int(),
--- a/packages/gateway/src/buildOfferIndex.ts
+++ b/packages/gateway/src/buildOfferIndex.ts
@@ -8,7 +8,14 @@
     UpstreamName,
 } from "@fulmarcleat/ids";
 import { listResources, readResource } from "@fulmarcleat/resources";
-import type { ConfigSnapshot, Priority, ResourceOf } from "@fulmarcleat/resources";
+import type {
+    ConfigChange,
+    ConfigSnapshot,
+    Priority,
+    Resource,
+    ResourceKind,
+    ResourceOf,
+} from "@fulmarcleat/resources";
 
 /** One engine as the configuration names it. */
 export interface ConfiguredEngine {
@@ -43,40 +50,131 @@
     findService(name: string): ResourceOf<"Service"> | undefined;
 }
 
+/** An index that follows the configuration. */
+export interface LiveOfferIndex extends OfferIndex {
+    /** Takes in a newer configuration; `changes` is undefined where everything was replaced. */
+    update(snapshot: ConfigSnapshot, changes: readonly ConfigChange[] | undefined): void;
+}
+
+type OfferTable<Key> = Map<Key, Map<string, ResourceOf<"Offer">>>;
+
+interface Tables {
+    readonly callers: Map<string, ResourceOf<"Caller">>;
+    readonly byAdapter: OfferTable<AdapterName>;
+    readonly byCaller: OfferTable<CallerName>;
+    readonly enginesByBase: ReadonlyMap<BaseModel, readonly ConfiguredEngine[]>;
+    readonly engines: readonly ConfiguredEngine[];
+}
+
 /**
- * Arranges a configuration for the path of a request.
+ * Creates an index that takes each change in at a cost that does not grow with the configuration.
  *
- * @param snapshot - The configuration in force
+ * @param start - The configuration to begin with
  * @returns the index
  *
  * @example
  * const index = buildOfferIndex(config.snapshot);
+ * config.subscribe((snapshot, changes) => index.update(snapshot, changes));
  */
-export function buildOfferIndex(snapshot: ConfigSnapshot): OfferIndex {
-    const callers = new Map<string, ResourceOf<"Caller">>();
-    const offersByAdapter = new Map<string, ResourceOf<"Offer">[]>();
-    const offers = listResources(snapshot, "Offer");
-    const enginesByBase = new Map<string, ConfiguredEngine[]>();
-    listResources(snapshot, "Caller").forEach(caller =>
-        caller.spec.keyHashes.forEach(hash => callers.set(hash, caller))
-    );
-    offers.forEach(offer => push(offersByAdapter, offer.spec.adapter, offer));
-    for (const upstream of listResources(snapshot, "Upstream")) {
-        listUpstreamEngines(upstream).forEach(engine => push(enginesByBase, upstream.spec.baseModel, engine));
-    }
+export function buildOfferIndex(start: ConfigSnapshot): LiveOfferIndex {
+    let snapshot = start;
+    let tables = buildTables(start);
     return {
-        findCaller: keyHash => callers.get(keyHash),
+        update(next, changes) {
+            const former = snapshot;
+            snapshot = next;
+            tables = changes === undefined
+                ? buildTables(next)
+                : changes.reduce((present, change) => applyChange(present, change, former, next), tables);
+        },
+        findCaller: keyHash => tables.callers.get(keyHash),
         hasAdapter: adapter => readResource(snapshot, "Adapter", adapter) !== undefined,
         findOffers: (caller, adapter) =>
-            (offersByAdapter.get(adapter) ?? []).filter(offer => offer.spec.callers.includes(caller)),
-        listOffered: caller => offers.filter(offer => offer.spec.callers.includes(caller)),
+            [...tables.byAdapter.get(adapter)?.values() ?? []].filter(offer => offer.spec.callers.includes(caller)),
+        listOffered: caller =>
+            [...tables.byCaller.get(caller)?.values() ?? []].sort((a, b) => a.metadata.name < b.metadata.name ? -1 : 1),
         findAdapter: adapter => readResource(snapshot, "Adapter", adapter),
-        listEngines: baseModel => enginesByBase.get(baseModel) ?? [],
-        engines: [...enginesByBase.values()].flat(),
+        listEngines: baseModel => tables.enginesByBase.get(baseModel) ?? [],
+        get engines() {
+            return tables.engines;
+        },
         findService: name => readResource(snapshot, "Service", name),
     };
 }
 
+function buildTables(snapshot: ConfigSnapshot): Tables {
+    const tables = { callers: new Map(), byAdapter: new Map(), byCaller: new Map(), ...indexEngines(snapshot) };
+    listResources(snapshot, "Caller").forEach(caller => add(tables, caller));
+    listResources(snapshot, "Offer").forEach(offer => add(tables, offer));
+    return tables;
+}
+
+function applyChange(
+    tables: Tables,
+    change: ConfigChange,
+    former: ConfigSnapshot,
+    next: ConfigSnapshot,
+): Tables {
+    const { kind, name } = change.op.kind === "put"
+        ? { kind: change.op.resource.kind, name: change.op.resource.metadata.name }
+        : change.op.ref;
+    [readResource<ResourceKind>(former, kind, name), readResource<ResourceKind>(next, kind, name)].forEach(
+        (resource, at) => {
+            if (resource !== undefined) {
+                (at === 0 ? remove : add)(tables, resource);
+            }
+        },
+    );
+    return kind === "Upstream" ? { ...tables, ...indexEngines(next) } : tables;
+}
+
+function add(tables: Tables, resource: Resource): void {
+    if (resource.kind === "Caller") {
+        resource.spec.keyHashes.forEach(hash => tables.callers.set(hash, resource));
+    }
+    if (resource.kind === "Offer") {
+        const { name } = resource.metadata;
+        ensure(tables.byAdapter, resource.spec.adapter).set(name, resource);
+        resource.spec.callers.forEach(caller => ensure(tables.byCaller, caller).set(name, resource));
+    }
+}
+
+function remove(tables: Tables, resource: Resource): void {
+    if (resource.kind === "Caller") {
+        resource.spec.keyHashes
+            .filter(hash => tables.callers.get(hash)?.metadata.name === resource.metadata.name)
+            .forEach(hash => tables.callers.delete(hash));
+    }
+    if (resource.kind === "Offer") {
+        const { name } = resource.metadata;
+        drop(tables.byAdapter, resource.spec.adapter, name);
+        resource.spec.callers.forEach(caller => drop(tables.byCaller, caller, name));
+    }
+}
+
+function ensure<Key>(table: OfferTable<Key>, key: Key): Map<string, ResourceOf<"Offer">> {
+    const present = table.get(key) ?? new Map<string, ResourceOf<"Offer">>();
+    table.set(key, present);
+    return present;
+}
+
+function drop<Key>(table: OfferTable<Key>, key: Key, name: string): void {
+    const present = table.get(key);
+    present?.delete(name);
+    if (present?.size === 0) {
+        table.delete(key);
+    }
+}
+
+function indexEngines(snapshot: ConfigSnapshot): Pick<Tables, "enginesByBase" | "engines"> {
+    const enginesByBase = new Map<BaseModel, readonly ConfiguredEngine[]>();
+    for (const upstream of listResources(snapshot, "Upstream")) {
+        const { baseModel } = upstream.spec;
+        enginesByBase.set(baseModel, [...enginesByBase.get(baseModel) ?? [], ...listUpstreamEngines(upstream)]);
+    }
+    return { enginesByBase, engines: [...enginesByBase.values()].flat() };
+}
+
 function listUpstreamEngines(upstream: ResourceOf<"Upstream">): readonly ConfiguredEngine[] {
     return upstream.spec.engines.map(engine => ({
         engine: engine.id,
@@ -87,12 +185,3 @@
         draining: upstream.spec.draining,
     }));
 }
-
-function push<T>(map: Map<string, T[]>, key: string, value: T): void {
-    const list = map.get(key);
-    if (list === undefined) {
-        map.set(key, [value]);
-        return;
-    }
-    list.push(value);
-}
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -14,6 +14,17 @@
     peers: z.strictObject({ host: z.string().min(1), port: z.int().min(0).max(65535) }),
     kv: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
     hostList: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
+    /** How a newer configuration spreads among the hosts of a failure domain. */
+    configSpread: z.strictObject({
+        /** How many hosts of each failure domain watch the key-value service. */
+        relaysPerDomain: z.int().min(1).default(8),
+        /** How many peers each host pushes to. */
+        fanOut: z.int().min(1).default(8),
+        /** Wait before the first repeat of a push, in milliseconds. */
+        firstRepeatMs: z.int().min(10).default(300),
+        /** Time between two comparisons with the peers, in milliseconds. */
+        compareMs: z.int().min(50).default(1000),
+    }).prefault({}),
     helloMs: z.int().min(50).default(1000),
     silenceMs: z.int().min(100).default(5000),
     leaseMs: z.int().min(1000).default(10_000),
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -23,7 +23,9 @@
 import { createCallerHandler } from "./createCallerHandler.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
+import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { startConfigSpread } from "./startConfigSpread.js";
 import { startSessionTask } from "./startSessionTask.js";
 
 /** A running gateway. */
@@ -73,11 +75,16 @@
     const drivers = new Map<EngineId, { readonly url: string; readonly driver: EngineDriver }>();
     let leaving = false;
 
-    const config = startConfigTask({ kv, log, metrics });
-    let index = buildOfferIndex(config.snapshot);
-    config.subscribe(snapshot => {
-        index = buildOfferIndex(snapshot);
+    const config = startConfigTask({
+        kv,
+        clock,
+        log,
+        metrics,
+        fetch: ask => fetchConfig({ membership, peers, host: cfg.host, ask, timeoutMs: cfg.silenceMs }),
+        retryMs: cfg.helloMs,
     });
+    const index = buildOfferIndex(config.snapshot);
+    config.subscribe((snapshot, changes) => index.update(snapshot, changes));
     const ensureDriver = (entry: ConfiguredEngine): EngineDriver => {
         const present = drivers.get(entry.engine);
         if (present?.url === entry.url) {
@@ -115,6 +122,18 @@
         describeSelf: () => describeSelf(),
         onReplaced: (host, former) => ownership.hostReplaced(host, former),
     });
+    const spread = startConfigSpread({
+        host: cfg.host,
+        failureDomain: cfg.failureDomain,
+        config,
+        membership,
+        peers,
+        clock,
+        hash,
+        metrics,
+        timeoutMs: cfg.silenceMs,
+        ...cfg.configSpread,
+    });
     const recordDecision = (
         decision: {
             step: string;
@@ -242,6 +261,8 @@
             },
             placesHeld: ask => Promise.resolve(router.describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
+            configPush: ask => Promise.resolve(config.takePush(ask)),
+            configFetch: ask => Promise.resolve(config.answerFetch(ask)),
             explain: ask => Promise.resolve({ decisions: decisions.find(ask) }),
         },
     });
@@ -305,6 +326,7 @@
             ownership.stop();
             await session.stop();
             membership.stop();
+            spread.stop();
             config.stop();
             peers.close();
             await peerServer.close();
--- /dev/null
+++ b/packages/resources/src/choosePage.feature
@@ -0,0 +1,4 @@
+Feature: choosePage
+
+    Scenario: pages spread evenly
+        Then choosePage spreads 100000 names over all pages, none with more than twice the mean
--- a/packages/resources/src/index.ts
+++ b/packages/resources/src/index.ts
@@ -1,9 +1,12 @@
 export { applyChanges } from "./applyChanges.js";
+export { choosePage, PAGE_COUNT } from "./choosePage.js";
 export type { ConfigChange, ConfigOp } from "./configChange.js";
 export { EMPTY_SNAPSHOT } from "./configSnapshot.js";
 export type { ConfigSnapshot } from "./configSnapshot.js";
+export { createSnapshot } from "./createSnapshot.js";
 export { formatResourceKey } from "./formatResourceKey.js";
 export { hashSecret } from "./hashSecret.js";
+export { listAllResources } from "./listAllResources.js";
 export { listResources } from "./listResources.js";
 export { matchSecret } from "./matchSecret.js";
 export { readPolicy } from "./readPolicy.js";
--- /dev/null
+++ b/packages/resources/src/listAllResources.ts
@@ -0,0 +1,15 @@
+import type { ConfigSnapshot } from "./configSnapshot.js";
+import type { Resource } from "./schemas.js";
+
+/**
+ * Lists every resource of a snapshot.
+ *
+ * @param snapshot - The snapshot
+ * @returns the resources, in no stated order
+ *
+ * @example
+ * const { length } = listAllResources(snapshot);
+ */
+export function listAllResources(snapshot: ConfigSnapshot): readonly Resource[] {
+    return [...snapshot.tables.values()].flatMap(table => [...table.values()].flatMap(page => [...page.values()]));
+}
--- a/packages/resources/src/listResources.ts
+++ b/packages/resources/src/listResources.ts
@@ -16,10 +16,6 @@
     kind: Kind,
 ): readonly ResourceOf<Kind>[] {
     const found: ResourceOf<Kind>[] = [];
-    for (const resource of snapshot.resources.values()) {
-        if (resource.kind === kind) {
-            found.push(resource as ResourceOf<Kind>);
-        }
-    }
+    snapshot.tables.get(kind)?.forEach(page => found.push(...page.values() as Iterable<ResourceOf<Kind>>));
     return found.sort((a, b) => (a.metadata.name < b.metadata.name ? -1 : 1));
 }
--- a/packages/resources/src/readResource.ts
+++ b/packages/resources/src/readResource.ts
@@ -1,5 +1,5 @@
+import { choosePage } from "./choosePage.js";
 import type { ConfigSnapshot } from "./configSnapshot.js";
-import { formatResourceKey } from "./formatResourceKey.js";
 import type { ResourceKind, ResourceOf } from "./schemas.js";
 
 /**
@@ -18,5 +18,5 @@
     kind: Kind,
     name: string,
 ): ResourceOf<Kind> | undefined {
-    return snapshot.resources.get(formatResourceKey({ kind, name })) as ResourceOf<Kind> | undefined;
+    return snapshot.tables.get(kind)?.get(choosePage(name))?.get(name) as ResourceOf<Kind> | undefined;
 }
--- a/packages/resources/src/schemas.ts
+++ b/packages/resources/src/schemas.ts
@@ -104,6 +104,8 @@
     name: nameText,
     generation: z.int().min(0).default(0),
     resourceVersion: z.int().min(0).default(0),
+    /** Versions that an Adapter no longer has; their names are not used again. */
+    retired: z.array(adapterVersion).max(1024).optional(),
 });
 
 function defineResource<Kind extends string, Spec extends z.ZodType>(kind: Kind, spec: Spec) {
@@ -148,3 +150,14 @@
     engineId,
     failureDomain,
 } as const;
+
+/** Every kind of resource. */
+export const RESOURCE_KINDS = [
+    "Adapter",
+    "Offer",
+    "Caller",
+    "Operator",
+    "Upstream",
+    "Service",
+    "Policy",
+] as const satisfies readonly ResourceKind[];
