Serve the operators' resource API

Cause: operators could change nothing but through code. Change: fulmarcleat-api with list, get, create, replace, merge patch, delete, dry run, watch, status, explain, history and roles; references are checked on top of the log under each compare-and-swap. Conclusion: an empty deployment can be set up over HTTP with the first operator's token.

--- /dev/null
+++ b/packages/api/src/parseIfMatch.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { parseIfMatch } from "./parseIfMatch.js";
+
+registerTable("parseIfMatch", parseIfMatch);
--- a/packages/config/src/commitChange.ts
+++ b/packages/config/src/commitChange.ts
@@ -36,7 +36,13 @@
         const entry = await options.kv.read("config", CONFIG_LOG_KEY);
         const log = entry === undefined ? EMPTY_LOG : parseConfigLog(entry.value);
         const seq = Math.max(log.baseSeq, log.changes.at(-1)?.seq ?? 0) + 1;
-        const change: ConfigChange = { seq, changeId, by: options.by, atMs: options.wallMs, op: build(log, seq) };
+        const change: ConfigChange = {
+            seq,
+            changeId,
+            by: options.by,
+            atMs: options.wallMs,
+            op: stamp(build(log, seq), seq),
+        };
         const outcome = await options.kv.write({
             purpose: "config",
             key: CONFIG_LOG_KEY,
@@ -70,4 +76,12 @@
     });
 }
 
+function stamp(op: ConfigOp, seq: number): ConfigOp {
+    if (op.kind === "delete") {
+        return op;
+    }
+    const metadata = { ...op.resource.metadata, resourceVersion: seq };
+    return { kind: "put", resource: { ...op.resource, metadata } };
+}
+
 const DETAILS = { step: "commit change", peer: "KV", retryAfterMs: 1000 } as const;
--- a/packages/config/src/reduceHostConfig.ts
+++ b/packages/config/src/reduceHostConfig.ts
@@ -101,7 +101,7 @@
 function takeLog(state: HostConfigState, log: ConfigLog): HostConfigStep {
     const seq = readLastSeq(log);
     if (state.complete && seq <= state.snapshot.seq) {
-        return { state: { ...state, sawLog: true }, effects: [] };
+        return { state: { ...state, sawLog: true, recent: widenRecent(state, log.changes) }, effects: [] };
     }
     const firstKept = log.changes[0]?.seq ?? log.baseSeq + 1;
     const isCovered = state.complete ? firstKept <= state.snapshot.seq + 1 : firstKept === 1;
@@ -153,3 +153,9 @@
     const recent = [...state.recent, ...fresh].slice(-RECENT_CHANGES);
     return { state: { ...state, snapshot, recent }, effects: [{ kind: "inForce", changes: fresh }] };
 }
+
+function widenRecent(state: HostConfigState, changes: readonly ConfigChange[]): readonly ConfigChange[] {
+    const firstKept = state.recent[0]?.seq ?? state.snapshot.seq + 1;
+    const older = changes.filter(change => change.seq < firstKept);
+    return older.at(-1)?.seq === firstKept - 1 ? [...older, ...state.recent] : state.recent;
+}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,2 +1,2 @@
-export { FLEET_BASE_MODEL, startFleet } from "./startFleet.js";
+export { FLEET_BASE_MODEL, FLEET_OPERATOR_TOKEN, startFleet } from "./startFleet.js";
 export type { Fleet, FleetOptions } from "./startFleet.js";
--- a/packages/fleet/src/startFleet.ts
+++ b/packages/fleet/src/startFleet.ts
@@ -1,3 +1,5 @@
+import { apiSettingsSchema, startApi } from "@fulmarcleat/api";
+import type { Api } from "@fulmarcleat/api";
 import { commitChange } from "@fulmarcleat/config";
 import { createEtcdKv } from "@fulmarcleat/drivers";
 import { createEventLog, createMetrics } from "@fulmarcleat/events";
@@ -7,7 +9,7 @@
 import type { OperatorName } from "@fulmarcleat/ids";
 import { createKvClient } from "@fulmarcleat/kv";
 import type { KvClient } from "@fulmarcleat/kv";
-import { resourceSchema } from "@fulmarcleat/resources";
+import { hashSecret, resourceSchema } from "@fulmarcleat/resources";
 import type { Resource } from "@fulmarcleat/resources";
 import {
     DEFAULT_ENGINE,
@@ -56,11 +58,15 @@
     /** Puts resources into force, one change each. */
     apply(resources: readonly unknown[]): Promise<void>;
     startGateway(number: number): Promise<Gateway>;
+    /** Starts an operators' API whose first token is `FLEET_OPERATOR_TOKEN`. */
+    startApi(number: number, settings?: Readonly<Record<string, unknown>>): Promise<Api>;
     stop(): Promise<void>;
 }
 
 /** Key of the peers in a fleet in one process. */
 const FLEET_PEER_KEY = "fleet-in-one-process-peer-key-0123456789";
+/** Token of the first operator in a fleet in one process. */
+export const FLEET_OPERATOR_TOKEN = "fleet-operator-token";
 /** Base model of a fleet in one process. */
 export const FLEET_BASE_MODEL = "base-13b";
 
@@ -126,6 +132,7 @@
             reportMs: 200,
             ...options.gateway,
         }));
+    const apis: Api[] = [];
     const gateways: Gateway[] = [];
     const list = (): void =>
         hosts.setHosts(gateways.map((gateway, at) => ({
@@ -153,7 +160,23 @@
         },
         apply,
         startGateway: start,
+        async startApi(number, settings = {}) {
+            const api = await startApi(apiSettingsSchema.parse({
+                host: `api-${number}`,
+                peerKey: FLEET_PEER_KEY,
+                operators: LOCAL,
+                kv: { url: kv.url },
+                hostList: { url: hosts.url },
+                firstTokenHash: hashSecret(FLEET_OPERATOR_TOKEN),
+                logLevel: 0,
+                ...settings,
+            }));
+            apis.push(api);
+            await api.ready;
+            return api;
+        },
         async stop() {
+            await Promise.all(apis.map(api => api.stop()));
             await Promise.all(gateways.map(gateway => gateway.stop()));
             await Promise.all([...engines, kv, weights, hosts, service].map(standin => standin.close()));
             await kvClient.close();
--- a/packages/resources/src/index.ts
+++ b/packages/resources/src/index.ts
@@ -4,6 +4,7 @@
 export { EMPTY_SNAPSHOT } from "./configSnapshot.js";
 export type { ConfigSnapshot } from "./configSnapshot.js";
 export { createSnapshot } from "./createSnapshot.js";
+export { filterResources } from "./filterResources.js";
 export { formatResourceKey } from "./formatResourceKey.js";
 export { hashSecret } from "./hashSecret.js";
 export { listAllResources } from "./listAllResources.js";
