Refuse bad input at once, end requests at their deadline and resume streams on new connections

Cause: slow or malformed HTTP got untyped answers, an error's cause overwrote its code (modern-errors merges it), a deadline told the caller of a broken stream, a whole answer that ran again kept the pieces of its first run, and a second stop failed.

--- a/packages/drivers/src/createHttpEngine.ts
+++ b/packages/drivers/src/createHttpEngine.ts
@@ -23,6 +23,8 @@
     readonly url: string;
     /** Longest wait for a connection, in milliseconds. */
     readonly connectTimeoutMs: number;
+    /** Longest wait for the answer to a request's headers, in milliseconds; `silenceMs` where it is not set. */
+    readonly openTimeoutMs?: number;
     /** Longest silence on an open stream, in milliseconds. */
     readonly silenceMs: number;
 }
@@ -82,20 +84,20 @@
         unload: (instance, fence, signal) => order("/v1/unload_lora_adapter", { lora_name: instance, fence }, signal),
         report: signal => readReport(dispatcher, options, signal),
         openStream: req =>
-            openStream(dispatcher, options, {
+            openStream(req.freshConnection ? undefined : dispatcher, options, {
                 method: "POST",
                 path: req.input.kind === "chat" ? "/v1/chat/completions" : "/v1/completions",
                 body: writeRequest(req),
                 signal: req.signal,
             }),
         resumeStream: (requestId, afterIndex, signal) =>
-            openStream(dispatcher, options, {
+            openStream(undefined, options, {
                 method: "GET",
                 path: `/v1/streams/${encodeURIComponent(requestId)}`,
                 lastEventId: afterIndex,
                 signal,
             }),
-        cancelStream: requestId => cancelStream(dispatcher, options, requestId),
+        cancelStream: requestId => cancelStream(options, requestId),
         probe: signal => probe(options, signal),
         reconnect: async () => {
             const former = dispatcher;
@@ -133,12 +135,23 @@
 function createAgent(options: HttpEngineOptions): Agent {
     return new Agent({
         connectTimeout: options.connectTimeoutMs,
-        headersTimeout: options.silenceMs,
+        headersTimeout: options.openTimeoutMs ?? options.silenceMs,
         bodyTimeout: options.silenceMs,
     });
 }
 
-async function openStream(dispatcher: Dispatcher, options: HttpEngineOptions, call: StreamCall): Promise<StreamResult> {
+/** Opens a stream on the shared connections, or on one of its own: an open connection may have fallen silent. */
+async function openStream(
+    shared: Dispatcher | undefined,
+    options: HttpEngineOptions,
+    call: StreamCall,
+): Promise<StreamResult> {
+    const dispatcher = shared ?? createAgent(options);
+    const finish = (): void => {
+        if (shared === undefined) {
+            void dispatcher.destroy();
+        }
+    };
     try {
         const res = await dispatcher.request({
             origin: options.url,
@@ -152,22 +165,30 @@
             signal: call.signal,
         });
         if (res.statusCode === 200) {
-            return { kind: "accepted", tokens: readTokens(res, options) };
+            return { kind: "accepted", tokens: readTokens(res, options, finish) };
         }
-        return readRefusal(res);
+        const refusal = await readRefusal(res);
+        finish();
+        return refusal;
     }
     catch (cause) {
-        const outcome = isUnsent(cause) ? "not_run" : "unknown";
+        finish();
         throw new ServeError("the engine did not answer", {
-            code: "upstream_failed",
+            code: isSilence(cause) ? "upstream_silent" : "upstream_failed",
             step: "open stream",
             peer: options.url,
-            outcome,
+            outcome: isUnsent(cause) ? "not_run" : "unknown",
             cause,
         });
     }
 }
 
+function isSilence(err: unknown): boolean {
+    return err instanceof Error && "code" in err && SILENCE_CODES.has(String(err.code));
+}
+
+const SILENCE_CODES: ReadonlySet<string> = new Set(["UND_ERR_HEADERS_TIMEOUT", "UND_ERR_BODY_TIMEOUT"]);
+
 async function readRefusal(res: Dispatcher.ResponseData): Promise<StreamResult> {
     const { error } = refusalSchema.parse(await res.body.json());
     switch (res.statusCode) {
@@ -180,8 +201,12 @@
     }
 }
 
-async function* readTokens(res: Dispatcher.ResponseData, options: HttpEngineOptions): AsyncGenerator<EngineToken> {
-    const details = { code: "stream_broken", step: "read stream", peer: options.url, outcome: "unknown" } as const;
+async function* readTokens(
+    res: Dispatcher.ResponseData,
+    options: HttpEngineOptions,
+    finish: () => void,
+): AsyncGenerator<EngineToken> {
+    const details = { step: "read stream", peer: options.url, outcome: "ran" } as const;
     let ended = false;
     try {
         for await (const event of readEvents(res.body)) {
@@ -193,10 +218,14 @@
         }
     }
     catch (cause) {
-        throw new ServeError("the stream broke", { ...details, cause });
+        const code = isSilence(cause) ? "upstream_silent" : "stream_broken";
+        throw new ServeError("the stream broke", { ...details, code, cause });
+    }
+    finally {
+        finish();
     }
     if (!ended) {
-        throw new ServeError("the stream ended early", details);
+        throw new ServeError("the stream ended early", { ...details, code: "stream_broken" });
     }
 }
 
@@ -248,15 +277,21 @@
     };
 }
 
-async function cancelStream(dispatcher: Dispatcher, options: HttpEngineOptions, requestId: RequestId): Promise<void> {
+async function cancelStream(options: HttpEngineOptions, requestId: RequestId): Promise<void> {
+    const dispatcher = createAgent(options);
     const path = `/v1/streams/${encodeURIComponent(requestId)}/cancel`;
-    const res = await dispatcher.request({
-        origin: options.url,
-        method: "POST",
-        path,
-        signal: AbortSignal.timeout(options.silenceMs),
-    });
-    await res.body.dump();
+    try {
+        const res = await dispatcher.request({
+            origin: options.url,
+            method: "POST",
+            path,
+            signal: AbortSignal.timeout(options.silenceMs),
+        });
+        await res.body.dump();
+    }
+    finally {
+        await dispatcher.destroy();
+    }
 }
 
 async function probe(options: HttpEngineOptions, signal: AbortSignal): Promise<boolean> {
--- a/packages/drivers/src/engineDriver.ts
+++ b/packages/drivers/src/engineDriver.ts
@@ -64,6 +64,8 @@
     readonly maxTokens: number;
     /** Lower runs first. */
     readonly priority: number;
+    /** Sends on a new connection, for requests that may not be sent twice. */
+    readonly freshConnection: boolean;
     readonly signal: AbortSignal;
 }
 
--- a/packages/errors/src/serveError.ts
+++ b/packages/errors/src/serveError.ts
@@ -26,12 +26,14 @@
 
     constructor(message: string, options?: object) {
         const details = options as ServeErrorDetails;
-        super(message, details.cause === undefined ? {} : { cause: details.cause });
+        super(message);
         this.code = details.code;
         this.step = details.step;
         this.peer = details.peer;
         this.outcome = details.outcome;
         this.retryAfterMs = details.retryAfterMs;
+        // Set afterwards: modern-errors would merge the cause's message and fields into this error.
+        Object.defineProperty(this, "cause", { value: details.cause, configurable: true, writable: true });
     }
 }
 
--- a/packages/errors/src/toErrorStatus.ts
+++ b/packages/errors/src/toErrorStatus.ts
@@ -1,9 +1,15 @@
 import type { ErrorCode } from "./errorCode.js";
 
-const STATUS_BY_CODE: Readonly<Record<ErrorCode, number>> = {
+/** The HTTP status of each error code. */
+export const STATUS_BY_CODE: Readonly<Record<ErrorCode, number>> = {
     bad_request: 400,
     body_too_large: 413,
     body_timeout: 408,
+    headers_too_large: 431,
+    headers_timeout: 408,
+    unsupported_encoding: 415,
+    method_not_allowed: 405,
+    caller_gone: 499,
     unauthenticated: 401,
     forbidden: 403,
     not_found: 404,
--- a/packages/gateway/src/createAnswerSink.ts
+++ b/packages/gateway/src/createAnswerSink.ts
@@ -13,6 +13,8 @@
     readonly model: string;
     /** Wall time of the request, in milliseconds. */
     readonly createdMs: number;
+    /** Ends waiting for a slow caller. */
+    readonly signal: AbortSignal;
     readonly onFirstPiece: () => void;
     /** Takes the whole answer once it is complete. */
     readonly onWhole: (body: string) => void;
@@ -35,8 +37,10 @@
 }
 
 function createStreamSink(res: ServerResponse, options: AnswerSinkOptions): AnswerSink {
+    const format = createChunkFormatter(options);
     let started = false;
-    const send = async (text: string, finishReason: "stop" | "length" | null): Promise<void> => {
+    const send = (text: string, finishReason: "stop" | "length" | undefined): Promise<void> | undefined => {
+        const chunk = format(text, finishReason, !started);
         if (!started) {
             started = true;
             options.onFirstPiece();
@@ -46,32 +50,51 @@
                 "fulmarcleat-model": options.model,
             });
         }
-        if (!res.write(`data: ${JSON.stringify(formatChunk(options, text, finishReason))}\n\n`) && !res.destroyed) {
-            await Promise.race([once(res, "drain"), once(res, "close")]);
-        }
+        return res.write(chunk) || res.destroyed ? undefined : waitForDrain(res, options.signal);
     };
     return {
-        write: text => send(text, null),
+        write: text => send(text, undefined),
         async finish(reason) {
             await send("", reason);
             res.end("data: [DONE]\n\n");
         },
+        discard: () => undefined,
         get started() {
             return started;
         },
     };
 }
 
+/** Waits until a slow caller has taken what was written, or until the request ends. */
+async function waitForDrain(res: ServerResponse, signal: AbortSignal): Promise<void> {
+    const waiting = new AbortController();
+    const stop = (): void => waiting.abort();
+    res.once("close", stop);
+    signal.addEventListener("abort", stop, { once: true });
+    try {
+        await once(res, "drain", { signal: waiting.signal });
+    }
+    catch {
+        signal.throwIfAborted();
+    }
+    finally {
+        res.removeListener("close", stop);
+        signal.removeEventListener("abort", stop);
+    }
+}
+
 function createWholeSink(res: ServerResponse, options: AnswerSinkOptions): AnswerSink {
-    const pieces: string[] = [];
+    let pieces: string[] = [];
     let sent = false;
+    let isTimed = false;
     return {
         write(text) {
-            if (pieces.length === 0) {
+            if (!isTimed) {
+                isTimed = true;
                 options.onFirstPiece();
             }
             pieces.push(text);
-            return Promise.resolve();
+            return undefined;
         },
         finish(reason, tokens) {
             const body = JSON.stringify(formatWhole(options, pieces.join(""), reason, tokens));
@@ -85,36 +108,35 @@
             res.end(body);
             return Promise.resolve();
         },
+        discard() {
+            pieces = [];
+        },
         get started() {
             return sent;
         },
     };
 }
 
-function formatChunk(options: AnswerSinkOptions, text: string, finishReason: "stop" | "length" | null): unknown {
-    const head = {
-        id: options.requestId,
-        created: Math.floor(options.createdMs / MS_PER_SECOND),
-        model: options.model,
+type ChunkFormatter = (text: string, finishReason: "stop" | "length" | undefined, isFirst: boolean) => string;
+
+/** Writes what is the same in every chunk of a stream only once. */
+function createChunkFormatter(options: AnswerSinkOptions): ChunkFormatter {
+    const created = Math.floor(options.createdMs / MS_PER_SECOND);
+    const object = options.kind === "completion" ? "text_completion" : "chat.completion.chunk";
+    const head = JSON.stringify({ id: options.requestId, created, model: options.model, object });
+    const before = `data: ${head.slice(0, -1)},"choices":[{"index":0,"logprobs":null,`;
+    return (text, finishReason, isFirst) => {
+        const reason = finishReason === undefined ? "null" : `"${finishReason}"`;
+        return `${before}${formatPiece(options.kind, text, isFirst)},"finish_reason":${reason}}]}\n\n`;
     };
-    switch (options.kind) {
+}
+
+function formatPiece(kind: GenerationKind, text: string, isFirst: boolean): string {
+    switch (kind) {
         case "completion":
-            return {
-                ...head,
-                object: "text_completion",
-                choices: [{ index: 0, text, finish_reason: finishReason, logprobs: null }],
-            };
+            return `"text":${JSON.stringify(text)}`;
         case "chat":
-            return {
-                ...head,
-                object: "chat.completion.chunk",
-                choices: [{
-                    index: 0,
-                    delta: { role: "assistant", content: text },
-                    finish_reason: finishReason,
-                    logprobs: null,
-                }],
-            };
+            return `"delta":{${isFirst ? '"role":"assistant",' : ""}"content":${JSON.stringify(text)}}`;
     }
 }
 
--- a/packages/gateway/src/createCallerHandler.ts
+++ b/packages/gateway/src/createCallerHandler.ts
@@ -11,6 +11,7 @@
 import type { OfferIndex } from "./buildOfferIndex.js";
 import { createAnswerSink } from "./createAnswerSink.js";
 import type { PlaceRouter } from "./createPlaceRouter.js";
+import { endWithCaller } from "./endWithCaller.js";
 import type { Generation } from "./generation.js";
 import { limitPriority } from "./limitPriority.js";
 import { parseModel } from "./parseModel.js";
@@ -34,6 +35,8 @@
     readonly maxBodyBytes: number;
     readonly bodyTimeoutMs: number;
     readonly isReady: () => boolean;
+    /** Whether a planned stop has begun. */
+    readonly isLeaving: () => boolean;
     readonly recordStep: (
         requestId: RequestId,
         generation: Generation | undefined,
@@ -64,7 +67,15 @@
  */
 export function createCallerHandler(options: CallerHandlerOptions): HttpHandler {
     const router = findMyWay<findMyWay.HTTPVersion.V1>({
-        defaultRoute: (req, res) => void handle(options, req, res, refuseUnknownPath),
+        defaultRoute: (req, res) => {
+            const methods = METHODS.filter(method => router.find(method, readPath(req)) !== null);
+            void handle(
+                options,
+                req,
+                res,
+                () => methods.length === 0 ? refuseUnknownPath() : refuseMethod(res, methods),
+            );
+        },
     });
     router.on("POST", "/v1/completions", (req, res) => handle(options, req, res, call => generate("completion", call)));
     router.on("POST", "/v1/chat/completions", (req, res) => handle(options, req, res, call => generate("chat", call)));
@@ -82,6 +93,22 @@
     return (req, res) => router.lookup(req, res);
 }
 
+const METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"] as const;
+
+function readPath(req: IncomingMessage): string {
+    return (req.url ?? "").split("?")[0] ?? "";
+}
+
+function refuseMethod(res: ServerResponse, methods: readonly string[]): Promise<void> {
+    res.setHeader("allow", methods.join(", "));
+    throw new ServeError(`this path takes ${methods.join(", ")}`, {
+        code: "method_not_allowed",
+        step: "route",
+        peer: "caller",
+        outcome: "not_run",
+    });
+}
+
 async function handle(
     options: CallerHandlerOptions,
     req: IncomingMessage,
@@ -91,15 +118,7 @@
     const requestId = createId<RequestId>();
     res.setHeader("x-request-id", requestId);
     try {
-        if (!options.isReady()) {
-            throw new ServeError("this host does not take new work", {
-                code: "not_ready",
-                step: "accept",
-                peer: "self",
-                outcome: "not_run",
-                retryAfterMs: 1000,
-            });
-        }
+        checkTakesWork(options);
         await answer({ ...options, req, res, requestId, receivedMs: options.clock.nowMs() });
     }
     catch (err) {
@@ -117,6 +136,20 @@
     }
 }
 
+function checkTakesWork(options: CallerHandlerOptions): void {
+    if (options.isReady()) {
+        return;
+    }
+    const isLeaving = options.isLeaving();
+    throw new ServeError(isLeaving ? "this host is stopping" : "this host has no complete configuration yet", {
+        code: isLeaving ? "stopping" : "not_ready",
+        step: "accept",
+        peer: "self",
+        outcome: "not_run",
+        retryAfterMs: 1000,
+    });
+}
+
 function refuseUnknownPath(): Promise<void> {
     throw new ServeError("there is no such path", {
         code: "not_found",
@@ -131,9 +164,8 @@
     const index = call.readIndex();
     const caller = authenticateCaller(index, req.headers.authorization);
     const headers = readCallerHeaders(req.headers);
-    const text = (await readBody(req, { maxBytes: call.maxBodyBytes, timeoutMs: call.bodyTimeoutMs, clock })).toString(
-        "utf8",
-    );
+    const bytes = await readBody(req, { maxBytes: call.maxBodyBytes, timeoutMs: call.bodyTimeoutMs, clock });
+    const text = decodeText(bytes);
     const body = readGenerationBody(kind, parseJson(text));
     const offered = resolveModel(index, caller, parseModel(body.model));
     const policy = call.readPolicy();
@@ -152,16 +184,17 @@
         requestHash: hashSecret(`${req.url ?? ""}\n${text}`),
     };
     const model = `${offered.adapter}@${offered.version}`;
+    const ending = endWithCaller(res, clock, deadlineMs);
     const sink = createAnswerSink(res, {
         kind,
         stream: body.stream,
         requestId,
         model,
         createdMs: clock.wallMs(),
+        signal: ending.signal,
         onFirstPiece: () => metrics.record("time_to_first_token", clock.nowMs() - call.receivedMs, { class: priority }),
         onWhole: () => undefined,
     });
-    const ending = endWithCaller(call, deadlineMs);
     metrics.count("requests_total", { class: priority });
     call.recordStep(requestId, generation, "accept", `${model} ${priority}`);
     try {
@@ -177,41 +210,23 @@
     }
 }
 
-interface CallEnding {
-    readonly signal: AbortSignal;
-    clear(): void;
+function decodeText(bytes: Buffer): string {
+    try {
+        return new TextDecoder("utf-8", { fatal: true }).decode(bytes);
+    }
+    catch (cause) {
+        throw new ServeError("the body is not UTF-8", { ...BAD_BODY, cause });
+    }
 }
 
-function endWithCaller(call: CallContext, deadlineMs: number): CallEnding {
-    const controller = new AbortController();
-    const cancelTimer = call.clock.setTimer(Math.max(0, deadlineMs - call.clock.nowMs()), () => controller.abort());
-    const onClose = (): void => {
-        if (!call.res.writableFinished) {
-            controller.abort();
-        }
-    };
-    call.res.on("close", onClose);
-    return {
-        signal: controller.signal,
-        clear() {
-            cancelTimer();
-            call.res.removeListener("close", onClose);
-        },
-    };
-}
+const BAD_BODY = { code: "bad_request", step: "read body", peer: "caller", outcome: "not_run" } as const;
 
 function parseJson(text: string): unknown {
     try {
         return JSON.parse(text);
     }
     catch (cause) {
-        throw new ServeError("the body is not JSON", {
-            code: "bad_request",
-            step: "read body",
-            peer: "caller",
-            outcome: "not_run",
-            cause,
-        });
+        throw new ServeError("the body is not JSON", { ...BAD_BODY, cause });
     }
 }
 
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -21,8 +21,11 @@
     reportMs: z.int().min(50).default(500),
     orderMs: z.int().min(100).default(10_000),
     connectTimeoutMs: z.int().min(50).default(1000),
+    /** Longest wait for an engine to accept a request. */
+    openTimeoutMs: z.int().min(50).default(5000),
     streamSilenceMs: z.int().min(100).default(10_000),
     maxBodyBytes: z.int().min(1024).default(4 * 1024 * 1024),
+    headersTimeoutMs: z.int().min(50).default(10_000),
     bodyTimeoutMs: z.int().min(100).default(10_000),
     /** Longest time for running answers to finish after SIGTERM. */
     stopLimitMs: z.int().min(0).default(300_000),
--- a/packages/gateway/src/generation.ts
+++ b/packages/gateway/src/generation.ts
@@ -22,10 +22,12 @@
 
 /** Where the pieces of an answer go. */
 export interface AnswerSink {
-    /** Takes one piece; resolves once the caller can take more. */
-    write(text: string): Promise<void>;
+    /** Takes one piece; undefined where the caller can take more, else resolves once it can. */
+    write(text: string): Promise<void> | undefined;
     /** Ends a whole answer. */
     finish(reason: "stop" | "length", tokens: number): Promise<void>;
+    /** Drops pieces that did not go to the caller, before another run of the same request. */
+    discard(): void;
     /** Whether anything went to the caller. */
     readonly started: boolean;
 }
--- a/packages/gateway/src/readBody.ts
+++ b/packages/gateway/src/readBody.ts
@@ -1,4 +1,5 @@
 import { ServeError } from "@fulmarcleat/errors";
+import type { ErrorCode } from "@fulmarcleat/errors";
 import type { Clock } from "@fulmarcleat/ids";
 import type { IncomingMessage } from "node:http";
 
@@ -15,36 +16,58 @@
  * @param req - The request
  * @param options - Limits
  * @returns the body's bytes
- * @throws ServeError `body_too_large` or `body_timeout`
+ * @throws ServeError `unsupported_encoding`, `body_too_large`, `body_timeout`, or `caller_gone` where it broke off
  *
  * @example
  * const bytes = await readBody(req, { maxBytes, timeoutMs, clock });
  */
 export function readBody(req: IncomingMessage, options: ReadBodyOptions): Promise<Buffer> {
     return new Promise((resolve, reject) => {
+        const tooLarge = `the body is over ${options.maxBytes} bytes`;
+        if ((req.headers["content-encoding"] ?? "identity") !== "identity") {
+            reject(createError("unsupported_encoding", "the body must not be compressed"));
+            return;
+        }
+        if (Number(req.headers["content-length"] ?? 0) > options.maxBytes) {
+            reject(createError("body_too_large", tooLarge));
+            return;
+        }
         const chunks: Buffer[] = [];
         let bytes = 0;
-        const fail = (code: "body_too_large" | "body_timeout" | "bad_request", message: string): void => {
+        const finish = (): void => {
             cancel();
+            req.removeListener("data", onData);
+            req.removeListener("end", onEnd);
+            req.removeListener("close", onClose);
+        };
+        const fail = (code: ErrorCode, message: string): void => {
+            finish();
             req.pause();
-            req.removeAllListeners("data");
-            reject(new ServeError(message, { code, step: "read body", peer: "caller", outcome: "not_run" }));
+            reject(createError(code, message));
         };
-        const cancel = options.clock.setTimer(
-            options.timeoutMs,
-            () => fail("body_timeout", "the body did not arrive in time"),
-        );
-        req.on("data", (chunk: Buffer) => {
+        const onData = (chunk: Buffer): void => {
             bytes += chunk.length;
             chunks.push(chunk);
             if (bytes > options.maxBytes) {
-                fail("body_too_large", `the body is over ${options.maxBytes} bytes`);
+                fail("body_too_large", tooLarge);
             }
-        });
-        req.on("end", () => {
-            cancel();
+        };
+        const onEnd = (): void => {
+            finish();
             resolve(Buffer.concat(chunks));
-        });
-        req.on("error", () => fail("bad_request", "the body broke off"));
+        };
+        const onClose = (): void => fail("caller_gone", "the body broke off");
+        const cancel = options.clock.setTimer(
+            options.timeoutMs,
+            () => fail("body_timeout", "the body did not arrive in time"),
+        );
+        req.on("data", onData);
+        req.on("end", onEnd);
+        req.on("close", onClose);
+        req.on("error", () => undefined);
     });
 }
+
+function createError(code: ErrorCode, message: string): ServeError {
+    return new ServeError(message, { code, step: "read body", peer: "caller", outcome: "not_run" });
+}
--- a/packages/gateway/src/readGenerationBody.ts
+++ b/packages/gateway/src/readGenerationBody.ts
@@ -27,6 +27,12 @@
     seed: z.int().nullish(),
     stop: z.union([z.string(), z.array(z.string()).max(4)]).nullish(),
     n: z.literal(1).nullish(),
+    best_of: z.literal(1).nullish(),
+    echo: z.literal(false).nullish(),
+    logprobs: z.literal(false).nullish(),
+    suffix: z.null().optional(),
+    tools: z.array(z.never()).nullish(),
+    response_format: z.object({ type: z.literal("text") }).nullish(),
 };
 const textPart = z.object({ type: z.literal("text"), text: z.string() });
 const completionSchema = z.looseObject({
--- a/packages/gateway/src/resolveModel.ts
+++ b/packages/gateway/src/resolveModel.ts
@@ -31,12 +31,12 @@
     }
     const found = adapter.spec.versions.find(entry => entry.version === version);
     const offer = offers.find(entry => entry.spec.versions.some(offered => offered === version));
-    if (offer === undefined) {
-        throw createError("not_offered", `adapter ${model.adapter} is not offered in this version to ${caller}`);
-    }
-    if (found === undefined) {
+    if (offers.length > 0 && found === undefined) {
         throw createError("unknown_adapter", `adapter ${model.adapter} has no version ${version}`);
     }
+    if (offer === undefined || found === undefined) {
+        throw createError("not_offered", `adapter ${model.adapter} is not offered in this version to ${caller}`);
+    }
     return {
         adapter: model.adapter,
         version: found.version,
--- a/packages/gateway/src/runGeneration.ts
+++ b/packages/gateway/src/runGeneration.ts
@@ -44,7 +44,7 @@
     let avoid: readonly EngineId[] = [];
     let isClaimed = false;
     for (let attempt = 1;; attempt += 1) {
-        const held = await context.router.acquire({ ...generation, avoid });
+        const held = await acquireInTime(generation, avoid, context);
         context.recordStep(generation, "place", `${held.engine} ${held.instance}`);
         try {
             if (generation.key !== undefined && !isClaimed) {
@@ -56,7 +56,10 @@
             return;
         }
         catch (err) {
-            const failure = toServeError(err, { code: "internal", step: "run", peer: held.engine, outcome: "unknown" });
+            const failure = describeEnd(
+                context.signal,
+                toServeError(err, { code: "internal", step: "run", peer: held.engine, outcome: "unknown" }),
+            );
             context.router.release(held, failure.code === "upstream_refused" ? "not_loaded" : "failed");
             if (!mayRetry(generation, failure, sink, attempt, context)) {
                 throw failure;
@@ -68,11 +71,51 @@
                 engine: held.engine,
             });
             context.recordStep(generation, "retry", failure.code);
+            sink.discard();
             avoid = [...avoid, held.engine];
         }
     }
 }
 
+/** Waits for a place, but not past the end of the request; a place that comes later is given back. */
+async function acquireInTime(
+    generation: Generation,
+    avoid: readonly EngineId[],
+    context: GenerationContext,
+): Promise<HeldPlace> {
+    const { router, signal } = context;
+    let onAbort = (): void => undefined;
+    const ended = new Promise<never>((resolve, reject) => {
+        onAbort = () => reject(createNotRun());
+        signal.addEventListener("abort", onAbort, { once: true });
+    });
+    const createNotRun = (): ServeError =>
+        new ServeError("the request ended while it waited for a place", { ...WAITING, outcome: "not_run" });
+    const pending = router.acquire({ ...generation, avoid });
+    try {
+        return await Promise.race([pending, ended]);
+    }
+    catch (err) {
+        pending.then(held => router.release(held, "unused"), () => undefined);
+        throw describeEnd(signal, toServeError(err, { ...WAITING, outcome: "not_run" }));
+    }
+    finally {
+        signal.removeEventListener("abort", onAbort);
+    }
+}
+
+const WAITING = { code: "internal", step: "find place", peer: "self" } as const;
+
+/** Gives the reason why a request ended early, with the outcome that is known of it. */
+function describeEnd(signal: AbortSignal, failure: ServeError): ServeError {
+    if (!(signal.reason instanceof ServeError)) {
+        return failure;
+    }
+    const { code, message } = signal.reason;
+    const { step, peer, outcome } = failure;
+    return new ServeError(message, { code, step, peer, outcome, cause: failure });
+}
+
 function mayRetry(
     generation: Generation,
     failure: ServeError,
@@ -116,13 +159,19 @@
             outcome: "not_run",
         });
     }
-    const onAbort = (): void => void engine.cancelStream(generation.requestId).catch(() => undefined);
-    context.signal.addEventListener("abort", onAbort, { once: true });
+    const cancel = (): void => void engine.cancelStream(generation.requestId).catch(() => undefined);
+    context.signal.addEventListener("abort", cancel, { once: true });
     try {
         await readWhole(generation, held, engine, sink, context);
     }
+    catch (err) {
+        if (!context.signal.aborted && !(err instanceof ServeError && err.outcome === "not_run")) {
+            cancel();
+        }
+        throw err;
+    }
     finally {
-        context.signal.removeEventListener("abort", onAbort);
+        context.signal.removeEventListener("abort", cancel);
     }
 }
 
@@ -140,18 +189,16 @@
             for await (const token of tokens) {
                 checkToken(token, next, held);
                 next += 1;
-                await sink.write(token.text);
+                const full = sink.write(token.text);
+                if (full !== undefined) {
+                    await full;
+                }
                 if (token.finishReason !== undefined) {
                     await sink.finish(token.finishReason, next);
                     return;
                 }
             }
-            throw new ServeError("the stream ended early", {
-                code: "stream_broken",
-                step: "read stream",
-                peer: held.engine,
-                outcome: "ran",
-            });
+            throw createBroken("the stream ended early", held);
         }
         catch (err) {
             const failure = toServeError(err, {
@@ -165,6 +212,10 @@
     }
 }
 
+function createBroken(message: string, held: HeldPlace): ServeError {
+    return new ServeError(message, { code: "stream_broken", step: "read stream", peer: held.engine, outcome: "ran" });
+}
+
 async function openTokens(
     generation: Generation,
     held: HeldPlace,
@@ -179,6 +230,7 @@
         sampling,
         maxTokens,
         priority: ENGINE_PRIORITY[priority],
+        freshConnection: generation.key !== undefined,
         signal: context.signal,
     });
     if (result.kind === "refused") {
@@ -213,18 +265,30 @@
         outcome: "ran",
         cause: failure,
     });
-    if (context.signal.aborted || resumes >= MAX_RESUMES || failure.code !== "stream_broken") {
-        throw ran;
+    if (failure.code === "adapter_mismatch") {
+        context.metrics.count("adapter_mismatches_total");
+        context.log.write("error", 404, { requestId: generation.requestId, engine: held.engine, asked: held.instance });
     }
-    const result = await engine.resumeStream(generation.requestId, next - 1, context.signal).catch(() => undefined);
-    if (result === undefined || result.kind === "refused") {
+    if (context.signal.aborted || !RESUMABLE_CODES.has(failure.code)) {
         throw ran;
     }
-    context.metrics.count("stream_resumes_total");
-    context.log.write("info", 403, { requestId: generation.requestId, engine: held.engine, after: next });
-    return result.tokens;
+    for (let attempt = resumes; attempt < MAX_RESUMES; attempt += 1) {
+        context.metrics.count("retries_total", { reason: failure.code });
+        const result = await engine.resumeStream(generation.requestId, next - 1, context.signal).catch(() => undefined);
+        if (result?.kind === "accepted") {
+            context.metrics.count("stream_resumes_total");
+            context.log.write("info", 403, { requestId: generation.requestId, engine: held.engine, after: next });
+            return result.tokens;
+        }
+        if (result?.kind === "refused" || context.signal.aborted) {
+            break;
+        }
+    }
+    throw ran;
 }
 
+const RESUMABLE_CODES: ReadonlySet<string> = new Set(["stream_broken", "upstream_silent"]);
+
 function checkToken(token: EngineToken, expected: number, held: HeldPlace): void {
     if (token.instance !== held.instance) {
         throw new ServeError("the engine ran another adapter", {
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -16,11 +16,10 @@
 import type { PolicySpec } from "@fulmarcleat/resources";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
 import type { Empty, PeerHello, PlaceAsk, PlaceReply, StatusReply } from "@fulmarcleat/wire";
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
 import { buildOfferIndex } from "./buildOfferIndex.js";
 import type { ConfiguredEngine } from "./buildOfferIndex.js";
 import { createCallerHandler } from "./createCallerHandler.js";
+import { createCallerServer } from "./createCallerServer.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
@@ -87,6 +86,7 @@
             url: entry.url,
             connectTimeoutMs: cfg.connectTimeoutMs,
             silenceMs: cfg.streamSilenceMs,
+            openTimeoutMs: cfg.openTimeoutMs,
         });
         drivers.set(entry.engine, { url: entry.url, driver });
         return driver;
@@ -246,7 +246,7 @@
         },
     });
     const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
-    const server = createServer(createCallerHandler({
+    const handler = createCallerHandler({
         readIndex: () => index,
         readPolicy: () => readPolicy(config.snapshot),
         router,
@@ -257,6 +257,7 @@
         maxBodyBytes: cfg.maxBodyBytes,
         bodyTimeoutMs: cfg.bodyTimeoutMs,
         isReady: () => config.complete && !leaving,
+        isLeaving: () => leaving,
         recordStep: (requestId, generation, step, detail) =>
             recordDecision({ step, detail, requestId, adapter: generation?.offered.adapter }),
         claim: () =>
@@ -269,13 +270,34 @@
                     retryAfterMs: 1000,
                 }),
             ),
-    }));
-    await new Promise<void>(resolve => server.listen(cfg.callers.port, cfg.callers.host, resolve));
-    const { port } = server.address() as AddressInfo;
-    log.write("info", 100, { host: cfg.host, callers: port, peers: peerServer.port });
+    });
+    const server = await createCallerServer({
+        listen: cfg.callers,
+        handler,
+        metrics,
+        headersTimeoutMs: cfg.headersTimeoutMs,
+    });
+    log.write("info", 100, { host: cfg.host, callers: server.url, peers: peerServer.port });
+    const stopOnce = async (): Promise<void> => {
+        leaving = true;
+        log.write("info", 102, { host: cfg.host });
+        await membership.announce();
+        await server.close();
+        await ownership.release();
+        ownership.stop();
+        await session.stop();
+        membership.stop();
+        config.stop();
+        peers.close();
+        await peerServer.close();
+        await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
+        await kv.close();
+        log.write("info", 103, { host: cfg.host });
+    };
+    let stopping: Promise<void> | undefined;
     return {
         host: cfg.host,
-        url: `http://${cfg.callers.host}:${port}`,
+        url: server.url,
         peerPort: peerServer.port,
         metrics,
         configReached: seq =>
@@ -293,25 +315,7 @@
             }),
         describeUnfinished: () => `${router.heldCount} running answers`,
         ready: Promise.all([config.ready, membership.ready]).then(() => undefined),
-        async stop() {
-            leaving = true;
-            log.write("info", 102, { host: cfg.host });
-            await membership.announce();
-            await new Promise<void>(resolve => {
-                server.close(() => resolve());
-                server.closeIdleConnections();
-            });
-            await ownership.release();
-            ownership.stop();
-            await session.stop();
-            membership.stop();
-            config.stop();
-            peers.close();
-            await peerServer.close();
-            await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
-            await kv.close();
-            log.write("info", 103, { host: cfg.host });
-        },
+        stop: () => stopping ??= stopOnce(),
     };
 }
 
