Test runs, retries and backpressure against fake engines

Cause: retry of whole answers and backpressure were not tested by counts. Change: four scenarios over fakes; a counter for requests that run again.

--- /dev/null
+++ b/packages/gateway/src/runGeneration.steps.ts
@@ -0,0 +1,180 @@
+import type { EngineDriver, EngineToken } from "@fulmarcleat/drivers";
+import type { ServeError } from "@fulmarcleat/errors";
+import { createEventLog, createMetrics } from "@fulmarcleat/events";
+import { brandId, createManualClock } from "@fulmarcleat/ids";
+import type {
+    AdapterName,
+    AdapterVersion,
+    BaseModel,
+    CallerName,
+    EngineId,
+    InstanceName,
+    PlaceId,
+    RequestId,
+} from "@fulmarcleat/ids";
+import { After, deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import type { HeldPlace, PlaceNeed, PlaceRouter } from "./createPlaceRouter.js";
+import type { AnswerSink, Generation } from "./generation.js";
+import { runGeneration } from "./runGeneration.js";
+
+const INSTANCE = brandId<InstanceName>("levy@7#1");
+
+class Fakes {
+    readonly kinds = new Map<string, string>();
+    readonly metrics = createMetrics();
+    began: string[] = [];
+    cancelled: string[] = [];
+    read = 0;
+    delivered: string[] = [];
+    failure: ServeError | undefined;
+    ended: Promise<void> = Promise.resolve();
+    readonly controller = new AbortController();
+}
+
+let fakes = new Fakes();
+
+Given(
+    "runGeneration engines {string} that {} and {string} that {}",
+    function(first: string, firstKind: string, second: string, secondKind: string) {
+        fakes = new Fakes();
+        fakes.kinds.set(first, firstKind).set(second, secondKind);
+    },
+);
+
+When("runGeneration runs {int} tokens", (tokens: number) => run(tokens, undefined, createSink(tokens)));
+When("runGeneration runs {int} tokens under a key", (tokens: number) => run(tokens, "k1", createSink(tokens)));
+
+When(
+    "runGeneration runs {int} tokens to a caller that takes {int} tokens and stops",
+    async (tokens: number, taken: number) => {
+        fakes.ended = run(tokens, undefined, createSink(taken));
+        const before = (): boolean => fakes.delivered.length <= taken;
+        while (before()) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    },
+);
+
+Then(
+    "runGeneration delivered {string} from {string} after {int} retry of {string}",
+    (pieces: string, engine: string, retries: number, reason: string) => {
+        strictEqual(fakes.failure, undefined);
+        deepStrictEqual(fakes.delivered, pieces.split(" "));
+        strictEqual(fakes.began.at(-1), engine);
+        strictEqual(fakes.metrics.read("requests_run_again_total", { reason }), retries);
+    },
+);
+
+Then("runGeneration cancelled the run on {string}", (engine: string) => deepStrictEqual(fakes.cancelled, [engine]));
+
+Then("runGeneration failed with {string} and {string}", (code: string, outcome: string) => {
+    deepStrictEqual([fakes.failure?.code, fakes.failure?.outcome], [code, outcome]);
+});
+
+Then("runGeneration began {int} run(s)", (runs: number) => strictEqual(fakes.began.length, runs));
+
+Then("runGeneration read at most {int} tokens from the engine", (tokens: number) => {
+    ok(fakes.read <= tokens, `read ${fakes.read}`);
+});
+
+After(() => fakes.controller.abort());
+
+async function run(tokens: number, key: string | undefined, sink: AnswerSink): Promise<void> {
+    const { metrics } = fakes;
+    const generation = createGeneration(tokens, key);
+    try {
+        await runGeneration(generation, sink, {
+            router: createRouter(),
+            findEngine: createEngine,
+            clock: createManualClock(0),
+            metrics,
+            log: createEventLog({ process: "test", level: 0 }),
+            recordStep: () => undefined,
+            claim: () => Promise.resolve(),
+            signal: fakes.controller.signal,
+        });
+    }
+    catch (err) {
+        fakes.failure = err as ServeError;
+    }
+}
+
+function createGeneration(tokens: number, key: string | undefined): Generation {
+    return {
+        requestId: brandId<RequestId>("r1"),
+        caller: brandId<CallerName>("linz"),
+        offered: {
+            adapter: brandId<AdapterName>("levy"),
+            version: brandId<AdapterVersion>("7"),
+            weights: "levy/7",
+            baseModel: brandId<BaseModel>("base"),
+            priority: "normal",
+        },
+        priority: "normal",
+        input: { kind: "text", prompt: "count" },
+        sampling: { temperature: undefined, topP: undefined, seed: undefined, stop: undefined },
+        maxTokens: tokens,
+        deadlineMs: 1_000_000,
+        key,
+        requestHash: "hash",
+    };
+}
+
+function createRouter(): PlaceRouter {
+    return {
+        acquire(need: PlaceNeed): Promise<HeldPlace> {
+            const engine = [...fakes.kinds.keys()].map(name => brandId<EngineId>(name)).find(name =>
+                !need.avoid.includes(name)
+            );
+            ok(engine !== undefined, "no engine is left");
+            const place = brandId<PlaceId>(`place-${engine}`);
+            return Promise.resolve({ place, engine, instance: INSTANCE, fence: 1, startByMs: 1000, loadStallMs: 0 });
+        },
+        release: () => undefined,
+        mayStart: () => true,
+        describeHeld: () => ({ places: [] }),
+        heldCount: 0,
+    } as unknown as PlaceRouter;
+}
+
+function createEngine(engine: EngineId): EngineDriver {
+    const kind = fakes.kinds.get(engine) ?? "";
+    return {
+        openStream(req: { readonly maxTokens: number }) {
+            if (kind === "refuses") {
+                return Promise.resolve({ kind: "refused", reason: "not_loaded", message: "" });
+            }
+            fakes.began.push(engine);
+            const stop = /breaks after (\d+)/.exec(kind)?.[1];
+            return Promise.resolve({ kind: "accepted", tokens: emit(req.maxTokens, Number(stop ?? Infinity)) });
+        },
+        resumeStream: () => Promise.resolve({ kind: "refused", reason: "not_loaded", message: "" }),
+        cancelStream() {
+            fakes.cancelled.push(engine);
+            return Promise.resolve();
+        },
+    } as unknown as EngineDriver;
+}
+
+async function* emit(tokens: number, stop: number): AsyncGenerator<EngineToken> {
+    for (let index = 0; index < Math.min(tokens, stop); index += 1) {
+        fakes.read += 1;
+        await Promise.resolve();
+        const finishReason = index + 1 === tokens ? "length" : undefined;
+        yield { index, text: String(index), instance: INSTANCE, finishReason };
+    }
+}
+
+function createSink(limit: number): AnswerSink {
+    return {
+        write(text) {
+            fakes.delivered.push(text);
+            return fakes.delivered.length > limit ? new Promise<void>(() => undefined) : undefined;
+        },
+        finish: () => Promise.resolve(),
+        discard() {
+            fakes.delivered = [];
+        },
+        started: false,
+    };
+}
--- a/packages/gateway/src/runGeneration.ts
+++ b/packages/gateway/src/runGeneration.ts
@@ -65,6 +65,7 @@
                 throw failure;
             }
             context.metrics.count("retries_total", { reason: failure.code });
+            context.metrics.count("requests_run_again_total", { reason: failure.code });
             context.log.write("info", 402, {
                 requestId: generation.requestId,
                 reason: failure.code,
