--- a/packages/program/src/runProgram.ts
+++ b/packages/program/src/runProgram.ts
@@ -1,18 +1,11 @@
 import { toServeError } from "@fulmarcleat/errors";
 import { createEventLog } from "@fulmarcleat/events";
-import type { EventLog } from "@fulmarcleat/events";
-import { loadSettings } from "@fulmarcleat/settings";
+import { describeSettings, loadSettings } from "@fulmarcleat/settings";
 import { hideBin } from "yargs/helpers";
 import yargs from "yargs/yargs";
 import type { z } from "zod";
-
-/** A program's running part. */
-export interface RunningProgram {
-    /** Planned stop; resolves once nothing is left to finish. */
-    stop(): Promise<void>;
-    /** What a stop at its limit would cut off, in words. */
-    describeUnfinished(): string;
-}
+import type { RunningProgram } from "./runningProgram.js";
+import { stopOnSignals } from "./stopOnSignals.js";
 
 /** One of the project's programs. */
 export interface Program<Cfg> {
@@ -28,7 +21,6 @@
 
 const EXIT_FAILED = 1;
 const EXIT_SETTINGS = 2;
-const EXIT_CUT = 3;
 
 /**
  * Runs a program: reads its settings, starts it and stops it on SIGTERM or SIGINT.
@@ -48,9 +40,10 @@
         .option("settings", { type: "string", demandOption: true, describe: "settings file: JSON with comments" })
         .option("check", { type: "boolean", default: false, describe: "check the settings and exit" })
         .example(
-            `$0 --settings examples/vop/${program.name.replace("fulmarcleat-", "")}.jsonc`,
+            `$0 --settings examples/vop/${program.name.replace("fulmarcleat-", "")}-1.jsonc`,
             "start with the VÖP example",
         )
+        .epilogue(formatHelp(program))
         .strict()
         .parse();
     const log = createEventLog({ process: program.name });
@@ -75,6 +68,23 @@
     }
 }
 
+function formatHelp<Cfg>(program: Program<Cfg>): string {
+    const keys = describeSettings(program.schema).map(entry => {
+        const rule = entry.byDefault === undefined ? entry.required ? "required" : "may be left out" : entry.byDefault;
+        return `  ${entry.key.padEnd(KEY_WIDTH)}${entry.allowed} (${rule})`;
+    });
+    return [
+        "Settings, with what is allowed (and the value where the key is absent):",
+        ...keys,
+        "",
+        "Signals: SIGTERM or SIGINT stops it and lets running work finish; a second one, or the limit stopLimitMs, ends it at once.",
+        "Exit codes: 0 stopped, 1 could not start, 2 settings not allowed, 3 ended before running work had finished.",
+        "More: docs/OPERATIONS.md",
+    ].join("\n");
+}
+
+const KEY_WIDTH = 24;
+
 async function readSettings<Cfg>(program: Program<Cfg>, file: string): Promise<Cfg | undefined> {
     try {
         return await loadSettings(program.schema, file);
@@ -89,22 +99,3 @@
         return undefined;
     }
 }
-
-function stopOnSignals(running: RunningProgram, limitMs: number, log: EventLog): void {
-    let isStopping = false;
-    const cut = (reason: string): void => {
-        log.write("error", 104, { reason, unfinished: running.describeUnfinished() });
-        process.exit(EXIT_CUT);
-    };
-    const onSignal = (signal: NodeJS.Signals): void => {
-        if (isStopping) {
-            cut(`second ${signal}`);
-            return;
-        }
-        isStopping = true;
-        setTimeout(() => cut("stop limit"), limitMs).unref();
-        running.stop().then(() => process.exit(0), () => cut("stop failed"));
-    };
-    process.on("SIGTERM", onSignal);
-    process.on("SIGINT", onSignal);
-}
--- a/packages/settings/src/parseSettings.ts
+++ b/packages/settings/src/parseSettings.ts
@@ -2,6 +2,8 @@
 import type { Node, ParseError } from "jsonc-parser";
 import { findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode } from "jsonc-parser";
 import type { z } from "zod";
+import { describeSettings } from "./describeSettings.js";
+import type { SettingDescription } from "./describeSettings.js";
 
 /** Where settings come from, for messages. */
 export interface ParseSettingsOptions {
@@ -34,15 +36,39 @@
     if (result.success) {
         return result.data;
     }
-    const lines = result.error.issues.map(issue => describeIssue(issue, tree, text, options));
+    const described = describeSettings(schema);
+    const lines = result.error.issues.flatMap(issue => describeIssue(issue, { tree, text, described, ...options }));
     throw createError(lines.join("\n"), options);
 }
 
-function describeIssue(issue: z.core.$ZodIssue, tree: Node, text: string, options: ParseSettingsOptions): string {
+interface IssueContext extends ParseSettingsOptions {
+    readonly tree: Node;
+    readonly text: string;
+    readonly described: readonly SettingDescription[];
+}
+
+function describeIssue(issue: z.core.$ZodIssue, context: IssueContext): readonly string[] {
     const path = issue.path.filter(part => typeof part !== "symbol");
+    if (issue.code === "unrecognized_keys") {
+        const allowed = listAllowed(path, context);
+        return issue.keys.map(name => formatIssue([...path, name], `is not a setting; ${allowed}`, context));
+    }
+    const isMissing = path.length > 0 && findNodeAtLocation(context.tree, path) === undefined;
+    const entry = context.described.find(candidate => candidate.key === path.join("."));
+    const allowed = entry === undefined ? listAllowed(path, context) : `allowed: ${entry.allowed}`;
+    return [formatIssue(path, `${isMissing ? "is required" : issue.message}; ${allowed}`, context)];
+}
+
+function listAllowed(path: readonly (string | number)[], { described }: IssueContext): string {
+    const prefix = path.length === 0 ? "" : `${path.join(".")}.`;
+    const inside = described.filter(entry => entry.key.startsWith(prefix)).map(entry => entry.key);
+    const names = path.length === 0 ? inside.map(key => key.split(".")[0] ?? "") : inside;
+    return `allowed here: ${[...new Set(names)].join(", ")}`;
+}
+
+function formatIssue(path: readonly (string | number)[], message: string, context: IssueContext): string {
     const key = path.length === 0 ? "(top level)" : path.join(".");
-    const line = countLine(text, findNearest(tree, path).offset);
-    return `${options.file}:${line}: ${key}: ${issue.message}`;
+    return `${context.file}:${countLine(context.text, findNearest(context.tree, path).offset)}: ${key}: ${message}`;
 }
 
 function findNearest(tree: Node, path: readonly (string | number)[]): Node {
