--- a/packages/gateway/src/createPlaceRouter.ts
+++ b/packages/gateway/src/createPlaceRouter.ts
@@ -49,6 +49,8 @@
     readonly listEngines: (offered: OfferedVersion) => readonly ConfiguredEngine[];
     /** The host that owns an engine, as far as is known. */
     readonly findOwner: (engine: EngineId) => HostId | undefined;
+    /** The host that owns an engine by the key-value service. */
+    readonly lookUpOwner: (engine: EngineId) => Promise<HostId | undefined>;
     readonly ask: (owner: HostId, ask: PlaceAsk) => Promise<PlaceReply>;
     readonly end: (owner: HostId, end: PlaceEnd) => Promise<void>;
 }
@@ -72,6 +74,12 @@
 
 const HINT_MS = 5000;
 const NO_OWNER_WAIT_MS = 100;
+/** How long a request waits for the owner of its first choice before it goes to another engine, in milliseconds. */
+const OWNER_WAIT_MS = 2000;
+const OWNER_POLL_MS = 20;
+/** Time between two tries to give a place back, in milliseconds; the owner also asks for what is held. */
+const END_RETRY_MS = 500;
+const MAX_END_TRIES = 5;
 const DETAILS = { step: "find place", outcome: "not_run" } as const;
 
 /**
@@ -89,6 +97,7 @@
     const hints = new Map<string, ReplicaHint>();
     const outstanding = new Map<EngineId, number>();
     const fences = new Map<EngineId, number>();
+    const pending = new Map<PlaceId, EngineId>();
 
     const chooseEngine = (need: PlaceNeed, tried: readonly EngineId[]): EngineId | undefined => {
         const engines = options.listEngines(need.offered).filter(entry => !entry.draining).map(entry => entry.engine);
@@ -103,6 +112,27 @@
             [...replicas].filter(isFresh).sort((a, b) => (outstanding.get(a) ?? 0) - (outstanding.get(b) ?? 0))[0];
         return leastUsed ?? ranked.find(isFresh) ?? ranked.find(engine => !tried.includes(engine));
     };
+    const giveBack = async (engine: EngineId, place: PlaceId, use: PlaceUse): Promise<void> => {
+        for (let tries = 1; tries <= MAX_END_TRIES; tries += 1) {
+            const owner = options.findOwner(engine);
+            const isDone = owner !== undefined
+                && await options.end(owner, { engine, ends: [{ place, use }] }).then(() => true, () => false);
+            if (isDone) {
+                return;
+            }
+            options.metrics.count("place_end_failures_total");
+            await pause(clock, END_RETRY_MS * tries);
+        }
+    };
+    const waitOwner = async (engine: EngineId, untilMs: number): Promise<HostId | undefined> => {
+        for (;;) {
+            const owner = options.findOwner(engine) ?? await options.lookUpOwner(engine);
+            if (owner !== undefined || clock.nowMs() >= untilMs) {
+                return owner;
+            }
+            await pause(clock, OWNER_POLL_MS);
+        }
+    };
     const askOwner = async (
         need: PlaceNeed,
         engine: EngineId,
@@ -126,13 +156,17 @@
             host: options.host,
             incarnation: options.incarnation,
         };
+        pending.set(place, engine);
         try {
             return { reply: await options.ask(owner, ask), place, askedMs };
         }
         catch (err) {
-            void options.end(owner, { engine, ends: [{ place, use: "unused" }] }).catch(() => undefined);
+            void giveBack(engine, place, "unused");
             throw err;
         }
+        finally {
+            pending.delete(place);
+        }
     };
     const take = (
         need: PlaceNeed,
@@ -157,8 +191,17 @@
         outstanding.set(engine, (outstanding.get(engine) ?? 0) + 1);
         return place;
     };
-    const attempt = async (need: PlaceNeed, engine: EngineId): Promise<HeldPlace | "retry" | ServeError> => {
-        const owner = options.findOwner(engine);
+    const giveUpOldGrant = (engine: EngineId, place: PlaceId): "retry" => {
+        options.metrics.count("retries_total", { reason: "old_fence" });
+        void giveBack(engine, place, "unused");
+        return "retry";
+    };
+    const attempt = async (
+        need: PlaceNeed,
+        engine: EngineId,
+        ownerByMs: number,
+    ): Promise<HeldPlace | "retry" | "moved" | ServeError> => {
+        const owner = await waitOwner(engine, ownerByMs);
         if (owner === undefined) {
             return "retry";
         }
@@ -166,8 +209,11 @@
             const { reply, askedMs } = await askOwner(need, engine, owner);
             switch (reply.kind) {
                 case "granted":
-                    return take(need, engine, reply, askedMs) ?? "retry";
+                    return take(need, engine, reply, askedMs) ?? giveUpOldGrant(engine, reply.place);
                 case "refused":
+                    if (reply.code === "no_owner" && clock.nowMs() < ownerByMs) {
+                        return "moved";
+                    }
                     return new ServeError(reply.message, {
                         ...DETAILS,
                         code: reply.code,
@@ -175,7 +221,7 @@
                         retryAfterMs: reply.retryAfterMs,
                     });
                 case "not_owner":
-                    return "retry";
+                    return clock.nowMs() < ownerByMs ? "moved" : "retry";
             }
         }
         catch (cause) {
@@ -190,6 +236,7 @@
     return {
         async acquire(need) {
             let tried: readonly EngineId[] = [];
+            const ownerByMs = Math.min(need.deadlineMs, clock.nowMs() + OWNER_WAIT_MS);
             let last = new ServeError("no engine has an owner", {
                 ...DETAILS,
                 code: "no_owner",
@@ -214,7 +261,11 @@
                     await pause(clock, NO_OWNER_WAIT_MS);
                     continue;
                 }
-                const result = await attempt(need, engine);
+                const result = await attempt(need, engine, ownerByMs);
+                if (result === "moved") {
+                    await pause(clock, NO_OWNER_WAIT_MS);
+                    continue;
+                }
                 tried = [...tried, engine];
                 if (result === "retry") {
                     continue;
@@ -235,18 +286,17 @@
                 return;
             }
             outstanding.set(place.engine, Math.max(0, (outstanding.get(place.engine) ?? 0) - 1));
-            const owner = options.findOwner(place.engine);
-            if (owner !== undefined) {
-                void options.end(owner, { engine: place.engine, ends: [{ place: place.place, use }] }).catch(() =>
-                    options.metrics.count("place_end_failures_total")
-                );
-            }
+            void giveBack(place.engine, place.place, use);
         },
         mayStart: place => clock.nowMs() < place.startByMs && place.fence >= (fences.get(place.engine) ?? 0),
         describeHeld(ask) {
             fences.set(ask.engine, Math.max(ask.fence, fences.get(ask.engine) ?? 0));
             const places = [...held.values()].filter(place => place.engine === ask.engine);
-            return { places: places.map(({ place, instance }) => ({ place, instance })) };
+            return {
+                incarnation: options.incarnation,
+                places: places.map(({ place, instance }) => ({ place, instance })),
+                pending: [...pending].filter(([, engine]) => engine === ask.engine).map(([place]) => place),
+            };
         },
         get heldCount() {
             return held.size;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -15,7 +15,15 @@
 import { readPolicy } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
-import type { Empty, PeerHello, PlaceAsk, PlaceReply, StatusReply } from "@fulmarcleat/wire";
+import type {
+    Empty,
+    PeerHello,
+    PlaceAsk,
+    PlaceReply,
+    PlacesHeldAsk,
+    PlacesHeldReply,
+    StatusReply,
+} from "@fulmarcleat/wire";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { buildOfferIndex } from "./buildOfferIndex.js";
@@ -163,6 +171,7 @@
             burst: BURST_LOADS,
         };
     };
+    const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
     const ownership = startOwnershipTask({
         host: cfg.host,
         incarnation,
@@ -178,20 +187,30 @@
         leaseMs: cfg.leaseMs,
         listEngines: () => listOwnable(index.engines, readPolicy(config.snapshot), ensureDriver),
         listHosts: () => membership.liveHosts,
+        listHolders: () => membership.members.map(member => member.host),
+        findAnnounced: engine => findAnnounced(engine),
+        isSessionTrusted: () => session.isTrusted(),
+        sessionOpenedMs: () => session.openedMs,
         askHeld: (host, ask) =>
             host === cfg.host
-                ? Promise.resolve(router.describeHeld(ask))
+                ? Promise.resolve(describeHeld(ask))
                 : peers.ask(askPeer(host), "placesHeld", ask, cfg.silenceMs),
         chooseReplicas,
         recordDecision,
     });
+    const findAnnounced = (engine: EngineId): HostId | undefined =>
+        membership.members.find(member =>
+            member.host !== cfg.host && member.state !== "silent" && member.ownedEngines.includes(engine)
+        )?.host;
     const findOwner = (engine: EngineId): HostId | undefined => {
         if (ownership.find(engine)?.state.phase === "owned") {
             return cfg.host;
         }
-        return membership.members.find(member =>
-            member.host !== cfg.host && member.state !== "silent" && member.ownedEngines.includes(engine)
-        )?.host;
+        return findAnnounced(engine);
+    };
+    const describeHeld = (ask: PlacesHeldAsk): PlacesHeldReply => {
+        ownership.fenceSeen(ask.engine, ask.fence);
+        return router.describeHeld(ask);
     };
     const answerPlace = (ask: PlaceAsk): Promise<PlaceReply> => {
         const task = ownership.find(ask.engine);
@@ -207,6 +226,7 @@
         metrics,
         listEngines: offered => index.listEngines(offered.baseModel),
         findOwner,
+        lookUpOwner: engine => ownership.lookUpOwner(engine),
         ask: (owner, ask) =>
             owner === cfg.host ? answerPlace(ask) : peers.ask(askPeer(owner), "place", ask, ask.waitMs + cfg.silenceMs),
         end: async (owner, end) => {
@@ -240,12 +260,11 @@
                 ownership.find(ask.engine)?.end(ask);
                 return Promise.resolve(DONE);
             },
-            placesHeld: ask => Promise.resolve(router.describeHeld(ask)),
+            placesHeld: ask => Promise.resolve(describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
             explain: ask => Promise.resolve({ decisions: decisions.find(ask) }),
         },
     });
-    const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
     const server = createServer(createCallerHandler({
         readIndex: () => index,
         readPolicy: () => readPolicy(config.snapshot),
@@ -297,11 +316,13 @@
             leaving = true;
             log.write("info", 102, { host: cfg.host });
             await membership.announce();
-            await new Promise<void>(resolve => {
+            const closed = new Promise<void>(resolve => {
                 server.close(() => resolve());
                 server.closeIdleConnections();
             });
             await ownership.release();
+            await membership.announce();
+            await closed;
             ownership.stop();
             await session.stop();
             membership.stop();
--- a/packages/gateway/src/startSessionTask.ts
+++ b/packages/gateway/src/startSessionTask.ts
@@ -2,7 +2,8 @@
 import type { EventLog } from "@fulmarcleat/events";
 import type { CancelTimer, Clock, HostId, Incarnation } from "@fulmarcleat/ids";
 import type { KvClient } from "@fulmarcleat/kv";
-import { formatSessionKey } from "@fulmarcleat/ownership";
+import { formatSessionKey, isSessionTrusted, reduceSessionTrust } from "@fulmarcleat/ownership";
+import type { SessionEvent, SessionTrust } from "@fulmarcleat/ownership";
 
 /** Settings of the task that keeps a host's session lease. */
 export interface SessionTaskOptions {
@@ -16,6 +17,10 @@
 
 /** The task that keeps a host's session lease. */
 export interface SessionTask {
+    /** Whether this host may act as an owner. */
+    isTrusted(): boolean;
+    /** When the present lease was taken, in milliseconds. */
+    readonly openedMs: number;
     /** Gives the lease back. */
     stop(): Promise<void>;
 }
@@ -34,9 +39,14 @@
 export function startSessionTask(options: SessionTaskOptions): SessionTask {
     const { clock, kv } = options;
     let lease: LeaseId | undefined;
+    let trust: SessionTrust = { aliveMs: undefined, openedMs: 0 };
+    const note = (event: SessionEvent): void => {
+        trust = reduceSessionTrust(trust, event, options.leaseMs);
+    };
     let isStopped = false;
     let cancel: CancelTimer = () => undefined;
     const open = async (): Promise<void> => {
+        const sentMs = clock.nowMs();
         const granted = await kv.grantLease(options.leaseMs);
         const key = formatSessionKey(options.host);
         const current = await kv.read("session", key);
@@ -48,26 +58,40 @@
             lease: granted,
             isOwn: value => value === options.incarnation,
         });
-        lease = outcome.kind === "applied" ? granted : undefined;
+        if (outcome.kind !== "applied") {
+            return;
+        }
+        lease = granted;
+        note({ kind: "opened", sentMs, nowMs: clock.nowMs() });
     };
     const renew = async (): Promise<void> => {
         if (lease === undefined) {
             await open();
+            return;
         }
-        else if (!await kv.keepAlive(lease)) {
-            options.log.write("warn", 203, { host: options.host });
-            lease = undefined;
-            await open();
+        const sentMs = clock.nowMs();
+        if (await kv.keepAlive(lease)) {
+            note({ kind: "renewed", sentMs });
+            return;
         }
+        options.log.write("warn", 203, { host: options.host });
+        lease = undefined;
+        note({ kind: "lapsed" });
+        await open();
     };
     const round = async (): Promise<void> => {
-        await renew().catch(() => undefined);
+        const sentMs = clock.nowMs();
+        await renew().catch(() => note({ kind: "unavailable", sentMs }));
         if (!isStopped) {
             cancel = clock.setTimer(options.leaseMs / RENEWALS_PER_LEASE, () => void round());
         }
     };
     void round();
     return {
+        isTrusted: () => isSessionTrusted(trust, clock.nowMs(), options.leaseMs),
+        get openedMs() {
+            return trust.openedMs;
+        },
         async stop() {
             isStopped = true;
             cancel();
--- a/packages/membership/src/applyHello.ts
+++ b/packages/membership/src/applyHello.ts
@@ -17,7 +17,7 @@
         if (member.host !== hello.host) {
             return member;
         }
-        const state = hello.leaving ? "leaving" : "live";
+        const state = hello.leaving || member.isListedLeaving ? "leaving" : "live";
         return {
             ...member,
             state,
--- a/packages/membership/src/memberView.ts
+++ b/packages/membership/src/memberView.ts
@@ -8,6 +8,8 @@
     readonly failureDomain: FailureDomain;
     /** `silent`: listed, but it has not answered lately. */
     readonly state: "live" | "silent" | "leaving";
+    /** Whether the platform's list says that it is leaving. */
+    readonly isListedLeaving: boolean;
     /** Undefined until it has answered once. */
     readonly incarnation: Incarnation | undefined;
     readonly heardMs: number;
--- a/packages/membership/src/mergeHostList.ts
+++ b/packages/membership/src/mergeHostList.ts
@@ -32,11 +32,13 @@
             port,
             failureDomain,
             state: "live",
+            isListedLeaving: false,
             incarnation: undefined,
             heardMs: nowMs,
             configSeq: 0,
             ownedEngines: [],
         };
-    const state = entry.state === "leaving" ? "leaving" : present.state;
-    return { ...present, address, port, failureDomain, state };
+    const isListedLeaving = entry.state === "leaving";
+    const state = isListedLeaving ? "leaving" : present.state;
+    return { ...present, address, port, failureDomain, state, isListedLeaving };
 }
--- a/packages/ownership/src/applyReport.ts
+++ b/packages/ownership/src/applyReport.ts
@@ -1,11 +1,11 @@
 import type { EngineReport } from "@fulmarcleat/drivers";
 import { decayRate } from "@fulmarcleat/placement";
 import type { EngineContext, EngineMessage } from "./engineMessage.js";
-import type { EngineState, Instance, Place } from "./engineState.js";
+import type { EngineState, Instance, Place, Stray } from "./engineState.js";
 import { parseInstanceName } from "./parseInstanceName.js";
 
 /** Age of a report, in milliseconds, beyond which it is taken to show what was ordered before. */
-const REPORT_LAG_MS = 10_000;
+export const REPORT_LAG_MS = 10_000;
 
 /** How long a granted place may wait for its request to start, in milliseconds. */
 export const PLACE_START_MS = 5_000;
@@ -28,19 +28,36 @@
 ): EngineState {
     const { report, askedMs } = message;
     const isRestarted = state.engineIncarnation !== undefined && state.engineIncarnation !== report.incarnation;
+    const isNew = state.engineIncarnation !== report.incarnation;
     const before = isRestarted ? forgetLoaded(state) : state;
     const instances = [
         ...before.instances.flatMap(instance => mergeInstance(instance, report, askedMs)),
-        ...listUnknown(before, report, context),
+        ...listUnknown(before, report, { askedMs, nowMs: context.nowMs }),
     ];
     const places = before.places.filter(place => !isOrphanOver(place, report, askedMs));
-    return { ...before, engineIncarnation: report.incarnation, instances, places };
+    const strays = before.strays.filter(stray => !isStrayOver(stray, report, askedMs, state.limits.maxRequestMs));
+    return {
+        ...before,
+        engineIncarnation: report.incarnation,
+        incarnationMs: isNew ? context.nowMs : before.incarnationMs,
+        isFenceSeen: isNew ? false : before.isFenceSeen,
+        instances,
+        places,
+        strays,
+    };
+}
+
+function isStrayOver(stray: Stray, report: EngineReport, askedMs: number, maxRequestMs: number): boolean {
+    const running = report.instances.find(entry => entry.instance === stray.instance)?.running ?? 0;
+    const ageMs = askedMs - stray.sinceMs;
+    return ageMs > REPORT_LAG_MS + maxRequestMs || (ageMs > REPORT_LAG_MS && running === 0);
 }
 
 function forgetLoaded(state: EngineState): EngineState {
     return {
         ...state,
         instances: state.instances.filter(instance => instance.status === "loading" || instance.status === "doubtful"),
+        strays: [],
     };
 }
 
@@ -49,14 +66,26 @@
     const isOld = askedMs - instance.sinceMs > REPORT_LAG_MS;
     if (reported === undefined) {
         const isGone = isOld && instance.status !== "loading";
-        return isGone ? [] : [{ ...instance, reportedRunning: 0, endedSinceReport: 0 }];
+        return isGone ? [] : [{ ...instance, reportedRunning: 0, endedSinceReport: 0, reportedMs: askedMs }];
     }
     const status = instance.status === "doubtful" ? "ready" : instance.status;
     const sinceMs = status === instance.status ? instance.sinceMs : askedMs;
-    return [{ ...instance, status, sinceMs, reportedRunning: reported.running, endedSinceReport: 0 }];
+    return [{
+        ...instance,
+        status,
+        sinceMs,
+        reportedRunning: reported.running,
+        endedSinceReport: 0,
+        reportedMs: askedMs,
+    }];
 }
 
-function listUnknown(state: EngineState, report: EngineReport, { nowMs }: EngineContext): readonly Instance[] {
+function listUnknown(
+    state: EngineState,
+    report: EngineReport,
+    times: { askedMs: number; nowMs: number },
+): readonly Instance[] {
+    const { askedMs, nowMs } = times;
     return report.instances
         .filter(entry => !state.instances.some(instance => instance.instance === entry.instance))
         .flatMap(entry => {
@@ -64,7 +93,7 @@
             if (parts === undefined) {
                 return [];
             }
-            const isOwn = parts.fence === state.fence;
+            const isOwn = parts.fence === state.fence && parts.load <= state.lastLoad;
             return [
                 {
                     instance: entry.instance,
@@ -76,6 +105,7 @@
                     rate: decayRate(undefined, 0, nowMs),
                     reportedRunning: entry.running,
                     endedSinceReport: 0,
+                    reportedMs: askedMs,
                 } satisfies Instance,
             ];
         });
--- a/packages/ownership/src/canEvict.ts
+++ b/packages/ownership/src/canEvict.ts
@@ -1,11 +1,13 @@
 import { countPins } from "./countPins.js";
 import type { EngineState, Instance } from "./engineState.js";
+import { isInheritanceSettled } from "./isInheritanceSettled.js";
+import { parseInstanceName } from "./parseInstanceName.js";
 
 /**
  * Tells whether evicting an instance can cut off nobody.
  *
- * An instance of an earlier owner is left alone until every host has said what it holds, or until
- * the longest request of before has passed.
+ * An instance of an earlier owner is left alone until every use of it is known, or until the longest
+ * request of before has passed.
  *
  * @param state - The engine
  * @param instance - One of its instances
@@ -21,9 +23,8 @@
     }
     switch (instance.status) {
         case "ready":
-            return true;
         case "foreign":
-            return isInheritanceSettled(state, nowMs);
+            return isOwnLoad(state, instance) || isInheritanceSettled(state, nowMs);
         case "loading":
         case "doubtful":
         case "unloading":
@@ -31,10 +32,6 @@
     }
 }
 
-function isInheritanceSettled(state: EngineState, nowMs: number): boolean {
-    const { inheritance } = state;
-    if (inheritance === undefined || nowMs >= inheritance.safeAtMs) {
-        return true;
-    }
-    return inheritance.formerIsGone && inheritance.unansweredHosts.length === 0;
+function isOwnLoad(state: EngineState, instance: Instance): boolean {
+    return parseInstanceName(instance.instance)?.fence === state.fence;
 }
--- a/packages/ownership/src/countPins.ts
+++ b/packages/ownership/src/countPins.ts
@@ -1,7 +1,8 @@
 import type { EngineState, Instance } from "./engineState.js";
 
 /**
- * Counts what holds an instance: places, and runs in the engine's report that no place explains.
+ * Counts what holds an instance: places, requests that may still run, and runs in the engine's
+ * report that no place explains.
  *
  * @param state - The engine
  * @param instance - One of its instances
@@ -11,7 +12,9 @@
  * const isIdle = countPins(state, instance) === 0;
  */
 export function countPins(state: EngineState, instance: Instance): number {
-    const places = state.places.filter(place => place.instance === instance.instance).length;
-    const unexplained = Math.max(0, instance.reportedRunning - places - instance.endedSinceReport);
-    return places + unexplained;
+    const places = state.places.filter(place => place.instance === instance.instance);
+    const strays = state.strays.filter(stray => stray.instance === instance.instance).length;
+    const explaining = places.filter(place => place.grantedMs <= (instance.reportedMs ?? place.grantedMs)).length;
+    const unexplained = Math.max(0, instance.reportedRunning - explaining - instance.endedSinceReport);
+    return places.length + strays + unexplained;
 }
--- a/packages/ownership/src/createEngineState.ts
+++ b/packages/ownership/src/createEngineState.ts
@@ -24,5 +24,8 @@
         waiting: [],
         backoffs: [],
         inheritance: undefined,
+        incarnationMs: 0,
+        isFenceSeen: false,
+        strays: [],
     };
 }
--- a/packages/ownership/src/decideClaim.ts
+++ b/packages/ownership/src/decideClaim.ts
@@ -1,5 +1,5 @@
 import type { HostId, Incarnation } from "@fulmarcleat/ids";
-import type { FormerOwner } from "./engineMessage.js";
+import type { FormerOwner } from "./engineState.js";
 import type { OwnerRecord } from "./ownerRecord.js";
 
 /** What a host knows when it weighs claiming an engine. */
--- a/packages/ownership/src/engineEffect.ts
+++ b/packages/ownership/src/engineEffect.ts
@@ -1,5 +1,5 @@
 import type { ErrorCode } from "@fulmarcleat/errors";
-import type { AdapterName, AdapterVersion, InstanceName, RequestId } from "@fulmarcleat/ids";
+import type { AdapterName, AdapterVersion, HostId, InstanceName, RequestId } from "@fulmarcleat/ids";
 import type { EngineState, Waiting } from "./engineState.js";
 
 /** What an owner does in reaction to a message. */
@@ -29,8 +29,10 @@
         readonly fence: number;
     }
     | { readonly kind: "unload"; readonly instance: InstanceName; readonly fence: number }
-    /** Nothing is held any more: the ownership record may be given up. */
-    | { readonly kind: "released"; readonly fence: number }
+    /** Shows the engine this owner's fence by unloading a name that no load has. */
+    | { readonly kind: "showFence"; readonly instance: InstanceName; readonly fence: number }
+    /** Every order has its answer and none follows: the ownership record may be given up. */
+    | { readonly kind: "released"; readonly fence: number; readonly holders: readonly HostId[] }
     | {
         readonly kind: "decision";
         readonly step: string;
--- a/packages/ownership/src/engineMessage.ts
+++ b/packages/ownership/src/engineMessage.ts
@@ -1,10 +1,7 @@
 import type { EngineReport, OrderResult } from "@fulmarcleat/drivers";
 import type { HostId, Incarnation, InstanceName, PlaceId } from "@fulmarcleat/ids";
 import type { PlaceUse } from "@fulmarcleat/wire";
-import type { EngineLimits, Waiting } from "./engineState.js";
-
-/** How an earlier owner left an engine. */
-export type FormerOwner = "none" | "released" | "gone" | "lapsed";
+import type { EngineLimits, FormerOwner, Waiting } from "./engineState.js";
 
 /** Everything that an engine's owner reacts to. */
 export type EngineMessage =
@@ -12,6 +9,7 @@
         readonly kind: "acquired";
         readonly fence: number;
         readonly former: FormerOwner;
+        readonly formerHost?: HostId | undefined;
         readonly hosts: readonly HostId[];
         readonly leaseMs: number;
     }
@@ -24,11 +22,17 @@
     | { readonly kind: "loadAnswered"; readonly instance: InstanceName; readonly result: OrderResult | undefined }
     | { readonly kind: "unloadAnswered"; readonly instance: InstanceName; readonly result: OrderResult | undefined }
     | { readonly kind: "report"; readonly report: EngineReport; readonly askedMs: number }
+    /** Answer to an order that only shows the engine this owner's fence. */
+    | { readonly kind: "fenceAnswered"; readonly sentMs: number; readonly result: OrderResult | undefined }
     /** A host's own word on what it holds as of `askedMs`; what it does not name is free. */
     | {
         readonly kind: "held";
         readonly host: HostId;
         readonly incarnation: Incarnation;
+        /** Fence of the owner that asked. */
+        readonly fence: number;
+        /** Places that the host has asked for without an answer so far. */
+        readonly pending: readonly PlaceId[];
         readonly askedMs: number;
         readonly places: readonly { readonly place: PlaceId; readonly instance: InstanceName }[];
     }
@@ -42,4 +46,6 @@
     readonly nowMs: number;
     /** Loads that the weight store's budget lets start now. */
     readonly loadsAllowed: number;
+    /** Set where the host can't be sure that it still owns the engine; nothing is granted or ordered. */
+    readonly isSuspended?: boolean;
 }
--- a/packages/ownership/src/engineState.ts
+++ b/packages/ownership/src/engineState.ts
@@ -32,6 +32,18 @@
     readonly reportedRunning: number;
     /** Places ended since that report was asked for. */
     readonly endedSinceReport: number;
+    /** When the last report that counts was asked for, in milliseconds. */
+    readonly reportedMs?: number | undefined;
+    /** When an unload order that got no answer is repeated, in milliseconds. */
+    readonly retryAtMs?: number | undefined;
+    /** Set once an unload order got no answer; it may take effect at any later time. */
+    readonly wasUnanswered?: boolean | undefined;
+}
+
+/** A request that may still run although its place was given back. */
+export interface Stray {
+    readonly instance: InstanceName;
+    readonly sinceMs: number;
 }
 
 /** One place in the engine's batch that a host holds. */
@@ -68,12 +80,19 @@
     readonly untilMs: number;
 }
 
+/** How an earlier owner left an engine. */
+export type FormerOwner = "none" | "released" | "gone" | "lapsed";
+
 /** What the owner must do before it may touch instances of an earlier owner. */
 export interface Inheritance {
     /** Hosts that have not yet said which places they hold. */
     readonly unansweredHosts: readonly HostId[];
-    /** Whether the earlier owner can no longer order anything on this engine. */
-    readonly formerIsGone: boolean;
+    /** How the earlier owner left. */
+    readonly former: FormerOwner;
+    /** Host of the earlier owner. */
+    readonly formerHost: HostId | undefined;
+    /** From when no place of before can still start a request, in milliseconds. */
+    readonly startedByMs: number;
     /** From when no request of before can still run, in milliseconds. */
     readonly safeAtMs: number;
 }
@@ -105,4 +124,9 @@
     readonly waiting: readonly Waiting[];
     readonly backoffs: readonly LoadBackoff[];
     readonly inheritance: Inheritance | undefined;
+    /** When the engine's present incarnation was first seen, in milliseconds. */
+    readonly incarnationMs: number;
+    /** Whether that incarnation has answered an order with this owner's fence. */
+    readonly isFenceSeen: boolean;
+    readonly strays: readonly Stray[];
 }
--- /dev/null
+++ b/packages/ownership/src/isSessionTrusted.ts
@@ -0,0 +1,16 @@
+import type { SessionTrust } from "./reduceSessionTrust.js";
+
+/**
+ * Tells whether a host may act as an owner by what it knows of its session lease.
+ *
+ * @param trust - What the host knows
+ * @param nowMs - The present, in milliseconds
+ * @param leaseMs - Length of the lease, in milliseconds
+ * @returns whether it may grant places and order loads
+ *
+ * @example
+ * const isSuspended = !isSessionTrusted(trust, clock.nowMs(), leaseMs);
+ */
+export function isSessionTrusted(trust: SessionTrust, nowMs: number, leaseMs: number): boolean {
+    return trust.aliveMs !== undefined && nowMs - trust.aliveMs < leaseMs;
+}
--- a/packages/ownership/src/ownerRecord.ts
+++ b/packages/ownership/src/ownerRecord.ts
@@ -9,6 +9,8 @@
     readonly fence: number;
     /** The owner gave the engine up and orders nothing more. */
     readonly released: boolean;
+    /** Hosts that held places when the engine was given up. */
+    readonly holders?: readonly HostId[] | undefined;
     /** Tells the write apart from another's. */
     readonly nonce: Nonce;
 }
@@ -19,6 +21,7 @@
     incarnation: z.string().transform(text => brandId<Incarnation>(text)),
     fence: z.int(),
     released: z.boolean(),
+    holders: z.array(z.string().transform(text => brandId<HostId>(text))).optional(),
     nonce: z.string().transform(text => brandId<Nonce>(text)),
 });
 
--- a/packages/ownership/src/reduceEngine.ts
+++ b/packages/ownership/src/reduceEngine.ts
@@ -1,16 +1,31 @@
 import { decideAdmission } from "@fulmarcleat/admission";
+import { brandId } from "@fulmarcleat/ids";
+import type { AdapterName, AdapterVersion } from "@fulmarcleat/ids";
+import { acquireEngine } from "./acquireEngine.js";
+import { adoptInstances } from "./adoptInstances.js";
+import { answerLoad } from "./answerLoad.js";
+import { answerUnload } from "./answerUnload.js";
+import { applyHeld } from "./applyHeld.js";
 import { applyReport } from "./applyReport.js";
+import { endPlace } from "./endPlace.js";
 import type { EngineEffect, EngineStep } from "./engineEffect.js";
 import type { EngineContext, EngineMessage } from "./engineMessage.js";
-import type { EngineState, Instance, LoadBackoff, Place, Waiting } from "./engineState.js";
+import type { EngineState, Waiting } from "./engineState.js";
+import { formatInstanceName } from "./formatInstanceName.js";
+import { giveUpEngine } from "./giveUpEngine.js";
 import { isUsable } from "./isUsable.js";
+import { orphanPlaces } from "./orphanPlaces.js";
+import { refuseWaiting } from "./refuseWaiting.js";
+import { repeatUnloads } from "./repeatUnloads.js";
 import { serveWaiting } from "./serveWaiting.js";
 
-const BACKOFF_MS = 500;
-const MAX_BACKOFF_MS = 30_000;
-const MAX_FAILURES = 3;
+const BACKOFF_KEPT_MS = 30_000;
 const EXPECTED_LOAD_MS = 500;
 const NO_EFFECTS: readonly EngineEffect[] = [];
+const OTHER_OWNER = "the engine has another owner";
+const LEAVING = "the engine is leaving";
+/** Adapter and version in the name that shows the engine a fence; no adapter has them. */
+const FENCE_NAME = { adapter: brandId<AdapterName>("fence"), version: brandId<AdapterVersion>("shown") };
 
 /**
  * Decides what an engine's owner does: grants, refusals, loads and evictions.
@@ -25,7 +40,8 @@
  */
 export function reduceEngine(state: EngineState, message: EngineMessage, context: EngineContext): EngineStep {
     const step = handle(state, message, context);
-    const served = serveWaiting(step.state, context);
+    const adopted = adoptInstances(step.state, context.nowMs);
+    const served = context.isSuspended === true ? refuseAll(adopted) : act(adopted, context);
     const done = finishRelease(served.state, message);
     return { state: done.state, effects: [...step.effects, ...served.effects, ...done.effects] };
 }
@@ -33,35 +49,41 @@
 function handle(state: EngineState, message: EngineMessage, context: EngineContext): EngineStep {
     switch (message.kind) {
         case "acquired":
-            return keep(acquire(state, message, context));
+            return keep(acquireEngine(state, message, context));
         case "lost":
-            return giveUp(state, "unowned", "the engine has another owner");
+            return giveUpEngine(state, "unowned", OTHER_OWNER);
         case "release":
-            return giveUp(state, "releasing", "the engine's owner is stopping");
+            return giveUpEngine(state, "releasing", "the engine's owner is stopping");
         case "ask":
             return admit(state, message.waiting, context);
         case "abandon":
             return keep({ ...state, waiting: state.waiting.filter(waiting => waiting.place !== message.place) });
         case "placeEnd":
-            return keep(endPlace(state, message));
+            return keep(endPlace(state, message, context));
         case "loadAnswered":
-            return answerLoad(state, message, context);
+            return isOldFence(message, state)
+                ? giveUpEngine(state, "unowned", OTHER_OWNER)
+                : answerLoad(state, message, context);
         case "unloadAnswered":
-            return keep(answerUnload(state, message));
+            return isOldFence(message, state)
+                ? giveUpEngine(state, "unowned", OTHER_OWNER)
+                : keep(answerUnload(state, message, context));
+        case "fenceAnswered":
+            return answerFence(state, message);
         case "report":
-            return keep(applyReport(state, message, context));
+            return showFence(applyReport(state, message, context));
         case "held":
-            return keep(applyHeld(state, message));
+            return keep(applyHeld(state, message, context));
         case "hostGone":
             return keep(orphanPlaces(state, message, context));
         case "formerGone":
-            return keep(adoptInstances(state, context));
+            return keep(noteFormerGone(state));
         case "limits":
-            return keep({ ...state, limits: message.limits });
+            return applyLimits(state, message);
         case "tick":
             return keep({
                 ...state,
-                backoffs: state.backoffs.filter(backoff => backoff.untilMs + MAX_BACKOFF_MS > context.nowMs),
+                backoffs: state.backoffs.filter(backoff => backoff.untilMs + BACKOFF_KEPT_MS > context.nowMs),
             });
     }
 }
@@ -70,60 +92,68 @@
     return { state, effects: NO_EFFECTS };
 }
 
-function acquire(
-    state: EngineState,
-    message: Extract<EngineMessage, { kind: "acquired" }>,
-    { nowMs }: EngineContext,
-): EngineState {
-    const isFirst = message.former === "none";
-    const formerIsGone = message.former !== "lapsed";
-    return {
-        ...state,
-        phase: "owned",
-        fence: message.fence,
-        lastLoad: 0,
-        instances: [],
-        places: [],
-        inheritance: isFirst ? undefined : {
-            unansweredHosts: message.hosts,
-            formerIsGone,
-            safeAtMs: nowMs + state.limits.maxRequestMs + message.leaseMs,
-        },
-    };
+function act(state: EngineState, context: EngineContext): EngineStep {
+    const repeated = repeatUnloads(state, context);
+    const served = serveWaiting(repeated.state, context);
+    return { state: served.state, effects: [...repeated.effects, ...served.effects] };
 }
 
-function giveUp(state: EngineState, phase: "unowned" | "releasing", reason: string): EngineStep {
-    const effects = state.waiting.map((waiting): EngineEffect => ({
-        kind: "refuse",
-        waiting,
+function refuseAll(state: EngineState): EngineStep {
+    return refuseWaiting(state, state.waiting, {
         code: "no_owner",
-        message: reason,
+        message: "the host is not sure that it still owns the engine",
         retryAfterMs: undefined,
-    }));
-    const isForgotten = phase === "unowned";
-    return {
-        state: {
-            ...state,
-            phase,
-            waiting: [],
-            instances: isForgotten ? [] : state.instances,
-            places: isForgotten ? [] : state.places,
-        },
-        effects,
-    };
+    });
+}
+
+function isOldFence(
+    message: Extract<EngineMessage, { kind: "loadAnswered" | "unloadAnswered" }>,
+    state: EngineState,
+): boolean {
+    return message.result?.kind === "refused" && message.result.reason === "old_fence"
+        && state.instances.some(instance => instance.instance === message.instance);
+}
+
+function answerFence(state: EngineState, message: Extract<EngineMessage, { kind: "fenceAnswered" }>): EngineStep {
+    const { result, sentMs } = message;
+    if (result === undefined || state.engineIncarnation === undefined || sentMs < state.incarnationMs) {
+        return keep(state);
+    }
+    return result.kind === "refused" && result.reason === "old_fence"
+        ? giveUpEngine(state, "unowned", OTHER_OWNER)
+        : keep({ ...state, isFenceSeen: true });
+}
+
+function showFence(state: EngineState): EngineStep {
+    const isNeeded = state.phase === "owned" && state.limits.fencing === "checked" && !state.isFenceSeen;
+    const instance = formatInstanceName({ ...FENCE_NAME, fence: state.fence, load: 0 });
+    return { state, effects: isNeeded ? [{ kind: "showFence", instance, fence: state.fence }] : NO_EFFECTS };
+}
+
+function noteFormerGone(state: EngineState): EngineState {
+    return state.inheritance?.former === "lapsed"
+        ? { ...state, inheritance: { ...state.inheritance, former: "gone" } }
+        : state;
+}
+
+function applyLimits(state: EngineState, message: Extract<EngineMessage, { kind: "limits" }>): EngineStep {
+    const next = { ...state, limits: message.limits };
+    return message.limits.draining
+        ? refuseWaiting(next, next.waiting, { code: "no_upstream", message: LEAVING, retryAfterMs: undefined })
+        : keep(next);
 }
 
 function finishRelease(state: EngineState, message: EngineMessage): EngineStep {
     const isBusy = state.instances.some(instance => instance.status === "loading" || instance.status === "unloading");
-    if (
-        state.phase !== "releasing" || isBusy
-        || (message.kind !== "release" && message.kind !== "loadAnswered" && message.kind !== "unloadAnswered")
-    ) {
+    const isTrigger = message.kind === "release" || message.kind === "loadAnswered"
+        || message.kind === "unloadAnswered" || message.kind === "report";
+    if (state.phase !== "releasing" || isBusy || !isTrigger) {
         return keep(state);
     }
+    const holders = [...new Set(state.places.map(place => place.host))];
     return {
-        state: { ...state, phase: "unowned", instances: [], places: [] },
-        effects: [{ kind: "released", fence: state.fence }],
+        state: { ...state, phase: "unowned", instances: [], places: [], strays: [] },
+        effects: [{ kind: "released", fence: state.fence, holders }],
     };
 }
 
@@ -132,7 +162,7 @@
         return refuse(state, waiting, "no_owner", "this host does not own the engine", undefined);
     }
     if (state.limits.draining) {
-        return refuse(state, waiting, "no_upstream", "the engine is leaving", undefined);
+        return refuse(state, waiting, "no_upstream", LEAVING, undefined);
     }
     const backoff = state.backoffs.find(entry =>
         entry.adapter === waiting.adapter && entry.version === waiting.version && entry.untilMs > context.nowMs
@@ -174,147 +204,5 @@
     message: string,
     retryAfterMs: number | undefined,
 ): EngineStep {
-    return { state, effects: [{ kind: "refuse", waiting, code, message, retryAfterMs }] };
-}
-
-function endPlace(state: EngineState, message: Extract<EngineMessage, { kind: "placeEnd" }>): EngineState {
-    const place = state.places.find(entry => entry.place === message.place);
-    if (place === undefined) {
-        return { ...state, waiting: state.waiting.filter(waiting => waiting.place !== message.place) };
-    }
-    const instances = message.use === "not_loaded"
-        ? state.instances.filter(instance => instance.instance !== place.instance)
-        : state.instances.map(
-            instance => (instance.instance === place.instance
-                ? { ...instance, endedSinceReport: instance.endedSinceReport + 1 }
-                : instance),
-        );
-    return { ...state, instances, places: state.places.filter(entry => entry !== place) };
-}
-
-function answerLoad(
-    state: EngineState,
-    message: Extract<EngineMessage, { kind: "loadAnswered" }>,
-    { nowMs }: EngineContext,
-): EngineStep {
-    const instance = state.instances.find(entry => entry.instance === message.instance);
-    if (instance === undefined || instance.status !== "loading") {
-        return keep(state);
-    }
-    if (message.result === undefined) {
-        return keep(replace(state, { ...instance, status: "doubtful", sinceMs: nowMs }));
-    }
-    if (message.result.kind === "done") {
-        return keep({
-            ...replace(state, { ...instance, status: "ready", sinceMs: nowMs }),
-            backoffs: dropBackoff(state, instance),
-        });
-    }
-    return failLoad(
-        { ...state, instances: state.instances.filter(entry => entry !== instance) },
-        instance,
-        message.result.message,
-        nowMs,
-    );
-}
-
-function failLoad(state: EngineState, instance: Instance, reason: string, nowMs: number): EngineStep {
-    const failures = (state.backoffs.find(backoff => isSameAdapter(backoff, instance))?.failures ?? 0) + 1;
-    const untilMs = nowMs + Math.min(MAX_BACKOFF_MS, BACKOFF_MS * 2 ** (failures - 1));
-    const backoffs = [...dropBackoff(state, instance), {
-        adapter: instance.adapter,
-        version: instance.version,
-        failures,
-        untilMs,
-    }];
-    if (failures < MAX_FAILURES) {
-        return keep({ ...state, backoffs });
-    }
-    const refused = state.waiting.filter(waiting => isSameAdapter(waiting, instance));
-    const effects = refused.map((waiting): EngineEffect => ({
-        kind: "refuse",
-        waiting,
-        code: "load_failed",
-        message: `the adapter could not be loaded: ${reason}`,
-        retryAfterMs: untilMs - nowMs,
-    }));
-    return {
-        state: { ...state, backoffs, waiting: state.waiting.filter(waiting => !refused.includes(waiting)) },
-        effects,
-    };
-}
-
-function answerUnload(state: EngineState, message: Extract<EngineMessage, { kind: "unloadAnswered" }>): EngineState {
-    const instance = state.instances.find(entry => entry.instance === message.instance);
-    if (instance === undefined || instance.status !== "unloading" || message.result === undefined) {
-        return state;
-    }
-    const isGone = message.result.kind === "done" || message.result.reason === "not_found";
-    if (isGone) {
-        return { ...state, instances: state.instances.filter(entry => entry !== instance) };
-    }
-    return replace(state, { ...instance, status: "ready" });
-}
-
-function applyHeld(state: EngineState, message: Extract<EngineMessage, { kind: "held" }>): EngineState {
-    const kept = state.places.filter(place =>
-        place.host !== message.host || place.grantedMs >= message.askedMs
-        || message.places.some(held => held.place === place.place)
-    );
-    const added = message.places.filter(held => !kept.some(place => place.place === held.place)).map((held): Place => ({
-        place: held.place,
-        instance: held.instance,
-        host: message.host,
-        incarnation: message.incarnation,
-        grantedMs: message.askedMs,
-        orphanedMs: undefined,
-    }));
-    const inheritance = state.inheritance === undefined ? undefined : {
-        ...state.inheritance,
-        unansweredHosts: state.inheritance.unansweredHosts.filter(host => host !== message.host),
-    };
-    return { ...state, places: [...kept, ...added], inheritance };
-}
-
-function orphanPlaces(
-    state: EngineState,
-    message: Extract<EngineMessage, { kind: "hostGone" }>,
-    { nowMs }: EngineContext,
-): EngineState {
-    const places = state.places.map(place =>
-        place.host === message.host && place.incarnation === message.incarnation && place.orphanedMs === undefined
-            ? { ...place, orphanedMs: nowMs }
-            : place
-    );
-    const waiting = state.waiting.filter(entry =>
-        entry.host !== message.host || entry.incarnation !== message.incarnation
-    );
-    return { ...state, places, waiting };
-}
-
-function adoptInstances(state: EngineState, { nowMs }: EngineContext): EngineState {
-    if (state.inheritance === undefined) {
-        return state;
-    }
-    const instances = state.instances.map(
-        instance => (instance.status === "foreign"
-            ? { ...instance, status: "ready" as const, sinceMs: nowMs }
-            : instance),
-    );
-    return { ...state, instances, inheritance: { ...state.inheritance, formerIsGone: true } };
-}
-
-function replace(state: EngineState, changed: Instance): EngineState {
-    return {
-        ...state,
-        instances: state.instances.map(instance => (instance.instance === changed.instance ? changed : instance)),
-    };
-}
-
-function dropBackoff(state: EngineState, adapter: Pick<Instance, "adapter" | "version">): readonly LoadBackoff[] {
-    return state.backoffs.filter(backoff => !isSameAdapter(backoff, adapter));
-}
-
-function isSameAdapter(a: Pick<Instance, "adapter" | "version">, b: Pick<Instance, "adapter" | "version">): boolean {
-    return a.adapter === b.adapter && a.version === b.version;
+    return refuseWaiting(state, [waiting], { code, message, retryAfterMs });
 }
--- a/packages/ownership/src/startEngineTask.ts
+++ b/packages/ownership/src/startEngineTask.ts
@@ -29,7 +29,9 @@
     /** Which engines serve an adapter at a rate of requests. */
     readonly chooseReplicas: (ask: PlaceAsk, ratePerSecond: number) => readonly EngineId[];
     /** Gives up the ownership record. */
-    readonly onReleased: (fence: number) => void;
+    readonly onReleased: (fence: number, holders: readonly HostId[]) => void;
+    /** Whether the host can't be sure at present that it still owns the engine. */
+    readonly isSuspended: () => boolean;
 }
 
 /** The task that owns one engine. */
@@ -48,6 +50,9 @@
 }
 
 const TICK_MS = 50;
+/** Longest wait for a report before the engine's connections are checked, in milliseconds. */
+const REPORT_LIMIT_MS = 2000;
+const PROBE_LIMIT_MS = 1000;
 
 /**
  * Starts the task that owns one engine.
@@ -60,6 +65,7 @@
  */
 export function startEngineTask(options: EngineTaskOptions): EngineTask {
     const { clock, driver, engine, metrics, log } = options;
+    const reportLimitMs = Math.min(options.orderMs, REPORT_LIMIT_MS);
     const replies = new Map<string, PendingReply>();
     const stopping = new AbortController();
     let state = createEngineState(engine, options.limits);
@@ -68,7 +74,11 @@
 
     const send = (message: EngineMessage): void => {
         const loadsAllowed = options.budget.allowed();
-        const step = reduceEngine(state, message, { nowMs: clock.nowMs(), loadsAllowed });
+        const step = reduceEngine(state, message, {
+            nowMs: clock.nowMs(),
+            loadsAllowed,
+            isSuspended: options.isSuspended(),
+        });
         state = step.state;
         step.effects.forEach(run);
     };
@@ -91,8 +101,11 @@
             case "unload":
                 void unload(effect);
                 return;
+            case "showFence":
+                void showFence(effect);
+                return;
             case "released":
-                options.onReleased(effect.fence);
+                options.onReleased(effect.fence, effect.holders);
                 return;
             case "decision":
                 options.recordDecision(effect);
@@ -137,8 +150,15 @@
         log.write("info", 305, { engine, instance: effect.instance });
         send({ kind: "unloadAnswered", instance: effect.instance, result });
     };
+    const showFence = async (effect: Extract<EngineEffect, { kind: "showFence" }>): Promise<void> => {
+        const sentMs = clock.nowMs();
+        const signal = AbortSignal.timeout(options.orderMs);
+        const result = await driver.unload(effect.instance, effect.fence, signal).catch(() => undefined);
+        send({ kind: "fenceAnswered", sentMs, result });
+    };
     const tick = (): void => {
-        if (state.waiting.length > 0) {
+        const isRepeatDue = state.instances.some(instance => instance.retryAtMs !== undefined);
+        if (state.waiting.length > 0 || isRepeatDue) {
             send({ kind: "tick" });
         }
         cancelTick = clock.setTimer(TICK_MS, tick);
@@ -146,10 +166,13 @@
     const pollReport = async (): Promise<void> => {
         const askedMs = clock.nowMs();
         if (state.phase === "owned") {
-            const report = await driver.report(AbortSignal.timeout(options.orderMs)).catch(() => undefined);
+            const report = await driver.report(AbortSignal.timeout(reportLimitMs)).catch(() => undefined);
             if (report !== undefined && !stopping.signal.aborted) {
                 send({ kind: "report", report, askedMs });
             }
+            if (report === undefined && !stopping.signal.aborted) {
+                await replaceSilent(options);
+            }
         }
         if (!stopping.signal.aborted) {
             cancelReport = clock.setTimer(options.reportMs, () => void pollReport());
@@ -178,6 +201,16 @@
     };
 }
 
+/** Replaces an engine's connections where they are silent and a new one works. */
+async function replaceSilent({ driver, engine, metrics, log }: EngineTaskOptions): Promise<void> {
+    const works = await driver.probe(AbortSignal.timeout(PROBE_LIMIT_MS)).catch(() => false);
+    metrics.count("engine_probes_total", { engine, result: works ? "works" : "fails" });
+    if (works) {
+        log.write("warn", 307, { engine });
+        await driver.reconnect().catch(() => undefined);
+    }
+}
+
 function describe(state: EngineState, options: EngineTaskOptions): EngineStatus {
     return {
         engine: state.engine,
--- a/packages/ownership/src/startOwnershipTask.ts
+++ b/packages/ownership/src/startOwnershipTask.ts
@@ -2,15 +2,15 @@
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import type { Hasher } from "@fulmarcleat/hashing";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
-import { createId } from "@fulmarcleat/ids";
-import type { CancelTimer, Clock, EngineId, FailureDomain, HostId, Incarnation, Nonce } from "@fulmarcleat/ids";
+import type { CancelTimer, Clock, EngineId, FailureDomain, HostId, Incarnation } from "@fulmarcleat/ids";
 import type { KvClient } from "@fulmarcleat/kv";
 import type { Decision, PlaceAsk, PlacesHeldAsk, PlacesHeldReply } from "@fulmarcleat/wire";
+import { chooseHandover } from "./chooseHandover.js";
+import { createOwnerRecords } from "./createOwnerRecords.js";
 import { decideClaim } from "./decideClaim.js";
-import type { FormerOwner } from "./engineMessage.js";
-import type { EngineLimits } from "./engineState.js";
+import type { EngineLimits, FormerOwner } from "./engineState.js";
+import { listHostsToAsk } from "./listHostsToAsk.js";
 import type { LoadBudgetTask } from "./loadBudgetTask.js";
-import { formatOwnerKey, formatSessionKey, ownerRecordSchema } from "./ownerRecord.js";
 import type { OwnerRecord } from "./ownerRecord.js";
 import { startEngineTask } from "./startEngineTask.js";
 import type { EngineTask } from "./startEngineTask.js";
@@ -40,14 +40,23 @@
     readonly metrics: Metrics;
     readonly log: EventLog;
     readonly budget: LoadBudgetTask;
-    /** Time between two looks at the ownership records, in milliseconds. */
+    /** Time between two looks at the engines, in milliseconds. */
     readonly claimMs: number;
     readonly reportMs: number;
     readonly orderMs: number;
     /** Time that a session lease stands, in milliseconds. */
     readonly leaseMs: number;
     readonly listEngines: () => readonly OwnableEngine[];
+    /** Hosts that may own engines. */
     readonly listHosts: () => readonly OwnerHost[];
+    /** Every host that may hold places, silent and leaving ones among them. */
+    readonly listHolders: () => readonly HostId[];
+    /** The live host that says it owns an engine. */
+    readonly findAnnounced: (engine: EngineId) => HostId | undefined;
+    /** Whether the session lease lets this host act. */
+    readonly isSessionTrusted: () => boolean;
+    /** When the present session lease was taken, in milliseconds. */
+    readonly sessionOpenedMs: () => number;
     readonly askHeld: (host: HostId, ask: PlacesHeldAsk) => Promise<PlacesHeldReply>;
     readonly chooseReplicas: (ask: PlaceAsk, ratePerSecond: number) => readonly EngineId[];
     readonly recordDecision: (decision: Omit<Decision, "host" | "atMs">) => void;
@@ -57,12 +66,31 @@
 export interface OwnershipTask {
     find(engine: EngineId): EngineTask | undefined;
     readonly owned: readonly EngineTask[];
+    /** The owner by the key-value service, from a short-lived cache. */
+    lookUpOwner(engine: EngineId): Promise<HostId | undefined>;
     hostReplaced(host: HostId, former: Incarnation): void;
+    /** Takes note that a host has seen a fence of an engine. */
+    fenceSeen(engine: EngineId, fence: number): void;
     /** Gives up every engine, for a planned stop. */
     release(): Promise<void>;
     stop(): void;
 }
 
+/** What the task keeps about one engine. */
+interface EngineNotes {
+    /** When the record was last read, in milliseconds. */
+    readMs: number;
+    /** When a read that found this host in the record was sent, in milliseconds. */
+    confirmedMs: number;
+    preferred: HostId | undefined;
+    preferredSinceMs: number;
+    /** Highest fence that this host has acquired. */
+    acquiredFence: number;
+    readonly askedMs: Map<HostId, number>;
+}
+
+const RECHECK_MS = 10_000;
+
 /**
  * Starts the task that claims engines through the key-value service.
  *
@@ -73,12 +101,21 @@
  * const ownership = startOwnershipTask(options);
  */
 export function startOwnershipTask(options: OwnershipTaskOptions): OwnershipTask {
-    const { clock, host, incarnation, kv, log } = options;
+    const { clock, host, incarnation, log } = options;
+    const records = createOwnerRecords(options);
     const tasks = new Map<EngineId, EngineTask>();
+    const notes = new Map<EngineId, EngineNotes>();
     let isStopped = false;
     let isReleasing = false;
+    let lastHandoverMs = clock.nowMs();
     let cancel: CancelTimer = () => undefined;
 
+    const noteOf = (engine: EngineId): EngineNotes => {
+        const present = notes.get(engine);
+        const created = present ?? createNotes();
+        notes.set(engine, created);
+        return created;
+    };
     const ensureTask = (entry: OwnableEngine): EngineTask => {
         const present = tasks.get(entry.engine);
         if (present !== undefined) {
@@ -89,93 +126,123 @@
             engine: entry.engine,
             driver: entry.driver,
             limits: entry.limits,
-            onReleased: fence => void giveUp(entry.engine, fence),
+            onReleased: (fence, holders) =>
+                void records.giveUp(entry.engine, fence, holders).catch(() =>
+                    options.metrics.count("release_failures_total")
+                ),
+            isSuspended: () =>
+                !options.isSessionTrusted() || noteOf(entry.engine).confirmedMs < options.sessionOpenedMs(),
         });
         tasks.set(entry.engine, created);
         return created;
     };
-    const readRecord = async (engine: EngineId): Promise<{ record: OwnerRecord | undefined; revision: number }> => {
-        const entry = await kv.read("owner", formatOwnerKey(engine));
-        return {
-            record: entry === undefined ? undefined : ownerRecordSchema.parse(JSON.parse(entry.value)),
-            revision: entry?.revision ?? 0,
-        };
-    };
-    const writeRecord = async (
-        engine: EngineId,
-        expectedRevision: number,
-        fence: number,
-        released: boolean,
-    ): Promise<boolean> => {
-        const nonce = createId<Nonce>();
-        const value: OwnerRecord = { host, incarnation, fence, released, nonce };
-        const outcome = await kv.write({
-            purpose: "owner",
-            key: formatOwnerKey(engine),
-            expectedRevision,
-            value: JSON.stringify(value),
-            isOwn: text => text.includes(nonce),
-        });
-        return outcome.kind === "applied";
-    };
-    const giveUp = async (engine: EngineId, fence: number): Promise<void> => {
-        const { record, revision } = await readRecord(engine);
-        if (record?.host === host && record.fence === fence) {
-            await writeRecord(engine, revision, fence, true);
+    const isLookDue = (entry: OwnableEngine, note: EngineNotes): boolean => {
+        const sinceMs = clock.nowMs() - note.readMs;
+        if (tasks.get(entry.engine)?.state.phase === "owned") {
+            return sinceMs >= RECHECK_MS || note.confirmedMs < options.sessionOpenedMs();
         }
-        log.write("info", 301, { engine, fence });
-    };
-    const readSession = async (owner: HostId): Promise<Incarnation | undefined> => {
-        const entry = await kv.read("session", formatSessionKey(owner));
-        return entry === undefined ? undefined : entry.value as Incarnation;
+        const announced = options.findAnnounced(entry.engine);
+        const isServed = announced !== undefined && announced !== host;
+        return note.preferred === host && (!isServed || sinceMs >= RECHECK_MS);
     };
     const consider = async (entry: OwnableEngine): Promise<void> => {
+        const note = noteOf(entry.engine);
         const task = tasks.get(entry.engine);
         task?.send({ kind: "limits", limits: entry.limits });
-        const { record, revision } = await readRecord(entry.engine);
-        if (
-            task !== undefined && task.state.phase === "owned"
-            && (record?.host !== host || record.fence !== task.state.fence)
-        ) {
+        notePreferred(note, findPreferred(entry, options), clock.nowMs());
+        if (!options.isSessionTrusted() || task?.state.phase === "releasing" || !isLookDue(entry, note)) {
+            return;
+        }
+        const sentMs = clock.nowMs();
+        const { record, revision } = await records.read(entry.engine);
+        note.readMs = sentMs;
+        const isOwn = record?.host === host && record.incarnation === incarnation && !record.released;
+        if (task?.state.phase === "owned" && (!isOwn || record.fence !== task.state.fence)) {
             log.write("warn", 302, { engine: entry.engine });
             task.send({ kind: "lost" });
         }
-        const ownerSession = record === undefined || record.released ? undefined : await readSession(record.host);
-        const decision = decideClaim({
-            self: host,
-            incarnation,
-            record,
-            ownerSession,
-            isPreferred: isPreferred(entry, options),
-        });
-        if (decision.kind === "claim" && await writeRecord(entry.engine, revision, decision.fence, false)) {
-            acquire(entry, decision.fence, decision.former);
+        if (isOwn) {
+            note.confirmedMs = sentMs;
+        }
+        const ownerSession = record === undefined || record.released ? undefined : await records.session(record.host);
+        const isPreferred = note.preferred === host;
+        const decision = decideClaim({ self: host, incarnation, record, ownerSession, isPreferred });
+        if (decision.kind === "claim" && await records.claim(entry.engine, revision, decision.fence)) {
+            acquire(entry, decision.fence, { former: decision.former, record });
+        }
+        if (decision.kind === "own" && tasks.get(entry.engine)?.state.phase !== "owned") {
+            await resume(entry, decision.fence, revision);
         }
     };
-    const acquire = (entry: OwnableEngine, fence: number, former: FormerOwner): void => {
-        const others = options.listHosts().filter(member => member.host !== host);
+    /** Takes up an engine whose claim was applied without a reply, or that this host gave up by mistake. */
+    const resume = async (entry: OwnableEngine, fence: number, revision: number): Promise<void> => {
+        const isNew = noteOf(entry.engine).acquiredFence < fence;
+        if (isNew || await records.claim(entry.engine, revision, fence + 1)) {
+            acquire(entry, isNew ? fence : fence + 1, { former: "lapsed", record: undefined });
+        }
+    };
+    const acquire = (
+        entry: OwnableEngine,
+        fence: number,
+        { former, record }: { readonly former: FormerOwner; readonly record: OwnerRecord | undefined },
+    ): void => {
+        const holders = new Set([...options.listHolders(), ...record?.holders ?? []]);
+        if (record !== undefined && former === "lapsed") {
+            holders.add(record.host);
+        }
+        const note = noteOf(entry.engine);
+        note.acquiredFence = fence;
+        note.confirmedMs = clock.nowMs();
+        note.askedMs.clear();
         const task = ensureTask(entry);
         task.send({
             kind: "acquired",
             fence,
             former,
-            hosts: others.map(member => member.host),
+            formerHost: record?.host,
+            hosts: [...holders],
             leaseMs: options.leaseMs,
         });
         log.write("info", 300, { engine: entry.engine, fence, former });
-        others.forEach(member => void inquire(task, entry.engine, fence, member));
+        reconcile(entry.engine, task);
     };
-    const inquire = async (task: EngineTask, engine: EngineId, fence: number, member: OwnerHost): Promise<void> => {
+    const reconcile = (engine: EngineId, task: EngineTask): void => {
+        const { askedMs } = noteOf(engine);
+        for (const holder of listHostsToAsk(task.state, askedMs, clock.nowMs())) {
+            askedMs.set(holder, clock.nowMs());
+            void inquire(task, engine, holder);
+        }
+    };
+    const inquire = async (task: EngineTask, engine: EngineId, holder: HostId): Promise<void> => {
         const askedMs = clock.nowMs();
-        const held = await options.askHeld(member.host, { engine, fence, revoke: undefined }).catch(() => undefined);
-        if (held !== undefined && member.incarnation !== undefined) {
-            task.send({
-                kind: "held",
-                host: member.host,
-                incarnation: member.incarnation,
-                askedMs,
-                places: held.places,
-            });
+        const { fence } = task.state;
+        try {
+            const held = await options.askHeld(holder, { engine, fence, revoke: undefined });
+            task.send({ kind: "held", host: holder, fence, askedMs, ...held });
+        }
+        catch {
+            options.metrics.count("places_held_failures_total");
+            noteFormerGone(task, holder);
+        }
+    };
+    /** A former owner whose lease lapsed and that the platform no longer lists is gone. */
+    const noteFormerGone = (task: EngineTask, holder: HostId): void => {
+        if (task.state.inheritance?.formerHost === holder && !options.listHolders().includes(holder)) {
+            task.send({ kind: "formerGone" });
+        }
+    };
+    const rebalance = (): void => {
+        const isLeaving = options.listHosts().length > 0 && !options.listHosts().some(member => member.host === host);
+        const owned = [...tasks.values()].filter(task => task.state.phase === "owned");
+        if (isLeaving) {
+            owned.forEach(task => task.send({ kind: "release" }));
+            return;
+        }
+        const entries = owned.map(({ state }) => ({ engine: state.engine, ...noteOf(state.engine) }));
+        const chosen = chooseHandover(entries, { self: host, nowMs: clock.nowMs(), lastMs: lastHandoverMs });
+        if (chosen !== undefined) {
+            lastHandoverMs = clock.nowMs();
+            tasks.get(chosen)?.send({ kind: "release" });
         }
     };
     const round = async (): Promise<void> => {
@@ -184,6 +251,10 @@
                 await consider(entry).catch(() => options.metrics.count("claim_failures_total"));
             }
         }
+        tasks.forEach((task, engine) => reconcile(engine, task));
+        if (!isReleasing) {
+            rebalance();
+        }
         if (!isStopped) {
             cancel = clock.setTimer(options.claimMs, () => void round());
         }
@@ -194,12 +265,25 @@
         get owned() {
             return [...tasks.values()].filter(task => task.state.phase === "owned");
         },
+        lookUpOwner: records.lookUp,
         hostReplaced: (gone, former) =>
-            tasks.forEach(task => task.send({ kind: "hostGone", host: gone, incarnation: former })),
+            tasks.forEach(task => {
+                task.send({ kind: "hostGone", host: gone, incarnation: former });
+                if (task.state.inheritance?.formerHost === gone) {
+                    task.send({ kind: "formerGone" });
+                }
+            }),
+        fenceSeen(engine, fence) {
+            const task = tasks.get(engine);
+            if (task !== undefined && task.state.phase !== "unowned" && fence > task.state.fence) {
+                log.write("warn", 302, { engine });
+                task.send({ kind: "lost" });
+            }
+        },
         async release() {
             isReleasing = true;
             tasks.forEach(task => task.send({ kind: "release" }));
-            await Promise.all([...tasks.values()].map(task => waitUnowned(task, clock)));
+            await Promise.all([...tasks.values()].map(task => waitUnowned(task, options)));
         },
         stop() {
             isStopped = true;
@@ -209,17 +293,37 @@
     };
 }
 
+function createNotes(): EngineNotes {
+    return {
+        readMs: -RECHECK_MS,
+        confirmedMs: -1,
+        preferred: undefined,
+        preferredSinceMs: 0,
+        acquiredFence: 0,
+        askedMs: new Map(),
+    };
+}
+
+function notePreferred(note: EngineNotes, preferred: HostId | undefined, nowMs: number): void {
+    if (note.preferred !== preferred) {
+        note.preferred = preferred;
+        note.preferredSinceMs = nowMs;
+    }
+}
+
 const RELEASE_POLL_MS = 20;
 
-async function waitUnowned(task: EngineTask, clock: Clock): Promise<void> {
-    while (task.state.phase !== "unowned") {
+/** Waits until an engine is given up, at most for the longest order and its repetition. */
+async function waitUnowned(task: EngineTask, { clock, orderMs }: OwnershipTaskOptions): Promise<void> {
+    const untilMs = clock.nowMs() + 2 * orderMs;
+    while (task.state.phase !== "unowned" && clock.nowMs() < untilMs) {
         await new Promise<void>(resolve => clock.setTimer(RELEASE_POLL_MS, resolve));
     }
 }
 
-function isPreferred(entry: OwnableEngine, options: OwnershipTaskOptions): boolean {
+function findPreferred(entry: OwnableEngine, options: OwnershipTaskOptions): HostId | undefined {
     const hosts = options.listHosts();
     const near = hosts.filter(member => member.failureDomain === entry.failureDomain);
     const candidates = (near.length > 0 ? near : hosts).map(member => member.host);
-    return rankByRendezvous(options.hash, entry.engine, candidates)[0] === options.host;
+    return rankByRendezvous(options.hash, entry.engine, candidates)[0];
 }
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -82,6 +82,9 @@
 
 /** Places that a host still holds on an engine. */
 export interface PlacesHeldReply {
+    readonly incarnation: Incarnation;
+    /** Places that the host has asked for without an answer so far. */
+    readonly pending: readonly PlaceId[];
     readonly places: readonly { readonly place: PlaceId; readonly instance: InstanceName }[];
 }
 
