--- /dev/null
+++ b/packages/admission/src/rankWaiting.ts
@@ -0,0 +1,21 @@
+import type { OrderWaitingOptions, WaitingOrder } from "./orderWaiting.js";
+
+const CLASS_RANK = { urgent: 0, normal: 1, bulk: 2 } as const;
+
+/**
+ * Ranks a waiting request: its class, one more urgent for each aging time that it has waited.
+ *
+ * @param entry - The request
+ * @param options - Present time and aging
+ * @returns the rank; the lowest is served first
+ *
+ * @example
+ * const rank = rankWaiting(waiting, { nowMs, agingMs: 5000 });
+ */
+export function rankWaiting(
+    entry: Pick<WaitingOrder, "priority" | "arrivedMs">,
+    options: Pick<OrderWaitingOptions, "nowMs" | "agingMs">,
+): number {
+    const steps = Math.floor(Math.max(0, options.nowMs - entry.arrivedMs) / options.agingMs);
+    return CLASS_RANK[entry.priority] - steps;
+}
--- /dev/null
+++ b/packages/bench/src/createBaseline.ts
@@ -0,0 +1,49 @@
+import { orderWaiting } from "@fulmarcleat/admission";
+import { chooseEngine, FULMARCLEAT_DECISIONS, orderLoads } from "@fulmarcleat/placement";
+import type { EngineCandidate, PolicyDecisions, ResidentInstance } from "@fulmarcleat/placement";
+
+/** Policies that a run may use. */
+export const RUN_POLICIES = ["fulmarcleat", "least-loaded+LRU", "hash+LRU"] as const;
+
+/** Name of a policy that a run may use. */
+export type RunPolicy = typeof RUN_POLICIES[number];
+
+/**
+ * Gives the decisions of a policy by name.
+ *
+ * @param name - Name of the policy
+ * @returns its decisions
+ *
+ * @example
+ * const decisions = createBaseline("hash+LRU");
+ */
+export function createBaseline(name: RunPolicy): PolicyDecisions {
+    switch (name) {
+        case "fulmarcleat":
+            return FULMARCLEAT_DECISIONS;
+        case "least-loaded+LRU":
+            return { ...LRU, name, chooseEngine: chooseLeastLoaded, countReplicas: state => state.engines };
+        case "hash+LRU":
+            return {
+                ...LRU,
+                name,
+                chooseEngine: candidates => chooseEngine(candidates.map(entry => ({ ...entry, isReplica: false }))),
+                countReplicas: () => 1,
+            };
+    }
+}
+
+const LRU = {
+    chooseVictim: (residents: readonly ResidentInstance[]) =>
+        residents.filter(resident => resident.pins === 0 && resident.waiting === 0)
+            .sort((a, b) => a.lastUsedMs - b.lastUsedMs)[0]?.instance,
+    orderLoads,
+    orderWaiting,
+};
+
+function chooseLeastLoaded(candidates: readonly EngineCandidate[]): EngineCandidate["engine"] | undefined {
+    const [first] = [...candidates].sort((a, b) =>
+        Number(a.isAvoided) - Number(b.isAvoided) || a.outstanding - b.outstanding
+    );
+    return first?.engine;
+}
--- /dev/null
+++ b/packages/bench/src/renderReport.ts
@@ -0,0 +1,95 @@
+import { readFile } from "node:fs/promises";
+import { createRequire } from "node:module";
+import { dirname, join } from "node:path";
+import type { BoundFigures } from "./boundStalls.js";
+import type { Deployment } from "./deployment.js";
+import type { PolicyFigures } from "./summarizeRun.js";
+
+/** One call of the bench. */
+export interface BenchResult {
+    readonly scenario: string;
+    readonly deployment: Deployment;
+    readonly seed: number;
+    readonly seconds: number;
+    /** Load average over one minute before and after the runs. */
+    readonly machineLoad: { readonly before: number; readonly after: number };
+    readonly policies: Readonly<Record<string, PolicyFigures | BoundFigures>>;
+}
+
+const WIDTH_PX = 900;
+const HEIGHT_PX = 320;
+
+/**
+ * Renders the runs of one call as an HTML page with plots; it needs no network.
+ *
+ * @param result - The runs
+ * @returns the page
+ *
+ * @example
+ * await writeFile("report.html", await renderReport(result));
+ */
+export async function renderReport(result: BenchResult): Promise<string> {
+    const dist = dirname(createRequire(import.meta.url).resolve("uplot"));
+    const script = await readFile(join(dist, "uPlot.iife.min.js"), "utf8");
+    const style = await readFile(join(dist, "uPlot.min.css"), "utf8");
+    const runs = Object.entries(result.policies).flatMap(([name, figures]) =>
+        "stalls" in figures ? [{ name, stalls: figures.stalls }] : []
+    );
+    const data = JSON.stringify(runs).replaceAll("<", "\\u003c");
+    const title = `${result.scenario}, ${result.deployment.name}, seed ${result.seed}, ${result.seconds} s`;
+    return `<!doctype html>
+<html lang="en">
+<head><meta charset="utf-8"><title>${title}</title><style>${style}
+body { font: 14px sans-serif; margin: 2em; } td, th { padding: 0.2em 0.8em; text-align: right; }</style></head>
+<body>
+<h1>${title}</h1>
+${renderTable(result)}
+<h2>Load stall of each request (s) by when it was sent (s)</h2>
+<div id="plots"></div>
+<script>${script}</script>
+<script>
+for (const { name, stalls } of ${data}) {
+    const sorted = stalls.slice().sort((a, b) => a.atMs - b.atMs);
+    const data = [sorted.map(stall => stall.atMs / 1000), sorted.map(stall => stall.stallMs / 1000)];
+    const series = [{ label: "sent at" }, { label: "load stall", stroke: "navy", paths: () => null, points: { show: true } }];
+    new uPlot(
+        { title: name, width: ${WIDTH_PX}, height: ${HEIGHT_PX}, scales: { x: { time: false } }, series },
+        data,
+        document.getElementById("plots"),
+    );
+}
+</script>
+</body>
+</html>
+`;
+}
+
+function renderTable(result: BenchResult): string {
+    const rows = Object.entries(result.policies).map(([name, figures]) => {
+        const { all, urgent } = figures.loadStallMs;
+        const run = "served" in figures
+            ? [
+                figures.served,
+                figures.failed,
+                figures.urgentTtftMs.p99.toFixed(0),
+                figures.batchEfficiency.toFixed(3),
+                figures.goodputTokensPerSecond.toFixed(0),
+            ]
+            : ["-", "-", "-", "-", "-"];
+        const cells = [name, figures.requests, figures.loads, all.mean.toFixed(0), urgent.mean.toFixed(0), ...run];
+        return `<tr>${cells.map(cell => `<td>${cell}</td>`).join("")}</tr>`;
+    });
+    const heads = [
+        "policy",
+        "requests",
+        "loads",
+        "mean stall (ms)",
+        "urgent mean stall (ms)",
+        "served",
+        "failed",
+        "urgent TTFT p99 (ms)",
+        "batch efficiency",
+        "tokens/s",
+    ];
+    return `<table><tr>${heads.map(head => `<th>${head}</th>`).join("")}</tr>${rows.join("")}</table>`;
+}
--- a/packages/fleet/src/startFleet.ts
+++ b/packages/fleet/src/startFleet.ts
@@ -7,6 +7,7 @@
 import type { OperatorName } from "@fulmarcleat/ids";
 import { createKvClient } from "@fulmarcleat/kv";
 import type { KvClient } from "@fulmarcleat/kv";
+import type { PolicyDecisions } from "@fulmarcleat/placement";
 import { resourceSchema } from "@fulmarcleat/resources";
 import type { Resource } from "@fulmarcleat/resources";
 import {
@@ -40,6 +41,8 @@
     /** Resources that are there from the start, besides the engines. */
     readonly resources?: readonly unknown[];
     readonly fencing?: "checked" | "ignored";
+    /** The policy's decisions; the system's own where undefined. */
+    readonly decisions?: PolicyDecisions;
 }
 
 /** Gateways and stand-ins that run as tasks of one process. */
@@ -51,6 +54,7 @@
     readonly engines: readonly EngineStandin[];
     readonly gateways: readonly Gateway[];
     readonly kvClient: KvClient;
+    readonly failureDomains: readonly string[];
     /** Last change that was accepted. */
     readonly changes: number;
     /** Puts resources into force, one change each. */
@@ -125,7 +129,7 @@
             claimMs: 200,
             reportMs: 200,
             ...options.gateway,
-        }));
+        }), options.decisions);
     const gateways: Gateway[] = [];
     const list = (): void =>
         hosts.setHosts(gateways.map((gateway, at) => ({
@@ -148,6 +152,7 @@
         engines,
         gateways,
         kvClient,
+        failureDomains: options.failureDomains,
         get changes() {
             return changes;
         },
--- a/packages/gateway/src/createPlaceRouter.ts
+++ b/packages/gateway/src/createPlaceRouter.ts
@@ -13,6 +13,7 @@
     PlaceId,
     RequestId,
 } from "@fulmarcleat/ids";
+import type { EngineCandidate, PolicyDecisions } from "@fulmarcleat/placement";
 import type { Priority } from "@fulmarcleat/resources";
 import type { PlaceAsk, PlaceEnd, PlaceReply, PlacesHeldAsk, PlacesHeldReply, PlaceUse } from "@fulmarcleat/wire";
 import type { ConfiguredEngine, OfferedVersion } from "./buildOfferIndex.js";
@@ -49,6 +50,7 @@
     readonly listEngines: (offered: OfferedVersion) => readonly ConfiguredEngine[];
     /** The host that owns an engine, as far as is known. */
     readonly findOwner: (engine: EngineId) => HostId | undefined;
+    readonly decisions: PolicyDecisions;
     readonly ask: (owner: HostId, ask: PlaceAsk) => Promise<PlaceReply>;
     readonly end: (owner: HostId, end: PlaceEnd) => Promise<void>;
 }
@@ -91,17 +93,21 @@
     const fences = new Map<EngineId, number>();
 
     const chooseEngine = (need: PlaceNeed, tried: readonly EngineId[]): EngineId | undefined => {
-        const engines = options.listEngines(need.offered).filter(entry => !entry.draining).map(entry => entry.engine);
+        const entries = options.listEngines(need.offered).filter(entry => !entry.draining);
         const model = `${need.offered.adapter}@${need.offered.version}`;
-        const ranked = rankByRendezvous(hash, model, engines);
+        const ranked = rankByRendezvous(hash, model, entries.map(entry => entry.engine));
         const hint = hints.get(model);
-        const replicas = hint !== undefined && hint.untilMs > clock.nowMs()
-            ? ranked.filter(engine => hint.engines.includes(engine))
-            : ranked.slice(0, 1);
-        const isFresh = (engine: EngineId): boolean => !tried.includes(engine) && !need.avoid.includes(engine);
-        const leastUsed =
-            [...replicas].filter(isFresh).sort((a, b) => (outstanding.get(a) ?? 0) - (outstanding.get(b) ?? 0))[0];
-        return leastUsed ?? ranked.find(isFresh) ?? ranked.find(engine => !tried.includes(engine));
+        const replicas = hint !== undefined && hint.untilMs > clock.nowMs() ? hint.engines : ranked.slice(0, 1);
+        const domains = new Map(entries.map(entry => [entry.engine, entry.failureDomain]));
+        const failedDomains = new Set(need.avoid.map(engine => domains.get(engine)));
+        const candidates = ranked.filter(engine => !tried.includes(engine)).map((engine): EngineCandidate => ({
+            engine,
+            outstanding: outstanding.get(engine) ?? 0,
+            isReplica: replicas.includes(engine),
+            isAvoided: need.avoid.includes(engine),
+            isFailedDomain: failedDomains.has(domains.get(engine)),
+        }));
+        return options.decisions.chooseEngine(candidates);
     };
     const askOwner = async (
         need: PlaceNeed,
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -12,6 +12,8 @@
 import { startMembershipTask } from "@fulmarcleat/membership";
 import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
 import type { OwnableEngine } from "@fulmarcleat/ownership";
+import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
+import type { PolicyDecisions } from "@fulmarcleat/placement";
 import { readPolicy } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
@@ -49,18 +51,22 @@
  * Starts a gateway with all its tasks.
  *
  * @param cfg - Checked settings
+ * @param decisions - The policy's decisions
  * @returns the running gateway
  *
  * @example
  * const gateway = await startGateway(await loadSettings(gatewaySettingsSchema, file));
  */
-export async function startGateway(cfg: GatewaySettings): Promise<Gateway> {
+export async function startGateway(
+    cfg: GatewaySettings,
+    decisions: PolicyDecisions = FULMARCLEAT_DECISIONS,
+): Promise<Gateway> {
     const clock = createSystemClock();
     const metrics = createMetrics();
     const log: EventLog = createEventLog({ process: `gateway ${cfg.host}`, level: cfg.logLevel as 3 });
     const hash = await createHasher();
     const incarnation = createId<Incarnation>();
-    const decisions = createDecisionLog(MAX_DECISIONS);
+    const decisionLog = createDecisionLog(MAX_DECISIONS);
     const kv = createKvClient({ driver: createEtcdKv(cfg.kv), clock, metrics, log, resolveMs: cfg.kv.timeoutMs * 2 });
     const peers = createPeerClient({
         host: cfg.host,
@@ -123,7 +129,7 @@
             requestId: RequestId | undefined;
         },
     ): void =>
-        decisions.record({
+        decisionLog.record({
             atMs: clock.wallMs(),
             host: cfg.host,
             step: decision.step,
@@ -131,16 +137,24 @@
             adapter: decision.adapter,
             requestId: decision.requestId,
         });
+    const replicaCounts = new Map<string, number>();
     const chooseReplicas = (ask: PlaceAsk, ratePerSecond: number): readonly EngineId[] => {
         const adapter = index.findAdapter(ask.adapter);
         const engines = adapter === undefined
             ? [ask.engine]
             : index.listEngines(adapter.spec.baseModel).filter(entry => !entry.draining).map(entry => entry.engine);
-        const wanted = Math.min(
-            engines.length,
-            Math.max(1, Math.ceil(ratePerSecond / readPolicy(config.snapshot).replicaRate)),
-        );
-        return rankByRendezvous(hash, `${ask.adapter}@${ask.version}`, engines).slice(0, wanted);
+        const model = `${ask.adapter}@${ask.version}`;
+        const wanted = decisions.countReplicas({
+            engines: engines.length,
+            replicas: replicaCounts.get(model) ?? 1,
+            ratePerSecond,
+            replicaRate: readPolicy(config.snapshot).replicaRate,
+        });
+        replicaCounts.delete(model);
+        if (wanted > 1) {
+            replicaCounts.set(model, wanted);
+        }
+        return rankByRendezvous(hash, model, engines).slice(0, wanted);
     };
     const askPeer = (host: HostId) => {
         const member = membership.find(host);
@@ -183,6 +197,8 @@
                 ? Promise.resolve(router.describeHeld(ask))
                 : peers.ask(askPeer(host), "placesHeld", ask, cfg.silenceMs),
         chooseReplicas,
+        decisions,
+        popularity: createPopularityTable(DEFAULT_POPULARITY),
         recordDecision,
     });
     const findOwner = (engine: EngineId): HostId | undefined => {
@@ -207,6 +223,7 @@
         metrics,
         listEngines: offered => index.listEngines(offered.baseModel),
         findOwner,
+        decisions,
         ask: (owner, ask) =>
             owner === cfg.host ? answerPlace(ask) : peers.ask(askPeer(owner), "place", ask, ask.waitMs + cfg.silenceMs),
         end: async (owner, end) => {
@@ -242,7 +259,7 @@
             },
             placesHeld: ask => Promise.resolve(router.describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
-            explain: ask => Promise.resolve({ decisions: decisions.find(ask) }),
+            explain: ask => Promise.resolve({ decisions: decisionLog.find(ask) }),
         },
     });
     const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
--- a/packages/ownership/src/engineMessage.ts
+++ b/packages/ownership/src/engineMessage.ts
@@ -1,5 +1,6 @@
 import type { EngineReport, OrderResult } from "@fulmarcleat/drivers";
-import type { HostId, Incarnation, InstanceName, PlaceId } from "@fulmarcleat/ids";
+import type { AdapterName, AdapterVersion, CallerName, HostId, Incarnation, InstanceName, PlaceId } from "@fulmarcleat/ids";
+import type { PolicyDecisions } from "@fulmarcleat/placement";
 import type { PlaceUse } from "@fulmarcleat/wire";
 import type { EngineLimits, Waiting } from "./engineState.js";
 
@@ -42,4 +43,10 @@
     readonly nowMs: number;
     /** Loads that the weight store's budget lets start now. */
     readonly loadsAllowed: number;
+    /** The policy's decisions; the system's own where undefined. */
+    readonly decisions?: PolicyDecisions;
+    /** A caller's weight; 1 where undefined. */
+    readonly readWeight?: (caller: CallerName) => number;
+    /** Requests a second for an adapter's version, also where it is not loaded. */
+    readonly readRate?: (adapter: AdapterName, version: AdapterVersion) => number;
 }
--- a/packages/ownership/src/startEngineTask.ts
+++ b/packages/ownership/src/startEngineTask.ts
@@ -1,12 +1,13 @@
 import type { EngineDriver } from "@fulmarcleat/drivers";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import type { CancelTimer, Clock, EngineId, HostId } from "@fulmarcleat/ids";
+import type { PolicyDecisions, PopularityTable } from "@fulmarcleat/placement";
 import type { Decision, EngineStatus, PlaceAsk, PlaceEnd, PlaceReply } from "@fulmarcleat/wire";
 import { PLACE_START_MS } from "./applyReport.js";
 import { countPins } from "./countPins.js";
 import { createEngineState } from "./createEngineState.js";
 import type { EngineEffect } from "./engineEffect.js";
-import type { EngineMessage } from "./engineMessage.js";
+import type { EngineContext, EngineMessage } from "./engineMessage.js";
 import type { EngineLimits, EngineState } from "./engineState.js";
 import type { LoadBudgetTask } from "./loadBudgetTask.js";
 import { reduceEngine } from "./reduceEngine.js";
@@ -26,6 +27,10 @@
     /** Longest wait for an engine's answer to an order, in milliseconds. */
     readonly orderMs: number;
     readonly recordDecision: (decision: Omit<Decision, "host" | "atMs">) => void;
+    /** The policy's decisions; the system's own where undefined. */
+    readonly decisions?: PolicyDecisions;
+    /** How often adapters are asked for, over all engines of this host. */
+    readonly popularity: PopularityTable;
     /** Which engines serve an adapter at a rate of requests. */
     readonly chooseReplicas: (ask: PlaceAsk, ratePerSecond: number) => readonly EngineId[];
     /** Gives up the ownership record. */
@@ -68,7 +73,10 @@
 
     const send = (message: EngineMessage): void => {
         const loadsAllowed = options.budget.allowed();
-        const step = reduceEngine(state, message, { nowMs: clock.nowMs(), loadsAllowed });
+        const nowMs = clock.nowMs();
+        const { decisions, popularity } = options;
+        const readRate: EngineContext["readRate"] = (adapter, version) => popularity.rate(`${adapter}@${version}`, nowMs);
+        const step = reduceEngine(state, message, { nowMs, loadsAllowed, decisions, readRate });
         state = step.state;
         step.effects.forEach(run);
     };
@@ -165,6 +173,7 @@
             new Promise(resolve => {
                 replies.set(ask.place, { ask, resolve });
                 const nowMs = clock.nowMs();
+                options.popularity.record(`${ask.adapter}@${ask.version}`, nowMs);
                 send({ kind: "ask", waiting: { ...ask, arrivedMs: nowMs, deadlineMs: nowMs + ask.waitMs } });
             }),
         end: end => end.ends.forEach(({ place, use }) => send({ kind: "placeEnd", place, use })),
--- /dev/null
+++ b/packages/ownership/src/startLoads.ts
@@ -0,0 +1,141 @@
+import { rankWaiting } from "@fulmarcleat/admission";
+import { decayRate, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
+import type { LoadCandidate } from "@fulmarcleat/placement";
+import { canEvict } from "./canEvict.js";
+import { countPins } from "./countPins.js";
+import type { EngineEffect, EngineStep } from "./engineEffect.js";
+import type { EngineContext } from "./engineMessage.js";
+import type { EngineState, Instance, Waiting } from "./engineState.js";
+import { formatInstanceName } from "./formatInstanceName.js";
+
+interface UnloadedModel extends LoadCandidate {
+    readonly first: Waiting;
+}
+
+/**
+ * Starts loads for the requests that wait, and evicts to make room, within the budget.
+ *
+ * An eviction is ordered only where a load may start, so that an adapter stays usable until then.
+ *
+ * @param state - The engine
+ * @param context - Time, budget and the policy's decisions
+ * @returns the next state and what to do
+ *
+ * @example
+ * const step = startLoads(state, { nowMs, loadsAllowed: 1 });
+ */
+export function startLoads(state: EngineState, context: EngineContext): EngineStep {
+    const unloading = state.instances.filter(instance => instance.status === "unloading").length;
+    let left = context.loadsAllowed;
+    if (left <= 0 || state.waiting.length === 0) {
+        return { state, effects: [] };
+    }
+    const { orderLoads } = context.decisions ?? FULMARCLEAT_DECISIONS;
+    const effects: EngineEffect[] = [];
+    let next = state;
+    let promised = unloading;
+    for (const { first } of orderLoads(listUnloaded(state, context))) {
+        if (left <= 0) {
+            break;
+        }
+        left -= 1;
+        if (next.instances.length < next.limits.adapterPlaces) {
+            next = addLoading(next, first, context, effects);
+        }
+        else if (promised > 0) {
+            promised -= 1;
+        }
+        else {
+            next = evictOne(next, context, effects);
+        }
+    }
+    return { state: next, effects };
+}
+
+function listUnloaded(state: EngineState, { nowMs }: EngineContext): readonly UnloadedModel[] {
+    const held = new Set<string>();
+    state.instances
+        .filter(instance => instance.status !== "foreign" && instance.status !== "unloading")
+        .forEach(instance => held.add(formatModel(instance)));
+    state.backoffs.filter(backoff => backoff.untilMs > nowMs).forEach(backoff => held.add(formatModel(backoff)));
+    const models = new Map<string, UnloadedModel>();
+    for (const waiting of state.waiting) {
+        const model = formatModel(waiting);
+        if (held.has(model)) {
+            continue;
+        }
+        const known = models.get(model);
+        const rank = rankWaiting(waiting, { nowMs, agingMs: state.limits.agingMs });
+        models.set(model, {
+            first: known?.first ?? waiting,
+            rank: Math.min(rank, known?.rank ?? rank),
+            waiting: (known?.waiting ?? 0) + 1,
+            waitingUrgent: (known?.waitingUrgent ?? 0) + (waiting.priority === "urgent" ? 1 : 0),
+            oldestMs: Math.min(waiting.arrivedMs, known?.oldestMs ?? waiting.arrivedMs),
+        });
+    }
+    return [...models.values()];
+}
+
+function formatModel({ adapter, version }: Pick<Waiting, "adapter" | "version">): string {
+    return `${adapter}@${version}`;
+}
+
+function addLoading(
+    state: EngineState,
+    waiting: Waiting,
+    { nowMs }: EngineContext,
+    effects: EngineEffect[],
+): EngineState {
+    const { adapter, version, weights, requestId } = waiting;
+    const load = state.lastLoad + 1;
+    const instance = formatInstanceName({ adapter, version, fence: state.fence, load });
+    effects.push({ kind: "load", instance, adapter, version, weights, fence: state.fence });
+    effects.push({ kind: "decision", step: "load", detail: `load ${instance}`, adapter, requestId });
+    const added: Instance = {
+        instance,
+        adapter,
+        version,
+        status: "loading",
+        sinceMs: nowMs,
+        lastUsedMs: nowMs,
+        rate: decayRate(undefined, 0, nowMs),
+        reportedRunning: 0,
+        endedSinceReport: 0,
+    };
+    return { ...state, lastLoad: load, instances: [...state.instances, added] };
+}
+
+function evictOne(state: EngineState, context: EngineContext, effects: EngineEffect[]): EngineState {
+    const { nowMs, readRate } = context;
+    const waitingFor = new Map<string, number>();
+    state.waiting.forEach(entry => waitingFor.set(formatModel(entry), (waitingFor.get(formatModel(entry)) ?? 0) + 1));
+    const residents = state.instances.filter(instance => canEvict(state, instance, nowMs)).map(instance => ({
+        instance: instance.instance,
+        pins: countPins(state, instance),
+        ratePerSecond: readRate?.(instance.adapter, instance.version)
+            ?? decayRate(instance.rate, 0, nowMs).perSecond,
+        lastUsedMs: instance.lastUsedMs,
+        waiting: instance.status === "foreign" ? 0 : waitingFor.get(formatModel(instance)) ?? 0,
+    }));
+    const { chooseVictim } = context.decisions ?? FULMARCLEAT_DECISIONS;
+    const victim = chooseVictim(residents);
+    const isOffered = residents.some(resident => resident.instance === victim);
+    const found = isOffered ? state.instances.find(instance => instance.instance === victim) : undefined;
+    if (found === undefined) {
+        return state;
+    }
+    effects.push({ kind: "unload", instance: found.instance, fence: state.fence });
+    effects.push({
+        kind: "decision",
+        step: "evict",
+        detail: `evict ${found.instance}`,
+        adapter: found.adapter,
+        requestId: undefined,
+    });
+    const evicted: Instance = { ...found, status: "unloading", sinceMs: nowMs };
+    return {
+        ...state,
+        instances: state.instances.map(instance => (instance.instance === found.instance ? evicted : instance)),
+    };
+}
--- a/packages/ownership/src/startOwnershipTask.ts
+++ b/packages/ownership/src/startOwnershipTask.ts
@@ -5,6 +5,7 @@
 import { createId } from "@fulmarcleat/ids";
 import type { CancelTimer, Clock, EngineId, FailureDomain, HostId, Incarnation, Nonce } from "@fulmarcleat/ids";
 import type { KvClient } from "@fulmarcleat/kv";
+import type { PolicyDecisions, PopularityTable } from "@fulmarcleat/placement";
 import type { Decision, PlaceAsk, PlacesHeldAsk, PlacesHeldReply } from "@fulmarcleat/wire";
 import { decideClaim } from "./decideClaim.js";
 import type { FormerOwner } from "./engineMessage.js";
@@ -49,6 +50,10 @@
     readonly listEngines: () => readonly OwnableEngine[];
     readonly listHosts: () => readonly OwnerHost[];
     readonly askHeld: (host: HostId, ask: PlacesHeldAsk) => Promise<PlacesHeldReply>;
+    /** The policy's decisions; the system's own where undefined. */
+    readonly decisions?: PolicyDecisions;
+    /** How often adapters are asked for, over all engines of this host. */
+    readonly popularity: PopularityTable;
     readonly chooseReplicas: (ask: PlaceAsk, ratePerSecond: number) => readonly EngineId[];
     readonly recordDecision: (decision: Omit<Decision, "host" | "atMs">) => void;
 }
--- a/packages/placement/src/decayRate.ts
+++ b/packages/placement/src/decayRate.ts
@@ -15,12 +15,18 @@
  * @param rate - The rate so far, or undefined at the first event
  * @param events - How many events happened now
  * @param nowMs - The present, in milliseconds
+ * @param decayMs - Time in which the rate fades to 1/e, in milliseconds
  * @returns the rate as of now
  *
  * @example
  * const rate = decayRate(previous, 1, clock.nowMs());
  */
-export function decayRate(rate: DecayedRate | undefined, events: number, nowMs: number): DecayedRate {
-    const faded = rate === undefined ? 0 : rate.perSecond * Math.exp(-Math.max(0, nowMs - rate.atMs) / RATE_DECAY_MS);
-    return { perSecond: faded + events * MS_PER_SECOND / RATE_DECAY_MS, atMs: nowMs };
+export function decayRate(
+    rate: DecayedRate | undefined,
+    events: number,
+    nowMs: number,
+    decayMs = RATE_DECAY_MS,
+): DecayedRate {
+    const faded = rate === undefined ? 0 : rate.perSecond * Math.exp(-Math.max(0, nowMs - rate.atMs) / decayMs);
+    return { perSecond: faded + events * MS_PER_SECOND / decayMs, atMs: nowMs };
 }
--- /dev/null
+++ b/packages/placement/src/fulmarcleatDecisions.ts
@@ -0,0 +1,16 @@
+import { orderWaiting } from "@fulmarcleat/admission";
+import { chooseEngine } from "./chooseEngine.js";
+import { chooseVictim } from "./chooseVictim.js";
+import { countReplicas } from "./countReplicas.js";
+import { orderLoads } from "./orderLoads.js";
+import type { PolicyDecisions } from "./policyDecisions.js";
+
+/** The decisions of the system's own policy. */
+export const FULMARCLEAT_DECISIONS: PolicyDecisions = {
+    name: "fulmarcleat",
+    chooseEngine,
+    chooseVictim,
+    orderLoads,
+    orderWaiting,
+    countReplicas,
+};
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,7 +1,17 @@
+export { chooseEngine } from "./chooseEngine.js";
+export type { EngineCandidate } from "./chooseEngine.js";
 export { chooseVictim } from "./chooseVictim.js";
 export type { ResidentInstance } from "./chooseVictim.js";
 export { countAllowedLoads } from "./countAllowedLoads.js";
+export { countReplicas } from "./countReplicas.js";
+export type { ReplicaState } from "./countReplicas.js";
+export { createPopularityTable, DEFAULT_POPULARITY } from "./createPopularityTable.js";
+export type { PopularityOptions, PopularityTable } from "./createPopularityTable.js";
 export { decayRate, RATE_DECAY_MS } from "./decayRate.js";
 export type { DecayedRate } from "./decayRate.js";
+export { FULMARCLEAT_DECISIONS } from "./fulmarcleatDecisions.js";
 export type { LoadBudget, LoadShare } from "./loadBudget.js";
+export { orderLoads } from "./orderLoads.js";
+export type { LoadCandidate } from "./orderLoads.js";
+export type { PolicyDecisions } from "./policyDecisions.js";
 export { refillBudget } from "./refillBudget.js";
--- a/packages/standin/src/startWeightStandin.ts
+++ b/packages/standin/src/startWeightStandin.ts
@@ -28,6 +28,7 @@
 export interface WeightStandin {
     readonly url: string;
     setFaults(faults: { readonly failNext?: number; readonly stallMs?: number; readonly down?: boolean }): void;
+    setLimits(changed: Partial<WeightLimits>): void;
     record(): WeightRecord;
     close(): Promise<void>;
 }
@@ -50,13 +51,14 @@
  * Starts a small weight store with the limits of the brief.
  *
  * @param address - Where to listen
- * @param limits - How it limits its loads
+ * @param initial - How it limits its loads at the start
  * @returns the running stand-in
  *
  * @example
  * const store = await startWeightStandin({ host: "127.0.0.1", port: 0 }, DEFAULT_WEIGHT_LIMITS);
  */
-export async function startWeightStandin(address: StandinAddress, limits: WeightLimits): Promise<WeightStandin> {
+export async function startWeightStandin(address: StandinAddress, initial: WeightLimits): Promise<WeightStandin> {
+    let limits = initial;
     const startMs = performance.now();
     const startedAtMs: number[] = [];
     let loads = 0;
@@ -119,5 +121,8 @@
         { method: "GET", path: "/record", answer: readRecord },
     ];
     const server = await createStandinServer({ ...address, routes });
-    return { url: server.url, setFaults, record: readRecord, close: () => server.close() };
+    const setLimits: WeightStandin["setLimits"] = changed => {
+        limits = { ...limits, ...changed };
+    };
+    return { url: server.url, setFaults, setLimits, record: readRecord, close: () => server.close() };
 }
