--- a/packages/fleet/src/startFleet.ts
+++ b/packages/fleet/src/startFleet.ts
@@ -9,6 +9,7 @@
 import type { OperatorName } from "@fulmarcleat/ids";
 import { createKvClient } from "@fulmarcleat/kv";
 import type { KvClient } from "@fulmarcleat/kv";
+import type { PolicyDecisions } from "@fulmarcleat/placement";
 import { hashSecret, resourceSchema } from "@fulmarcleat/resources";
 import type { Resource } from "@fulmarcleat/resources";
 import {
@@ -42,6 +43,8 @@
     /** Resources that are there from the start, besides the engines. */
     readonly resources?: readonly unknown[];
     readonly fencing?: "checked" | "ignored";
+    /** The policy's decisions; the system's own where undefined. */
+    readonly decisions?: PolicyDecisions;
 }
 
 /** Gateways and stand-ins that run as tasks of one process. */
@@ -53,6 +56,7 @@
     readonly engines: readonly EngineStandin[];
     readonly gateways: readonly Gateway[];
     readonly kvClient: KvClient;
+    readonly failureDomains: readonly string[];
     /** Last change that was accepted. */
     readonly changes: number;
     /** Puts resources into force, one change each. */
@@ -118,20 +122,23 @@
     };
     await apply([describeUpstream(options, engines), ...options.resources ?? []]);
     const start = (number: number): Promise<Gateway> =>
-        startGateway(gatewaySettingsSchema.parse({
-            host: `entry-${number}`,
-            failureDomain: options.failureDomains[(number - 1) % options.failureDomains.length],
-            peerKey: FLEET_PEER_KEY,
-            callers: LOCAL,
-            peers: LOCAL,
-            kv: { url: kv.url },
-            hostList: { url: hosts.url },
-            logLevel: 0,
-            helloMs: 200,
-            claimMs: 200,
-            reportMs: 200,
-            ...options.gateway,
-        }));
+        startGateway(
+            gatewaySettingsSchema.parse({
+                host: `entry-${number}`,
+                failureDomain: options.failureDomains[(number - 1) % options.failureDomains.length],
+                peerKey: FLEET_PEER_KEY,
+                callers: LOCAL,
+                peers: LOCAL,
+                kv: { url: kv.url },
+                hostList: { url: hosts.url },
+                logLevel: 0,
+                helloMs: 200,
+                claimMs: 200,
+                reportMs: 200,
+                ...options.gateway,
+            }),
+            options.decisions,
+        );
     const apis: Api[] = [];
     const gateways: Gateway[] = [];
     const list = (): void =>
@@ -155,6 +162,7 @@
         engines,
         gateways,
         kvClient,
+        failureDomains: options.failureDomains,
         get changes() {
             return changes;
         },
--- a/packages/ownership/src/engineMessage.ts
+++ b/packages/ownership/src/engineMessage.ts
@@ -1,5 +1,14 @@
 import type { EngineReport, OrderResult } from "@fulmarcleat/drivers";
-import type { HostId, Incarnation, InstanceName, PlaceId } from "@fulmarcleat/ids";
+import type {
+    AdapterName,
+    AdapterVersion,
+    CallerName,
+    HostId,
+    Incarnation,
+    InstanceName,
+    PlaceId,
+} from "@fulmarcleat/ids";
+import type { PolicyDecisions } from "@fulmarcleat/placement";
 import type { PlaceUse } from "@fulmarcleat/wire";
 import type { EngineLimits, FormerOwner, Waiting } from "./engineState.js";
 
@@ -48,4 +57,10 @@
     readonly loadsAllowed: number;
     /** Set where the host can't be sure that it still owns the engine; nothing is granted or ordered. */
     readonly isSuspended?: boolean;
+    /** The policy's decisions; the system's own where undefined. */
+    readonly decisions?: PolicyDecisions;
+    /** A caller's weight; 1 where undefined. */
+    readonly readWeight?: (caller: CallerName) => number;
+    /** Requests a second for an adapter's version, also where it is not loaded. */
+    readonly readRate?: (adapter: AdapterName, version: AdapterVersion) => number;
 }
--- a/packages/ownership/src/startOwnershipTask.ts
+++ b/packages/ownership/src/startOwnershipTask.ts
@@ -4,6 +4,7 @@
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import type { CancelTimer, Clock, EngineId, FailureDomain, HostId, Incarnation } from "@fulmarcleat/ids";
 import type { KvClient } from "@fulmarcleat/kv";
+import type { PolicyDecisions, PopularityTable } from "@fulmarcleat/placement";
 import type { Decision, PlaceAsk, PlacesHeldAsk, PlacesHeldReply } from "@fulmarcleat/wire";
 import { chooseHandover } from "./chooseHandover.js";
 import { createOwnerRecords } from "./createOwnerRecords.js";
@@ -58,6 +59,10 @@
     /** When the present session lease was taken, in milliseconds. */
     readonly sessionOpenedMs: () => number;
     readonly askHeld: (host: HostId, ask: PlacesHeldAsk) => Promise<PlacesHeldReply>;
+    /** The policy's decisions; the system's own where undefined. */
+    readonly decisions?: PolicyDecisions;
+    /** How often adapters are asked for, over all engines of this host. */
+    readonly popularity: PopularityTable;
     readonly chooseReplicas: (ask: PlaceAsk, ratePerSecond: number) => readonly EngineId[];
     readonly recordDecision: (decision: Omit<Decision, "host" | "atMs">) => void;
 }
