--- a/features/once.feature
+++ b/features/once.feature
@@ -23,7 +23,8 @@
             | slow KV                | five times at once         | 1    | one whole                      |
             | lost KV reply          | five times at once         | 1    | one whole                      |
             | KV down                | twice through two gateways | 0    | kv_unavailable:not_run twice   |
-            | no KV reply to writes  | twice through two gateways | 0    | kv_unknown:unknown then spent  |
+            | no KV reply to writes  | twice through two gateways | 1    | whole then replay              |
+            | KV gone at the claim   | twice through two gateways | 0    | kv_unknown:unknown then spent  |
             | cut stream             | twice through two gateways | 1    | whole then replay              |
             | cut stream for good    | twice through two gateways | 1    | stream_broken:ran then spent   |
             | silent engine          | twice through two gateways | 1    | whole then replay              |
--- a/features/once.steps.ts
+++ b/features/once.steps.ts
@@ -57,6 +57,9 @@
         case "no KV reply to writes":
             kv.setFaults({ loseReplies: MANY });
             return;
+        case "KV gone at the claim":
+            kv.store.subscribe(toBase64(`claims/${locateInvoice().partition}`), () => kv.setFaults({ down: true }));
+            return;
         case "KV down":
             kv.setFaults({ down: true });
             await waitUntilAway(world);
@@ -153,11 +156,11 @@
         heartbeatMs: 200,
         silenceMs: 5000,
     });
-    const key = hashSecret(`${INVOICE_CALLER}\u0000${KEY}`).slice(0, KEY_LENGTH);
+    const { key, partition } = locateInvoice();
     const address = { host: gateway.host, address: "127.0.0.1", port: gateway.peerPort };
     const reply = await peers.ask(address, "claim", {
         mode: "claim",
-        partition: parseInt(key.slice(0, 8), 16) % PARTITIONS,
+        partition,
         key,
         requestHash: hashInvoice(),
         nonce: brandId<Nonce>("gone-1"),
@@ -168,6 +171,15 @@
     strictEqual(reply.kind, "granted");
 });
 
+function locateInvoice(): { readonly key: string; readonly partition: number } {
+    const key = hashSecret(`${INVOICE_CALLER}\u0000${KEY}`).slice(0, KEY_LENGTH);
+    return { key, partition: parseInt(key.slice(0, 8), 16) % PARTITIONS };
+}
+
+function toBase64(text: string): string {
+    return Buffer.from(text, "utf8").toString("base64");
+}
+
 function hashInvoice(): string {
     const asked = Object.entries({ model: "levy@7", prompt: INVOICE_PROMPT, max_tokens: 6 })
         .sort(([a], [b]) => a < b ? -1 : 1);
--- a/packages/drivers/src/engineDriver.ts
+++ b/packages/drivers/src/engineDriver.ts
@@ -64,7 +64,7 @@
     readonly maxTokens: number;
     /** Lower runs first. */
     readonly priority: number;
-    /** Opens a new connection; for requests that may run at most once. */
+    /** Sends on a new connection, for requests that may not be sent twice. */
     readonly freshConnection: boolean;
     readonly signal: AbortSignal;
 }
--- a/packages/gateway/src/createCallerHandler.ts
+++ b/packages/gateway/src/createCallerHandler.ts
@@ -10,6 +10,7 @@
 import type { OfferIndex } from "./buildOfferIndex.js";
 import { createAnswerSink } from "./createAnswerSink.js";
 import type { PlaceRouter } from "./createPlaceRouter.js";
+import { endWithCaller } from "./endWithCaller.js";
 import type { AnswerSink, Generation } from "./generation.js";
 import { hashRequest } from "./hashRequest.js";
 import { limitPriority } from "./limitPriority.js";
@@ -37,6 +38,8 @@
     readonly maxBodyBytes: number;
     readonly bodyTimeoutMs: number;
     readonly isReady: () => boolean;
+    /** Whether a planned stop has begun. */
+    readonly isLeaving: () => boolean;
     readonly recordStep: (
         requestId: RequestId,
         generation: Generation | undefined,
@@ -68,7 +71,15 @@
  */
 export function createCallerHandler(options: CallerHandlerOptions): HttpHandler {
     const router = findMyWay<findMyWay.HTTPVersion.V1>({
-        defaultRoute: (req, res) => void handle(options, req, res, refuseUnknownPath),
+        defaultRoute: (req, res) => {
+            const methods = METHODS.filter(method => router.find(method, readPath(req)) !== null);
+            void handle(
+                options,
+                req,
+                res,
+                () => methods.length === 0 ? refuseUnknownPath() : refuseMethod(res, methods),
+            );
+        },
     });
     router.on("POST", "/v1/completions", (req, res) => handle(options, req, res, call => generate("completion", call)));
     router.on("POST", "/v1/chat/completions", (req, res) => handle(options, req, res, call => generate("chat", call)));
@@ -91,6 +102,22 @@
     return (req, res) => router.lookup(req, res);
 }
 
+const METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"] as const;
+
+function readPath(req: IncomingMessage): string {
+    return (req.url ?? "").split("?")[0] ?? "";
+}
+
+function refuseMethod(res: ServerResponse, methods: readonly string[]): Promise<void> {
+    res.setHeader("allow", methods.join(", "));
+    throw new ServeError(`this path takes ${methods.join(", ")}`, {
+        code: "method_not_allowed",
+        step: "route",
+        peer: "caller",
+        outcome: "not_run",
+    });
+}
+
 async function handle(
     options: CallerHandlerOptions,
     req: IncomingMessage,
@@ -100,15 +127,7 @@
     const requestId = createId<RequestId>();
     res.setHeader("x-request-id", requestId);
     try {
-        if (!options.isReady()) {
-            throw new ServeError("this host does not take new work", {
-                code: "not_ready",
-                step: "accept",
-                peer: "self",
-                outcome: "not_run",
-                retryAfterMs: 1000,
-            });
-        }
+        checkTakesWork(options);
         await answer({ ...options, req, res, requestId, receivedMs: options.clock.nowMs() });
     }
     catch (err) {
@@ -126,6 +145,20 @@
     }
 }
 
+function checkTakesWork(options: CallerHandlerOptions): void {
+    if (options.isReady()) {
+        return;
+    }
+    const isLeaving = options.isLeaving();
+    throw new ServeError(isLeaving ? "this host is stopping" : "this host has no complete configuration yet", {
+        code: isLeaving ? "stopping" : "not_ready",
+        step: "accept",
+        peer: "self",
+        outcome: "not_run",
+        retryAfterMs: 1000,
+    });
+}
+
 function refuseUnknownPath(): Promise<void> {
     throw new ServeError("there is no such path", {
         code: "not_found",
@@ -140,10 +173,8 @@
     const index = call.readIndex();
     const caller = authenticateCaller(index, req.headers.authorization);
     const headers = readCallerHeaders(req.headers);
-    const text = (await readBody(req, { maxBytes: call.maxBodyBytes, timeoutMs: call.bodyTimeoutMs, clock })).toString(
-        "utf8",
-    );
-    const parsed = parseJson(text);
+    const bytes = await readBody(req, { maxBytes: call.maxBodyBytes, timeoutMs: call.bodyTimeoutMs, clock });
+    const parsed = parseJson(decodeText(bytes));
     const body = readGenerationBody(kind, parsed);
     const offered = resolveModel(index, caller, parseModel(body.model));
     const policy = call.readPolicy();
@@ -162,6 +193,7 @@
         requestHash: hashRequest(req.url ?? "", parsed),
     };
     const model = `${offered.adapter}@${offered.version}`;
+    const ending = endWithCaller(res, clock, deadlineMs);
     const createSink = (ran: string, replayed: boolean): AnswerSink => {
         if (replayed) {
             res.setHeader("fulmarcleat-replay", "true");
@@ -172,12 +204,12 @@
             requestId,
             model: ran,
             createdMs: clock.wallMs(),
+            signal: ending.signal,
             onFirstPiece: () =>
                 metrics.record("time_to_first_token", clock.nowMs() - call.receivedMs, { class: priority }),
             onWhole: () => undefined,
         });
     };
-    const ending = endWithCaller(call, deadlineMs);
     metrics.count("requests_total", { class: priority });
     call.recordStep(requestId, generation, "accept", `${model} ${priority}`);
     try {
@@ -199,41 +231,23 @@
     }
 }
 
-interface CallEnding {
-    readonly signal: AbortSignal;
-    clear(): void;
+function decodeText(bytes: Buffer): string {
+    try {
+        return new TextDecoder("utf-8", { fatal: true }).decode(bytes);
+    }
+    catch (cause) {
+        throw new ServeError("the body is not UTF-8", { ...BAD_BODY, cause });
+    }
 }
 
-function endWithCaller(call: CallContext, deadlineMs: number): CallEnding {
-    const controller = new AbortController();
-    const cancelTimer = call.clock.setTimer(Math.max(0, deadlineMs - call.clock.nowMs()), () => controller.abort());
-    const onClose = (): void => {
-        if (!call.res.writableFinished) {
-            controller.abort();
-        }
-    };
-    call.res.on("close", onClose);
-    return {
-        signal: controller.signal,
-        clear() {
-            cancelTimer();
-            call.res.removeListener("close", onClose);
-        },
-    };
-}
+const BAD_BODY = { code: "bad_request", step: "read body", peer: "caller", outcome: "not_run" } as const;
 
 function parseJson(text: string): unknown {
     try {
         return JSON.parse(text);
     }
     catch (cause) {
-        throw new ServeError("the body is not JSON", {
-            code: "bad_request",
-            step: "read body",
-            peer: "caller",
-            outcome: "not_run",
-            cause,
-        });
+        throw new ServeError("the body is not JSON", { ...BAD_BODY, cause });
     }
 }
 
--- a/packages/gateway/src/runKeyedGeneration.ts
+++ b/packages/gateway/src/runKeyedGeneration.ts
@@ -74,6 +74,11 @@
             await hooks.finish(chars <= MAX_KEPT_CHARS ? answer : undefined);
             await sink.finish(finishReason, tokens);
         },
+        discard() {
+            pieces.length = 0;
+            chars = 0;
+            sink.discard();
+        },
         get started() {
             return sink.started;
         },
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -12,21 +12,31 @@
 import { startMembershipTask } from "@fulmarcleat/membership";
 import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
 import type { OwnableEngine } from "@fulmarcleat/ownership";
+import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
+import type { PolicyDecisions } from "@fulmarcleat/placement";
 import { readPolicy } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
-import type { Empty, PeerHello, PlaceAsk, PlaceReply, StatusReply } from "@fulmarcleat/wire";
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type {
+    Empty,
+    PeerHello,
+    PlaceAsk,
+    PlaceReply,
+    PlacesHeldAsk,
+    PlacesHeldReply,
+    StatusReply,
+} from "@fulmarcleat/wire";
 import { buildOfferIndex } from "./buildOfferIndex.js";
 import type { ConfiguredEngine } from "./buildOfferIndex.js";
 import { createCallerHandler } from "./createCallerHandler.js";
+import { createCallerServer } from "./createCallerServer.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
 import { createServicePool } from "./createServicePool.js";
+import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
-import { listClaimHosts } from "./listClaimHosts.js";
-import { startClaimTask } from "./startClaimTask.js";
+import { startConfigSpread } from "./startConfigSpread.js";
+import { startGatewayClaims } from "./startGatewayClaims.js";
 import { startSessionTask } from "./startSessionTask.js";
 
 /** A running gateway. */
@@ -47,25 +57,27 @@
 const MAX_DECISIONS = 10_000;
 const DONE: Empty = { done: true };
 const BURST_LOADS = 2;
-const MAX_CLAIM_PAGE_BYTES = 900_000;
-const CLAIM_RETRY_MS = 1000;
 
 /**
  * Starts a gateway with all its tasks.
  *
  * @param cfg - Checked settings
+ * @param decisions - The policy's decisions
  * @returns the running gateway
  *
  * @example
  * const gateway = await startGateway(await loadSettings(gatewaySettingsSchema, file));
  */
-export async function startGateway(cfg: GatewaySettings): Promise<Gateway> {
+export async function startGateway(
+    cfg: GatewaySettings,
+    decisions: PolicyDecisions = FULMARCLEAT_DECISIONS,
+): Promise<Gateway> {
     const clock = createSystemClock();
     const metrics = createMetrics();
     const log: EventLog = createEventLog({ process: `gateway ${cfg.host}`, level: cfg.logLevel as 3 });
     const hash = await createHasher();
     const incarnation = createId<Incarnation>();
-    const decisions = createDecisionLog(MAX_DECISIONS);
+    const decisionLog = createDecisionLog(MAX_DECISIONS);
     const kv = createKvClient({ driver: createEtcdKv(cfg.kv), clock, metrics, log, resolveMs: cfg.kv.timeoutMs * 2 });
     const peers = createPeerClient({
         host: cfg.host,
@@ -78,11 +90,16 @@
     const drivers = new Map<EngineId, { readonly url: string; readonly driver: EngineDriver }>();
     let leaving = false;
 
-    const config = startConfigTask({ kv, log, metrics });
-    let index = buildOfferIndex(config.snapshot);
-    config.subscribe(snapshot => {
-        index = buildOfferIndex(snapshot);
+    const config = startConfigTask({
+        kv,
+        clock,
+        log,
+        metrics,
+        fetch: ask => fetchConfig({ membership, peers, host: cfg.host, ask, timeoutMs: cfg.silenceMs }),
+        retryMs: cfg.helloMs,
     });
+    const index = buildOfferIndex(config.snapshot);
+    config.subscribe((snapshot, changes) => index.update(snapshot, changes));
     const ensureDriver = (entry: ConfiguredEngine): EngineDriver => {
         const present = drivers.get(entry.engine);
         if (present?.url === entry.url) {
@@ -92,6 +109,7 @@
             url: entry.url,
             connectTimeoutMs: cfg.connectTimeoutMs,
             silenceMs: cfg.streamSilenceMs,
+            openTimeoutMs: cfg.openTimeoutMs,
         });
         drivers.set(entry.engine, { url: entry.url, driver });
         return driver;
@@ -120,6 +138,18 @@
         describeSelf: () => describeSelf(),
         onReplaced: (host, former) => ownership.hostReplaced(host, former),
     });
+    const spread = startConfigSpread({
+        host: cfg.host,
+        failureDomain: cfg.failureDomain,
+        config,
+        membership,
+        peers,
+        clock,
+        hash,
+        metrics,
+        timeoutMs: cfg.silenceMs,
+        ...cfg.configSpread,
+    });
     const recordDecision = (
         decision: {
             step: string;
@@ -128,7 +158,7 @@
             requestId: RequestId | undefined;
         },
     ): void =>
-        decisions.record({
+        decisionLog.record({
             atMs: clock.wallMs(),
             host: cfg.host,
             step: decision.step,
@@ -136,16 +166,24 @@
             adapter: decision.adapter,
             requestId: decision.requestId,
         });
+    const replicaCounts = new Map<string, number>();
     const chooseReplicas = (ask: PlaceAsk, ratePerSecond: number): readonly EngineId[] => {
         const adapter = index.findAdapter(ask.adapter);
         const engines = adapter === undefined
             ? [ask.engine]
             : index.listEngines(adapter.spec.baseModel).filter(entry => !entry.draining).map(entry => entry.engine);
-        const wanted = Math.min(
-            engines.length,
-            Math.max(1, Math.ceil(ratePerSecond / readPolicy(config.snapshot).replicaRate)),
-        );
-        return rankByRendezvous(hash, `${ask.adapter}@${ask.version}`, engines).slice(0, wanted);
+        const model = `${ask.adapter}@${ask.version}`;
+        const wanted = decisions.countReplicas({
+            engines: engines.length,
+            replicas: replicaCounts.get(model) ?? 1,
+            ratePerSecond,
+            replicaRate: readPolicy(config.snapshot).replicaRate,
+        });
+        replicaCounts.delete(model);
+        if (wanted > 1) {
+            replicaCounts.set(model, wanted);
+        }
+        return rankByRendezvous(hash, model, engines).slice(0, wanted);
     };
     const askPeer = (host: HostId) => {
         const member = membership.find(host);
@@ -168,6 +206,7 @@
             burst: BURST_LOADS,
         };
     };
+    const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
     const ownership = startOwnershipTask({
         host: cfg.host,
         incarnation,
@@ -183,20 +222,32 @@
         leaseMs: cfg.leaseMs,
         listEngines: () => listOwnable(index.engines, readPolicy(config.snapshot), ensureDriver),
         listHosts: () => membership.liveHosts,
+        listHolders: () => membership.members.map(member => member.host),
+        findAnnounced: engine => findAnnounced(engine),
+        isSessionTrusted: () => session.isTrusted(),
+        sessionOpenedMs: () => session.openedMs,
         askHeld: (host, ask) =>
             host === cfg.host
-                ? Promise.resolve(router.describeHeld(ask))
+                ? Promise.resolve(describeHeld(ask))
                 : peers.ask(askPeer(host), "placesHeld", ask, cfg.silenceMs),
         chooseReplicas,
+        decisions,
+        popularity: createPopularityTable(DEFAULT_POPULARITY),
         recordDecision,
     });
+    const findAnnounced = (engine: EngineId): HostId | undefined =>
+        membership.members.find(member =>
+            member.host !== cfg.host && member.state !== "silent" && member.ownedEngines.includes(engine)
+        )?.host;
     const findOwner = (engine: EngineId): HostId | undefined => {
         if (ownership.find(engine)?.state.phase === "owned") {
             return cfg.host;
         }
-        return membership.members.find(member =>
-            member.host !== cfg.host && member.state !== "silent" && member.ownedEngines.includes(engine)
-        )?.host;
+        return findAnnounced(engine);
+    };
+    const describeHeld = (ask: PlacesHeldAsk): PlacesHeldReply => {
+        ownership.fenceSeen(ask.engine, ask.fence);
+        return router.describeHeld(ask);
     };
     const answerPlace = (ask: PlaceAsk): Promise<PlaceReply> => {
         const task = ownership.find(ask.engine);
@@ -212,6 +263,8 @@
         metrics,
         listEngines: offered => index.listEngines(offered.baseModel),
         findOwner,
+        lookUpOwner: engine => ownership.lookUpOwner(engine),
+        decisions,
         ask: (owner, ask) =>
             owner === cfg.host ? answerPlace(ask) : peers.ask(askPeer(owner), "place", ask, ask.waitMs + cfg.silenceMs),
         end: async (owner, end) => {
@@ -222,22 +275,14 @@
             await peers.ask(askPeer(owner), "placeEnd", end, cfg.silenceMs);
         },
     });
-    const claims = startClaimTask({
-        ...cfg.keyed,
-        host: cfg.host,
+    const claims = startGatewayClaims(cfg, {
         incarnation,
         kv,
         hash,
         clock,
         metrics,
-        readLimits: () => ({
-            retentionMs: cfg.keyed.retentionMs,
-            maxRunMs: readPolicy(config.snapshot).maxRequestMs,
-            maxPageBytes: MAX_CLAIM_PAGE_BYTES,
-            maxAnswerBytes: cfg.keyed.keptAnswerBytes / cfg.keyed.partitions,
-            retryAfterMs: CLAIM_RETRY_MS,
-        }),
-        listHosts: () => listClaimHosts(membership.liveHosts, cfg.host),
+        readPolicy: () => readPolicy(config.snapshot),
+        listLive: () => membership.liveHosts,
         askPeer: (host, ask, timeoutMs) => peers.ask(askPeer(host), "claim", ask, timeoutMs),
         endPeer: (host, end) => peers.ask(askPeer(host), "claimEnd", end, cfg.helloMs),
     });
@@ -270,13 +315,14 @@
                 claims.handleEnd(end);
                 return Promise.resolve(DONE);
             },
-            placesHeld: ask => Promise.resolve(router.describeHeld(ask)),
+            placesHeld: ask => Promise.resolve(describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
-            explain: ask => Promise.resolve({ decisions: decisions.find(ask) }),
+            configPush: ask => Promise.resolve(config.takePush(ask)),
+            configFetch: ask => Promise.resolve(config.answerFetch(ask)),
+            explain: ask => Promise.resolve({ decisions: decisionLog.find(ask) }),
         },
     });
-    const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
-    const server = createServer(createCallerHandler({
+    const handler = createCallerHandler({
         readIndex: () => index,
         readPolicy: () => readPolicy(config.snapshot),
         router,
@@ -287,17 +333,44 @@
         maxBodyBytes: cfg.maxBodyBytes,
         bodyTimeoutMs: cfg.bodyTimeoutMs,
         isReady: () => config.complete && !leaving,
+        isLeaving: () => leaving,
         recordStep: (requestId, generation, step, detail) =>
             recordDecision({ step, detail, requestId, adapter: generation?.offered.adapter }),
         claims,
         findService: services.find,
-    }));
-    await new Promise<void>(resolve => server.listen(cfg.callers.port, cfg.callers.host, resolve));
-    const { port } = server.address() as AddressInfo;
-    log.write("info", 100, { host: cfg.host, callers: port, peers: peerServer.port });
+    });
+    const server = await createCallerServer({
+        listen: cfg.callers,
+        handler,
+        metrics,
+        headersTimeoutMs: cfg.headersTimeoutMs,
+    });
+    log.write("info", 100, { host: cfg.host, callers: server.url, peers: peerServer.port });
+    const stopOnce = async (): Promise<void> => {
+        leaving = true;
+        log.write("info", 102, { host: cfg.host });
+        await membership.announce();
+        const closed = server.close();
+        await ownership.release().catch(() => metrics.count("release_failures_total"));
+        await membership.announce();
+        await closed;
+        await claims.stop();
+        await services.close();
+        ownership.stop();
+        await session.stop();
+        membership.stop();
+        spread.stop();
+        config.stop();
+        peers.close();
+        await peerServer.close();
+        await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
+        await kv.close();
+        log.write("info", 103, { host: cfg.host });
+    };
+    let stopping: Promise<void> | undefined;
     return {
         host: cfg.host,
-        url: `http://${cfg.callers.host}:${port}`,
+        url: server.url,
         peerPort: peerServer.port,
         metrics,
         configReached: seq =>
@@ -315,30 +388,7 @@
             }),
         describeUnfinished: () => `${router.heldCount} running answers`,
         ready: Promise.all([config.ready, membership.ready]).then(() => undefined),
-        async stop() {
-            if (leaving) {
-                return;
-            }
-            leaving = true;
-            log.write("info", 102, { host: cfg.host });
-            await membership.announce();
-            await new Promise<void>(resolve => {
-                server.close(() => resolve());
-                server.closeIdleConnections();
-            });
-            await claims.stop();
-            await services.close();
-            await ownership.release().catch(() => metrics.count("release_failures_total"));
-            ownership.stop();
-            await session.stop();
-            membership.stop();
-            config.stop();
-            peers.close();
-            await peerServer.close();
-            await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
-            await kv.close();
-            log.write("info", 103, { host: cfg.host });
-        },
+        stop: () => stopping ??= stopOnce(),
     };
 }
 
