--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,2 +1,4 @@
 export { FLEET_BASE_MODEL, FLEET_OPERATOR_TOKEN, startFleet } from "./startFleet.js";
 export type { Fleet, FleetOptions } from "./startFleet.js";
+export { startGatewayWorker } from "./startGatewayWorker.js";
+export type { GatewayWorker } from "./startGatewayWorker.js";
