--- a/packages/gateway/src/createCallerServer.ts
+++ b/packages/gateway/src/createCallerServer.ts
@@ -2,8 +2,8 @@
 import { toErrorBody, toErrorStatus } from "@fulmarcleat/errors";
 import type { ErrorCode } from "@fulmarcleat/errors";
 import type { Metrics } from "@fulmarcleat/events";
+import { readTls } from "@fulmarcleat/settings";
 import type { ListenSettings } from "@fulmarcleat/settings";
-import { readFile } from "node:fs/promises";
 import { createServer } from "node:http";
 import type { Server, ServerOptions } from "node:http";
 import { createServer as createTlsServer } from "node:https";
@@ -41,7 +41,8 @@
  * const server = await createCallerServer({ listen: cfg.callers, handler, metrics, headersTimeoutMs: 10_000 });
  */
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
-    const { host, port, tls } = options.listen;
+    const { host, port } = options.listen;
+    const tls = await readTls(options.listen.tls);
     const limits: ServerOptions = {
         maxHeaderSize: MAX_HEADER_BYTES,
         headersTimeout: options.headersTimeoutMs,
@@ -50,10 +51,7 @@
     };
     const server: Server = tls === undefined
         ? createServer(limits, options.handler)
-        : createTlsServer(
-            { ...limits, cert: await readPem(tls.certFile), key: await readPem(tls.keyFile) },
-            options.handler,
-        );
+        : createTlsServer({ ...limits, ...tls }, options.handler);
     server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => refuse(err, socket, options.metrics));
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
@@ -66,20 +64,6 @@
     };
 }
 
-async function readPem(file: string): Promise<string> {
-    try {
-        return await readFile(file, "utf8");
-    }
-    catch {
-        throw new ServeError(`${file}: the file can't be read`, {
-            code: "settings_invalid",
-            step: "open listener",
-            peer: file,
-            outcome: "not_run",
-        });
-    }
-}
-
 function closeServer(server: Server): Promise<void> {
     return new Promise(resolve => {
         const timer = setInterval(() => server.closeIdleConnections(), CLOSE_IDLE_MS);
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -1,6 +1,6 @@
 import { brandId } from "@fulmarcleat/ids";
 import type { FailureDomain, HostId } from "@fulmarcleat/ids";
-import { listenSchema, peerKeySchema } from "@fulmarcleat/settings";
+import { listenSchema, peerCaFileSchema, peerKeySchema } from "@fulmarcleat/settings";
 import { z } from "zod";
 
 /** Settings of a gateway process. */
@@ -11,7 +11,9 @@
     /** Where callers connect. */
     callers: listenSchema,
     /** Where the system's other processes connect. */
-    peers: z.strictObject({ host: z.string().min(1), port: z.int().min(0).max(65535) }),
+    peers: listenSchema,
+    /** Authority of the other processes' certificates; without it they are reached by plain TCP. */
+    peerCaFile: peerCaFileSchema,
     kv: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
     hostList: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
     helloMs: z.int().min(50).default(1000),
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -14,6 +14,7 @@
 import type { OwnableEngine } from "@fulmarcleat/ownership";
 import { readPolicy } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
+import { readPem, readTls } from "@fulmarcleat/settings";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
 import type { Empty, PeerHello, PlaceAsk, PlaceReply, StatusReply } from "@fulmarcleat/wire";
 import { buildOfferIndex } from "./buildOfferIndex.js";
@@ -64,6 +65,7 @@
     const peers = createPeerClient({
         host: cfg.host,
         peerKey: cfg.peerKey,
+        ca: cfg.peerCaFile === undefined ? undefined : await readPem(cfg.peerCaFile),
         clock,
         metrics,
         heartbeatMs: cfg.helloMs,
@@ -230,6 +232,7 @@
         host: cfg.host,
         peerKey: cfg.peerKey,
         listen: cfg.peers,
+        tls: await readTls(cfg.peers.tls),
         clock,
         metrics,
         silenceMs: cfg.silenceMs,
--- a/packages/settings/src/listenSchema.ts
+++ b/packages/settings/src/listenSchema.ts
@@ -13,5 +13,8 @@
 /** Address on which a process listens. */
 export type ListenSettings = z.infer<typeof listenSchema>;
 
+/** File with the certificate authority that the peers' certificates are checked against; PEM. */
+export const peerCaFileSchema = z.string().min(1).optional();
+
 /** Key with which the system's processes authenticate to each other. */
 export const peerKeySchema = z.string().min(32, "at least 32 characters");
--- a/packages/wire/src/createPeerClient.ts
+++ b/packages/wire/src/createPeerClient.ts
@@ -4,6 +4,7 @@
 import { randomBytes } from "node:crypto";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
+import { connect as connectTls } from "node:tls";
 import { computeMac } from "./computeMac.js";
 import { createAskTable } from "./createAskTable.js";
 import type { AskTable } from "./createAskTable.js";
@@ -24,6 +25,8 @@
 export interface PeerClientOptions {
     readonly host: HostId;
     readonly peerKey: string;
+    /** Certificate authority of the peers as PEM text; plain TCP where it is not set. */
+    readonly ca?: string | undefined;
     readonly clock: Clock;
     readonly metrics: Metrics;
     /** Time between heartbeats, in milliseconds. */
@@ -91,7 +94,7 @@
 }
 
 function connectLink(to: PeerAddress, options: PeerClientOptions, forget: () => void): Link {
-    const socket = connect({ host: to.address, port: to.port, noDelay: true });
+    const socket = openSocket(to, options.ca);
     const asks = createAskTable(options.clock, to.host);
     const reader = createFrameReader();
     const nonce = randomBytes(NONCE_BYTES).toString("hex");
@@ -122,6 +125,13 @@
     return { socket, asks, verified };
 }
 
+/** The certificate is checked against the authority; which host it is, the proof of the key shows. */
+function openSocket(to: PeerAddress, ca: string | undefined): Socket {
+    return ca === undefined
+        ? connect({ host: to.address, port: to.port, noDelay: true })
+        : connectTls({ host: to.address, port: to.port, ca, checkServerIdentity: () => undefined }).setNoDelay(true);
+}
+
 interface LinkContext {
     readonly socket: Socket;
     readonly asks: AskTable;
--- a/packages/wire/src/createPeerServer.ts
+++ b/packages/wire/src/createPeerServer.ts
@@ -4,6 +4,7 @@
 import { randomBytes } from "node:crypto";
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
+import { createServer as createTlsServer } from "node:tls";
 import { computeMac } from "./computeMac.js";
 import { createFrameReader } from "./createFrameReader.js";
 import { encodeFrame } from "./encodeFrame.js";
@@ -21,6 +22,8 @@
     readonly host: HostId;
     readonly peerKey: string;
     readonly listen: { readonly host: string; readonly port: number };
+    /** Certificate and key as PEM text; plain TCP where they are not set. */
+    readonly tls?: { readonly cert: string; readonly key: string } | undefined;
     readonly handlers: PeerHandlers;
     readonly clock: Clock;
     readonly metrics: Metrics;
@@ -48,10 +51,13 @@
  */
 export async function createPeerServer(options: PeerServerOptions): Promise<PeerServer> {
     const sockets = new Set<Socket>();
-    const server = createServer({ noDelay: true }, socket => {
+    const serve = (socket: Socket): void => serveSocket(socket, options);
+    const server: Server = options.tls === undefined
+        ? createServer({ noDelay: true }, serve)
+        : createTlsServer({ ...options.tls, noDelay: true, handshakeTimeout: options.silenceMs }, serve);
+    server.on("connection", socket => {
         sockets.add(socket);
         socket.on("close", () => sockets.delete(socket));
-        serveSocket(socket, options);
     });
     await listen(server, options.listen);
     const address = server.address();
@@ -152,7 +158,9 @@
     from: HostId,
     options: PeerServerOptions,
 ): Promise<void> {
-    const handler = options.handlers[frame.name] as ((ask: unknown, from: HostId) => Promise<unknown>) | undefined;
+    const handler = Object.hasOwn(options.handlers, frame.name)
+        ? options.handlers[frame.name] as ((ask: unknown, from: HostId) => Promise<unknown>) | undefined
+        : undefined;
     options.metrics.count("peer_asks_total", { name: frame.name });
     try {
         if (handler === undefined) {
