--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -12,18 +12,30 @@
 import { startMembershipTask } from "@fulmarcleat/membership";
 import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
 import type { OwnableEngine } from "@fulmarcleat/ownership";
+import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
+import type { PolicyDecisions } from "@fulmarcleat/placement";
 import { readPolicy } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
 import { readPem, readTls } from "@fulmarcleat/settings";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
-import type { Empty, PeerHello, PlaceAsk, PlaceReply, StatusReply } from "@fulmarcleat/wire";
+import type {
+    Empty,
+    PeerHello,
+    PlaceAsk,
+    PlaceReply,
+    PlacesHeldAsk,
+    PlacesHeldReply,
+    StatusReply,
+} from "@fulmarcleat/wire";
 import { buildOfferIndex } from "./buildOfferIndex.js";
 import type { ConfiguredEngine } from "./buildOfferIndex.js";
 import { createCallerHandler } from "./createCallerHandler.js";
 import { createCallerServer } from "./createCallerServer.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
+import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { startConfigSpread } from "./startConfigSpread.js";
 import { startSessionTask } from "./startSessionTask.js";
 
 /** A running gateway. */
@@ -49,18 +61,22 @@
  * Starts a gateway with all its tasks.
  *
  * @param cfg - Checked settings
+ * @param decisions - The policy's decisions
  * @returns the running gateway
  *
  * @example
  * const gateway = await startGateway(await loadSettings(gatewaySettingsSchema, file));
  */
-export async function startGateway(cfg: GatewaySettings): Promise<Gateway> {
+export async function startGateway(
+    cfg: GatewaySettings,
+    decisions: PolicyDecisions = FULMARCLEAT_DECISIONS,
+): Promise<Gateway> {
     const clock = createSystemClock();
     const metrics = createMetrics();
     const log: EventLog = createEventLog({ process: `gateway ${cfg.host}`, level: cfg.logLevel as 3 });
     const hash = await createHasher();
     const incarnation = createId<Incarnation>();
-    const decisions = createDecisionLog(MAX_DECISIONS);
+    const decisionLog = createDecisionLog(MAX_DECISIONS);
     const kv = createKvClient({ driver: createEtcdKv(cfg.kv), clock, metrics, log, resolveMs: cfg.kv.timeoutMs * 2 });
     const peers = createPeerClient({
         host: cfg.host,
@@ -74,11 +90,16 @@
     const drivers = new Map<EngineId, { readonly url: string; readonly driver: EngineDriver }>();
     let leaving = false;
 
-    const config = startConfigTask({ kv, log, metrics });
-    let index = buildOfferIndex(config.snapshot);
-    config.subscribe(snapshot => {
-        index = buildOfferIndex(snapshot);
+    const config = startConfigTask({
+        kv,
+        clock,
+        log,
+        metrics,
+        fetch: ask => fetchConfig({ membership, peers, host: cfg.host, ask, timeoutMs: cfg.silenceMs }),
+        retryMs: cfg.helloMs,
     });
+    const index = buildOfferIndex(config.snapshot);
+    config.subscribe((snapshot, changes) => index.update(snapshot, changes));
     const ensureDriver = (entry: ConfiguredEngine): EngineDriver => {
         const present = drivers.get(entry.engine);
         if (present?.url === entry.url) {
@@ -117,6 +138,18 @@
         describeSelf: () => describeSelf(),
         onReplaced: (host, former) => ownership.hostReplaced(host, former),
     });
+    const spread = startConfigSpread({
+        host: cfg.host,
+        failureDomain: cfg.failureDomain,
+        config,
+        membership,
+        peers,
+        clock,
+        hash,
+        metrics,
+        timeoutMs: cfg.silenceMs,
+        ...cfg.configSpread,
+    });
     const recordDecision = (
         decision: {
             step: string;
@@ -125,7 +158,7 @@
             requestId: RequestId | undefined;
         },
     ): void =>
-        decisions.record({
+        decisionLog.record({
             atMs: clock.wallMs(),
             host: cfg.host,
             step: decision.step,
@@ -133,16 +166,24 @@
             adapter: decision.adapter,
             requestId: decision.requestId,
         });
+    const replicaCounts = new Map<string, number>();
     const chooseReplicas = (ask: PlaceAsk, ratePerSecond: number): readonly EngineId[] => {
         const adapter = index.findAdapter(ask.adapter);
         const engines = adapter === undefined
             ? [ask.engine]
             : index.listEngines(adapter.spec.baseModel).filter(entry => !entry.draining).map(entry => entry.engine);
-        const wanted = Math.min(
-            engines.length,
-            Math.max(1, Math.ceil(ratePerSecond / readPolicy(config.snapshot).replicaRate)),
-        );
-        return rankByRendezvous(hash, `${ask.adapter}@${ask.version}`, engines).slice(0, wanted);
+        const model = `${ask.adapter}@${ask.version}`;
+        const wanted = decisions.countReplicas({
+            engines: engines.length,
+            replicas: replicaCounts.get(model) ?? 1,
+            ratePerSecond,
+            replicaRate: readPolicy(config.snapshot).replicaRate,
+        });
+        replicaCounts.delete(model);
+        if (wanted > 1) {
+            replicaCounts.set(model, wanted);
+        }
+        return rankByRendezvous(hash, model, engines).slice(0, wanted);
     };
     const askPeer = (host: HostId) => {
         const member = membership.find(host);
@@ -165,6 +206,7 @@
             burst: BURST_LOADS,
         };
     };
+    const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
     const ownership = startOwnershipTask({
         host: cfg.host,
         incarnation,
@@ -180,20 +222,32 @@
         leaseMs: cfg.leaseMs,
         listEngines: () => listOwnable(index.engines, readPolicy(config.snapshot), ensureDriver),
         listHosts: () => membership.liveHosts,
+        listHolders: () => membership.members.map(member => member.host),
+        findAnnounced: engine => findAnnounced(engine),
+        isSessionTrusted: () => session.isTrusted(),
+        sessionOpenedMs: () => session.openedMs,
         askHeld: (host, ask) =>
             host === cfg.host
-                ? Promise.resolve(router.describeHeld(ask))
+                ? Promise.resolve(describeHeld(ask))
                 : peers.ask(askPeer(host), "placesHeld", ask, cfg.silenceMs),
         chooseReplicas,
+        decisions,
+        popularity: createPopularityTable(DEFAULT_POPULARITY),
         recordDecision,
     });
+    const findAnnounced = (engine: EngineId): HostId | undefined =>
+        membership.members.find(member =>
+            member.host !== cfg.host && member.state !== "silent" && member.ownedEngines.includes(engine)
+        )?.host;
     const findOwner = (engine: EngineId): HostId | undefined => {
         if (ownership.find(engine)?.state.phase === "owned") {
             return cfg.host;
         }
-        return membership.members.find(member =>
-            member.host !== cfg.host && member.state !== "silent" && member.ownedEngines.includes(engine)
-        )?.host;
+        return findAnnounced(engine);
+    };
+    const describeHeld = (ask: PlacesHeldAsk): PlacesHeldReply => {
+        ownership.fenceSeen(ask.engine, ask.fence);
+        return router.describeHeld(ask);
     };
     const answerPlace = (ask: PlaceAsk): Promise<PlaceReply> => {
         const task = ownership.find(ask.engine);
@@ -209,6 +263,8 @@
         metrics,
         listEngines: offered => index.listEngines(offered.baseModel),
         findOwner,
+        lookUpOwner: engine => ownership.lookUpOwner(engine),
+        decisions,
         ask: (owner, ask) =>
             owner === cfg.host ? answerPlace(ask) : peers.ask(askPeer(owner), "place", ask, ask.waitMs + cfg.silenceMs),
         end: async (owner, end) => {
@@ -243,12 +299,13 @@
                 ownership.find(ask.engine)?.end(ask);
                 return Promise.resolve(DONE);
             },
-            placesHeld: ask => Promise.resolve(router.describeHeld(ask)),
+            placesHeld: ask => Promise.resolve(describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
-            explain: ask => Promise.resolve({ decisions: decisions.find(ask) }),
+            configPush: ask => Promise.resolve(config.takePush(ask)),
+            configFetch: ask => Promise.resolve(config.answerFetch(ask)),
+            explain: ask => Promise.resolve({ decisions: decisionLog.find(ask) }),
         },
     });
-    const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
     const handler = createCallerHandler({
         readIndex: () => index,
         readPolicy: () => readPolicy(config.snapshot),
@@ -285,11 +342,14 @@
         leaving = true;
         log.write("info", 102, { host: cfg.host });
         await membership.announce();
-        await server.close();
+        const closed = server.close();
         await ownership.release();
+        await membership.announce();
+        await closed;
         ownership.stop();
         await session.stop();
         membership.stop();
+        spread.stop();
         config.stop();
         peers.close();
         await peerServer.close();
--- a/packages/ownership/src/startEngineTask.ts
+++ b/packages/ownership/src/startEngineTask.ts
@@ -1,12 +1,13 @@
 import type { EngineDriver } from "@fulmarcleat/drivers";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import type { CancelTimer, Clock, EngineId, HostId } from "@fulmarcleat/ids";
+import type { PolicyDecisions, PopularityTable } from "@fulmarcleat/placement";
 import type { Decision, EngineStatus, PlaceAsk, PlaceEnd, PlaceReply } from "@fulmarcleat/wire";
 import { PLACE_START_MS } from "./applyReport.js";
 import { countPins } from "./countPins.js";
 import { createEngineState } from "./createEngineState.js";
 import type { EngineEffect } from "./engineEffect.js";
-import type { EngineMessage } from "./engineMessage.js";
+import type { EngineContext, EngineMessage } from "./engineMessage.js";
 import type { EngineLimits, EngineState } from "./engineState.js";
 import type { LoadBudgetTask } from "./loadBudgetTask.js";
 import { reduceEngine } from "./reduceEngine.js";
@@ -26,10 +27,16 @@
     /** Longest wait for an engine's answer to an order, in milliseconds. */
     readonly orderMs: number;
     readonly recordDecision: (decision: Omit<Decision, "host" | "atMs">) => void;
+    /** The policy's decisions; the system's own where undefined. */
+    readonly decisions?: PolicyDecisions;
+    /** How often adapters are asked for, over all engines of this host. */
+    readonly popularity: PopularityTable;
     /** Which engines serve an adapter at a rate of requests. */
     readonly chooseReplicas: (ask: PlaceAsk, ratePerSecond: number) => readonly EngineId[];
     /** Gives up the ownership record. */
-    readonly onReleased: (fence: number) => void;
+    readonly onReleased: (fence: number, holders: readonly HostId[]) => void;
+    /** Whether the host can't be sure at present that it still owns the engine. */
+    readonly isSuspended: () => boolean;
 }
 
 /** The task that owns one engine. */
@@ -48,6 +55,9 @@
 }
 
 const TICK_MS = 50;
+/** Longest wait for a report before the engine's connections are checked, in milliseconds. */
+const REPORT_LIMIT_MS = 2000;
+const PROBE_LIMIT_MS = 1000;
 
 /**
  * Starts the task that owns one engine.
@@ -60,6 +70,7 @@
  */
 export function startEngineTask(options: EngineTaskOptions): EngineTask {
     const { clock, driver, engine, metrics, log } = options;
+    const reportLimitMs = Math.min(options.orderMs, REPORT_LIMIT_MS);
     const replies = new Map<string, PendingReply>();
     const stopping = new AbortController();
     let state = createEngineState(engine, options.limits);
@@ -68,7 +79,17 @@
 
     const send = (message: EngineMessage): void => {
         const loadsAllowed = options.budget.allowed();
-        const step = reduceEngine(state, message, { nowMs: clock.nowMs(), loadsAllowed });
+        const nowMs = clock.nowMs();
+        const { decisions, popularity } = options;
+        const readRate: EngineContext["readRate"] = (adapter, version) =>
+            popularity.rate(`${adapter}@${version}`, nowMs);
+        const step = reduceEngine(state, message, {
+            nowMs,
+            loadsAllowed,
+            isSuspended: options.isSuspended(),
+            decisions,
+            readRate,
+        });
         state = step.state;
         step.effects.forEach(run);
     };
@@ -91,8 +112,11 @@
             case "unload":
                 void unload(effect);
                 return;
+            case "showFence":
+                void showFence(effect);
+                return;
             case "released":
-                options.onReleased(effect.fence);
+                options.onReleased(effect.fence, effect.holders);
                 return;
             case "decision":
                 options.recordDecision(effect);
@@ -137,8 +161,15 @@
         log.write("info", 305, { engine, instance: effect.instance });
         send({ kind: "unloadAnswered", instance: effect.instance, result });
     };
+    const showFence = async (effect: Extract<EngineEffect, { kind: "showFence" }>): Promise<void> => {
+        const sentMs = clock.nowMs();
+        const signal = AbortSignal.timeout(options.orderMs);
+        const result = await driver.unload(effect.instance, effect.fence, signal).catch(() => undefined);
+        send({ kind: "fenceAnswered", sentMs, result });
+    };
     const tick = (): void => {
-        if (state.waiting.length > 0) {
+        const isRepeatDue = state.instances.some(instance => instance.retryAtMs !== undefined);
+        if (state.waiting.length > 0 || isRepeatDue) {
             send({ kind: "tick" });
         }
         cancelTick = clock.setTimer(TICK_MS, tick);
@@ -146,10 +177,13 @@
     const pollReport = async (): Promise<void> => {
         const askedMs = clock.nowMs();
         if (state.phase === "owned") {
-            const report = await driver.report(AbortSignal.timeout(options.orderMs)).catch(() => undefined);
+            const report = await driver.report(AbortSignal.timeout(reportLimitMs)).catch(() => undefined);
             if (report !== undefined && !stopping.signal.aborted) {
                 send({ kind: "report", report, askedMs });
             }
+            if (report === undefined && !stopping.signal.aborted) {
+                await replaceSilent(options);
+            }
         }
         if (!stopping.signal.aborted) {
             cancelReport = clock.setTimer(options.reportMs, () => void pollReport());
@@ -165,6 +199,7 @@
             new Promise(resolve => {
                 replies.set(ask.place, { ask, resolve });
                 const nowMs = clock.nowMs();
+                options.popularity.record(`${ask.adapter}@${ask.version}`, nowMs);
                 send({ kind: "ask", waiting: { ...ask, arrivedMs: nowMs, deadlineMs: nowMs + ask.waitMs } });
             }),
         end: end => end.ends.forEach(({ place, use }) => send({ kind: "placeEnd", place, use })),
@@ -178,6 +213,16 @@
     };
 }
 
+/** Replaces an engine's connections where they are silent and a new one works. */
+async function replaceSilent({ driver, engine, metrics, log }: EngineTaskOptions): Promise<void> {
+    const works = await driver.probe(AbortSignal.timeout(PROBE_LIMIT_MS)).catch(() => false);
+    metrics.count("engine_probes_total", { engine, result: works ? "works" : "fails" });
+    if (works) {
+        log.write("warn", 307, { engine });
+        await driver.reconnect().catch(() => undefined);
+    }
+}
+
 function describe(state: EngineState, options: EngineTaskOptions): EngineStatus {
     return {
         engine: state.engine,
