--- /dev/null
+++ b/features/path-examples.feature
@@ -0,0 +1,9 @@
+Feature: The examples have the sizes of their deployments and are allowed by the schemas
+
+    Scenario Outline: <example>
+        Then examples of "<example>" hold 6 gateways in "<domains>", <engines> engines of "<upstream>" and <hosts> hosts of "<service>"
+
+        Examples:
+            | example  | domains                           | engines | upstream    | hosts | service        |
+            | vop      | linz-c,wien-a,wien-b              | 6       | bericht-llm | 3     | mitglieder-app |
+            | vestkyst | aarhus,esbjerg,fredericia,herning | 6       | oliemodel   | 4     | labportal      |
