Add the demo, the load program, a test by the openai package, and complete the stand-ins' faults

Cause: the demo, fulmarcleat-load and parts of the stand-ins' fault switches were missing. Change: npm run demo over the VÖP example through the resource API; fulmarcleat-load with seeds, classes and exact answers; every stand-in takes down, delayMs and silence, logs its faults and stops gracefully. Ran: packages/load 10 scenarios and features/path-clients.feature 2 scenarios passed. The demo's levy invoice fails until plain services are served; npm run demo exits 1 at that step.

--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export { runDemo } from "./runDemo.js";
+export type { Demo, DemoOptions } from "./runDemo.js";
--- a/packages/fleet/src/startFleet.ts
+++ b/packages/fleet/src/startFleet.ts
@@ -43,6 +43,8 @@
     /** Resources that are there from the start, besides the engines. */
     readonly resources?: readonly unknown[];
     readonly fencing?: "checked" | "ignored";
+    /** Whether the engines are in the configuration from the start; true where undefined. */
+    readonly listsEngines?: boolean;
     /** The policy's decisions; the system's own where undefined. */
     readonly decisions?: PolicyDecisions;
 }
@@ -120,7 +122,10 @@
             changes = change.seq;
         }
     };
-    await apply([describeUpstream(options, engines), ...options.resources ?? []]);
+    await apply([
+        ...(options.listsEngines === false ? [] : [describeUpstream(options, engines)]),
+        ...options.resources ?? [],
+    ]);
     const start = (number: number): Promise<Gateway> =>
         startGateway(
             gatewaySettingsSchema.parse({
--- /dev/null
+++ b/packages/load/src/driveLoad.ts
@@ -0,0 +1,180 @@
+import { createRandom } from "@fulmarcleat/ids";
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import { setTimeout as wait } from "node:timers/promises";
+import { Agent } from "undici";
+import { checkAnswer } from "./checkAnswer.js";
+import type { AnswerVerdict } from "./checkAnswer.js";
+import { createZipf } from "./createZipf.js";
+import type { LoadClass, LoadOptions } from "./loadOptions.js";
+
+/** Times of one class, in milliseconds. */
+export interface ClassResult {
+    readonly requests: number;
+    readonly whole: number;
+    readonly firstTokenMs: { readonly p50: number; readonly p95: number; readonly p99: number };
+    readonly answerMs: { readonly p50: number; readonly p95: number; readonly p99: number };
+}
+
+/** Result of one run. */
+export interface LoadResult {
+    readonly seed: number;
+    readonly seconds: number;
+    readonly sent: number;
+    readonly whole: number;
+    /** Answers that were shortened, mixed up or of another adapter; must be 0. */
+    readonly wrong: number;
+    readonly tokensPerSecond: number;
+    /** Errors by code and outcome. */
+    readonly errors: Readonly<Record<string, number>>;
+    readonly classes: Readonly<Record<string, ClassResult>>;
+}
+
+interface Tally {
+    requests: number;
+    whole: number;
+    readonly firstToken: Histogram;
+    readonly answer: Histogram;
+}
+
+interface Run {
+    readonly options: LoadOptions;
+    readonly dispatcher: Agent;
+    readonly tallies: Map<string, Tally>;
+    readonly errors: Map<string, number>;
+    tokens: number;
+    wrong: number;
+}
+
+const MS_PER_SECOND = 1000;
+
+/**
+ * Drives load at the callers' interface and checks that every answer is whole and exact.
+ *
+ * @param options - What load to drive
+ * @param signal - Ends the sending early; running requests still finish
+ * @returns what was seen
+ *
+ * @example
+ * const result = await driveLoad(options, new AbortController().signal);
+ */
+export async function driveLoad(options: LoadOptions, signal: AbortSignal): Promise<LoadResult> {
+    const random = createRandom(options.seed);
+    const draw = (): number => random.next();
+    const drawModel = createZipf(options.models.length, options.zipfExponent, draw);
+    const run: Run = {
+        options,
+        dispatcher: new Agent({ headersTimeout: options.deadlineMs * 2, bodyTimeout: options.deadlineMs * 2 }),
+        tallies: new Map(options.classes.map(entry => [entry.priority, createTally()])),
+        errors: new Map(),
+        tokens: 0,
+        wrong: 0,
+    };
+    const startMs = performance.now();
+    const total = Math.round(options.requestsPerSecond * options.seconds);
+    const running: Promise<void>[] = [];
+    for (let sent = 0; sent < total && !signal.aborted; sent += 1) {
+        const dueMs = startMs + sent * MS_PER_SECOND / options.requestsPerSecond;
+        await wait(Math.max(0, dueMs - performance.now()));
+        const url = options.urls[sent % options.urls.length] ?? "";
+        running.push(sendOne(run, url, options.models[drawModel()] ?? "", drawClass(options.classes, draw())));
+    }
+    await Promise.all(running);
+    const seconds = (performance.now() - startMs) / MS_PER_SECOND;
+    await run.dispatcher.close();
+    return summarize(run, running.length, seconds);
+}
+
+function createTally(): Tally {
+    return { requests: 0, whole: 0, firstToken: build(), answer: build() };
+}
+
+function drawClass(classes: readonly LoadClass[], drawn: number): LoadClass {
+    let sum = 0;
+    const found = classes.find(entry => {
+        sum += entry.share;
+        return drawn < sum;
+    });
+    return found ?? classes.at(-1) ?? { priority: "normal", share: 1, tokens: 1 };
+}
+
+async function sendOne(run: Run, url: string, model: string, kind: LoadClass): Promise<void> {
+    const tally = run.tallies.get(kind.priority) ?? createTally();
+    const startMs = performance.now();
+    let firstMs: number | undefined;
+    tally.requests += 1;
+    try {
+        const res = await run.dispatcher.request({
+            origin: url,
+            method: "POST",
+            path: "/v1/completions",
+            headers: {
+                authorization: `Bearer ${run.options.key}`,
+                "fulmarcleat-priority": kind.priority,
+                "fulmarcleat-deadline-ms": String(run.options.deadlineMs),
+            },
+            body: JSON.stringify({ model, prompt: "load", max_tokens: kind.tokens, stream: true }),
+        });
+        const decoder = new TextDecoder();
+        let text = "";
+        for await (const bytes of res.body) {
+            firstMs ??= performance.now() - startMs;
+            text += decoder.decode(bytes as Uint8Array, { stream: true });
+        }
+        note(run, tally, checkAnswer(model, kind.tokens, text), { firstMs, answerMs: performance.now() - startMs });
+    }
+    catch {
+        note(run, tally, { kind: "error", code: "connection_lost", outcome: "unknown" }, { firstMs, answerMs: 0 });
+    }
+}
+
+function note(
+    run: Run,
+    tally: Tally,
+    verdict: AnswerVerdict,
+    times: { readonly firstMs: number | undefined; readonly answerMs: number },
+): void {
+    switch (verdict.kind) {
+        case "whole":
+            tally.whole += 1;
+            run.tokens += verdict.tokens;
+            tally.firstToken.recordValue(Math.round(times.firstMs ?? 0));
+            tally.answer.recordValue(Math.round(times.answerMs));
+            return;
+        case "error": {
+            const name = `${verdict.code} ${verdict.outcome}`;
+            run.errors.set(name, (run.errors.get(name) ?? 0) + 1);
+            return;
+        }
+        case "wrong":
+            run.wrong += 1;
+            return;
+    }
+}
+
+function summarize(run: Run, sent: number, seconds: number): LoadResult {
+    const classes = [...run.tallies].map(([name, tally]) => [name, summarizeClass(tally)] as const);
+    return {
+        seed: run.options.seed,
+        seconds: Number(seconds.toFixed(2)),
+        sent,
+        whole: classes.reduce((sum, [, result]) => sum + result.whole, 0),
+        wrong: run.wrong,
+        tokensPerSecond: Math.round(run.tokens / seconds),
+        errors: Object.fromEntries(run.errors),
+        classes: Object.fromEntries(classes),
+    };
+}
+
+function summarizeClass(tally: Tally): ClassResult {
+    const { requests, whole } = tally;
+    return { requests, whole, firstTokenMs: readQuantiles(tally.firstToken), answerMs: readQuantiles(tally.answer) };
+}
+
+function readQuantiles(histogram: Histogram): ClassResult["answerMs"] {
+    return {
+        p50: histogram.getValueAtPercentile(50),
+        p95: histogram.getValueAtPercentile(95),
+        p99: histogram.getValueAtPercentile(99),
+    };
+}
--- a/packages/standin/src/createStandinServer.ts
+++ b/packages/standin/src/createStandinServer.ts
@@ -1,10 +1,13 @@
 import { toErrorBody, toErrorStatus, toServeError } from "@fulmarcleat/errors";
+import { createEventLog } from "@fulmarcleat/events";
 import findMyWay from "find-my-way";
 import type { HTTPMethod } from "find-my-way";
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import type { z } from "zod";
+import { z } from "zod";
+
+const log = createEventLog({ process: "standin" });
 
 /** One request to a stand-in. */
 export interface StandinCall {
@@ -23,12 +26,21 @@
     readonly answer: (call: StandinCall) => unknown;
 }
 
-/** Faults of the network and the process that every stand-in can be told to show. */
-export interface ServerFaults {
+/** Faults that every stand-in can be told to show. */
+export const serverFaultShape = {
     /** Every connection is closed at once. */
-    readonly down: boolean;
+    down: z.boolean().optional(),
     /** Wait before each answer, in milliseconds. */
-    readonly delayMs: number;
+    delayMs: z.int().min(0).optional(),
+    /** Open connections fall silent for good; new ones work. */
+    silence: z.boolean().optional(),
+} as const;
+
+/** Faults that every stand-in can be told to show. */
+interface ServerFaults {
+    readonly down?: boolean | undefined;
+    readonly delayMs?: number | undefined;
+    readonly silence?: boolean | undefined;
 }
 
 /** Settings of a stand-in's server. */
@@ -41,14 +53,12 @@
 /** A running stand-in's server. */
 export interface StandinServer {
     readonly url: string;
-    setFaults(faults: Partial<ServerFaults>): void;
+    setFaults(faults: ServerFaults): void;
     /** Open connections fall silent for good; new ones work. */
     silenceConnections(): void;
     close(): Promise<void>;
 }
 
-const DEFAULT_FAULTS: ServerFaults = { down: false, delayMs: 0 };
-
 /**
  * Starts the HTTP server of a stand-in, with the faults that all stand-ins share.
  *
@@ -59,7 +69,8 @@
  * const server = await createStandinServer({ host: "127.0.0.1", port: 0, routes });
  */
 export async function createStandinServer(options: StandinServerOptions): Promise<StandinServer> {
-    let faults = DEFAULT_FAULTS;
+    let isDown = false;
+    let delayMs = 0;
     const sockets = new Set<Socket>();
     const router = findMyWay<findMyWay.HTTPVersion.V1>();
     for (const route of options.routes) {
@@ -70,10 +81,10 @@
         );
     }
     const server = createServer(async (req, res) => {
-        if (faults.delayMs > 0) {
-            await new Promise(resolve => setTimeout(resolve, faults.delayMs));
+        if (delayMs > 0) {
+            await new Promise(resolve => setTimeout(resolve, delayMs));
         }
-        if (faults.down) {
+        if (isDown) {
             req.socket.destroy();
             return;
         }
@@ -83,7 +94,7 @@
     server.on("connection", socket => {
         sockets.add(socket);
         socket.on("close", () => sockets.delete(socket));
-        if (faults.down) {
+        if (isDown) {
             socket.destroy();
         }
     });
@@ -92,10 +103,14 @@
     return {
         url: `http://${options.host}:${port}`,
         setFaults(changed) {
-            faults = { ...faults, ...changed };
-            if (faults.down) {
+            isDown = changed.down ?? isDown;
+            delayMs = changed.delayMs ?? delayMs;
+            if (isDown) {
                 sockets.forEach(socket => socket.destroy());
             }
+            if (changed.silence === true) {
+                sockets.forEach(silence);
+            }
         },
         silenceConnections: () => sockets.forEach(silence),
         close: () =>
@@ -181,7 +196,9 @@
         method: "POST",
         path: "/faults",
         answer: call => {
-            apply(schema.parse(call.body));
+            const faults = schema.parse(call.body);
+            apply(faults);
+            log.write("info", 900, { faults: JSON.stringify(faults) });
             return { done: true };
         },
     };
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -1,3 +1,5 @@
+import { createEventLog } from "@fulmarcleat/events";
+import { stopOnSignals } from "@fulmarcleat/program";
 import { hideBin } from "yargs/helpers";
 import yargs from "yargs/yargs";
 import { DEFAULT_ENGINE, startEngineStandin } from "./startEngineStandin.js";
@@ -8,17 +10,26 @@
 import { startServiceStandin } from "./startServiceStandin.js";
 import { DEFAULT_WEIGHT_LIMITS, startWeightStandin } from "./startWeightStandin.js";
 
-interface Closable {
+interface Standin {
     readonly url: string;
+    /** Waits until nothing runs, where the kind has running work. */
+    drain?(): Promise<void>;
     close(): Promise<void>;
 }
 
-async function serve(starting: Promise<Closable>): Promise<void> {
+const STOP_LIMIT_MS = 60_000;
+
+async function serve(starting: Promise<Standin>): Promise<void> {
     const standin = await starting;
     process.stdout.write(`${standin.url}\n`);
-    const stop = (): void => void standin.close().then(() => process.exit(0));
-    process.on("SIGTERM", stop);
-    process.on("SIGINT", stop);
+    const running = {
+        async stop(): Promise<void> {
+            await standin.drain?.();
+            await standin.close();
+        },
+        describeUnfinished: () => "calls of the stand-in",
+    };
+    stopOnSignals(running, STOP_LIMIT_MS, createEventLog({ process: "standin" }));
 }
 
 function readAddress(listen: string): StandinAddress {
@@ -36,8 +47,19 @@
 await yargs(hideBin(process.argv))
     .scriptName("fulmarcleat-standin")
     .usage(
-        "$0 KIND\n\nStarts a small stand-in for one of the platform's parts. POST /faults sets its faults, GET /record shows what it saw.",
+        "$0 KIND\n\nStarts a small stand-in for one of the platform's parts and prints its address. POST /faults sets its faults, GET /record shows what it saw.",
     )
+    .epilogue([
+        "Faults, as JSON to POST /faults:",
+        "  every kind  down, delayMs, silence (open connections fall silent, new ones work)",
+        "  kv          loseReplies, loseRequests (of the next writes), lapseLeases",
+        "  weights     failNext, stallMs",
+        "  hosts       lagMs",
+        "  engine      checksFences, failLoads, stallLoadMs, reportLagMs, loseReports, dropCacheEvents (no effect yet),",
+        "              cutStreamsAfterTokens, canResume, restart (comes back empty), leaving, echoInstance",
+        "  service     loseReplies",
+        "Signals: SIGTERM or SIGINT stops it; an engine finishes its running requests first. Exit codes: 0 stopped, 3 cut.",
+    ].join("\n"))
     .command(
         "kv",
         "key-value service (a part of etcd's v3 JSON gateway)",
--- a/packages/standin/src/startEngineStandin.ts
+++ b/packages/standin/src/startEngineStandin.ts
@@ -3,7 +3,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { Agent } from "undici";
 import { z } from "zod";
-import { createFaultRoute, createStandinServer, sendJson } from "./createStandinServer.js";
+import { createFaultRoute, createStandinServer, sendJson, serverFaultShape } from "./createStandinServer.js";
 import type { StandinCall, StandinRoute, StandinServer } from "./createStandinServer.js";
 import { createEngineBatch } from "./engineBatch.js";
 import type { EngineOrderRecord, EngineRecord, EngineRun } from "./engineRecord.js";
@@ -25,17 +25,16 @@
 }
 
 const faultSchema = z.strictObject({
-    down: z.boolean().optional(),
-    delayMs: z.int().min(0).optional(),
+    ...serverFaultShape,
     checksFences: z.boolean().optional(),
     failLoads: z.int().min(0).optional(),
     stallLoadMs: z.int().min(0).optional(),
     reportLagMs: z.int().min(0).optional(),
     loseReports: z.boolean().optional(),
+    /** Accepted and without effect: this stand-in publishes no cache events yet. */
     dropCacheEvents: z.boolean().optional(),
     cutStreamsAfterTokens: z.int().min(1).optional(),
     canResume: z.boolean().optional(),
-    silence: z.boolean().optional(),
     restart: z.boolean().optional(),
     leaving: z.boolean().optional(),
     echoInstance: z.string().optional(),
@@ -50,6 +49,8 @@
     readonly url: string;
     setFaults(faults: EngineFaults): void;
     record(): EngineRecord;
+    /** Takes no new requests; resolves once every running one has ended. */
+    drain(): Promise<void>;
     close(): Promise<void>;
 }
 
@@ -325,19 +326,13 @@
         return reports[0]?.body;
     };
     const setFaults = (changed: EngineFaults): void => {
-        const { silence, restart: restarts, ...kept } = changed;
+        const { restart: restarts, ...kept } = changed;
         faults = { ...faults, ...kept };
         checksFences = changed.checksFences ?? checksFences;
-        server.setFaults({
-            ...(changed.down === undefined ? {} : { down: changed.down }),
-            ...(changed.delayMs === undefined ? {} : { delayMs: changed.delayMs }),
-        });
+        server.setFaults(changed);
         if (restarts === true) {
             restart();
         }
-        if (silence === true) {
-            server.silenceConnections();
-        }
     };
     const readRecord = (): EngineRecord => ({
         runs: [...runs],
@@ -368,6 +363,12 @@
         url: server.url,
         setFaults,
         record: readRecord,
+        async drain() {
+            setFaults({ leaving: true });
+            while (batch.running > 0) {
+                await wait(options.tokenMs);
+            }
+        },
         close: async () => {
             batch.clear();
             await server.close();
--- a/packages/standin/src/startHostListStandin.ts
+++ b/packages/standin/src/startHostListStandin.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { createFaultRoute, createStandinServer } from "./createStandinServer.js";
+import { createFaultRoute, createStandinServer, serverFaultShape } from "./createStandinServer.js";
 import type { StandinAddress } from "./startKvStandin.js";
 
 const hostSchema = z.object({
@@ -10,7 +10,10 @@
     state: z.enum(["live", "leaving"]),
 });
 const listSchema = z.object({ hosts: z.array(hostSchema) });
-const faultSchema = z.strictObject({ down: z.boolean().optional(), lagMs: z.int().min(0).optional() });
+const faultSchema = z.strictObject({ lagMs: z.int().min(0).optional(), ...serverFaultShape });
+
+/** Faults of the host list. */
+export type HostListFaults = z.infer<typeof faultSchema>;
 
 /** One host on the stand-in's list. */
 export type StandinHost = z.infer<typeof hostSchema>;
@@ -20,7 +23,7 @@
     readonly url: string;
     /** Replaces the list; readers see it after the lag. */
     setHosts(hosts: readonly StandinHost[]): void;
-    setFaults(faults: { readonly down?: boolean; readonly lagMs?: number }): void;
+    setFaults(faults: HostListFaults): void;
     close(): Promise<void>;
 }
 
@@ -53,9 +56,7 @@
     };
     const setFaults: HostListStandin["setFaults"] = faults => {
         lagMs = faults.lagMs ?? lagMs;
-        if (faults.down !== undefined) {
-            server.setFaults({ down: faults.down });
-        }
+        server.setFaults(faults);
     };
     const server = await createStandinServer({
         ...address,
--- a/packages/standin/src/startKvStandin.ts
+++ b/packages/standin/src/startKvStandin.ts
@@ -1,19 +1,9 @@
 import { z } from "zod";
-import { createFaultRoute, createStandinServer } from "./createStandinServer.js";
+import { createFaultRoute, createStandinServer, serverFaultShape } from "./createStandinServer.js";
 import type { StandinCall, StandinRoute, StandinServer } from "./createStandinServer.js";
 import { createKvStore } from "./kvStore.js";
 import type { KvStore, StoredEntry, StoreEvent } from "./kvStore.js";
 
-/** Faults of the key-value service. */
-export interface KvFaults {
-    readonly down: boolean;
-    readonly delayMs: number;
-    /** How many of the next writes take effect without a reply. */
-    readonly loseReplies: number;
-    /** How many of the next writes are lost before they take effect. */
-    readonly loseRequests: number;
-}
-
 /** Settings of the stand-in's address. */
 export interface StandinAddress {
     readonly host: string;
@@ -30,7 +20,7 @@
 export interface KvStandin {
     readonly url: string;
     readonly store: KvStore;
-    setFaults(faults: Partial<KvFaults>): void;
+    setFaults(faults: KvFaults): void;
     silenceConnections(): void;
     /** Ends every lease at once. */
     lapseLeases(): void;
@@ -54,14 +44,15 @@
     create_request: z.object({ key: z.string(), start_revision: z.coerce.number().default(0) }),
 });
 const faultSchema = z.strictObject({
-    down: z.boolean().optional(),
-    delayMs: z.int().min(0).optional(),
     loseReplies: z.int().min(0).optional(),
     loseRequests: z.int().min(0).optional(),
-    silence: z.boolean().optional(),
     lapseLeases: z.boolean().optional(),
+    ...serverFaultShape,
 });
 
+/** Faults of the key-value service. */
+export type KvFaults = z.infer<typeof faultSchema>;
+
 /**
  * Starts a small key-value service that speaks a part of etcd's v3 JSON gateway.
  *
@@ -80,13 +71,13 @@
     const count = (name: string): void => {
         calls[name] = (calls[name] ?? 0) + 1;
     };
-    const setFaults = (faults: Partial<KvFaults>): void => {
+    const setFaults = (faults: KvFaults): void => {
         loseReplies = faults.loseReplies ?? loseReplies;
         loseRequests = faults.loseRequests ?? loseRequests;
-        server.setFaults({
-            ...(faults.down === undefined ? {} : { down: faults.down }),
-            ...(faults.delayMs === undefined ? {} : { delayMs: faults.delayMs }),
-        });
+        server.setFaults(faults);
+        if (faults.lapseLeases === true) {
+            store.leases.forEach(lease => store.lapse(lease));
+        }
     };
     const swap = (call: StandinCall): unknown => {
         count("txn");
@@ -130,15 +121,7 @@
             count("watch");
             return streamWatch(store, call);
         }),
-        createFaultRoute(faultSchema, faults => {
-            setFaults(faults);
-            if (faults.silence === true) {
-                server.silenceConnections();
-            }
-            if (faults.lapseLeases === true) {
-                store.leases.forEach(lease => store.lapse(lease));
-            }
-        }),
+        createFaultRoute(faultSchema, setFaults),
         { method: "GET", path: "/record", answer: () => ({ calls, writes }) },
     ];
     const server: StandinServer = await createStandinServer({ ...address, routes });
--- a/packages/standin/src/startServiceStandin.ts
+++ b/packages/standin/src/startServiceStandin.ts
@@ -1,13 +1,11 @@
 import { z } from "zod";
-import { createFaultRoute, createStandinServer } from "./createStandinServer.js";
+import { createFaultRoute, createStandinServer, serverFaultShape } from "./createStandinServer.js";
 import type { StandinCall, StandinRoute, StandinServer } from "./createStandinServer.js";
 import type { StandinAddress } from "./startKvStandin.js";
 
 const faultSchema = z.strictObject({
-    down: z.boolean().optional(),
-    delayMs: z.int().min(0).optional(),
     loseReplies: z.int().min(0).optional(),
-    silence: z.boolean().optional(),
+    ...serverFaultShape,
 });
 
 /** Faults of a plain service. */
@@ -57,13 +55,7 @@
     };
     const setFaults = (faults: ServiceFaults): void => {
         loseReplies = faults.loseReplies ?? loseReplies;
-        server.setFaults({
-            ...(faults.down === undefined ? {} : { down: faults.down }),
-            ...(faults.delayMs === undefined ? {} : { delayMs: faults.delayMs }),
-        });
-        if (faults.silence === true) {
-            server.silenceConnections();
-        }
+        server.setFaults(faults);
     };
     const routes: StandinRoute[] = [
         createFaultRoute(faultSchema, setFaults),
--- a/packages/standin/src/startWeightStandin.ts
+++ b/packages/standin/src/startWeightStandin.ts
@@ -1,6 +1,6 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { z } from "zod";
-import { createFaultRoute, createStandinServer, sendJson } from "./createStandinServer.js";
+import { createFaultRoute, createStandinServer, sendJson, serverFaultShape } from "./createStandinServer.js";
 import type { StandinRoute } from "./createStandinServer.js";
 import type { StandinAddress } from "./startKvStandin.js";
 
@@ -14,6 +14,9 @@
     readonly startsPerSecond: number | undefined;
 }
 
+/** Faults of the weight store. */
+export type WeightFaults = z.infer<typeof faultSchema>;
+
 /** What the weight store saw. */
 export interface WeightRecord {
     readonly loads: number;
@@ -27,7 +30,7 @@
 /** A running weight-store stand-in. */
 export interface WeightStandin {
     readonly url: string;
-    setFaults(faults: { readonly failNext?: number; readonly stallMs?: number; readonly down?: boolean }): void;
+    setFaults(faults: WeightFaults): void;
     setLimits(changed: Partial<WeightLimits>): void;
     record(): WeightRecord;
     close(): Promise<void>;
@@ -44,7 +47,7 @@
 const faultSchema = z.strictObject({
     failNext: z.int().min(0).optional(),
     stallMs: z.int().min(0).optional(),
-    down: z.boolean().optional(),
+    ...serverFaultShape,
 });
 
 /**
@@ -92,9 +95,7 @@
     const setFaults: WeightStandin["setFaults"] = faults => {
         failNext = faults.failNext ?? failNext;
         stallMs = faults.stallMs ?? stallMs;
-        if (faults.down !== undefined) {
-            server.setFaults({ down: faults.down });
-        }
+        server.setFaults(faults);
     };
     const readRecord = (): WeightRecord => ({ loads, failed, inTransit, maxInTransit, startedAtMs: [...startedAtMs] });
     const routes: StandinRoute[] = [
