--- a/features/path-refusals.steps.ts
+++ b/features/path-refusals.steps.ts
@@ -70,7 +70,9 @@
 Then("path upstreams saw nothing", function(this: FleetWorld) {
     for (const engine of this.fleet.engines) {
         const { runs, orders } = engine.record();
-        deepStrictEqual({ runs, orders }, { runs: [], orders: [] });
+        // A new owner shows its fence by an order that unloads nothing; no request causes it.
+        const loads = orders.filter(order => order.order === "load");
+        deepStrictEqual({ runs, loads }, { runs: [], loads: [] });
     }
     strictEqual(this.fleet.weights.record().loads, 0);
     deepStrictEqual(this.fleet.service.record(), []);
--- a/features/path-streams.steps.ts
+++ b/features/path-streams.steps.ts
@@ -64,13 +64,12 @@
         let isStopped = false;
         const keepAlive = { headers: { authorization: `Bearer ${this.keyOf(caller)}` } };
         await stream(this, caller, { tokens, model }, () => {
-            later = Promise.all([this.call(1, "/readyz", {}), this.call(1, "/v1/models", keepAlive)]).then(
-                () => undefined,
-                () => undefined,
-            );
             stopping = gateway.stop().then(() => {
                 isStopped = true;
             });
+            later = Promise.all([this.call(1, "/readyz", {}), this.call(1, "/v1/models", keepAlive)]).then(() =>
+                undefined
+            );
             return true;
         });
         strictEqual(isStopped, false);
@@ -145,7 +144,8 @@
 Then("path gateway 1 was not ready before its stop ended", function(this: FleetWorld) {
     strictEqual(this.answers[0]?.status, 200);
     const later = this.answers.slice(1, -1);
-    ok(later.every(answer => answer.status === 503), JSON.stringify(later));
+    deepStrictEqual(later.map(answer => answer.status), [503, 503]);
+    ok(later.some(answer => answer.text.includes('"code":"stopping"')), "no refusal says that the host stops");
 });
 
 async function stream(
--- a/packages/gateway/src/createCallerServer.ts
+++ b/packages/gateway/src/createCallerServer.ts
@@ -8,6 +8,7 @@
 import type { Server, ServerOptions } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo, Socket } from "node:net";
+import { setTimeout as wait } from "node:timers/promises";
 import type { HttpHandler } from "./createCallerHandler.js";
 
 /** Settings of the callers' listener. */
@@ -22,11 +23,12 @@
 /** The callers' listener. */
 export interface CallerServer {
     readonly url: string;
-    /** Takes no new connections; resolves once every running answer has gone out. */
+    /** Keeps answering until every running answer has gone out, so that readiness shows, and closes then. */
     close(): Promise<void>;
 }
 
 const CHECK_CONNECTIONS_MS = 200;
+const CHECK_RUNNING_MS = 20;
 const CLOSE_IDLE_MS = 50;
 const MAX_HEADER_BYTES = 16 * 1024;
 
@@ -52,6 +54,11 @@
     const server: Server = tls === undefined
         ? createServer(limits, options.handler)
         : createTlsServer({ ...limits, ...tls }, options.handler);
+    let running = 0;
+    server.on("request", (req, res) => {
+        running += 1;
+        res.once("close", () => running -= 1);
+    });
     server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => refuse(err, socket, options.metrics));
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
@@ -60,7 +67,12 @@
     const address = server.address() as AddressInfo;
     return {
         url: `${tls === undefined ? "http" : "https"}://${host}:${address.port}`,
-        close: () => closeServer(server),
+        async close() {
+            while (running > 0) {
+                await wait(CHECK_RUNNING_MS);
+            }
+            await closeServer(server);
+        },
     };
 }
 
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -35,6 +35,7 @@
 import { createPlaceRouter } from "./createPlaceRouter.js";
 import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { prepareCounters } from "./prepareCounters.js";
 import { startConfigSpread } from "./startConfigSpread.js";
 import { startSessionTask } from "./startSessionTask.js";
 
@@ -73,6 +74,7 @@
 ): Promise<Gateway> {
     const clock = createSystemClock();
     const metrics = createMetrics();
+    prepareCounters(metrics);
     const log: EventLog = createEventLog({ process: `gateway ${cfg.host}`, level: cfg.logLevel as 3 });
     const hash = await createHasher();
     const incarnation = createId<Incarnation>();
@@ -291,6 +293,7 @@
         tls: await readTls(cfg.peers.tls),
         clock,
         metrics,
+        log,
         silenceMs: cfg.silenceMs,
         handlers: {
             hello: ask => Promise.resolve(membership.handleHello(ask)),
@@ -338,6 +341,7 @@
         headersTimeoutMs: cfg.headersTimeoutMs,
     });
     log.write("info", 100, { host: cfg.host, callers: server.url, peers: peerServer.port });
+    const ready = Promise.all([config.ready, membership.ready]).then(() => log.write("info", 101, { host: cfg.host }));
     const stopOnce = async (): Promise<void> => {
         leaving = true;
         log.write("info", 102, { host: cfg.host });
@@ -377,7 +381,7 @@
                 }
             }),
         describeUnfinished: () => `${router.heldCount} running answers`,
-        ready: Promise.all([config.ready, membership.ready]).then(() => undefined),
+        ready,
         stop: () => stopping ??= stopOnce(),
     };
 }
--- a/packages/ownership/src/startEngineTask.ts
+++ b/packages/ownership/src/startEngineTask.ts
@@ -4,6 +4,7 @@
 import type { PolicyDecisions, PopularityTable } from "@fulmarcleat/placement";
 import type { Decision, EngineStatus, PlaceAsk, PlaceEnd, PlaceReply } from "@fulmarcleat/wire";
 import { PLACE_START_MS } from "./applyReport.js";
+import { countBatch } from "./countBatch.js";
 import { countPins } from "./countPins.js";
 import { createEngineState } from "./createEngineState.js";
 import type { EngineEffect } from "./engineEffect.js";
@@ -179,6 +180,7 @@
         if (state.phase === "owned") {
             const report = await driver.report(AbortSignal.timeout(reportLimitMs)).catch(() => undefined);
             if (report !== undefined && !stopping.signal.aborted) {
+                countBatch(metrics, report, state.waiting.length);
                 send({ kind: "report", report, askedMs });
             }
             if (report === undefined && !stopping.signal.aborted) {
--- a/packages/wire/src/createPeerServer.ts
+++ b/packages/wire/src/createPeerServer.ts
@@ -1,5 +1,5 @@
 import { toServeError } from "@fulmarcleat/errors";
-import type { Metrics } from "@fulmarcleat/events";
+import type { EventLog, Metrics } from "@fulmarcleat/events";
 import type { Clock, HostId } from "@fulmarcleat/ids";
 import { randomBytes } from "node:crypto";
 import { createServer } from "node:net";
@@ -27,6 +27,7 @@
     readonly handlers: PeerHandlers;
     readonly clock: Clock;
     readonly metrics: Metrics;
+    readonly log?: EventLog;
     /** Longest silence of a peer before its connection is closed, in milliseconds. */
     readonly silenceMs: number;
 }
@@ -101,7 +102,9 @@
             }
         }
         catch (err) {
-            options.metrics.count("peer_refusals_total", { reason: toServeError(err, INTERNAL).code });
+            const { code } = toServeError(err, INTERNAL);
+            options.metrics.count("peer_refusals_total", { reason: code });
+            options.log?.write("warn", 202, { reason: code, from: from ?? socket.remoteAddress });
             socket.destroy();
         }
     });
