Check the batch counters where nothing waits

Cause: places offered while the adapter loads are counted, rightly, so the value after a request depends on reports. Change: the check of 0 stands before any request.

--- a/features/path-observability.feature
+++ b/features/path-observability.feature
@@ -9,6 +9,7 @@
         Then path metrics of gateway 1 hold every refusal reason at 0
         And path metrics of gateway 1 hold "fulmarcleat_retries_total{reason="stream_broken"} 0"
         And path metrics of gateway 1 hold "fulmarcleat_requests_total{class="urgent"} 0"
+        And path metrics of gateway 1 hold "fulmarcleat_batch_places_offered_total 0"
 
     Scenario: Requests, loads and batches are counted by class
         Given a fleet of 1 gateways and 1 engines
@@ -18,7 +19,6 @@
         And path metrics of gateway 1 hold "fulmarcleat_time_to_first_token_ms_count{class="urgent"} 1"
         And path metrics of gateway 1 hold "fulmarcleat_load_stall_ms_count{class="urgent"} 1"
         And path metrics of gateway 1 hold "fulmarcleat_loads_total{engine="engine-1"} 1"
-        And path metrics of gateway 1 hold "fulmarcleat_batch_places_offered_total 0"
 
     Scenario: Logs and errors hold no secret
         Given a fleet of 1 gateways and 1 engines that logs everything
