--- a/packages/config/src/loadConfig.ts
+++ b/packages/config/src/loadConfig.ts
@@ -2,7 +2,7 @@
 import { PAGE_COUNT } from "@fulmarcleat/resources";
 import { CONFIG_LOG_KEY, EMPTY_LOG } from "./configLog.js";
 import type { ConfigLog } from "./configLog.js";
-import { EMPTY_PAGE, formatPageKey, parseConfigPage } from "./configPage.js";
+import { formatPageKey, parseConfigPage } from "./configPage.js";
 import type { ConfigPage } from "./configPage.js";
 import { mergePages } from "./mergePages.js";
 import type { MergedPages } from "./mergePages.js";
@@ -25,8 +25,8 @@
 export async function loadConfig(kv: KvClient): Promise<MergedPages> {
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
         const before = await readLog(kv);
-        const pages = before.baseSeq === 0 ? [] : await readPages(kv);
-        const merged = mergePages(before.baseSeq, padPages(pages), await readLog(kv));
+        const pages = before.baseSeq === 0 ? new Map<number, ConfigPage>() : await readPages(kv);
+        const merged = mergePages(before.baseSeq, pages, await readLog(kv));
         if (merged !== undefined) {
             return merged;
         }
@@ -39,20 +39,16 @@
     return entry === undefined ? EMPTY_LOG : parseConfigLog(entry.value);
 }
 
-async function readPages(kv: KvClient): Promise<readonly ConfigPage[]> {
-    const pages: ConfigPage[] = [];
+async function readPages(kv: KvClient): Promise<ReadonlyMap<number, ConfigPage>> {
+    const pages = new Map<number, ConfigPage>();
     for (let start = 0; start < PAGE_COUNT; start += PARALLEL_READS) {
         const numbers = Array.from({ length: PARALLEL_READS }, (unused, at) => start + at);
-        pages.push(...await Promise.all(numbers.map(number => readPage(kv, number))));
+        await Promise.all(numbers.map(async number => {
+            const entry = await kv.read("config", formatPageKey(number));
+            if (entry !== undefined) {
+                pages.set(number, parseConfigPage(entry.value));
+            }
+        }));
     }
     return pages;
 }
-
-async function readPage(kv: KvClient, number: number): Promise<ConfigPage> {
-    const entry = await kv.read("config", formatPageKey(number));
-    return entry === undefined ? EMPTY_PAGE : parseConfigPage(entry.value);
-}
-
-function padPages(pages: readonly ConfigPage[]): readonly ConfigPage[] {
-    return Array.from({ length: PAGE_COUNT }, (unused, number) => pages[number] ?? EMPTY_PAGE);
-}
