--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -12,15 +12,24 @@
 import { startMembershipTask } from "@fulmarcleat/membership";
 import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
 import type { OwnableEngine } from "@fulmarcleat/ownership";
+import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
+import type { PolicyDecisions } from "@fulmarcleat/placement";
 import { readPolicy } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
-import type { Empty, PeerHello, PlaceAsk, PlaceReply, StatusReply } from "@fulmarcleat/wire";
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type {
+    Empty,
+    PeerHello,
+    PlaceAsk,
+    PlaceReply,
+    PlacesHeldAsk,
+    PlacesHeldReply,
+    StatusReply,
+} from "@fulmarcleat/wire";
 import { buildOfferIndex } from "./buildOfferIndex.js";
 import type { ConfiguredEngine } from "./buildOfferIndex.js";
 import { createCallerHandler } from "./createCallerHandler.js";
+import { createCallerServer } from "./createCallerServer.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
 import { fetchConfig } from "./fetchConfig.js";
@@ -51,18 +60,22 @@
  * Starts a gateway with all its tasks.
  *
  * @param cfg - Checked settings
+ * @param decisions - The policy's decisions
  * @returns the running gateway
  *
  * @example
  * const gateway = await startGateway(await loadSettings(gatewaySettingsSchema, file));
  */
-export async function startGateway(cfg: GatewaySettings): Promise<Gateway> {
+export async function startGateway(
+    cfg: GatewaySettings,
+    decisions: PolicyDecisions = FULMARCLEAT_DECISIONS,
+): Promise<Gateway> {
     const clock = createSystemClock();
     const metrics = createMetrics();
     const log: EventLog = createEventLog({ process: `gateway ${cfg.host}`, level: cfg.logLevel as 3 });
     const hash = await createHasher();
     const incarnation = createId<Incarnation>();
-    const decisions = createDecisionLog(MAX_DECISIONS);
+    const decisionLog = createDecisionLog(MAX_DECISIONS);
     const kv = createKvClient({ driver: createEtcdKv(cfg.kv), clock, metrics, log, resolveMs: cfg.kv.timeoutMs * 2 });
     const peers = createPeerClient({
         host: cfg.host,
@@ -94,6 +107,7 @@
             url: entry.url,
             connectTimeoutMs: cfg.connectTimeoutMs,
             silenceMs: cfg.streamSilenceMs,
+            openTimeoutMs: cfg.openTimeoutMs,
         });
         drivers.set(entry.engine, { url: entry.url, driver });
         return driver;
@@ -142,7 +156,7 @@
             requestId: RequestId | undefined;
         },
     ): void =>
-        decisions.record({
+        decisionLog.record({
             atMs: clock.wallMs(),
             host: cfg.host,
             step: decision.step,
@@ -150,16 +164,24 @@
             adapter: decision.adapter,
             requestId: decision.requestId,
         });
+    const replicaCounts = new Map<string, number>();
     const chooseReplicas = (ask: PlaceAsk, ratePerSecond: number): readonly EngineId[] => {
         const adapter = index.findAdapter(ask.adapter);
         const engines = adapter === undefined
             ? [ask.engine]
             : index.listEngines(adapter.spec.baseModel).filter(entry => !entry.draining).map(entry => entry.engine);
-        const wanted = Math.min(
-            engines.length,
-            Math.max(1, Math.ceil(ratePerSecond / readPolicy(config.snapshot).replicaRate)),
-        );
-        return rankByRendezvous(hash, `${ask.adapter}@${ask.version}`, engines).slice(0, wanted);
+        const model = `${ask.adapter}@${ask.version}`;
+        const wanted = decisions.countReplicas({
+            engines: engines.length,
+            replicas: replicaCounts.get(model) ?? 1,
+            ratePerSecond,
+            replicaRate: readPolicy(config.snapshot).replicaRate,
+        });
+        replicaCounts.delete(model);
+        if (wanted > 1) {
+            replicaCounts.set(model, wanted);
+        }
+        return rankByRendezvous(hash, model, engines).slice(0, wanted);
     };
     const askPeer = (host: HostId) => {
         const member = membership.find(host);
@@ -182,6 +204,7 @@
             burst: BURST_LOADS,
         };
     };
+    const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
     const ownership = startOwnershipTask({
         host: cfg.host,
         incarnation,
@@ -197,20 +220,32 @@
         leaseMs: cfg.leaseMs,
         listEngines: () => listOwnable(index.engines, readPolicy(config.snapshot), ensureDriver),
         listHosts: () => membership.liveHosts,
+        listHolders: () => membership.members.map(member => member.host),
+        findAnnounced: engine => findAnnounced(engine),
+        isSessionTrusted: () => session.isTrusted(),
+        sessionOpenedMs: () => session.openedMs,
         askHeld: (host, ask) =>
             host === cfg.host
-                ? Promise.resolve(router.describeHeld(ask))
+                ? Promise.resolve(describeHeld(ask))
                 : peers.ask(askPeer(host), "placesHeld", ask, cfg.silenceMs),
         chooseReplicas,
+        decisions,
+        popularity: createPopularityTable(DEFAULT_POPULARITY),
         recordDecision,
     });
+    const findAnnounced = (engine: EngineId): HostId | undefined =>
+        membership.members.find(member =>
+            member.host !== cfg.host && member.state !== "silent" && member.ownedEngines.includes(engine)
+        )?.host;
     const findOwner = (engine: EngineId): HostId | undefined => {
         if (ownership.find(engine)?.state.phase === "owned") {
             return cfg.host;
         }
-        return membership.members.find(member =>
-            member.host !== cfg.host && member.state !== "silent" && member.ownedEngines.includes(engine)
-        )?.host;
+        return findAnnounced(engine);
+    };
+    const describeHeld = (ask: PlacesHeldAsk): PlacesHeldReply => {
+        ownership.fenceSeen(ask.engine, ask.fence);
+        return router.describeHeld(ask);
     };
     const answerPlace = (ask: PlaceAsk): Promise<PlaceReply> => {
         const task = ownership.find(ask.engine);
@@ -226,6 +261,8 @@
         metrics,
         listEngines: offered => index.listEngines(offered.baseModel),
         findOwner,
+        lookUpOwner: engine => ownership.lookUpOwner(engine),
+        decisions,
         ask: (owner, ask) =>
             owner === cfg.host ? answerPlace(ask) : peers.ask(askPeer(owner), "place", ask, ask.waitMs + cfg.silenceMs),
         end: async (owner, end) => {
@@ -259,15 +296,14 @@
                 ownership.find(ask.engine)?.end(ask);
                 return Promise.resolve(DONE);
             },
-            placesHeld: ask => Promise.resolve(router.describeHeld(ask)),
+            placesHeld: ask => Promise.resolve(describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
             configPush: ask => Promise.resolve(config.takePush(ask)),
             configFetch: ask => Promise.resolve(config.answerFetch(ask)),
-            explain: ask => Promise.resolve({ decisions: decisions.find(ask) }),
+            explain: ask => Promise.resolve({ decisions: decisionLog.find(ask) }),
         },
     });
-    const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
-    const server = createServer(createCallerHandler({
+    const handler = createCallerHandler({
         readIndex: () => index,
         readPolicy: () => readPolicy(config.snapshot),
         router,
@@ -278,6 +314,7 @@
         maxBodyBytes: cfg.maxBodyBytes,
         bodyTimeoutMs: cfg.bodyTimeoutMs,
         isReady: () => config.complete && !leaving,
+        isLeaving: () => leaving,
         recordStep: (requestId, generation, step, detail) =>
             recordDecision({ step, detail, requestId, adapter: generation?.offered.adapter }),
         claim: () =>
@@ -290,13 +327,37 @@
                     retryAfterMs: 1000,
                 }),
             ),
-    }));
-    await new Promise<void>(resolve => server.listen(cfg.callers.port, cfg.callers.host, resolve));
-    const { port } = server.address() as AddressInfo;
-    log.write("info", 100, { host: cfg.host, callers: port, peers: peerServer.port });
+    });
+    const server = await createCallerServer({
+        listen: cfg.callers,
+        handler,
+        metrics,
+        headersTimeoutMs: cfg.headersTimeoutMs,
+    });
+    log.write("info", 100, { host: cfg.host, callers: server.url, peers: peerServer.port });
+    const stopOnce = async (): Promise<void> => {
+        leaving = true;
+        log.write("info", 102, { host: cfg.host });
+        await membership.announce();
+        const closed = server.close();
+        await ownership.release();
+        await membership.announce();
+        await closed;
+        ownership.stop();
+        await session.stop();
+        membership.stop();
+        spread.stop();
+        config.stop();
+        peers.close();
+        await peerServer.close();
+        await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
+        await kv.close();
+        log.write("info", 103, { host: cfg.host });
+    };
+    let stopping: Promise<void> | undefined;
     return {
         host: cfg.host,
-        url: `http://${cfg.callers.host}:${port}`,
+        url: server.url,
         peerPort: peerServer.port,
         metrics,
         configReached: seq =>
@@ -314,26 +375,7 @@
             }),
         describeUnfinished: () => `${router.heldCount} running answers`,
         ready: Promise.all([config.ready, membership.ready]).then(() => undefined),
-        async stop() {
-            leaving = true;
-            log.write("info", 102, { host: cfg.host });
-            await membership.announce();
-            await new Promise<void>(resolve => {
-                server.close(() => resolve());
-                server.closeIdleConnections();
-            });
-            await ownership.release();
-            ownership.stop();
-            await session.stop();
-            membership.stop();
-            spread.stop();
-            config.stop();
-            peers.close();
-            await peerServer.close();
-            await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
-            await kv.close();
-            log.write("info", 103, { host: cfg.host });
-        },
+        stop: () => stopping ??= stopOnce(),
     };
 }
 
--- a/packages/spec/src/checkedSpecifications.ts
+++ b/packages/spec/src/checkedSpecifications.ts
@@ -1,5 +1,9 @@
+import { CHECKED_IDEMPOTENCY } from "./checkedIdempotency.js";
 import { CONFIG_SPECIFICATIONS } from "./configSpecifications.js";
 import type { CheckedSpecification } from "./specification.js";
 
 /** Every specification that `check:model` explores. */
-export const CHECKED_SPECIFICATIONS: readonly CheckedSpecification[] = [...CONFIG_SPECIFICATIONS];
+export const CHECKED_SPECIFICATIONS: readonly CheckedSpecification[] = [
+    ...CHECKED_IDEMPOTENCY,
+    ...CONFIG_SPECIFICATIONS,
+];
