Drive a deployment from the command line; race writers and take hosts away

Cause: operators had no command, and no test raced them or took the key-value service from a starting host. Change: fulmarcleatctl (apply, get, list, diff, watch, delete, drain, wait, explain, history, status) with documented exit codes; scenarios for racing writers over two APIs with lost replies and a replaced API, for a start from peers, for compaction, and for pushes from one watching host. A lost reply no longer makes the committer refuse what arrives meanwhile.

--- /dev/null
+++ b/features/ctl.steps.ts
@@ -0,0 +1,63 @@
+import { runCtl } from "@fulmarcleat/ctl";
+import { FLEET_OPERATOR_TOKEN } from "@fulmarcleat/fleet";
+import { After, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { ApiWorld } from "./apiWorld.js";
+import type { FleetWorld } from "./fleetWorld.js";
+import "./fleetWorld.js";
+
+interface CtlWorld extends FleetWorld, ApiWorld {
+    folder?: string;
+    written?: string;
+    told?: string;
+}
+
+Given("a ctl file {string} with:", async function(this: CtlWorld, name: string, text: string) {
+    this.folder ??= await mkdtemp(join(tmpdir(), "fulmarcleatctl-"));
+    await writeFile(join(this.folder, name), text);
+});
+
+Given("the operators' API has stopped", async function(this: CtlWorld) {
+    await this.api?.stop();
+});
+
+When("ctl runs {string} it ends with {int}", async function(this: CtlWorld, command: string, exit: number) {
+    strictEqual(await run(this, command), exit, `${this.written}\n${this.told}`);
+});
+
+Then("ctl wrote {string}", function(this: CtlWorld, part: string) {
+    ok(this.written?.includes(part), this.written);
+});
+
+Then("ctl told {string}", function(this: CtlWorld, part: string) {
+    ok(this.told?.includes(part), this.told);
+});
+
+Then("ctl explains the last answer with a step of {string}", async function(this: CtlWorld, host: string) {
+    const requestId = this.answers.at(-1)?.headers.get("x-request-id") ?? "";
+    strictEqual(await run(this, `explain request ${requestId}`), 0, this.told);
+    ok(this.written?.includes(host), this.written);
+});
+
+After(async function(this: CtlWorld) {
+    if (this.folder !== undefined) {
+        await rm(this.folder, { recursive: true });
+    }
+});
+
+async function run(world: CtlWorld, command: string): Promise<number> {
+    const written: string[] = [];
+    const told: string[] = [];
+    const argv = command.split(" ").map(part => part.endsWith(".jsonc") ? join(world.folder ?? "", part) : part);
+    const exit = await runCtl(argv, {
+        env: { FULMARCLEAT_SERVER: world.api?.url, FULMARCLEAT_TOKEN: FLEET_OPERATOR_TOKEN },
+        write: line => written.push(line),
+        tell: line => told.push(line),
+        signal: new AbortController().signal,
+    });
+    world.written = written.join("\n");
+    world.told = told.join("\n");
+    return exit;
+}
--- a/packages/config/src/createCommitter.ts
+++ b/packages/config/src/createCommitter.ts
@@ -68,6 +68,7 @@
     let isRunning = false;
     let known: LogEntry | undefined;
     let isCompacting = false;
+    let isAway = false;
     const compact = async (): Promise<void> => {
         if (isCompacting) {
             return;
@@ -101,9 +102,11 @@
             const batch = waiting.splice(0, MAX_BATCH);
             try {
                 await write(batch);
+                isAway = false;
             }
             catch (err) {
                 known = undefined;
+                isAway = true;
                 const failure = toServeError(err, AWAY);
                 batch.forEach(item => item.reject(failure));
             }
@@ -112,7 +115,7 @@
     return {
         commit: (by, decide) =>
             new Promise((resolve, reject) => {
-                if (isRunning && !options.kv.available) {
+                if (isRunning && isAway) {
                     reject(new ServeError("the key-value service is away; nothing was changed", AWAY));
                     return;
                 }
--- /dev/null
+++ b/packages/ctl/src/formatTable.feature
@@ -0,0 +1,10 @@
+Feature: formatTable
+
+    Scenario Outline: formatTable of <args>
+        Then formatTable of <args> gives <result>
+
+        Examples:
+            | args                                 | result                      |
+            | [[["NAME","V"],["levy","7"]]]        | ["NAME  V","levy  7"]       |
+            | [[["N","VERSION"],["levy",""]]]      | ["N     VERSION","levy"]    |
+            | [[]]                                 | []                          |
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export { CTL_EXIT } from "./ctlCommand.js";
+export type { CtlExit } from "./ctlCommand.js";
+export { runCtl } from "./runCtl.js";
+export type { CtlSurroundings } from "./runCtl.js";
