--- a/features/faultFleet.ts
+++ b/features/faultFleet.ts
@@ -1,6 +1,6 @@
 import { commitChange } from "@fulmarcleat/config";
 import { FLEET_BASE_MODEL, startFleet, startGatewayWorker } from "@fulmarcleat/fleet";
-import type { Fleet, GatewayWorker } from "@fulmarcleat/fleet";
+import type { Fleet } from "@fulmarcleat/fleet";
 import { brandId } from "@fulmarcleat/ids";
 import type { OperatorName } from "@fulmarcleat/ids";
 import { hashSecret, resourceSchema } from "@fulmarcleat/resources";
