Explore ownership with eviction over the production reducers, with ten named defects

Cause: nothing showed that the reducers hold under late orders, pauses and takeovers. Change: ownershipSpecification with two owners, a gateway and an engine; the harness may stop at the first violation, for defects, and keeps each state's key instead of writing it twice.

--- a/packages/spec/src/checkedSpecifications.ts
+++ b/packages/spec/src/checkedSpecifications.ts
@@ -1,4 +1,5 @@
+import { OWNERSHIP_SPECIFICATIONS } from "./exploreOwnership.js";
 import type { CheckedSpecification } from "./specification.js";
 
 /** Every specification that `check:model` explores. */
-export const CHECKED_SPECIFICATIONS: readonly CheckedSpecification[] = [];
+export const CHECKED_SPECIFICATIONS: readonly CheckedSpecification[] = [...OWNERSHIP_SPECIFICATIONS];
--- a/packages/spec/src/exploreSpecification.ts
+++ b/packages/spec/src/exploreSpecification.ts
@@ -2,6 +2,12 @@
 import { getAdjacencyMap } from "xstate/graph";
 import type { Exploration, Specification, Violation } from "./specification.js";
 
+/** How far to explore. */
+export interface ExplorationOptions {
+    /** Ends with the first violation, for a defect that is to be found. */
+    readonly stopAtFirst?: boolean;
+}
+
 interface VisitedState<State> {
     readonly state: State;
     readonly targets: readonly { readonly label: string; readonly key: string }[];
@@ -22,6 +28,7 @@
  * Visits every state that a specification can reach and checks its invariants.
  *
  * @param spec - The specification
+ * @param options - Whether to stop at the first violation
  * @returns counts and violations, each with its shortest trace
  *
  * @example
@@ -29,8 +36,9 @@
  */
 export function exploreSpecification<State extends object, Event extends { readonly type: string }>(
     spec: Specification<State, Event>,
+    options: ExplorationOptions = {},
 ): Exploration {
-    const graph = readGraph(spec);
+    const graph = readGraph(spec, options);
     const visits = walk(graph, JSON.stringify(spec.initial));
     const violations: Violation[] = [];
     let transitions = 0;
@@ -57,11 +65,23 @@
 
 function readGraph<State extends object, Event extends { readonly type: string }>(
     spec: Specification<State, Event>,
+    { stopAtFirst = false }: ExplorationOptions,
 ): ReadonlyMap<string, VisitedState<State>> {
+    let isFound = false;
+    const listEvents = (state: State): readonly Event[] => {
+        isFound ||= stopAtFirst && spec.invariants.some(invariant => invariant.check(state) !== undefined);
+        return isFound ? [] : spec.listEvents(state);
+    };
     const logic = fromTransition((state: State, event: Event) => spec.step(state, event), spec.initial);
+    const keys = new WeakMap<State, string>();
+    const keyOf = (state: State): string => {
+        const key = keys.get(state) ?? JSON.stringify(state);
+        keys.set(state, key);
+        return key;
+    };
     const adjacency = getAdjacencyMap(logic, {
-        events: snapshot => [...spec.listEvents(snapshot.context)],
-        serializeState: snapshot => JSON.stringify(snapshot.context) as never,
+        events: snapshot => [...listEvents(snapshot.context)],
+        serializeState: snapshot => keyOf(snapshot.context) as never,
         serializeEvent: event => JSON.stringify(event) as never,
         limit: spec.limit,
     });
@@ -69,7 +89,7 @@
     for (const [key, entry] of Object.entries(adjacency)) {
         const targets = Object.values(entry.transitions as Record<string, GraphEdge<State, Event>>).map(target => ({
             label: JSON.stringify(target.event),
-            key: JSON.stringify(target.state.context),
+            key: keyOf(target.state.context),
         }));
         graph.set(key, { state: entry.state.context, targets });
     }
