--- a/packages/fleet/src/startFleet.ts
+++ b/packages/fleet/src/startFleet.ts
@@ -1,3 +1,5 @@
+import { apiSettingsSchema, startApi } from "@fulmarcleat/api";
+import type { Api } from "@fulmarcleat/api";
 import { commitChange } from "@fulmarcleat/config";
 import { createEtcdKv } from "@fulmarcleat/drivers";
 import { createEventLog, createMetrics } from "@fulmarcleat/events";
@@ -7,7 +9,8 @@
 import type { OperatorName } from "@fulmarcleat/ids";
 import { createKvClient } from "@fulmarcleat/kv";
 import type { KvClient } from "@fulmarcleat/kv";
-import { resourceSchema } from "@fulmarcleat/resources";
+import type { PolicyDecisions } from "@fulmarcleat/placement";
+import { hashSecret, resourceSchema } from "@fulmarcleat/resources";
 import type { Resource } from "@fulmarcleat/resources";
 import {
     DEFAULT_ENGINE,
@@ -40,6 +43,8 @@
     /** Resources that are there from the start, besides the engines. */
     readonly resources?: readonly unknown[];
     readonly fencing?: "checked" | "ignored";
+    /** The policy's decisions; the system's own where undefined. */
+    readonly decisions?: PolicyDecisions;
 }
 
 /** Gateways and stand-ins that run as tasks of one process. */
@@ -51,16 +56,21 @@
     readonly engines: readonly EngineStandin[];
     readonly gateways: readonly Gateway[];
     readonly kvClient: KvClient;
+    readonly failureDomains: readonly string[];
     /** Last change that was accepted. */
     readonly changes: number;
     /** Puts resources into force, one change each. */
     apply(resources: readonly unknown[]): Promise<void>;
     startGateway(number: number): Promise<Gateway>;
+    /** Starts an operators' API whose first token is `FLEET_OPERATOR_TOKEN`. */
+    startApi(number: number, settings?: Readonly<Record<string, unknown>>): Promise<Api>;
     stop(): Promise<void>;
 }
 
 /** Key of the peers in a fleet in one process. */
 const FLEET_PEER_KEY = "fleet-in-one-process-peer-key-0123456789";
+/** Token of the first operator in a fleet in one process. */
+export const FLEET_OPERATOR_TOKEN = "fleet-operator-token";
 /** Base model of a fleet in one process. */
 export const FLEET_BASE_MODEL = "base-13b";
 
@@ -112,20 +122,24 @@
     };
     await apply([describeUpstream(options, engines), ...options.resources ?? []]);
     const start = (number: number): Promise<Gateway> =>
-        startGateway(gatewaySettingsSchema.parse({
-            host: `entry-${number}`,
-            failureDomain: options.failureDomains[(number - 1) % options.failureDomains.length],
-            peerKey: FLEET_PEER_KEY,
-            callers: LOCAL,
-            peers: LOCAL,
-            kv: { url: kv.url },
-            hostList: { url: hosts.url },
-            logLevel: 0,
-            helloMs: 200,
-            claimMs: 200,
-            reportMs: 200,
-            ...options.gateway,
-        }));
+        startGateway(
+            gatewaySettingsSchema.parse({
+                host: `entry-${number}`,
+                failureDomain: options.failureDomains[(number - 1) % options.failureDomains.length],
+                peerKey: FLEET_PEER_KEY,
+                callers: LOCAL,
+                peers: LOCAL,
+                kv: { url: kv.url },
+                hostList: { url: hosts.url },
+                logLevel: 0,
+                helloMs: 200,
+                claimMs: 200,
+                reportMs: 200,
+                ...options.gateway,
+            }),
+            options.decisions,
+        );
+    const apis: Api[] = [];
     const gateways: Gateway[] = [];
     const list = (): void =>
         hosts.setHosts(gateways.map((gateway, at) => ({
@@ -148,12 +162,29 @@
         engines,
         gateways,
         kvClient,
+        failureDomains: options.failureDomains,
         get changes() {
             return changes;
         },
         apply,
         startGateway: start,
+        async startApi(number, settings = {}) {
+            const api = await startApi(apiSettingsSchema.parse({
+                host: `api-${number}`,
+                peerKey: FLEET_PEER_KEY,
+                operators: LOCAL,
+                kv: { url: kv.url },
+                hostList: { url: hosts.url },
+                firstTokenHash: hashSecret(FLEET_OPERATOR_TOKEN),
+                logLevel: 0,
+                ...settings,
+            }));
+            apis.push(api);
+            await api.ready;
+            return api;
+        },
         async stop() {
+            await Promise.all(apis.map(api => api.stop()));
             await Promise.all(gateways.map(gateway => gateway.stop()));
             await Promise.all([...engines, kv, weights, hosts, service].map(standin => standin.close()));
             await kvClient.close();
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -12,6 +12,8 @@
 import { startMembershipTask } from "@fulmarcleat/membership";
 import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
 import type { OwnableEngine } from "@fulmarcleat/ownership";
+import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
+import type { PolicyDecisions } from "@fulmarcleat/placement";
 import { readPolicy } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
@@ -24,14 +26,15 @@
     PlacesHeldReply,
     StatusReply,
 } from "@fulmarcleat/wire";
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
 import { buildOfferIndex } from "./buildOfferIndex.js";
 import type { ConfiguredEngine } from "./buildOfferIndex.js";
 import { createCallerHandler } from "./createCallerHandler.js";
+import { createCallerServer } from "./createCallerServer.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
+import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { startConfigSpread } from "./startConfigSpread.js";
 import { startSessionTask } from "./startSessionTask.js";
 
 /** A running gateway. */
@@ -57,18 +60,22 @@
  * Starts a gateway with all its tasks.
  *
  * @param cfg - Checked settings
+ * @param decisions - The policy's decisions
  * @returns the running gateway
  *
  * @example
  * const gateway = await startGateway(await loadSettings(gatewaySettingsSchema, file));
  */
-export async function startGateway(cfg: GatewaySettings): Promise<Gateway> {
+export async function startGateway(
+    cfg: GatewaySettings,
+    decisions: PolicyDecisions = FULMARCLEAT_DECISIONS,
+): Promise<Gateway> {
     const clock = createSystemClock();
     const metrics = createMetrics();
     const log: EventLog = createEventLog({ process: `gateway ${cfg.host}`, level: cfg.logLevel as 3 });
     const hash = await createHasher();
     const incarnation = createId<Incarnation>();
-    const decisions = createDecisionLog(MAX_DECISIONS);
+    const decisionLog = createDecisionLog(MAX_DECISIONS);
     const kv = createKvClient({ driver: createEtcdKv(cfg.kv), clock, metrics, log, resolveMs: cfg.kv.timeoutMs * 2 });
     const peers = createPeerClient({
         host: cfg.host,
@@ -81,11 +88,16 @@
     const drivers = new Map<EngineId, { readonly url: string; readonly driver: EngineDriver }>();
     let leaving = false;
 
-    const config = startConfigTask({ kv, log, metrics });
-    let index = buildOfferIndex(config.snapshot);
-    config.subscribe(snapshot => {
-        index = buildOfferIndex(snapshot);
+    const config = startConfigTask({
+        kv,
+        clock,
+        log,
+        metrics,
+        fetch: ask => fetchConfig({ membership, peers, host: cfg.host, ask, timeoutMs: cfg.silenceMs }),
+        retryMs: cfg.helloMs,
     });
+    const index = buildOfferIndex(config.snapshot);
+    config.subscribe((snapshot, changes) => index.update(snapshot, changes));
     const ensureDriver = (entry: ConfiguredEngine): EngineDriver => {
         const present = drivers.get(entry.engine);
         if (present?.url === entry.url) {
@@ -95,6 +107,7 @@
             url: entry.url,
             connectTimeoutMs: cfg.connectTimeoutMs,
             silenceMs: cfg.streamSilenceMs,
+            openTimeoutMs: cfg.openTimeoutMs,
         });
         drivers.set(entry.engine, { url: entry.url, driver });
         return driver;
@@ -123,6 +136,18 @@
         describeSelf: () => describeSelf(),
         onReplaced: (host, former) => ownership.hostReplaced(host, former),
     });
+    const spread = startConfigSpread({
+        host: cfg.host,
+        failureDomain: cfg.failureDomain,
+        config,
+        membership,
+        peers,
+        clock,
+        hash,
+        metrics,
+        timeoutMs: cfg.silenceMs,
+        ...cfg.configSpread,
+    });
     const recordDecision = (
         decision: {
             step: string;
@@ -131,7 +156,7 @@
             requestId: RequestId | undefined;
         },
     ): void =>
-        decisions.record({
+        decisionLog.record({
             atMs: clock.wallMs(),
             host: cfg.host,
             step: decision.step,
@@ -139,16 +164,24 @@
             adapter: decision.adapter,
             requestId: decision.requestId,
         });
+    const replicaCounts = new Map<string, number>();
     const chooseReplicas = (ask: PlaceAsk, ratePerSecond: number): readonly EngineId[] => {
         const adapter = index.findAdapter(ask.adapter);
         const engines = adapter === undefined
             ? [ask.engine]
             : index.listEngines(adapter.spec.baseModel).filter(entry => !entry.draining).map(entry => entry.engine);
-        const wanted = Math.min(
-            engines.length,
-            Math.max(1, Math.ceil(ratePerSecond / readPolicy(config.snapshot).replicaRate)),
-        );
-        return rankByRendezvous(hash, `${ask.adapter}@${ask.version}`, engines).slice(0, wanted);
+        const model = `${ask.adapter}@${ask.version}`;
+        const wanted = decisions.countReplicas({
+            engines: engines.length,
+            replicas: replicaCounts.get(model) ?? 1,
+            ratePerSecond,
+            replicaRate: readPolicy(config.snapshot).replicaRate,
+        });
+        replicaCounts.delete(model);
+        if (wanted > 1) {
+            replicaCounts.set(model, wanted);
+        }
+        return rankByRendezvous(hash, model, engines).slice(0, wanted);
     };
     const askPeer = (host: HostId) => {
         const member = membership.find(host);
@@ -196,6 +229,8 @@
                 ? Promise.resolve(describeHeld(ask))
                 : peers.ask(askPeer(host), "placesHeld", ask, cfg.silenceMs),
         chooseReplicas,
+        decisions,
+        popularity: createPopularityTable(DEFAULT_POPULARITY),
         recordDecision,
     });
     const findAnnounced = (engine: EngineId): HostId | undefined =>
@@ -227,6 +262,7 @@
         listEngines: offered => index.listEngines(offered.baseModel),
         findOwner,
         lookUpOwner: engine => ownership.lookUpOwner(engine),
+        decisions,
         ask: (owner, ask) =>
             owner === cfg.host ? answerPlace(ask) : peers.ask(askPeer(owner), "place", ask, ask.waitMs + cfg.silenceMs),
         end: async (owner, end) => {
@@ -262,10 +298,12 @@
             },
             placesHeld: ask => Promise.resolve(describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
-            explain: ask => Promise.resolve({ decisions: decisions.find(ask) }),
+            configPush: ask => Promise.resolve(config.takePush(ask)),
+            configFetch: ask => Promise.resolve(config.answerFetch(ask)),
+            explain: ask => Promise.resolve({ decisions: decisionLog.find(ask) }),
         },
     });
-    const server = createServer(createCallerHandler({
+    const handler = createCallerHandler({
         readIndex: () => index,
         readPolicy: () => readPolicy(config.snapshot),
         router,
@@ -276,6 +314,7 @@
         maxBodyBytes: cfg.maxBodyBytes,
         bodyTimeoutMs: cfg.bodyTimeoutMs,
         isReady: () => config.complete && !leaving,
+        isLeaving: () => leaving,
         recordStep: (requestId, generation, step, detail) =>
             recordDecision({ step, detail, requestId, adapter: generation?.offered.adapter }),
         claim: () =>
@@ -288,13 +327,37 @@
                     retryAfterMs: 1000,
                 }),
             ),
-    }));
-    await new Promise<void>(resolve => server.listen(cfg.callers.port, cfg.callers.host, resolve));
-    const { port } = server.address() as AddressInfo;
-    log.write("info", 100, { host: cfg.host, callers: port, peers: peerServer.port });
+    });
+    const server = await createCallerServer({
+        listen: cfg.callers,
+        handler,
+        metrics,
+        headersTimeoutMs: cfg.headersTimeoutMs,
+    });
+    log.write("info", 100, { host: cfg.host, callers: server.url, peers: peerServer.port });
+    const stopOnce = async (): Promise<void> => {
+        leaving = true;
+        log.write("info", 102, { host: cfg.host });
+        await membership.announce();
+        const closed = server.close();
+        await ownership.release();
+        await membership.announce();
+        await closed;
+        ownership.stop();
+        await session.stop();
+        membership.stop();
+        spread.stop();
+        config.stop();
+        peers.close();
+        await peerServer.close();
+        await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
+        await kv.close();
+        log.write("info", 103, { host: cfg.host });
+    };
+    let stopping: Promise<void> | undefined;
     return {
         host: cfg.host,
-        url: `http://${cfg.callers.host}:${port}`,
+        url: server.url,
         peerPort: peerServer.port,
         metrics,
         configReached: seq =>
@@ -312,27 +375,7 @@
             }),
         describeUnfinished: () => `${router.heldCount} running answers`,
         ready: Promise.all([config.ready, membership.ready]).then(() => undefined),
-        async stop() {
-            leaving = true;
-            log.write("info", 102, { host: cfg.host });
-            await membership.announce();
-            const closed = new Promise<void>(resolve => {
-                server.close(() => resolve());
-                server.closeIdleConnections();
-            });
-            await ownership.release();
-            await membership.announce();
-            await closed;
-            ownership.stop();
-            await session.stop();
-            membership.stop();
-            config.stop();
-            peers.close();
-            await peerServer.close();
-            await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
-            await kv.close();
-            log.write("info", 103, { host: cfg.host });
-        },
+        stop: () => stopping ??= stopOnce(),
     };
 }
 
--- a/packages/spec/src/checkedSpecifications.ts
+++ b/packages/spec/src/checkedSpecifications.ts
@@ -1,5 +1,9 @@
+import { CHECKED_IDEMPOTENCY } from "./checkedIdempotency.js";
 import { OWNERSHIP_SPECIFICATIONS } from "./exploreOwnership.js";
 import type { CheckedSpecification } from "./specification.js";
 
 /** Every specification that `check:model` explores. */
-export const CHECKED_SPECIFICATIONS: readonly CheckedSpecification[] = [...OWNERSHIP_SPECIFICATIONS];
+export const CHECKED_SPECIFICATIONS: readonly CheckedSpecification[] = [
+    ...CHECKED_IDEMPOTENCY,
+    ...OWNERSHIP_SPECIFICATIONS,
+];
