Share the weight store without a coordinator and by urgency

Cause: each host kept to its plain part of the store while others left theirs unused, a bulk load could take the start that an urgent one on another engine of the host waited for, and popularity was forgotten with each eviction. Change: hosts step their pace up after quick loads and halve it after slow ones (adaptPace); the engines of a host take starts by urgency (reserveLoads); popularity outlives evictions (createPopularityTable, 200 s).

--- /dev/null
+++ b/packages/admission/src/decideAdmission.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { decideAdmission } from "./decideAdmission.js";
+
+registerTable("decideAdmission", decideAdmission);
--- /dev/null
+++ b/packages/admission/src/orderWaiting.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { orderWaiting } from "./orderWaiting.js";
+
+registerTable("orderWaiting", orderWaiting);
--- a/packages/bench/src/sendRequest.ts
+++ b/packages/bench/src/sendRequest.ts
@@ -1,6 +1,6 @@
 import type { Dispatcher } from "undici";
-import { formatModel } from "./formatModel.js";
 import type { TraceRequest } from "./createTrace.js";
+import { formatModel } from "./formatModel.js";
 
 /** What a caller of the bench got back. */
 export interface BenchAnswer {
--- a/packages/fleet/src/startFleet.ts
+++ b/packages/fleet/src/startFleet.ts
@@ -116,20 +116,23 @@
     };
     await apply([describeUpstream(options, engines), ...options.resources ?? []]);
     const start = (number: number): Promise<Gateway> =>
-        startGateway(gatewaySettingsSchema.parse({
-            host: `entry-${number}`,
-            failureDomain: options.failureDomains[(number - 1) % options.failureDomains.length],
-            peerKey: FLEET_PEER_KEY,
-            callers: LOCAL,
-            peers: LOCAL,
-            kv: { url: kv.url },
-            hostList: { url: hosts.url },
-            logLevel: 0,
-            helloMs: 200,
-            claimMs: 200,
-            reportMs: 200,
-            ...options.gateway,
-        }), options.decisions);
+        startGateway(
+            gatewaySettingsSchema.parse({
+                host: `entry-${number}`,
+                failureDomain: options.failureDomains[(number - 1) % options.failureDomains.length],
+                peerKey: FLEET_PEER_KEY,
+                callers: LOCAL,
+                peers: LOCAL,
+                kv: { url: kv.url },
+                hostList: { url: hosts.url },
+                logLevel: 0,
+                helloMs: 200,
+                claimMs: 200,
+                reportMs: 200,
+                ...options.gateway,
+            }),
+            options.decisions,
+        );
     const gateways: Gateway[] = [];
     const list = (): void =>
         hosts.setHosts(gateways.map((gateway, at) => ({
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -13,7 +13,7 @@
 import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
 import type { OwnableEngine } from "@fulmarcleat/ownership";
 import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
-import type { PolicyDecisions } from "@fulmarcleat/placement";
+import type { LoadShare, PolicyDecisions } from "@fulmarcleat/placement";
 import { readPolicy } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
@@ -168,12 +168,13 @@
         }
         return member;
     };
-    const share = (): { loadsPerSecond: number; maxInTransit: number; burst: number } => {
+    const share = (): LoadShare => {
         const policy = readPolicy(config.snapshot);
         const part = ownership.owned.length / Math.max(1, index.engines.length);
         return {
             loadsPerSecond: policy.storeLoadsPerSecond * part,
             maxInTransit: Math.max(1, Math.floor(policy.storeMaxInTransit * part)),
+            maxFactor: part === 0 ? 1 : 1 / part,
             burst: BURST_LOADS,
         };
     };
--- a/packages/ownership/src/createLoadBudgetTask.ts
+++ b/packages/ownership/src/createLoadBudgetTask.ts
@@ -1,6 +1,6 @@
-import type { Clock } from "@fulmarcleat/ids";
-import { countAllowedLoads, refillBudget } from "@fulmarcleat/placement";
-import type { LoadBudget, LoadShare } from "@fulmarcleat/placement";
+import type { Clock, EngineId } from "@fulmarcleat/ids";
+import { adaptPace, countAllowedLoads, INITIAL_PACE, refillBudget, reserveLoads } from "@fulmarcleat/placement";
+import type { LoadBudget, LoadDemand, LoadShare } from "@fulmarcleat/placement";
 import type { LoadBudgetTask } from "./loadBudgetTask.js";
 
 /**
@@ -14,17 +14,32 @@
  * const budget = createLoadBudgetTask(clock, () => share);
  */
 export function createLoadBudgetTask(clock: Clock, readShare: () => LoadShare): LoadBudgetTask {
+    const demands = new Map<EngineId, LoadDemand<EngineId>>();
     let budget: LoadBudget = { tokens: 1, atMs: clock.nowMs(), inTransit: 0 };
+    let pace = INITIAL_PACE;
+    const readPaced = (): LoadShare => {
+        const share = readShare();
+        return { ...share, loadsPerSecond: share.loadsPerSecond * Math.min(pace.factor, share.maxFactor) };
+    };
     return {
-        allowed() {
-            budget = refillBudget(budget, readShare(), clock.nowMs());
-            return countAllowedLoads(budget, readShare());
+        allowed(engine, readRank) {
+            const share = readPaced();
+            budget = refillBudget(budget, share, clock.nowMs());
+            const rank = readRank();
+            if (rank === undefined) {
+                demands.delete(engine);
+                return 0;
+            }
+            const own: LoadDemand<EngineId> = { engine, rank, atMs: clock.nowMs() };
+            demands.set(engine, own);
+            return reserveLoads(countAllowedLoads(budget, share), own, [...demands.values()]);
         },
         started() {
             budget = { ...budget, tokens: budget.tokens - 1, inTransit: budget.inTransit + 1 };
         },
-        ended() {
+        ended(loadMs) {
             budget = { ...budget, inTransit: budget.inTransit - 1 };
+            pace = adaptPace(pace, loadMs, readShare().maxFactor);
         },
     };
 }
--- a/packages/ownership/src/engineMessage.ts
+++ b/packages/ownership/src/engineMessage.ts
@@ -1,5 +1,13 @@
 import type { EngineReport, OrderResult } from "@fulmarcleat/drivers";
-import type { AdapterName, AdapterVersion, CallerName, HostId, Incarnation, InstanceName, PlaceId } from "@fulmarcleat/ids";
+import type {
+    AdapterName,
+    AdapterVersion,
+    CallerName,
+    HostId,
+    Incarnation,
+    InstanceName,
+    PlaceId,
+} from "@fulmarcleat/ids";
 import type { PolicyDecisions } from "@fulmarcleat/placement";
 import type { PlaceUse } from "@fulmarcleat/wire";
 import type { EngineLimits, Waiting } from "./engineState.js";
--- a/packages/ownership/src/serveWaiting.ts
+++ b/packages/ownership/src/serveWaiting.ts
@@ -1,8 +1,8 @@
-import { FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
+import { decayRate, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
 import type { EngineEffect, EngineStep } from "./engineEffect.js";
 import type { EngineContext } from "./engineMessage.js";
 import type { EngineState, Instance, Place, Waiting } from "./engineState.js";
-import { decayRate } from "@fulmarcleat/placement";
+import { formatModel } from "./listUnloaded.js";
 import { startLoads } from "./startLoads.js";
 
 /** Places beyond the batch, so that a slot of the batch is refilled as soon as it is free. */
@@ -92,10 +92,6 @@
     };
 }
 
-function formatModel({ adapter, version }: Pick<Waiting, "adapter" | "version">): string {
-    return `${adapter}@${version}`;
-}
-
 function createGrant(
     state: EngineState,
     waiting: Waiting,
--- a/packages/ownership/src/startEngineTask.ts
+++ b/packages/ownership/src/startEngineTask.ts
@@ -10,6 +10,7 @@
 import type { EngineContext, EngineMessage } from "./engineMessage.js";
 import type { EngineLimits, EngineState } from "./engineState.js";
 import type { LoadBudgetTask } from "./loadBudgetTask.js";
+import { readLoadRank } from "./readLoadRank.js";
 import { reduceEngine } from "./reduceEngine.js";
 
 /** Settings of the task that owns one engine. */
@@ -72,10 +73,11 @@
     let cancelReport: CancelTimer = () => undefined;
 
     const send = (message: EngineMessage): void => {
-        const loadsAllowed = options.budget.allowed();
         const nowMs = clock.nowMs();
+        const loadsAllowed = options.budget.allowed(engine, () => readLoadRank(addAsked(state, message), nowMs));
         const { decisions, popularity } = options;
-        const readRate: EngineContext["readRate"] = (adapter, version) => popularity.rate(`${adapter}@${version}`, nowMs);
+        const readRate: EngineContext["readRate"] = (adapter, version) =>
+            popularity.rate(`${adapter}@${version}`, nowMs);
         const step = reduceEngine(state, message, { nowMs, loadsAllowed, decisions, readRate });
         state = step.state;
         step.effects.forEach(run);
@@ -129,9 +131,10 @@
         });
     };
     const load = async (effect: Extract<EngineEffect, { kind: "load" }>): Promise<void> => {
+        const startedMs = clock.nowMs();
         options.budget.started();
         const result = await driver.load(effect, AbortSignal.timeout(options.orderMs)).catch(() => undefined);
-        options.budget.ended();
+        options.budget.ended(clock.nowMs() - startedMs);
         const isDone = result?.kind === "done";
         metrics.count(isDone ? "loads_total" : "load_failures_total", { engine });
         log.write(isDone ? "info" : "warn", isDone ? 303 : 304, { engine, instance: effect.instance });
@@ -187,6 +190,10 @@
     };
 }
 
+function addAsked(state: EngineState, message: EngineMessage): EngineState {
+    return message.kind === "ask" ? { ...state, waiting: [...state.waiting, message.waiting] } : state;
+}
+
 function describe(state: EngineState, options: EngineTaskOptions): EngineStatus {
     return {
         engine: state.engine,
--- a/packages/ownership/src/startLoads.ts
+++ b/packages/ownership/src/startLoads.ts
@@ -1,16 +1,11 @@
-import { rankWaiting } from "@fulmarcleat/admission";
 import { decayRate, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
-import type { LoadCandidate } from "@fulmarcleat/placement";
 import { canEvict } from "./canEvict.js";
 import { countPins } from "./countPins.js";
 import type { EngineEffect, EngineStep } from "./engineEffect.js";
 import type { EngineContext } from "./engineMessage.js";
 import type { EngineState, Instance, Waiting } from "./engineState.js";
 import { formatInstanceName } from "./formatInstanceName.js";
-
-interface UnloadedModel extends LoadCandidate {
-    readonly first: Waiting;
-}
+import { formatModel, listUnloaded } from "./listUnloaded.js";
 
 /**
  * Starts loads for the requests that wait, and evicts to make room, within the budget.
@@ -34,7 +29,7 @@
     const effects: EngineEffect[] = [];
     let next = state;
     let promised = unloading;
-    for (const { first } of orderLoads(listUnloaded(state, context))) {
+    for (const { first } of orderLoads(listUnloaded(state, context.nowMs))) {
         if (left <= 0) {
             break;
         }
@@ -52,35 +47,6 @@
     return { state: next, effects };
 }
 
-function listUnloaded(state: EngineState, { nowMs }: EngineContext): readonly UnloadedModel[] {
-    const held = new Set<string>();
-    state.instances
-        .filter(instance => instance.status !== "foreign" && instance.status !== "unloading")
-        .forEach(instance => held.add(formatModel(instance)));
-    state.backoffs.filter(backoff => backoff.untilMs > nowMs).forEach(backoff => held.add(formatModel(backoff)));
-    const models = new Map<string, UnloadedModel>();
-    for (const waiting of state.waiting) {
-        const model = formatModel(waiting);
-        if (held.has(model)) {
-            continue;
-        }
-        const known = models.get(model);
-        const rank = rankWaiting(waiting, { nowMs, agingMs: state.limits.agingMs });
-        models.set(model, {
-            first: known?.first ?? waiting,
-            rank: Math.min(rank, known?.rank ?? rank),
-            waiting: (known?.waiting ?? 0) + 1,
-            waitingUrgent: (known?.waitingUrgent ?? 0) + (waiting.priority === "urgent" ? 1 : 0),
-            oldestMs: Math.min(waiting.arrivedMs, known?.oldestMs ?? waiting.arrivedMs),
-        });
-    }
-    return [...models.values()];
-}
-
-function formatModel({ adapter, version }: Pick<Waiting, "adapter" | "version">): string {
-    return `${adapter}@${version}`;
-}
-
 function addLoading(
     state: EngineState,
     waiting: Waiting,
--- /dev/null
+++ b/packages/placement/src/chooseVictim.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { chooseVictim } from "./chooseVictim.js";
+
+registerTable("chooseVictim", chooseVictim);
--- /dev/null
+++ b/packages/placement/src/countAllowedLoads.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { countAllowedLoads } from "./countAllowedLoads.js";
+
+registerTable("countAllowedLoads", countAllowedLoads);
--- a/packages/placement/src/createPopularityTable.ts
+++ b/packages/placement/src/createPopularityTable.ts
@@ -31,8 +31,8 @@
 export const DEFAULT_POPULARITY: PopularityOptions = {
     limit: 4096,
     recentMs: 15_000,
-    longMs: 300_000,
-    recentShare: 0.3,
+    longMs: 200_000,
+    recentShare: 0.05,
 };
 
 /**
--- a/packages/placement/src/decayRate.ts
+++ b/packages/placement/src/decayRate.ts
@@ -5,7 +5,7 @@
 }
 
 /** Time in which a rate fades to a share of 1/e, in milliseconds. */
-export const RATE_DECAY_MS = 30_000;
+export const RATE_DECAY_MS = 10_000;
 
 const MS_PER_SECOND = 1000;
 
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,3 +1,5 @@
+export { adaptPace, INITIAL_PACE } from "./adaptPace.js";
+export type { LoadPace } from "./adaptPace.js";
 export { chooseEngine } from "./chooseEngine.js";
 export type { EngineCandidate } from "./chooseEngine.js";
 export { chooseVictim } from "./chooseVictim.js";
@@ -15,3 +17,5 @@
 export type { LoadCandidate } from "./orderLoads.js";
 export type { PolicyDecisions } from "./policyDecisions.js";
 export { refillBudget } from "./refillBudget.js";
+export { reserveLoads } from "./reserveLoads.js";
+export type { LoadDemand } from "./reserveLoads.js";
--- a/packages/placement/src/loadBudget.ts
+++ b/packages/placement/src/loadBudget.ts
@@ -9,6 +9,8 @@
 export interface LoadShare {
     readonly loadsPerSecond: number;
     readonly maxInTransit: number;
+    /** Multiple of `loadsPerSecond` at which this host would have the whole store. */
+    readonly maxFactor: number;
     /** Starts that may be saved up. */
     readonly burst: number;
 }
--- /dev/null
+++ b/packages/placement/src/orderLoads.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { orderLoads } from "./orderLoads.js";
+
+registerTable("orderLoads", orderLoads);
--- a/packages/placement/src/policyDecisions.ts
+++ b/packages/placement/src/policyDecisions.ts
@@ -2,8 +2,8 @@
 import type { EngineId, InstanceName } from "@fulmarcleat/ids";
 import type { EngineCandidate } from "./chooseEngine.js";
 import type { ResidentInstance } from "./chooseVictim.js";
-import type { LoadCandidate } from "./orderLoads.js";
 import type { ReplicaState } from "./countReplicas.js";
+import type { LoadCandidate } from "./orderLoads.js";
 
 /**
  * The decisions that a policy may vary. Each sees only what safety allows: an instance that is held
--- /dev/null
+++ b/packages/placement/src/reserveLoads.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { reserveLoads } from "./reserveLoads.js";
+
+registerTable("reserveLoads", reserveLoads);
