Read an engine's stream with less work for each token

Cause: each token was checked by a schema library and passed through three async generators. Change: readToken checks by hand, one generator reads the stream. Ran: features/path-streams.feature, packages/drivers/src/readToken.feature.

--- a/packages/drivers/src/createHttpEngine.ts
+++ b/packages/drivers/src/createHttpEngine.ts
@@ -2,7 +2,6 @@
 import { brandId } from "@fulmarcleat/ids";
 import type { Incarnation, InstanceName, RequestId } from "@fulmarcleat/ids";
 import { createParser } from "eventsource-parser";
-import type { EventSourceMessage } from "eventsource-parser";
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
 import { z } from "zod";
@@ -16,6 +15,7 @@
     StreamResult,
 } from "./engineDriver.js";
 import { isUnsent } from "./isUnsent.js";
+import { readToken } from "./readToken.js";
 
 /** Settings of the connection to one engine. */
 export interface HttpEngineOptions {
@@ -44,14 +44,6 @@
     batchSlots: z.number(),
     adapterPlaces: z.number(),
 });
-const chunkSchema = z.object({
-    model: z.string(),
-    choices: z.array(z.object({
-        text: z.string().optional(),
-        delta: z.object({ content: z.string().nullish() }).optional(),
-        finish_reason: z.enum(["stop", "length"]).nullish(),
-    })).min(1),
-});
 const refusalSchema = z.object({ error: z.object({ code: z.string().default(""), message: z.string().default("") }) });
 
 /**
@@ -207,14 +199,26 @@
     finish: () => void,
 ): AsyncGenerator<EngineToken> {
     const details = { step: "read stream", peer: options.url, outcome: "ran" } as const;
+    const decoder = new TextDecoder();
+    let ready: EngineToken[] = [];
     let ended = false;
-    try {
-        for await (const event of readEvents(res.body)) {
+    const parser = createParser({
+        onEvent(event) {
             if (event.data === END_OF_STREAM) {
                 ended = true;
-                continue;
+                return;
+            }
+            ready.push(readToken(event.id ?? "", event.data));
+        },
+    });
+    try {
+        for await (const chunk of res.body) {
+            parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
+            const tokens = ready;
+            ready = [];
+            for (const token of tokens) {
+                yield token;
             }
-            yield readToken(event);
         }
     }
     catch (cause) {
@@ -229,29 +233,6 @@
     }
 }
 
-async function* readEvents(bytes: AsyncIterable<Uint8Array>): AsyncGenerator<EventSourceMessage> {
-    const decoder = new TextDecoder();
-    let ready: EventSourceMessage[] = [];
-    const parser = createParser({ onEvent: event => ready.push(event) });
-    for await (const chunk of bytes) {
-        parser.feed(decoder.decode(chunk, { stream: true }));
-        const events = ready;
-        ready = [];
-        yield* events;
-    }
-}
-
-function readToken(event: EventSourceMessage): EngineToken {
-    const chunk = chunkSchema.parse(JSON.parse(event.data));
-    const choice = chunk.choices[0];
-    return {
-        index: Number(event.id),
-        text: choice?.text ?? choice?.delta?.content ?? "",
-        instance: brandId<InstanceName>(chunk.model),
-        finishReason: choice?.finish_reason ?? undefined,
-    };
-}
-
 async function readReport(
     dispatcher: Dispatcher,
     options: HttpEngineOptions,
--- /dev/null
+++ b/packages/drivers/src/readToken.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { readToken } from "./readToken.js";
+
+registerTable("readToken", readToken);
