--- a/packages/spec/src/checkedSpecifications.ts
+++ b/packages/spec/src/checkedSpecifications.ts
@@ -1,9 +1,11 @@
 import { CHECKED_IDEMPOTENCY } from "./checkedIdempotency.js";
 import { CONFIG_SPECIFICATIONS } from "./configSpecifications.js";
+import { OWNERSHIP_SPECIFICATIONS } from "./exploreOwnership.js";
 import type { CheckedSpecification } from "./specification.js";
 
 /** Every specification that `check:model` explores. */
 export const CHECKED_SPECIFICATIONS: readonly CheckedSpecification[] = [
     ...CHECKED_IDEMPOTENCY,
     ...CONFIG_SPECIFICATIONS,
+    ...OWNERSHIP_SPECIFICATIONS,
 ];
