Create no error for a request that finds its place

Cause: each request created the error for an engine without an owner before it looked for one; modern-errors takes about 0.1 ms of CPU for each. Change: the error is created where it is thrown.

--- a/packages/gateway/src/createPlaceRouter.ts
+++ b/packages/gateway/src/createPlaceRouter.ts
@@ -243,12 +243,7 @@
         async acquire(need) {
             let tried: readonly EngineId[] = [];
             const ownerByMs = Math.min(need.deadlineMs, clock.nowMs() + OWNER_WAIT_MS);
-            let last = new ServeError("no engine has an owner", {
-                ...DETAILS,
-                code: "no_owner",
-                peer: "self",
-                retryAfterMs: 1000,
-            });
+            let last: ServeError | undefined;
             while (clock.nowMs() < need.deadlineMs) {
                 const engine = chooseEngine(need, tried);
                 if (engine === undefined) {
@@ -260,7 +255,7 @@
                             retryAfterMs: 1000,
                         });
                     }
-                    if (!isOwnerless(last)) {
+                    if (last !== undefined && !isOwnerless(last)) {
                         throw last;
                     }
                     tried = [];
@@ -285,7 +280,7 @@
                 }
                 options.metrics.count("retries_total", { reason: result.code });
             }
-            throw last;
+            throw last ?? createOwnerless();
         },
         release(place, use) {
             if (!held.delete(place.place)) {
@@ -310,6 +305,15 @@
     };
 }
 
+function createOwnerless(): ServeError {
+    return new ServeError("no engine has an owner", {
+        ...DETAILS,
+        code: "no_owner",
+        peer: "self",
+        retryAfterMs: 1000,
+    });
+}
+
 function isOwnerless(err: ServeError): boolean {
     return err.code === "no_owner" || err.code === "peer_failed";
 }
