Test the promises under faults alone and in pairs while engines change owners

Cause: takeover, release and pauses were not tested over running gateways. Change: a gateway can end without a goodbye; a table of 25 faults and pairs of faults, each checked from the engines' own records by checkPromises.

--- /dev/null
+++ b/features/ownership-faults.feature
@@ -0,0 +1,35 @@
+Feature: The promises hold while engines change owners and faults come, alone and in pairs
+
+    Scenario Outline: <faults>, engines that have fences <fencing>
+        Given an ownership fleet of 2 gateways and 2 engines with 2 adapter places, fences "<fencing>"
+        When 60 requests for 5 adapters come to both gateways while "<faults>"
+        Then no promise to the callers is broken
+        And requests are served again by "<served by>"
+
+        Examples:
+            | faults                              | fencing | served by |
+            | nothing fails                       | ignored | 1,2       |
+            | the leases lapse                    | ignored | 1,2       |
+            | the leases lapse                    | checked | 1,2       |
+            | the KV goes down                    | ignored | 1,2       |
+            | the KV loses replies                | ignored | 1,2       |
+            | an engine restarts                  | ignored | 1,2       |
+            | an engine restarts                  | checked | 1,2       |
+            | the loads fail                      | ignored | 1,2       |
+            | the reports lag                     | ignored | 1,2       |
+            | the engine connections go silent    | ignored | 1,2       |
+            | a gateway stops as planned          | ignored | 2         |
+            | a gateway stops as planned          | checked | 2         |
+            | a gateway fails                     | ignored | 2         |
+            | a gateway fails                     | checked | 2         |
+            | the list drops a host               | ignored | 2         |
+            | the KV goes down, an engine restarts | ignored | 1,2      |
+            | the KV goes down, the reports lag   | ignored | 1,2       |
+            | the leases lapse, the reports lag   | ignored | 1,2       |
+            | the leases lapse, the loads fail    | ignored | 1,2       |
+            | the KV loses replies, a gateway fails | checked | 2       |
+            | a gateway fails, the reports lag    | ignored | 2         |
+            | a gateway stops as planned, the reports lag | ignored | 2 |
+            | a gateway stops as planned, an engine restarts | ignored | 2 |
+            | the list drops a host, the leases lapse | ignored | 2     |
+            | the list drops a host, the leases lapse | checked | 2     |
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -44,6 +44,8 @@
     readonly peerPort: number;
     readonly metrics: Metrics;
     readonly ready: Promise<void>;
+    /** Ends at once without a word to anybody, as a host that fails does. */
+    crash(): Promise<void>;
     /** Planned stop: no new work, running answers finish, engines are given up. */
     stop(): Promise<void>;
     /** What a stop at its limit would cut off, in words. */
@@ -335,6 +337,16 @@
         headersTimeoutMs: cfg.headersTimeoutMs,
     });
     log.write("info", 100, { host: cfg.host, callers: server.url, peers: peerServer.port });
+    const closeAll = async (): Promise<void> => {
+        ownership.stop();
+        membership.stop();
+        spread.stop();
+        config.stop();
+        peers.close();
+        await peerServer.close();
+        await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
+        await kv.close();
+    };
     const stopOnce = async (): Promise<void> => {
         leaving = true;
         log.write("info", 102, { host: cfg.host });
@@ -343,15 +355,8 @@
         await ownership.release();
         await membership.announce();
         await closed;
-        ownership.stop();
         await session.stop();
-        membership.stop();
-        spread.stop();
-        config.stop();
-        peers.close();
-        await peerServer.close();
-        await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
-        await kv.close();
+        await closeAll();
         log.write("info", 103, { host: cfg.host });
     };
     let stopping: Promise<void> | undefined;
@@ -360,6 +365,12 @@
         url: server.url,
         peerPort: peerServer.port,
         metrics,
+        crash() {
+            session.abandon();
+            void server.close();
+            stopping = closeAll();
+            return stopping;
+        },
         configReached: seq =>
             new Promise(resolve => {
                 const stopWaiting = config.subscribe(snapshot => {
--- a/packages/gateway/src/startSessionTask.ts
+++ b/packages/gateway/src/startSessionTask.ts
@@ -21,6 +21,8 @@
     isTrusted(): boolean;
     /** When the present lease was taken, in milliseconds. */
     readonly openedMs: number;
+    /** Renews no more and leaves the lease to lapse. */
+    abandon(): void;
     /** Gives the lease back. */
     stop(): Promise<void>;
 }
@@ -92,6 +94,10 @@
         get openedMs() {
             return trust.openedMs;
         },
+        abandon() {
+            isStopped = true;
+            cancel();
+        },
         async stop() {
             isStopped = true;
             cancel();
--- a/packages/ownership/src/startEngineTask.ts
+++ b/packages/ownership/src/startEngineTask.ts
@@ -74,6 +74,7 @@
     const replies = new Map<string, PendingReply>();
     const stopping = new AbortController();
     let state = createEngineState(engine, options.limits);
+    let isShowingFence = false;
     let cancelTick: CancelTimer = () => undefined;
     let cancelReport: CancelTimer = () => undefined;
 
@@ -162,9 +163,14 @@
         send({ kind: "unloadAnswered", instance: effect.instance, result });
     };
     const showFence = async (effect: Extract<EngineEffect, { kind: "showFence" }>): Promise<void> => {
+        if (isShowingFence) {
+            return;
+        }
+        isShowingFence = true;
         const sentMs = clock.nowMs();
         const signal = AbortSignal.timeout(options.orderMs);
         const result = await driver.unload(effect.instance, effect.fence, signal).catch(() => undefined);
+        isShowingFence = false;
         send({ kind: "fenceAnswered", sentMs, result });
     };
     const tick = (): void => {
