--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -16,6 +16,7 @@
 import type { PolicyDecisions } from "@fulmarcleat/placement";
 import { readPolicy } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
+import { readPem, readTls } from "@fulmarcleat/settings";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
 import type {
     Empty,
@@ -34,6 +35,7 @@
 import { createPlaceRouter } from "./createPlaceRouter.js";
 import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { prepareCounters } from "./prepareCounters.js";
 import { startConfigSpread } from "./startConfigSpread.js";
 import { startSessionTask } from "./startSessionTask.js";
 
@@ -74,6 +76,7 @@
 ): Promise<Gateway> {
     const clock = createSystemClock();
     const metrics = createMetrics();
+    prepareCounters(metrics);
     const log: EventLog = createEventLog({ process: `gateway ${cfg.host}`, level: cfg.logLevel as 3 });
     const hash = await createHasher();
     const incarnation = createId<Incarnation>();
@@ -82,6 +85,7 @@
     const peers = createPeerClient({
         host: cfg.host,
         peerKey: cfg.peerKey,
+        ca: cfg.peerCaFile === undefined ? undefined : await readPem(cfg.peerCaFile),
         clock,
         metrics,
         heartbeatMs: cfg.helloMs,
@@ -288,8 +292,10 @@
         host: cfg.host,
         peerKey: cfg.peerKey,
         listen: cfg.peers,
+        tls: await readTls(cfg.peers.tls),
         clock,
         metrics,
+        log,
         silenceMs: cfg.silenceMs,
         handlers: {
             hello: ask => Promise.resolve(membership.handleHello(ask)),
@@ -347,6 +353,7 @@
         await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
         await kv.close();
     };
+    const ready = Promise.all([config.ready, membership.ready]).then(() => log.write("info", 101, { host: cfg.host }));
     const stopOnce = async (): Promise<void> => {
         leaving = true;
         log.write("info", 102, { host: cfg.host });
@@ -385,7 +392,7 @@
                 }
             }),
         describeUnfinished: () => `${router.heldCount} running answers`,
-        ready: Promise.all([config.ready, membership.ready]).then(() => undefined),
+        ready,
         stop: () => stopping ??= stopOnce(),
     };
 }
