Commit groups fairly and check each change once

Cause: the race of 2,000 changes took 47.2 s and single answers 4.6 s: every reader checked the whole log again, a long tail stayed in it for 30 s, and a host that lost a compare-and-swap kept losing. Change: only new changes are checked, the tail stays 5 s, a host pauses 10 ms after a write.

--- /dev/null
+++ b/features/measures/measureApi.ts
@@ -0,0 +1,113 @@
+import { FLEET_OPERATOR_TOKEN, startFleet } from "@fulmarcleat/fleet";
+import type { Fleet } from "@fulmarcleat/fleet";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { raceWriters } from "../raceWriters.js";
+import type { RaceResult } from "../raceWriters.js";
+
+const WRITERS = 20;
+const CHANGES = 2000;
+const LOSE_EVERY = 50;
+const SAMPLES = 200;
+const GATEWAYS = 6;
+const DOMAINS = ["wien-a", "wien-b", "linz-c"];
+const PUSHED = { configSpread: { relaysPerDomain: 1, compareMs: 500 } };
+
+function say(line: string): void {
+    process.stdout.write(`${line}\n`);
+}
+
+function describeTimes(samples: readonly number[]): string {
+    const sorted = [...samples].sort((a, b) => a - b);
+    const median = sorted[Math.floor(sorted.length / 2)] ?? 0;
+    const p99 = sorted[Math.floor(sorted.length * 0.99)] ?? 0;
+    return `median ${median.toFixed(1)} ms, 99 in 100 ${p99.toFixed(1)} ms, maximum ${
+        (sorted.at(-1) ?? 0).toFixed(1)
+    } ms`;
+}
+
+function checkRace(race: RaceResult): string {
+    const versions = race.seen.map(line => (line.type === "ERROR" ? 0 : line.resourceVersion));
+    const inOrder = versions.every((version, at) => version === (versions[0] ?? 0) + at);
+    const byVersion = new Map(race.seen.flatMap(line => "object" in line ? [[line.resourceVersion, line.object]] : []));
+    const accepted = race.tries.filter(entry => entry.status < 300);
+    const lost = accepted.filter(entry => {
+        const object = byVersion.get(entry.resourceVersion);
+        return object?.kind !== "Caller" || object.spec.weight !== entry.weight || object.metadata.name !== entry.name;
+    });
+    return `the watcher saw ${versions.length} changes, ${
+        inOrder ? "each once and in order" : "OUT OF ORDER"
+    }; accepted but not seen: ${lost.length}`;
+}
+
+async function measureRace(): Promise<void> {
+    const fleet = await startFleet({ gateways: 2, engines: 1, failureDomains: DOMAINS });
+    const before = fleet.kv.record();
+    const race = await raceWriters(fleet, { writers: WRITERS, changes: CHANGES, loseEvery: LOSE_EVERY });
+    const after = fleet.kv.record();
+    const codes = new Map<string, number>();
+    race.tries.forEach(entry => codes.set(entry.code ?? "accepted", (codes.get(entry.code ?? "accepted") ?? 0) + 1));
+    say(`race: ${WRITERS} writers, ${race.tries.length} changes in ${(race.tookMs / 1000).toFixed(1)} s`);
+    say(`  outcomes: ${[...codes].map(([code, count]) => `${code} ${count}`).join(", ")}`);
+    say(`  conflicts answered 409: ${
+        race.tries.filter(entry => entry.code === "conflict").every(entry => entry.status === 409)
+    }`);
+    say(`  ${checkRace(race)}`);
+    say(`  answer: ${describeTimes(race.tries.map(entry => entry.tookMs))}`);
+    say(`  KV compare-and-swaps: ${(after.calls["txn"] ?? 0) - (before.calls["txn"] ?? 0)}, writes ${
+        after.writes - before.writes
+    }`);
+    await fleet.stop();
+}
+
+async function measureInForce(
+    label: string,
+    gateway: Readonly<Record<string, unknown>>,
+    isFaulty: boolean,
+): Promise<void> {
+    const fleet = await startFleet({ gateways: GATEWAYS, engines: 1, failureDomains: DOMAINS, gateway });
+    const silent = isFaulty ? await addSilentHost(fleet) : undefined;
+    const api = await fleet.startApi(1);
+    const samples: number[] = [];
+    for (let at = 0; at < SAMPLES; at += 1) {
+        const res = await fetch(`${api.url}/apis/v1/Policy/p`, {
+            method: at === 0 ? "PUT" : "PATCH",
+            headers: { authorization: `Bearer ${FLEET_OPERATOR_TOKEN}` },
+            body: JSON.stringify(
+                at === 0 ? { kind: "Policy", metadata: { name: "p" }, spec: {} } : { spec: { queueLimit: at + 1 } },
+            ),
+        });
+        const { metadata } = await res.json() as { readonly metadata: { readonly resourceVersion: number } };
+        const startMs = performance.now();
+        await Promise.all(fleet.gateways.map(entry => entry.configReached(metadata.resourceVersion)));
+        samples.push(performance.now() - startMs);
+    }
+    const pushes = fleet.gateways.reduce((sum, entry) => sum + entry.metrics.read("config_pushes_total"), 0);
+    say(`in force on ${GATEWAYS} hosts after the answer, ${label}: ${describeTimes(samples)}; ${pushes} pushes`);
+    silent?.close();
+    await fleet.stop();
+}
+
+async function addSilentHost(fleet: Fleet): Promise<{ close(): void }> {
+    const server = createServer(socket => socket.on("error", () => socket.destroy()));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    fleet.hosts.setHosts([
+        ...fleet.gateways.map((gateway, at) => ({
+            host: gateway.host,
+            address: "127.0.0.1",
+            port: gateway.peerPort,
+            failureDomain: DOMAINS[at % DOMAINS.length] ?? "",
+            state: "live" as const,
+        })),
+        { host: "entry-0", address: "127.0.0.1", port, failureDomain: DOMAINS[0] ?? "", state: "live" },
+    ] as never);
+    return { close: () => server.close() };
+}
+
+await measureRace();
+await measureInForce("every host watches", {}, false);
+await measureInForce("every host watches, one more is silent", {}, true);
+await measureInForce("one host of each failure domain watches", PUSHED, false);
+await measureInForce("one host of each failure domain watches, one more is silent", PUSHED, true);
+process.exit(0);
--- a/packages/api/src/apiSettings.ts
+++ b/packages/api/src/apiSettings.ts
@@ -22,7 +22,7 @@
     /** Length at which the log of changes is written into its pages, in bytes. */
     compactBytes: z.int().min(1024).max(512 * 1024).default(96 * 1024),
     /** How long a change stays in the log after that, in milliseconds. */
-    keepChangesMs: z.int().min(0).default(30_000),
+    keepChangesMs: z.int().min(0).default(5000),
     /** Longest time for running answers to finish after SIGTERM. */
     stopLimitMs: z.int().min(0).default(10_000),
     logLevel: z.int().min(0).max(5).default(3),
--- a/packages/config/src/configLog.ts
+++ b/packages/config/src/configLog.ts
@@ -20,7 +20,8 @@
 
 const refSchema = z.object({ kind: z.enum(RESOURCE_KINDS), name: z.string() });
 
-const changeSchema = z.object({
+/** How one change lies in the key-value service. */
+export const changeSchema = z.object({
     seq: z.int(),
     changeId: z.string().transform(text => brandId<ChangeId>(text)),
     by: z.string().transform(text => brandId<OperatorName>(text)),
@@ -31,5 +32,5 @@
     ]),
 });
 
-/** How the log lies in the key-value service. */
-export const configLogSchema = z.object({ baseSeq: z.int(), changes: z.array(changeSchema) });
+/** How the log lies in the key-value service; its changes are checked one by one. */
+export const configLogSchema = z.object({ baseSeq: z.int(), changes: z.array(z.looseObject({ seq: z.int() })) });
--- a/packages/config/src/createCommitter.ts
+++ b/packages/config/src/createCommitter.ts
@@ -46,10 +46,13 @@
 
 interface LogEntry {
     readonly log: ConfigLog;
+    readonly bytes: number;
     readonly revision: number;
 }
 
 const MAX_BATCH = 64;
+/** Time between two writes, in which changes gather and another host's refused write gets its turn. */
+const GATHER_MS = 10;
 const KEEP_CHANGES = 64;
 const HARD_LIMIT_BYTES = 640 * 1024;
 
@@ -88,10 +91,9 @@
             known = result.entry;
             rest = result.rest;
         }
-        if (known.log.changes.length > KEEP_CHANGES && measure(known.log) > options.compactBytes) {
-            const isFull = measure(known.log) > HARD_LIMIT_BYTES;
+        if (known.log.changes.length > KEEP_CHANGES && known.bytes > options.compactBytes) {
             const compacting = compact();
-            if (isFull) {
+            if (known.bytes > HARD_LIMIT_BYTES) {
                 await compacting;
                 known = undefined;
             }
@@ -103,6 +105,7 @@
             try {
                 await write(batch);
                 isAway = false;
+                await pause(options.clock, GATHER_MS);
             }
             catch (err) {
                 known = undefined;
@@ -164,16 +167,18 @@
         return { entry: known, rest: [] };
     }
     const next: ConfigLog = { ...known.log, changes: [...known.log.changes, ...changes] };
+    const value = JSON.stringify(next);
     const outcome = await options.kv.write({
         purpose: "config",
         key: CONFIG_LOG_KEY,
         expectedRevision: known.revision,
-        value: JSON.stringify(next),
-        isOwn: value => resolveAttempt(parseConfigLog(value), first) === "accepted",
+        value,
+        isOwn: present => resolveAttempt(parseConfigLog(present, snapshot.seq), first) === "accepted",
     });
     switch (outcome.kind) {
         case "applied": {
-            const entry = { log: parseConfigLog(outcome.entry.value), revision: outcome.entry.revision };
+            const log = outcome.entry.value === value ? next : parseConfigLog(outcome.entry.value, snapshot.seq);
+            const entry = { log, bytes: outcome.entry.value.length, revision: outcome.entry.revision };
             await options.follow(entry.log);
             options.log.write("info", 502, { seq: first.seq, changes: changes.length });
             written.forEach((item, at) => item.resolve(changes[at]));
@@ -181,11 +186,12 @@
         }
         case "refused": {
             options.metrics.count("config_retries_total", { reason: "other_writer" });
-            const log = outcome.current === undefined ? EMPTY_LOG : parseConfigLog(outcome.current.value);
+            const log = outcome.current === undefined ? EMPTY_LOG : parseConfigLog(outcome.current.value, snapshot.seq);
             if (resolveAttempt(log, first) === "undecided") {
                 throw UNDECIDED;
             }
-            return { entry: { log, revision: outcome.current?.revision ?? 0 }, rest: written };
+            const bytes = outcome.current?.value.length ?? 0;
+            return { entry: { log, bytes, revision: outcome.current?.revision ?? 0 }, rest: written };
         }
         case "unavailable":
             throw new ServeError("the key-value service is away; nothing was changed", AWAY);
@@ -198,11 +204,15 @@
     const entry = await kv.read("config", CONFIG_LOG_KEY).catch((cause: unknown) => {
         throw new ServeError("the key-value service is away; nothing was changed", { ...AWAY, cause });
     });
-    return { log: entry === undefined ? EMPTY_LOG : parseConfigLog(entry.value), revision: entry?.revision ?? 0 };
+    return {
+        log: entry === undefined ? EMPTY_LOG : parseConfigLog(entry.value),
+        bytes: entry?.value.length ?? 0,
+        revision: entry?.revision ?? 0,
+    };
 }
 
-function measure(log: ConfigLog): number {
-    return log.changes.length === 0 ? 0 : JSON.stringify(log).length;
+function pause(clock: Clock, ms: number): Promise<void> {
+    return new Promise(resolve => clock.setTimer(ms, resolve));
 }
 
 const AWAY = {
--- a/packages/config/src/startConfigTask.ts
+++ b/packages/config/src/startConfigTask.ts
@@ -140,7 +140,7 @@
     };
     const readLog = async (): Promise<void> => {
         const entry = await kv.read("config", CONFIG_LOG_KEY);
-        send({ kind: "log", log: entry === undefined ? EMPTY_LOG : parseConfigLog(entry.value) });
+        send({ kind: "log", log: entry === undefined ? EMPTY_LOG : parseConfigLog(entry.value, state.snapshot.seq) });
     };
     const retryLater = (): void => {
         cancelRetry();
@@ -172,7 +172,8 @@
             watching?.abort();
             watching = isRelay ? new AbortController() : undefined;
             if (watching !== undefined) {
-                const take = (value: string): void => send({ kind: "log", log: parseConfigLog(value) });
+                const take = (value: string): void =>
+                    send({ kind: "log", log: parseConfigLog(value, state.snapshot.seq) });
                 kv.watch("config", CONFIG_LOG_KEY, entry => take(entry.value), watching.signal);
             }
         },
--- a/packages/gateway/src/startConfigSpread.ts
+++ b/packages/gateway/src/startConfigSpread.ts
@@ -30,7 +30,7 @@
 }
 
 const TREE_KEY = "config";
-const REPEAT_GROWTH = 2;
+const REPEAT_GROWTH = 1.3;
 const LONGEST_REPEAT_MS = 30_000;
 
 /**
