--- a/packages/ownership/src/startEngineTask.ts
+++ b/packages/ownership/src/startEngineTask.ts
@@ -4,12 +4,14 @@
 import type { PolicyDecisions, PopularityTable } from "@fulmarcleat/placement";
 import type { Decision, EngineStatus, PlaceAsk, PlaceEnd, PlaceReply } from "@fulmarcleat/wire";
 import { PLACE_START_MS } from "./applyReport.js";
+import { countBatch } from "./countBatch.js";
 import { countPins } from "./countPins.js";
 import { createEngineState } from "./createEngineState.js";
 import type { EngineEffect } from "./engineEffect.js";
 import type { EngineContext, EngineMessage } from "./engineMessage.js";
 import type { EngineLimits, EngineState } from "./engineState.js";
 import type { LoadBudgetTask } from "./loadBudgetTask.js";
+import { readLoadRank } from "./readLoadRank.js";
 import { reduceEngine } from "./reduceEngine.js";
 
 /** Settings of the task that owns one engine. */
@@ -78,8 +80,8 @@
     let cancelReport: CancelTimer = () => undefined;
 
     const send = (message: EngineMessage): void => {
-        const loadsAllowed = options.budget.allowed();
         const nowMs = clock.nowMs();
+        const loadsAllowed = options.budget.allowed(engine, () => readLoadRank(addAsked(state, message), nowMs));
         const { decisions, popularity } = options;
         const readRate: EngineContext["readRate"] = (adapter, version) =>
             popularity.rate(`${adapter}@${version}`, nowMs);
@@ -145,9 +147,10 @@
         });
     };
     const load = async (effect: Extract<EngineEffect, { kind: "load" }>): Promise<void> => {
+        const startedMs = clock.nowMs();
         options.budget.started();
         const result = await driver.load(effect, AbortSignal.timeout(options.orderMs)).catch(() => undefined);
-        options.budget.ended();
+        options.budget.ended(clock.nowMs() - startedMs);
         const isDone = result?.kind === "done";
         metrics.count(isDone ? "loads_total" : "load_failures_total", { engine });
         log.write(isDone ? "info" : "warn", isDone ? 303 : 304, { engine, instance: effect.instance });
@@ -179,6 +182,7 @@
         if (state.phase === "owned") {
             const report = await driver.report(AbortSignal.timeout(reportLimitMs)).catch(() => undefined);
             if (report !== undefined && !stopping.signal.aborted) {
+                countBatch(metrics, report, state.waiting.length);
                 send({ kind: "report", report, askedMs });
             }
             if (report === undefined && !stopping.signal.aborted) {
@@ -223,6 +227,10 @@
     }
 }
 
+function addAsked(state: EngineState, message: EngineMessage): EngineState {
+    return message.kind === "ask" ? { ...state, waiting: [...state.waiting, message.waiting] } : state;
+}
+
 function describe(state: EngineState, options: EngineTaskOptions): EngineStatus {
     return {
         engine: state.engine,
