--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -17,15 +17,24 @@
 import { readPolicy } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
-import type { Empty, PeerHello, PlaceAsk, PlaceReply, StatusReply } from "@fulmarcleat/wire";
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type {
+    Empty,
+    PeerHello,
+    PlaceAsk,
+    PlaceReply,
+    PlacesHeldAsk,
+    PlacesHeldReply,
+    StatusReply,
+} from "@fulmarcleat/wire";
 import { buildOfferIndex } from "./buildOfferIndex.js";
 import type { ConfiguredEngine } from "./buildOfferIndex.js";
 import { createCallerHandler } from "./createCallerHandler.js";
+import { createCallerServer } from "./createCallerServer.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
+import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { startConfigSpread } from "./startConfigSpread.js";
 import { startSessionTask } from "./startSessionTask.js";
 
 /** A running gateway. */
@@ -79,11 +88,16 @@
     const drivers = new Map<EngineId, { readonly url: string; readonly driver: EngineDriver }>();
     let leaving = false;
 
-    const config = startConfigTask({ kv, log, metrics });
-    let index = buildOfferIndex(config.snapshot);
-    config.subscribe(snapshot => {
-        index = buildOfferIndex(snapshot);
+    const config = startConfigTask({
+        kv,
+        clock,
+        log,
+        metrics,
+        fetch: ask => fetchConfig({ membership, peers, host: cfg.host, ask, timeoutMs: cfg.silenceMs }),
+        retryMs: cfg.helloMs,
     });
+    const index = buildOfferIndex(config.snapshot);
+    config.subscribe((snapshot, changes) => index.update(snapshot, changes));
     const ensureDriver = (entry: ConfiguredEngine): EngineDriver => {
         const present = drivers.get(entry.engine);
         if (present?.url === entry.url) {
@@ -93,6 +107,7 @@
             url: entry.url,
             connectTimeoutMs: cfg.connectTimeoutMs,
             silenceMs: cfg.streamSilenceMs,
+            openTimeoutMs: cfg.openTimeoutMs,
         });
         drivers.set(entry.engine, { url: entry.url, driver });
         return driver;
@@ -121,6 +136,18 @@
         describeSelf: () => describeSelf(),
         onReplaced: (host, former) => ownership.hostReplaced(host, former),
     });
+    const spread = startConfigSpread({
+        host: cfg.host,
+        failureDomain: cfg.failureDomain,
+        config,
+        membership,
+        peers,
+        clock,
+        hash,
+        metrics,
+        timeoutMs: cfg.silenceMs,
+        ...cfg.configSpread,
+    });
     const recordDecision = (
         decision: {
             step: string;
@@ -178,6 +205,7 @@
             burst: BURST_LOADS,
         };
     };
+    const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
     const ownership = startOwnershipTask({
         host: cfg.host,
         incarnation,
@@ -193,22 +221,32 @@
         leaseMs: cfg.leaseMs,
         listEngines: () => listOwnable(index.engines, readPolicy(config.snapshot), ensureDriver),
         listHosts: () => membership.liveHosts,
+        listHolders: () => membership.members.map(member => member.host),
+        findAnnounced: engine => findAnnounced(engine),
+        isSessionTrusted: () => session.isTrusted(),
+        sessionOpenedMs: () => session.openedMs,
         askHeld: (host, ask) =>
             host === cfg.host
-                ? Promise.resolve(router.describeHeld(ask))
+                ? Promise.resolve(describeHeld(ask))
                 : peers.ask(askPeer(host), "placesHeld", ask, cfg.silenceMs),
         chooseReplicas,
         decisions,
         popularity: createPopularityTable(DEFAULT_POPULARITY),
         recordDecision,
     });
+    const findAnnounced = (engine: EngineId): HostId | undefined =>
+        membership.members.find(member =>
+            member.host !== cfg.host && member.state !== "silent" && member.ownedEngines.includes(engine)
+        )?.host;
     const findOwner = (engine: EngineId): HostId | undefined => {
         if (ownership.find(engine)?.state.phase === "owned") {
             return cfg.host;
         }
-        return membership.members.find(member =>
-            member.host !== cfg.host && member.state !== "silent" && member.ownedEngines.includes(engine)
-        )?.host;
+        return findAnnounced(engine);
+    };
+    const describeHeld = (ask: PlacesHeldAsk): PlacesHeldReply => {
+        ownership.fenceSeen(ask.engine, ask.fence);
+        return router.describeHeld(ask);
     };
     const answerPlace = (ask: PlaceAsk): Promise<PlaceReply> => {
         const task = ownership.find(ask.engine);
@@ -224,6 +262,7 @@
         metrics,
         listEngines: offered => index.listEngines(offered.baseModel),
         findOwner,
+        lookUpOwner: engine => ownership.lookUpOwner(engine),
         decisions,
         ask: (owner, ask) =>
             owner === cfg.host ? answerPlace(ask) : peers.ask(askPeer(owner), "place", ask, ask.waitMs + cfg.silenceMs),
@@ -258,13 +297,14 @@
                 ownership.find(ask.engine)?.end(ask);
                 return Promise.resolve(DONE);
             },
-            placesHeld: ask => Promise.resolve(router.describeHeld(ask)),
+            placesHeld: ask => Promise.resolve(describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
+            configPush: ask => Promise.resolve(config.takePush(ask)),
+            configFetch: ask => Promise.resolve(config.answerFetch(ask)),
             explain: ask => Promise.resolve({ decisions: decisionLog.find(ask) }),
         },
     });
-    const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
-    const server = createServer(createCallerHandler({
+    const handler = createCallerHandler({
         readIndex: () => index,
         readPolicy: () => readPolicy(config.snapshot),
         router,
@@ -275,6 +315,7 @@
         maxBodyBytes: cfg.maxBodyBytes,
         bodyTimeoutMs: cfg.bodyTimeoutMs,
         isReady: () => config.complete && !leaving,
+        isLeaving: () => leaving,
         recordStep: (requestId, generation, step, detail) =>
             recordDecision({ step, detail, requestId, adapter: generation?.offered.adapter }),
         claim: () =>
@@ -287,13 +328,37 @@
                     retryAfterMs: 1000,
                 }),
             ),
-    }));
-    await new Promise<void>(resolve => server.listen(cfg.callers.port, cfg.callers.host, resolve));
-    const { port } = server.address() as AddressInfo;
-    log.write("info", 100, { host: cfg.host, callers: port, peers: peerServer.port });
+    });
+    const server = await createCallerServer({
+        listen: cfg.callers,
+        handler,
+        metrics,
+        headersTimeoutMs: cfg.headersTimeoutMs,
+    });
+    log.write("info", 100, { host: cfg.host, callers: server.url, peers: peerServer.port });
+    const stopOnce = async (): Promise<void> => {
+        leaving = true;
+        log.write("info", 102, { host: cfg.host });
+        await membership.announce();
+        const closed = server.close();
+        await ownership.release();
+        await membership.announce();
+        await closed;
+        ownership.stop();
+        await session.stop();
+        membership.stop();
+        spread.stop();
+        config.stop();
+        peers.close();
+        await peerServer.close();
+        await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
+        await kv.close();
+        log.write("info", 103, { host: cfg.host });
+    };
+    let stopping: Promise<void> | undefined;
     return {
         host: cfg.host,
-        url: `http://${cfg.callers.host}:${port}`,
+        url: server.url,
         peerPort: peerServer.port,
         metrics,
         configReached: seq =>
@@ -311,25 +376,7 @@
             }),
         describeUnfinished: () => `${router.heldCount} running answers`,
         ready: Promise.all([config.ready, membership.ready]).then(() => undefined),
-        async stop() {
-            leaving = true;
-            log.write("info", 102, { host: cfg.host });
-            await membership.announce();
-            await new Promise<void>(resolve => {
-                server.close(() => resolve());
-                server.closeIdleConnections();
-            });
-            await ownership.release();
-            ownership.stop();
-            await session.stop();
-            membership.stop();
-            config.stop();
-            peers.close();
-            await peerServer.close();
-            await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
-            await kv.close();
-            log.write("info", 103, { host: cfg.host });
-        },
+        stop: () => stopping ??= stopOnce(),
     };
 }
 
