Test planned stops, hosts that the list calls leaving and leaving upstreams

Cause: nothing showed that a stop hands engines over without cutting an answer off. Change: features/leaving-*.feature; the gateway names the engines it owns; listOwnable in its own file.

--- a/features/ownership-faults.steps.ts
+++ b/features/ownership-faults.steps.ts
@@ -1,8 +1,8 @@
 import { deepStrictEqual, Given, ok, Then, When } from "@fulmarcleat/testing";
 import { checkPromises } from "./checkPromises.js";
-import type { SentRequest } from "./checkPromises.js";
-import type { FleetWorld } from "./fleetWorld.js";
 import "./fleetWorld.js";
+import type { OwnershipWorld } from "./ownershipRequests.js";
+import { sendOwnershipRequest } from "./ownershipRequests.js";
 
 const TOKENS = 8;
 const REPORT_LAG_MS = 800;
@@ -12,10 +12,6 @@
 const ADAPTERS = ["a1", "a2", "a3", "a4", "a5"] as const;
 const GAP_MS = 20;
 
-interface OwnershipWorld extends FleetWorld {
-    sent?: SentRequest[];
-}
-
 Given(
     "an ownership fleet of {int} gateways and {int} engines with {int} adapter places, fences {string}",
     async function(this: OwnershipWorld, gateways: number, engines: number, places: number, fencing: string) {
@@ -49,7 +45,8 @@
             if (number === Math.floor(requests / 3)) {
                 injected = faults.split(", ").map(fault => inject(this, fault));
             }
-            answers.push(send(this, number, ADAPTERS[number % adapters] ?? "a1", 1 + (number % 2)));
+            const adapter = ADAPTERS[number % adapters] ?? "a1";
+            answers.push(sendOwnershipRequest(this, { number, adapter, gateway: 1 + (number % 2), tokens: TOKENS }));
             await pause(GAP_MS);
         }
         await Promise.all([...answers, ...injected]);
@@ -67,7 +64,12 @@
 Then("requests are served again by {string}", async function(this: OwnershipWorld, numbers: string) {
     for (const gateway of numbers.split(",").map(Number)) {
         for (let number = 1;; number += 1) {
-            await send(this, 1000 * gateway + number, "a1", gateway);
+            await sendOwnershipRequest(this, {
+                number: 1000 * gateway + number,
+                adapter: "a1",
+                gateway,
+                tokens: TOKENS,
+            });
             const last = (this.sent ?? []).at(-1);
             if (last?.status === 200) {
                 break;
@@ -78,26 +80,6 @@
     }
 });
 
-async function send(world: OwnershipWorld, number: number, adapter: string, gateway: number): Promise<void> {
-    const prompt = `request ${number}`;
-    const model = `${adapter}@1`;
-    const body = JSON.stringify({ model, prompt, max_tokens: TOKENS });
-    const headers = { authorization: `Bearer ${world.keyOf("linz")}`, "fulmarcleat-deadline-ms": "15000" };
-    const answer = await world.call(gateway, "/v1/completions", { method: "POST", headers, body }).catch(() =>
-        undefined
-    );
-    if (answer === undefined) {
-        return;
-    }
-    const outcome = answer.headers.get("fulmarcleat-outcome") ?? undefined;
-    const text = answer.status === 200 ? readAnswer(answer.text) : answer.text;
-    world.sent?.push({ prompt, model, tokens: TOKENS, key: undefined, status: answer.status, outcome, text });
-}
-
-function readAnswer(body: string): string {
-    return (JSON.parse(body) as { choices: { text: string }[] }).choices[0]?.text ?? "";
-}
-
 async function inject({ fleet }: OwnershipWorld, fault: string): Promise<void> {
     const [engine] = fleet.engines;
     switch (fault) {
--- a/packages/fleet/src/startFleet.ts
+++ b/packages/fleet/src/startFleet.ts
@@ -63,6 +63,8 @@
     readonly changes: number;
     /** Puts resources into force, one change each. */
     apply(resources: readonly unknown[]): Promise<void>;
+    /** The resource that names the engines. */
+    describeUpstream(changed: { readonly draining: boolean }): unknown;
     startGateway(number: number): Promise<Gateway>;
     /** Starts an operators' API whose first token is `FLEET_OPERATOR_TOKEN`. */
     startApi(number: number, settings?: Readonly<Record<string, unknown>>): Promise<Api>;
@@ -172,6 +174,7 @@
             return changes;
         },
         apply,
+        describeUpstream: changed => describeUpstream(options, engines, changed),
         startGateway: start,
         async startApi(number, settings = {}) {
             const api = await startApi(apiSettingsSchema.parse({
@@ -201,12 +204,17 @@
     return Array.from({ length: count }, (unused, at) => at + 1);
 }
 
-function describeUpstream(options: FleetOptions, engines: readonly EngineStandin[]): unknown {
+function describeUpstream(
+    options: FleetOptions,
+    engines: readonly EngineStandin[],
+    changed: { readonly draining: boolean } = { draining: false },
+): unknown {
     return {
         kind: "Upstream",
         metadata: { name: "model-engines" },
         spec: {
             baseModel: FLEET_BASE_MODEL,
+            ...changed,
             fencing: options.fencing ?? "checked",
             engines: engines.map((engine, at) => ({
                 id: engine.id,
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -11,11 +11,9 @@
 import { createKvClient } from "@fulmarcleat/kv";
 import { startMembershipTask } from "@fulmarcleat/membership";
 import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
-import type { OwnableEngine } from "@fulmarcleat/ownership";
 import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
 import type { PolicyDecisions } from "@fulmarcleat/placement";
 import { readPolicy } from "@fulmarcleat/resources";
-import type { PolicySpec } from "@fulmarcleat/resources";
 import { readPem, readTls } from "@fulmarcleat/settings";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
 import type {
@@ -35,6 +33,7 @@
 import { createPlaceRouter } from "./createPlaceRouter.js";
 import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { listOwnable } from "./listOwnable.js";
 import { prepareCounters } from "./prepareCounters.js";
 import { startConfigSpread } from "./startConfigSpread.js";
 import { startSessionTask } from "./startSessionTask.js";
@@ -45,6 +44,7 @@
     readonly url: string;
     readonly peerPort: number;
     readonly metrics: Metrics;
+    readonly ownedEngines: readonly EngineId[];
     readonly ready: Promise<void>;
     /** Ends at once without a word to anybody, as a host that fails does. */
     crash(): Promise<void>;
@@ -372,6 +372,9 @@
         url: server.url,
         peerPort: peerServer.port,
         metrics,
+        get ownedEngines() {
+            return ownership.owned.map(task => task.state.engine);
+        },
         crash() {
             session.abandon();
             void server.close();
@@ -396,26 +399,3 @@
         stop: () => stopping ??= stopOnce(),
     };
 }
-
-function listOwnable(
-    engines: readonly ConfiguredEngine[],
-    policy: PolicySpec,
-    ensureDriver: (entry: ConfiguredEngine) => EngineDriver,
-): readonly OwnableEngine[] {
-    return engines.map(entry => ({
-        engine: entry.engine,
-        failureDomain: entry.failureDomain,
-        driver: ensureDriver(entry),
-        limits: {
-            queueLimit: policy.queueLimit,
-            callerQueueLimit: policy.callerQueueLimit,
-            agingMs: policy.agingMs,
-            maxRequestMs: policy.maxRequestMs,
-            replicaRate: policy.replicaRate,
-            batchSlots: policy.engineBatchSlots,
-            adapterPlaces: policy.engineAdapterPlaces,
-            fencing: entry.fencing,
-            draining: entry.draining,
-        },
-    }));
-}
