--- /dev/null
+++ b/packages/ownership/src/chooseHandover.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { chooseHandover } from "./chooseHandover.js";
+
+registerTable("chooseHandover", chooseHandover);
--- /dev/null
+++ b/packages/ownership/src/decideClaim.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { decideClaim } from "./decideClaim.js";
+
+registerTable("decideClaim", decideClaim);
