--- a/packages/fleet/src/startFleet.ts
+++ b/packages/fleet/src/startFleet.ts
@@ -72,7 +72,7 @@
 }
 
 /** Key of the peers in a fleet in one process. */
-const FLEET_PEER_KEY = "fleet-in-one-process-peer-key-0123456789";
+export const FLEET_PEER_KEY = "fleet-in-one-process-peer-key-0123456789";
 /** Token of the first operator in a fleet in one process. */
 export const FLEET_OPERATOR_TOKEN = "fleet-operator-token";
 /** Base model of a fleet in one process. */
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -12,7 +12,7 @@
 import { startMembershipTask } from "@fulmarcleat/membership";
 import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
 import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
-import type { PolicyDecisions } from "@fulmarcleat/placement";
+import type { LoadShare, PolicyDecisions } from "@fulmarcleat/placement";
 import { readPolicy } from "@fulmarcleat/resources";
 import { readPem, readTls } from "@fulmarcleat/settings";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
@@ -31,11 +31,13 @@
 import { createCallerServer } from "./createCallerServer.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
+import { createServicePool } from "./createServicePool.js";
 import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { listOwnable } from "./listOwnable.js";
 import { prepareCounters } from "./prepareCounters.js";
 import { startConfigSpread } from "./startConfigSpread.js";
+import { startGatewayClaims } from "./startGatewayClaims.js";
 import { startSessionTask } from "./startSessionTask.js";
 
 /** A running gateway. */
@@ -201,12 +203,13 @@
         }
         return member;
     };
-    const share = (): { loadsPerSecond: number; maxInTransit: number; burst: number } => {
+    const share = (): LoadShare => {
         const policy = readPolicy(config.snapshot);
         const part = ownership.owned.length / Math.max(1, index.engines.length);
         return {
             loadsPerSecond: policy.storeLoadsPerSecond * part,
             maxInTransit: Math.max(1, Math.floor(policy.storeMaxInTransit * part)),
+            maxFactor: part === 0 ? 1 : 1 / part,
             burst: BURST_LOADS,
         };
     };
@@ -279,6 +282,18 @@
             await peers.ask(askPeer(owner), "placeEnd", end, cfg.silenceMs);
         },
     });
+    const claims = startGatewayClaims(cfg, {
+        incarnation,
+        kv,
+        hash,
+        clock,
+        metrics,
+        readPolicy: () => readPolicy(config.snapshot),
+        listLive: () => membership.liveHosts,
+        askPeer: (host, ask, timeoutMs) => peers.ask(askPeer(host), "claim", ask, timeoutMs),
+        endPeer: (host, end) => peers.ask(askPeer(host), "claimEnd", end, cfg.helloMs),
+    });
+    const services = createServicePool(cfg.connectTimeoutMs);
     const describeStatus = (): StatusReply => ({
         host: cfg.host,
         incarnation,
@@ -304,6 +319,11 @@
                 ownership.find(ask.engine)?.end(ask);
                 return Promise.resolve(DONE);
             },
+            claim: claims.handleAsk,
+            claimEnd: end => {
+                claims.handleEnd(end);
+                return Promise.resolve(DONE);
+            },
             placesHeld: ask => Promise.resolve(describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
             configPush: ask => Promise.resolve(config.takePush(ask)),
@@ -325,16 +345,8 @@
         isLeaving: () => leaving,
         recordStep: (requestId, generation, step, detail) =>
             recordDecision({ step, detail, requestId, adapter: generation?.offered.adapter }),
-        claim: () =>
-            Promise.reject(
-                new ServeError("keyed requests are not served yet", {
-                    code: "kv_unavailable",
-                    step: "claim",
-                    peer: "self",
-                    outcome: "not_run",
-                    retryAfterMs: 1000,
-                }),
-            ),
+        claims,
+        findService: services.find,
     });
     const server = await createCallerServer({
         listen: cfg.callers,
@@ -350,6 +362,7 @@
         config.stop();
         peers.close();
         await peerServer.close();
+        await services.close();
         await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
         await kv.close();
     };
@@ -359,9 +372,10 @@
         log.write("info", 102, { host: cfg.host });
         await membership.announce();
         const closed = server.close();
-        await ownership.release();
+        await ownership.release().catch(() => metrics.count("release_failures_total"));
         await membership.announce();
         await closed;
+        await claims.stop();
         await session.stop();
         await closeAll();
         log.write("info", 103, { host: cfg.host });
