--- a/features/ownershipRequests.ts
+++ b/features/ownershipRequests.ts
@@ -23,7 +23,7 @@
     const model = `${request.adapter}@1`;
     const answer = await world.call(gateway, "/v1/completions", {
         method: "POST",
-        headers: { authorization: `Bearer ${world.keyOf("linz")}`, "fulmarcleat-deadline-ms": "15000" },
+        headers: { authorization: `Bearer ${world.keyOf("linz")}`, "fulmarcleat-deadline-ms": "8000" },
         body: JSON.stringify({ model, prompt, max_tokens: tokens }),
     }).catch(() => undefined);
     if (answer === undefined) {
