Check the configuration's reducers with random messages

Cause: the reducers were explored within small bounds only. Change: properties over random orders of messages, losses and log texts; the API reads the peers' authority and TLS as the gateway does.

--- a/features/measures/measureApi.ts
+++ b/features/measures/measureApi.ts
@@ -70,6 +70,7 @@
     const api = await fleet.startApi(1);
     const samples: number[] = [];
     for (let at = 0; at < SAMPLES; at += 1) {
+        const startMs = performance.now();
         const res = await fetch(`${api.url}/apis/v1/Policy/p`, {
             method: at === 0 ? "PUT" : "PATCH",
             headers: { authorization: `Bearer ${FLEET_OPERATOR_TOKEN}` },
@@ -78,12 +79,13 @@
             ),
         });
         const { metadata } = await res.json() as { readonly metadata: { readonly resourceVersion: number } };
-        const startMs = performance.now();
         await Promise.all(fleet.gateways.map(entry => entry.configReached(metadata.resourceVersion)));
         samples.push(performance.now() - startMs);
     }
     const pushes = fleet.gateways.reduce((sum, entry) => sum + entry.metrics.read("config_pushes_total"), 0);
-    say(`in force on ${GATEWAYS} hosts after the answer, ${label}: ${describeTimes(samples)}; ${pushes} pushes`);
+    say(`in force on ${GATEWAYS} hosts after the request was sent, ${label}: ${
+        describeTimes(samples)
+    }; ${pushes} pushes`);
     silent?.close();
     await fleet.stop();
 }
--- a/packages/api/src/apiSettings.ts
+++ b/packages/api/src/apiSettings.ts
@@ -1,12 +1,13 @@
 import { brandId } from "@fulmarcleat/ids";
 import type { HostId } from "@fulmarcleat/ids";
-import { listenSchema, peerKeySchema } from "@fulmarcleat/settings";
+import { listenSchema, peerCaFileSchema, peerKeySchema } from "@fulmarcleat/settings";
 import { z } from "zod";
 
 /** Settings of an operators' API process. */
 export const apiSettingsSchema = z.strictObject({
     host: z.string().min(1).transform(text => brandId<HostId>(text)),
     peerKey: peerKeySchema,
+    peerCaFile: peerCaFileSchema,
     /** Where operators connect. */
     operators: listenSchema,
     kv: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
--- a/packages/api/src/startApi.ts
+++ b/packages/api/src/startApi.ts
@@ -4,9 +4,9 @@
 import type { Metrics } from "@fulmarcleat/events";
 import { createSystemClock } from "@fulmarcleat/ids";
 import { createKvClient } from "@fulmarcleat/kv";
+import { readPem, readTls } from "@fulmarcleat/settings";
 import type { ListenSettings } from "@fulmarcleat/settings";
 import { createPeerClient } from "@fulmarcleat/wire";
-import { readFile } from "node:fs/promises";
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
 import { createServer as createTlsServer } from "node:https";
@@ -50,6 +50,7 @@
         metrics,
         heartbeatMs: PEER_HEARTBEAT_MS,
         silenceMs: PEER_SILENCE_MS,
+        ca: cfg.peerCaFile === undefined ? undefined : await readPem(cfg.peerCaFile),
     });
     const hostList = createHttpHostList(cfg.hostList);
     const stopping = new AbortController();
@@ -121,9 +122,6 @@
 }
 
 async function createListener(listen: ListenSettings, handler: RequestListener): Promise<Server> {
-    if (listen.tls === undefined) {
-        return createServer(handler);
-    }
-    const [cert, key] = await Promise.all([readFile(listen.tls.certFile), readFile(listen.tls.keyFile)]);
-    return createTlsServer({ cert, key }, handler);
+    const tls = await readTls(listen.tls);
+    return tls === undefined ? createServer(handler) : createTlsServer({ ...tls }, handler);
 }
--- /dev/null
+++ b/packages/config/src/reduceHostConfig.feature
@@ -0,0 +1,22 @@
+Feature: reduceHostConfig
+
+    Scenario: no order of messages takes a host back or leaves it with a gap
+        Then reduceHostConfig keeps a prefix of the order, rising, under any messages
+
+    Scenario Outline: reduceHostConfig tells whether a host is ready: <what>
+        Then readiness after <messages> is <ready>
+
+        Examples:
+            | what                                  | messages                                                    | ready |
+            | the whole log                         | [["log",0,1,3]]                                             | true  |
+            | a compacted log                       | [["log",2,2,3]]                                             | false |
+            | a compacted log, then everything      | [["log",2,2,3],["loaded",3],["log",2,2,3]]                  | true  |
+            | everything from a peer, not all asked | [["loaded",3]]                                              | false |
+            | everything from a peer, all asked     | [["heard",3],["loaded",3],["greeted"]]                      | true  |
+            | less than a peer has                  | [["heard",4],["loaded",3],["greeted"]]                      | false |
+            | less than a peer has, then a push     | [["heard",4],["loaded",3],["greeted"],["pushed",4,4]]       | true  |
+            | nothing from anyone                   | [["greeted"]]                                               | false |
+            | an empty deployment                   | [["log",0,1,0]]                                             | true  |
+
+    Scenario: parseConfigLog takes any text
+        Then parseConfigLog gives a log or throws for any JSON value
--- /dev/null
+++ b/packages/config/src/reduceSpread.steps.ts
@@ -0,0 +1,54 @@
+import { brandId } from "@fulmarcleat/ids";
+import type { HostId } from "@fulmarcleat/ids";
+import { deepStrictEqual, fc, strictEqual, Then } from "@fulmarcleat/testing";
+import { reduceSpread } from "./reduceSpread.js";
+import type { SpreadEffect, SpreadMessage, SpreadState } from "./reduceSpread.js";
+
+const TIMES = { firstMs: 300, growth: 1.3, longestMs: 30_000, stopsOnAck: true };
+const HOSTS = ["entry-1", "entry-2"].map(host => brandId<HostId>(host));
+const LATE_MS = 1_000_000;
+
+Then("reduceSpread brings every peer up to date, and is then silent", () => {
+    fc.assert(fc.property(fc.array(fc.boolean(), { maxLength: 60 }), fc.integer({ min: 1, max: 9 }), (losses, seq) => {
+        let state: SpreadState = { seq: 0, peers: [] };
+        let nowMs = 0;
+        let lost = 0;
+        const send = (message: SpreadMessage): readonly SpreadEffect[] => {
+            const step = reduceSpread(state, message, { nowMs, times: TIMES });
+            state = step.state;
+            return step.effects;
+        };
+        const deliver = (effects: readonly SpreadEffect[]): void =>
+            effects.forEach(effect => {
+                lost += 1;
+                if (losses[lost] !== true) {
+                    send({ kind: "acked", host: effect.host, seq: state.seq });
+                }
+            });
+        deliver(send({ kind: "targets", targets: HOSTS.map(host => ({ host, seq: 0 })) }));
+        for (let at = 1; at <= seq; at += 1) {
+            deliver(send({ kind: "inForce", seq: at }));
+        }
+        for (; nowMs < LATE_MS; nowMs += TIMES.firstMs) {
+            deliver(send({ kind: "tick" }));
+        }
+        state.peers.forEach(peer => strictEqual(peer.ackedSeq, seq));
+        deepStrictEqual(send({ kind: "tick" }), []);
+    }));
+});
+
+Then("reduceSpread pushes to a silent peer at 0, 300, 690 and 1197 ms", () => {
+    const pushes: number[] = [];
+    let state: SpreadState = { seq: 0, peers: [] };
+    for (let nowMs = 0; nowMs < 1500; nowMs += 1) {
+        const message: SpreadMessage = nowMs > 0
+            ? { kind: "tick" }
+            : { kind: "targets", targets: [{ host: brandId<HostId>("entry-1"), seq: 0 }] };
+        const context = { nowMs, times: TIMES };
+        const opened = nowMs > 0 ? state : reduceSpread(state, message, context).state;
+        const step = reduceSpread(opened, nowMs > 0 ? message : { kind: "inForce", seq: 1 }, context);
+        state = step.state;
+        step.effects.forEach(() => pushes.push(nowMs));
+    }
+    deepStrictEqual(pushes, [0, 300, 690, 1197]);
+});
