--- a/packages/gateway/src/runGeneration.ts
+++ b/packages/gateway/src/runGeneration.ts
@@ -3,6 +3,7 @@
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import type { Clock, EngineId } from "@fulmarcleat/ids";
 import type { Priority } from "@fulmarcleat/resources";
+import type { PlaceUse } from "@fulmarcleat/wire";
 import type { HeldPlace, PlaceRouter } from "./createPlaceRouter.js";
 import type { AnswerSink, Generation } from "./generation.js";
 
@@ -60,7 +61,7 @@
                 context.signal,
                 toServeError(err, { code: "internal", step: "run", peer: held.engine, outcome: "unknown" }),
             );
-            context.router.release(held, failure.code === "upstream_refused" ? "not_loaded" : "failed");
+            context.router.release(held, readUse(failure, generation.key === undefined || isClaimed));
             if (!mayRetry(generation, failure, sink, attempt, context)) {
                 throw failure;
             }
@@ -78,6 +79,13 @@
     }
 }
 
+function readUse(failure: ServeError, mayHaveStarted: boolean): PlaceUse {
+    if (!mayHaveStarted) {
+        return "unused";
+    }
+    return failure.code === "upstream_refused" ? "not_loaded" : "failed";
+}
+
 /** Waits for a place, but not past the end of the request; a place that comes later is given back. */
 async function acquireInTime(
     generation: Generation,
@@ -160,6 +168,14 @@
             outcome: "not_run",
         });
     }
+    if (context.signal.aborted) {
+        throw new ServeError("the caller is gone or its deadline has passed", {
+            code: "deadline_passed",
+            step: "open stream",
+            peer: held.engine,
+            outcome: "not_run",
+        });
+    }
     const cancel = (): void => void engine.cancelStream(generation.requestId).catch(() => undefined);
     context.signal.addEventListener("abort", cancel, { once: true });
     try {
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -33,10 +33,12 @@
 import { createCallerServer } from "./createCallerServer.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
+import { createServicePool } from "./createServicePool.js";
 import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { prepareCounters } from "./prepareCounters.js";
 import { startConfigSpread } from "./startConfigSpread.js";
+import { startGatewayClaims } from "./startGatewayClaims.js";
 import { startSessionTask } from "./startSessionTask.js";
 
 /** A running gateway. */
@@ -46,6 +48,8 @@
     readonly peerPort: number;
     readonly metrics: Metrics;
     readonly ready: Promise<void>;
+    /** Ends at once without a word to anybody, as a host that fails does. */
+    crash(): Promise<void>;
     /** Planned stop: no new work, running answers finish, engines are given up. */
     stop(): Promise<void>;
     /** What a stop at its limit would cut off, in words. */
@@ -278,6 +282,18 @@
             await peers.ask(askPeer(owner), "placeEnd", end, cfg.silenceMs);
         },
     });
+    const claims = startGatewayClaims(cfg, {
+        incarnation,
+        kv,
+        hash,
+        clock,
+        metrics,
+        readPolicy: () => readPolicy(config.snapshot),
+        listLive: () => membership.liveHosts,
+        askPeer: (host, ask, timeoutMs) => peers.ask(askPeer(host), "claim", ask, timeoutMs),
+        endPeer: (host, end) => peers.ask(askPeer(host), "claimEnd", end, cfg.helloMs),
+    });
+    const services = createServicePool(cfg.connectTimeoutMs);
     const describeStatus = (): StatusReply => ({
         host: cfg.host,
         incarnation,
@@ -303,6 +319,11 @@
                 ownership.find(ask.engine)?.end(ask);
                 return Promise.resolve(DONE);
             },
+            claim: claims.handleAsk,
+            claimEnd: end => {
+                claims.handleEnd(end);
+                return Promise.resolve(DONE);
+            },
             placesHeld: ask => Promise.resolve(describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
             configPush: ask => Promise.resolve(config.takePush(ask)),
@@ -324,16 +345,8 @@
         isLeaving: () => leaving,
         recordStep: (requestId, generation, step, detail) =>
             recordDecision({ step, detail, requestId, adapter: generation?.offered.adapter }),
-        claim: () =>
-            Promise.reject(
-                new ServeError("keyed requests are not served yet", {
-                    code: "kv_unavailable",
-                    step: "claim",
-                    peer: "self",
-                    outcome: "not_run",
-                    retryAfterMs: 1000,
-                }),
-            ),
+        claims,
+        findService: services.find,
     });
     const server = await createCallerServer({
         listen: cfg.callers,
@@ -342,24 +355,29 @@
         headersTimeoutMs: cfg.headersTimeoutMs,
     });
     log.write("info", 100, { host: cfg.host, callers: server.url, peers: peerServer.port });
+    const closeAll = async (): Promise<void> => {
+        ownership.stop();
+        membership.stop();
+        spread.stop();
+        config.stop();
+        peers.close();
+        await peerServer.close();
+        await services.close();
+        await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
+        await kv.close();
+    };
     const ready = Promise.all([config.ready, membership.ready]).then(() => log.write("info", 101, { host: cfg.host }));
     const stopOnce = async (): Promise<void> => {
         leaving = true;
         log.write("info", 102, { host: cfg.host });
         await membership.announce();
         const closed = server.close();
-        await ownership.release();
+        await ownership.release().catch(() => metrics.count("release_failures_total"));
         await membership.announce();
         await closed;
-        ownership.stop();
+        await claims.stop();
         await session.stop();
-        membership.stop();
-        spread.stop();
-        config.stop();
-        peers.close();
-        await peerServer.close();
-        await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
-        await kv.close();
+        await closeAll();
         log.write("info", 103, { host: cfg.host });
     };
     let stopping: Promise<void> | undefined;
@@ -368,6 +386,12 @@
         url: server.url,
         peerPort: peerServer.port,
         metrics,
+        crash() {
+            session.abandon();
+            void server.close();
+            stopping = closeAll();
+            return stopping;
+        },
         configReached: seq =>
             new Promise(resolve => {
                 const stopWaiting = config.subscribe(snapshot => {
--- a/packages/kv/src/createKvClient.feature
+++ b/packages/kv/src/createKvClient.feature
@@ -16,6 +16,12 @@
             | the service is away             | ["unsent"]                                 | unavailable | 1     |
             | it went away after the loss     | ["lost", "unsent", "unsent", "unsent", "unsent"] | unknown | 5  |
 
+    Scenario: A write whose every reply is lost is found by reading back
+        Given a KV client over a driver that answers ["lost", "lost", "lost"]
+        And the KV driver reads "own+theirs"
+        When the KV client writes "own" with its nonce in it
+        Then the KV write ended as "applied" after 1 swaps
+
     Scenario: One watch for each key, whoever asks
         Given a KV client over a driver that answers []
         When 3 subscribers watch the same key through the KV client
