--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -48,6 +48,8 @@
     readonly peerPort: number;
     readonly metrics: Metrics;
     readonly ready: Promise<void>;
+    /** Ends at once without a word to anybody, as a host that fails does. */
+    crash(): Promise<void>;
     /** Planned stop: no new work, running answers finish, engines are given up. */
     stop(): Promise<void>;
     /** What a stop at its limit would cut off, in words. */
@@ -353,6 +355,17 @@
         headersTimeoutMs: cfg.headersTimeoutMs,
     });
     log.write("info", 100, { host: cfg.host, callers: server.url, peers: peerServer.port });
+    const closeAll = async (): Promise<void> => {
+        ownership.stop();
+        membership.stop();
+        spread.stop();
+        config.stop();
+        peers.close();
+        await peerServer.close();
+        await services.close();
+        await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
+        await kv.close();
+    };
     const ready = Promise.all([config.ready, membership.ready]).then(() => log.write("info", 101, { host: cfg.host }));
     const stopOnce = async (): Promise<void> => {
         leaving = true;
@@ -363,16 +376,8 @@
         await membership.announce();
         await closed;
         await claims.stop();
-        await services.close();
-        ownership.stop();
         await session.stop();
-        membership.stop();
-        spread.stop();
-        config.stop();
-        peers.close();
-        await peerServer.close();
-        await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
-        await kv.close();
+        await closeAll();
         log.write("info", 103, { host: cfg.host });
     };
     let stopping: Promise<void> | undefined;
@@ -381,6 +386,12 @@
         url: server.url,
         peerPort: peerServer.port,
         metrics,
+        crash() {
+            session.abandon();
+            void server.close();
+            stopping = closeAll();
+            return stopping;
+        },
         configReached: seq =>
             new Promise(resolve => {
                 const stopWaiting = config.subscribe(snapshot => {
