--- a/features/path-tls.feature
+++ b/features/path-tls.feature
@@ -6,3 +6,4 @@
         When caller "linz" asks each gateway for "levy@7" by TLS
         Then path TLS answers are whole
         And path peers talked by TLS
+        And path API with the peers' authority sees every gateway ready
--- a/features/path-tls.steps.ts
+++ b/features/path-tls.steps.ts
@@ -1,3 +1,4 @@
+import { FLEET_OPERATOR_TOKEN } from "@fulmarcleat/fleet";
 import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { readFileSync } from "node:fs";
 import { request } from "node:https";
@@ -39,6 +40,15 @@
     ok(this.fleet.gateways.every(gateway => gateway.url.startsWith("https:")), "a listener is plain");
 });
 
+Then("path API with the peers' authority sees every gateway ready", async function(this: FleetWorld) {
+    const api = await this.fleet.startApi(1, { peerCaFile: CERT_FILE });
+    const res = await fetch(`${api.url}/apis/v1/status`, {
+        headers: { authorization: `Bearer ${FLEET_OPERATOR_TOKEN}` },
+    });
+    const { hosts } = await res.json() as { readonly hosts: readonly { readonly ready: boolean }[] };
+    strictEqual(hosts.filter(host => host.ready).length, SIZES.gateways);
+});
+
 function post(url: string, key: string, model: string): Promise<string> {
     return new Promise((resolve, reject) => {
         const headers = { authorization: `Bearer ${key}` };
--- a/packages/api/src/apiSettings.ts
+++ b/packages/api/src/apiSettings.ts
@@ -1,12 +1,14 @@
 import { brandId } from "@fulmarcleat/ids";
 import type { HostId } from "@fulmarcleat/ids";
-import { listenSchema, peerKeySchema } from "@fulmarcleat/settings";
+import { listenSchema, peerCaFileSchema, peerKeySchema } from "@fulmarcleat/settings";
 import { z } from "zod";
 
 /** Settings of an operators' API process. */
 export const apiSettingsSchema = z.strictObject({
     host: z.string().min(1).transform(text => brandId<HostId>(text)),
     peerKey: peerKeySchema,
+    /** Authority of the gateways' certificates; without it they are reached by plain TCP. */
+    peerCaFile: peerCaFileSchema,
     /** Where operators connect. */
     operators: listenSchema,
     kv: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
--- a/packages/api/src/startApi.ts
+++ b/packages/api/src/startApi.ts
@@ -4,6 +4,7 @@
 import type { Metrics } from "@fulmarcleat/events";
 import { createSystemClock } from "@fulmarcleat/ids";
 import { createKvClient } from "@fulmarcleat/kv";
+import { readPem } from "@fulmarcleat/settings";
 import type { ListenSettings } from "@fulmarcleat/settings";
 import { createPeerClient } from "@fulmarcleat/wire";
 import { readFile } from "node:fs/promises";
@@ -46,6 +47,7 @@
     const peers = createPeerClient({
         host: cfg.host,
         peerKey: cfg.peerKey,
+        ca: cfg.peerCaFile === undefined ? undefined : await readPem(cfg.peerCaFile),
         clock,
         metrics,
         heartbeatMs: PEER_HEARTBEAT_MS,
--- a/packages/standin/src/createStandinServer.ts
+++ b/packages/standin/src/createStandinServer.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { z } from "zod";
 
+const FAULTS_PATH = "/faults";
 const log = createEventLog({ process: "standin" });
 
 /** One request to a stand-in. */
@@ -72,6 +73,9 @@
     let isDown = false;
     let delayMs = 0;
     const sockets = new Set<Socket>();
+    /** Connections on which faults are being set; they stay open, so that faults can be taken back. */
+    const control = new Set<Socket>();
+    const listOthers = (): readonly Socket[] => [...sockets].filter(socket => !control.has(socket));
     const router = findMyWay<findMyWay.HTTPVersion.V1>();
     for (const route of options.routes) {
         router.on(
@@ -81,6 +85,12 @@
         );
     }
     const server = createServer(async (req, res) => {
+        if (req.url === FAULTS_PATH) {
+            control.add(req.socket);
+            res.once("close", () => control.delete(req.socket));
+            router.lookup(req, res);
+            return;
+        }
         if (delayMs > 0) {
             await new Promise(resolve => setTimeout(resolve, delayMs));
         }
@@ -94,9 +104,6 @@
     server.on("connection", socket => {
         sockets.add(socket);
         socket.on("close", () => sockets.delete(socket));
-        if (isDown) {
-            socket.destroy();
-        }
     });
     await new Promise<void>(resolve => server.listen(options.port, options.host, resolve));
     const { port } = server.address() as AddressInfo;
@@ -106,10 +113,10 @@
             isDown = changed.down ?? isDown;
             delayMs = changed.delayMs ?? delayMs;
             if (isDown) {
-                sockets.forEach(socket => socket.destroy());
+                listOthers().forEach(socket => socket.destroy());
             }
             if (changed.silence === true) {
-                sockets.forEach(silence);
+                listOthers().forEach(silence);
             }
         },
         silenceConnections: () => sockets.forEach(silence),
@@ -194,7 +201,7 @@
 export function createFaultRoute<T>(schema: z.ZodType<T>, apply: (faults: T) => void): StandinRoute {
     return {
         method: "POST",
-        path: "/faults",
+        path: FAULTS_PATH,
         answer: call => {
             const faults = schema.parse(call.body);
             apply(faults);
