--- a/packages/api/src/apiSettings.ts
+++ b/packages/api/src/apiSettings.ts
@@ -7,6 +7,7 @@
 export const apiSettingsSchema = z.strictObject({
     host: z.string().min(1).transform(text => brandId<HostId>(text)),
     peerKey: peerKeySchema,
+    /** Authority of the gateways' certificates; without it they are reached by plain TCP. */
     peerCaFile: peerCaFileSchema,
     /** Where operators connect. */
     operators: listenSchema,
--- a/packages/api/src/startApi.ts
+++ b/packages/api/src/startApi.ts
@@ -46,6 +46,7 @@
     const peers = createPeerClient({
         host: cfg.host,
         peerKey: cfg.peerKey,
+        ca: cfg.peerCaFile === undefined ? undefined : await readPem(cfg.peerCaFile),
         clock,
         metrics,
         heartbeatMs: PEER_HEARTBEAT_MS,
--- a/packages/gateway/src/listOwnable.ts
+++ b/packages/gateway/src/listOwnable.ts
@@ -4,15 +4,15 @@
 import type { ConfiguredEngine } from "./buildOfferIndex.js";
 
 /**
- * Lists the engines of the configuration as a host may own them.
+ * Lists the engines that this host may own, with the limits that the policy gives them.
  *
- * @param engines - Engines of the configuration
- * @param policy - Limits of the deployment
+ * @param engines - The configured engines
+ * @param policy - The deployment's policy
  * @param ensureDriver - Gives an engine's driver
- * @returns the engines with their limits
+ * @returns the engines
  *
  * @example
- * const engines = listOwnable(index.engines, readPolicy(config.snapshot), ensureDriver);
+ * const ownable = listOwnable(index.engines, readPolicy(snapshot), ensureDriver);
  */
 export function listOwnable(
     engines: readonly ConfiguredEngine[],
