Budget retries, weigh callers and estimate the wait for a load

Cause: retries had no budget, callers' weights were not read, and a request behind a long queue of loads was admitted as if it were the next. Change: decideRetry with a host's share of retries and a random delay; Caller.weight in the order of requests; estimateLoadWait with the loads ahead and the host's pace.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,5 +1,11 @@
+export { createRetryBudget } from "./createRetryBudget.js";
+export type { RetryBudget } from "./createRetryBudget.js";
 export { decideAdmission } from "./decideAdmission.js";
 export type { AdmissionDecision, QueueState } from "./decideAdmission.js";
+export { decideRetry } from "./decideRetry.js";
+export type { RetryDecision, RetryState } from "./decideRetry.js";
+export { estimateLoadWait } from "./estimateLoadWait.js";
+export type { LoadQueue } from "./estimateLoadWait.js";
 export { orderWaiting } from "./orderWaiting.js";
 export type { OrderWaitingOptions, WaitingOrder } from "./orderWaiting.js";
 export { rankWaiting } from "./rankWaiting.js";
--- a/packages/gateway/src/createCallerHandler.ts
+++ b/packages/gateway/src/createCallerHandler.ts
@@ -1,3 +1,4 @@
+import type { RetryBudget } from "@fulmarcleat/admission";
 import type { EngineDriver } from "@fulmarcleat/drivers";
 import { ServeError, toServeError } from "@fulmarcleat/errors";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
@@ -32,6 +33,8 @@
     readonly clock: Clock;
     readonly metrics: Metrics;
     readonly log: EventLog;
+    /** The host's retry budget; unlimited where undefined. */
+    readonly retries?: RetryBudget;
     readonly maxBodyBytes: number;
     readonly bodyTimeoutMs: number;
     readonly isReady: () => boolean;
--- a/packages/gateway/src/runGeneration.ts
+++ b/packages/gateway/src/runGeneration.ts
@@ -1,3 +1,5 @@
+import { decideRetry } from "@fulmarcleat/admission";
+import type { RetryBudget } from "@fulmarcleat/admission";
 import type { EngineDriver, EngineToken } from "@fulmarcleat/drivers";
 import { ServeError, toServeError } from "@fulmarcleat/errors";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
@@ -16,6 +18,8 @@
     readonly recordStep: (generation: Generation, step: string, detail: string) => void;
     /** Commits the right to run a non-repeatable request; throws where it may not run. */
     readonly claim: (generation: Generation) => Promise<void>;
+    /** The host's retry budget; unlimited where undefined. */
+    readonly retries?: RetryBudget;
     /** Ends when the caller goes away or the deadline passes. */
     readonly signal: AbortSignal;
 }
@@ -42,6 +46,7 @@
     context: GenerationContext,
 ): Promise<void> {
     let avoid: readonly EngineId[] = [];
+    context.retries?.deposit();
     let isClaimed = false;
     for (let attempt = 1;; attempt += 1) {
         const held = await acquireInTime(generation, avoid, context);
@@ -61,9 +66,19 @@
                 toServeError(err, { code: "internal", step: "run", peer: held.engine, outcome: "unknown" }),
             );
             context.router.release(held, failure.code === "upstream_refused" ? "not_loaded" : "failed");
-            if (!mayRetry(generation, failure, sink, attempt, context)) {
+            const decision = decideRetry({
+                attempt,
+                maxAttempts: MAX_ATTEMPTS,
+                isRetryable: mayRetry(generation, failure, sink, context),
+                tokens: context.retries?.tokens ?? Infinity,
+                timeLeftMs: generation.deadlineMs - context.clock.nowMs(),
+                draw: context.retries === undefined ? 0 : Math.random(),
+            });
+            if (decision.kind === "give_up") {
+                context.metrics.count("retries_given_up_total", { reason: decision.reason });
                 throw failure;
             }
+            context.retries?.spend();
             context.metrics.count("retries_total", { reason: failure.code });
             context.metrics.count("requests_run_again_total", { reason: failure.code });
             context.log.write("info", 402, {
@@ -74,6 +89,9 @@
             context.recordStep(generation, "retry", failure.code);
             sink.discard();
             avoid = [...avoid, held.engine];
+            if (decision.delayMs > 0) {
+                await new Promise<void>(resolve => context.clock.setTimer(decision.delayMs, resolve));
+            }
         }
     }
 }
@@ -121,10 +139,9 @@
     generation: Generation,
     failure: ServeError,
     sink: AnswerSink,
-    attempt: number,
     context: GenerationContext,
 ): boolean {
-    if (sink.started || context.signal.aborted || attempt >= MAX_ATTEMPTS || !RETRYABLE_CODES.has(failure.code)) {
+    if (sink.started || context.signal.aborted || !RETRYABLE_CODES.has(failure.code)) {
         return false;
     }
     return failure.outcome === "not_run" || generation.key === undefined;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,3 +1,4 @@
+import { createRetryBudget } from "@fulmarcleat/admission";
 import { startConfigTask } from "@fulmarcleat/config";
 import { createEtcdKv, createHttpEngine, createHttpHostList } from "@fulmarcleat/drivers";
 import type { EngineDriver } from "@fulmarcleat/drivers";
@@ -14,7 +15,7 @@
 import type { OwnableEngine } from "@fulmarcleat/ownership";
 import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
 import type { LoadShare, PolicyDecisions } from "@fulmarcleat/placement";
-import { readPolicy } from "@fulmarcleat/resources";
+import { readPolicy, readResource } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
 import type {
@@ -232,6 +233,7 @@
         chooseReplicas,
         decisions,
         popularity: createPopularityTable(DEFAULT_POPULARITY),
+        readWeight: caller => readResource(config.snapshot, "Caller", caller)?.spec.weight ?? 1,
         recordDecision,
     });
     const findAnnounced = (engine: EngineId): HostId | undefined =>
@@ -312,6 +314,7 @@
         clock,
         metrics,
         log,
+        retries: createRetryBudget(() => readPolicy(config.snapshot).retryShare),
         maxBodyBytes: cfg.maxBodyBytes,
         bodyTimeoutMs: cfg.bodyTimeoutMs,
         isReady: () => config.complete && !leaving,
--- a/packages/ownership/src/createLoadBudgetTask.ts
+++ b/packages/ownership/src/createLoadBudgetTask.ts
@@ -34,6 +34,9 @@
             demands.set(engine, own);
             return reserveLoads(countAllowedLoads(budget, share), own, [...demands.values()]);
         },
+        get loadsPerSecond() {
+            return readPaced().loadsPerSecond;
+        },
         started() {
             budget = { ...budget, tokens: budget.tokens - 1, inTransit: budget.inTransit + 1 };
         },
--- a/packages/ownership/src/engineMessage.ts
+++ b/packages/ownership/src/engineMessage.ts
@@ -55,6 +55,8 @@
     readonly nowMs: number;
     /** Loads that the weight store's budget lets start now. */
     readonly loadsAllowed: number;
+    /** Loads that this host may start a second; unlimited where undefined. */
+    readonly loadsPerSecond?: number;
     /** Set where the host can't be sure that it still owns the engine; nothing is granted or ordered. */
     readonly isSuspended?: boolean;
     /** The policy's decisions; the system's own where undefined. */
--- a/packages/ownership/src/reduceEngine.ts
+++ b/packages/ownership/src/reduceEngine.ts
@@ -1,4 +1,4 @@
-import { decideAdmission } from "@fulmarcleat/admission";
+import { decideAdmission, estimateLoadWait } from "@fulmarcleat/admission";
 import { brandId } from "@fulmarcleat/ids";
 import type { AdapterName, AdapterVersion } from "@fulmarcleat/ids";
 import { acquireEngine } from "./acquireEngine.js";
@@ -7,6 +7,7 @@
 import { answerUnload } from "./answerUnload.js";
 import { applyHeld } from "./applyHeld.js";
 import { applyReport } from "./applyReport.js";
+import { countLoadsAhead } from "./countLoadsAhead.js";
 import { endPlace } from "./endPlace.js";
 import type { EngineEffect, EngineStep } from "./engineEffect.js";
 import type { EngineContext, EngineMessage } from "./engineMessage.js";
@@ -182,7 +183,11 @@
         waitingOfCaller: state.waiting.filter(entry => entry.caller === waiting.caller).length,
         queueLimit: state.limits.queueLimit,
         callerQueueLimit: state.limits.callerQueueLimit,
-        expectedWaitMs: isLoaded ? 0 : EXPECTED_LOAD_MS,
+        expectedWaitMs: isLoaded ? 0 : estimateLoadWait({
+            loadsAhead: countLoadsAhead(state, waiting, context.nowMs),
+            loadsPerSecond: context.loadsPerSecond ?? Infinity,
+            loadMs: EXPECTED_LOAD_MS,
+        }),
         waitLeftMs: waiting.deadlineMs - context.nowMs,
     });
     if (decision.kind === "refuse") {
--- a/packages/ownership/src/startEngineTask.ts
+++ b/packages/ownership/src/startEngineTask.ts
@@ -1,6 +1,6 @@
 import type { EngineDriver } from "@fulmarcleat/drivers";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
-import type { CancelTimer, Clock, EngineId, HostId } from "@fulmarcleat/ids";
+import type { CallerName, CancelTimer, Clock, EngineId, HostId } from "@fulmarcleat/ids";
 import type { PolicyDecisions, PopularityTable } from "@fulmarcleat/placement";
 import type { Decision, EngineStatus, PlaceAsk, PlaceEnd, PlaceReply } from "@fulmarcleat/wire";
 import { PLACE_START_MS } from "./applyReport.js";
@@ -32,6 +32,8 @@
     readonly decisions?: PolicyDecisions;
     /** How often adapters are asked for, over all engines of this host. */
     readonly popularity: PopularityTable;
+    /** A caller's share of the places, as a weight. */
+    readonly readWeight: (caller: CallerName) => number;
     /** Which engines serve an adapter at a rate of requests. */
     readonly chooseReplicas: (ask: PlaceAsk, ratePerSecond: number) => readonly EngineId[];
     /** Gives up the ownership record. */
@@ -87,9 +89,11 @@
         const step = reduceEngine(state, message, {
             nowMs,
             loadsAllowed,
+            loadsPerSecond: options.budget.loadsPerSecond,
             isSuspended: options.isSuspended(),
             decisions,
             readRate,
+            readWeight: options.readWeight,
         });
         state = step.state;
         step.effects.forEach(run);
--- a/packages/ownership/src/startOwnershipTask.ts
+++ b/packages/ownership/src/startOwnershipTask.ts
@@ -2,7 +2,7 @@
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import type { Hasher } from "@fulmarcleat/hashing";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
-import type { CancelTimer, Clock, EngineId, FailureDomain, HostId, Incarnation } from "@fulmarcleat/ids";
+import type { CallerName, CancelTimer, Clock, EngineId, FailureDomain, HostId, Incarnation } from "@fulmarcleat/ids";
 import type { KvClient } from "@fulmarcleat/kv";
 import type { PolicyDecisions, PopularityTable } from "@fulmarcleat/placement";
 import type { Decision, PlaceAsk, PlacesHeldAsk, PlacesHeldReply } from "@fulmarcleat/wire";
@@ -63,6 +63,8 @@
     readonly decisions?: PolicyDecisions;
     /** How often adapters are asked for, over all engines of this host. */
     readonly popularity: PopularityTable;
+    /** A caller's share of the places, as a weight. */
+    readonly readWeight: (caller: CallerName) => number;
     readonly chooseReplicas: (ask: PlaceAsk, ratePerSecond: number) => readonly EngineId[];
     readonly recordDecision: (decision: Omit<Decision, "host" | "atMs">) => void;
 }
