--- /dev/null
+++ b/packages/bench-once/src/index.ts
@@ -0,0 +1,2 @@
+export { countOutcomes } from "./countOutcomes.js";
+export { runOnceBench } from "./runOnceBench.js";
--- a/packages/fleet/src/startFleet.ts
+++ b/packages/fleet/src/startFleet.ts
@@ -43,6 +43,8 @@
     /** Resources that are there from the start, besides the engines. */
     readonly resources?: readonly unknown[];
     readonly fencing?: "checked" | "ignored";
+    /** Whether the engines are in the configuration from the start; true where undefined. */
+    readonly listsEngines?: boolean;
     /** The policy's decisions; the system's own where undefined. */
     readonly decisions?: PolicyDecisions;
 }
@@ -68,7 +70,7 @@
 }
 
 /** Key of the peers in a fleet in one process. */
-const FLEET_PEER_KEY = "fleet-in-one-process-peer-key-0123456789";
+export const FLEET_PEER_KEY = "fleet-in-one-process-peer-key-0123456789";
 /** Token of the first operator in a fleet in one process. */
 export const FLEET_OPERATOR_TOKEN = "fleet-operator-token";
 /** Base model of a fleet in one process. */
@@ -120,7 +122,10 @@
             changes = change.seq;
         }
     };
-    await apply([describeUpstream(options, engines), ...options.resources ?? []]);
+    await apply([
+        ...(options.listsEngines === false ? [] : [describeUpstream(options, engines)]),
+        ...options.resources ?? [],
+    ]);
     const start = (number: number): Promise<Gateway> =>
         startGateway(
             gatewaySettingsSchema.parse({
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -1,6 +1,6 @@
 import { brandId } from "@fulmarcleat/ids";
 import type { FailureDomain, HostId } from "@fulmarcleat/ids";
-import { listenSchema, peerKeySchema } from "@fulmarcleat/settings";
+import { listenSchema, peerCaFileSchema, peerKeySchema } from "@fulmarcleat/settings";
 import { z } from "zod";
 
 /** Settings of a gateway process. */
@@ -11,9 +11,26 @@
     /** Where callers connect. */
     callers: listenSchema,
     /** Where the system's other processes connect. */
-    peers: z.strictObject({ host: z.string().min(1), port: z.int().min(0).max(65535) }),
+    peers: listenSchema,
+    /** Authority of the other processes' certificates; without it they are reached by plain TCP. */
+    peerCaFile: peerCaFileSchema,
     kv: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
     hostList: z.strictObject({ url: z.url(), timeoutMs: z.int().min(10).default(2000) }),
+    /** Keyed requests. */
+    keyed: z.strictObject({
+        /** How long a key is remembered. */
+        retentionMs: z.int().min(60_000).default(86_400_000),
+        /** Pages in the key-value service; the same on every host. */
+        partitions: z.int().min(1).max(4096).default(64),
+        /** How long claims are gathered for one write. */
+        gatherMs: z.int().min(0).max(1000).default(5),
+        /** How long ends wait for a write that carries them. */
+        endMs: z.int().min(10).max(10_000).default(500),
+        /** Longest wait for a claim. */
+        waitMs: z.int().min(100).default(3000),
+        /** Memory for first answers. */
+        keptAnswerBytes: z.int().min(0).default(16_777_216),
+    }).prefault({}),
     /** How a newer configuration spreads among the hosts of a failure domain. */
     configSpread: z.strictObject({
         /** How many hosts of each failure domain watch the key-value service. */
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -6,17 +6,17 @@
 import { createEventLog, createMetrics } from "@fulmarcleat/events";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
-import { rankByRendezvous } from "@fulmarcleat/hashing";
 import { createId, createSystemClock } from "@fulmarcleat/ids";
 import type { EngineId, HostId, Incarnation, RequestId } from "@fulmarcleat/ids";
 import { createKvClient } from "@fulmarcleat/kv";
 import { startMembershipTask } from "@fulmarcleat/membership";
 import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
 import type { OwnableEngine } from "@fulmarcleat/ownership";
-import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
+import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS, shareLoads } from "@fulmarcleat/placement";
 import type { LoadShare, PolicyDecisions } from "@fulmarcleat/placement";
 import { readPolicy, readResource } from "@fulmarcleat/resources";
 import type { PolicySpec } from "@fulmarcleat/resources";
+import { readPem, readTls } from "@fulmarcleat/settings";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
 import type {
     Empty,
@@ -33,9 +33,13 @@
 import { createCallerServer } from "./createCallerServer.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
+import { createReplicaChooser } from "./createReplicaChooser.js";
+import { createServicePool } from "./createServicePool.js";
 import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { prepareCounters } from "./prepareCounters.js";
 import { startConfigSpread } from "./startConfigSpread.js";
+import { startGatewayClaims } from "./startGatewayClaims.js";
 import { startSessionTask } from "./startSessionTask.js";
 
 /** A running gateway. */
@@ -45,6 +49,8 @@
     readonly peerPort: number;
     readonly metrics: Metrics;
     readonly ready: Promise<void>;
+    /** Ends at once without a word to anybody, as a host that fails does. */
+    crash(): Promise<void>;
     /** Planned stop: no new work, running answers finish, engines are given up. */
     stop(): Promise<void>;
     /** What a stop at its limit would cut off, in words. */
@@ -55,7 +61,6 @@
 
 const MAX_DECISIONS = 10_000;
 const DONE: Empty = { done: true };
-const BURST_LOADS = 2;
 
 /**
  * Starts a gateway with all its tasks.
@@ -73,6 +78,7 @@
 ): Promise<Gateway> {
     const clock = createSystemClock();
     const metrics = createMetrics();
+    prepareCounters(metrics);
     const log: EventLog = createEventLog({ process: `gateway ${cfg.host}`, level: cfg.logLevel as 3 });
     const hash = await createHasher();
     const incarnation = createId<Incarnation>();
@@ -81,6 +87,7 @@
     const peers = createPeerClient({
         host: cfg.host,
         peerKey: cfg.peerKey,
+        ca: cfg.peerCaFile === undefined ? undefined : await readPem(cfg.peerCaFile),
         clock,
         metrics,
         heartbeatMs: cfg.helloMs,
@@ -165,25 +172,12 @@
             adapter: decision.adapter,
             requestId: decision.requestId,
         });
-    const replicaCounts = new Map<string, number>();
-    const chooseReplicas = (ask: PlaceAsk, ratePerSecond: number): readonly EngineId[] => {
-        const adapter = index.findAdapter(ask.adapter);
-        const engines = adapter === undefined
-            ? [ask.engine]
-            : index.listEngines(adapter.spec.baseModel).filter(entry => !entry.draining).map(entry => entry.engine);
-        const model = `${ask.adapter}@${ask.version}`;
-        const wanted = decisions.countReplicas({
-            engines: engines.length,
-            replicas: replicaCounts.get(model) ?? 1,
-            ratePerSecond,
-            replicaRate: readPolicy(config.snapshot).replicaRate,
-        });
-        replicaCounts.delete(model);
-        if (wanted > 1) {
-            replicaCounts.set(model, wanted);
-        }
-        return rankByRendezvous(hash, model, engines).slice(0, wanted);
-    };
+    const chooseReplicas = createReplicaChooser({
+        hash,
+        decisions,
+        readIndex: () => index,
+        readReplicaRate: () => readPolicy(config.snapshot).replicaRate,
+    });
     const askPeer = (host: HostId) => {
         const member = membership.find(host);
         if (member === undefined) {
@@ -196,16 +190,12 @@
         }
         return member;
     };
-    const share = (): LoadShare => {
-        const policy = readPolicy(config.snapshot);
-        const part = ownership.owned.length / Math.max(1, index.engines.length);
-        return {
-            loadsPerSecond: policy.storeLoadsPerSecond * part,
-            maxInTransit: Math.max(1, Math.floor(policy.storeMaxInTransit * part)),
-            maxFactor: part === 0 ? 1 : 1 / part,
-            burst: BURST_LOADS,
-        };
-    };
+    const share = (): LoadShare =>
+        shareLoads({
+            ...readPolicy(config.snapshot),
+            ownedEngines: ownership.owned.length,
+            engines: index.engines.length,
+        });
     const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
     const ownership = startOwnershipTask({
         host: cfg.host,
@@ -276,6 +266,18 @@
             await peers.ask(askPeer(owner), "placeEnd", end, cfg.silenceMs);
         },
     });
+    const claims = startGatewayClaims(cfg, {
+        incarnation,
+        kv,
+        hash,
+        clock,
+        metrics,
+        readPolicy: () => readPolicy(config.snapshot),
+        listLive: () => membership.liveHosts,
+        askPeer: (host, ask, timeoutMs) => peers.ask(askPeer(host), "claim", ask, timeoutMs),
+        endPeer: (host, end) => peers.ask(askPeer(host), "claimEnd", end, cfg.helloMs),
+    });
+    const services = createServicePool(cfg.connectTimeoutMs);
     const describeStatus = (): StatusReply => ({
         host: cfg.host,
         incarnation,
@@ -289,8 +291,10 @@
         host: cfg.host,
         peerKey: cfg.peerKey,
         listen: cfg.peers,
+        tls: await readTls(cfg.peers.tls),
         clock,
         metrics,
+        log,
         silenceMs: cfg.silenceMs,
         handlers: {
             hello: ask => Promise.resolve(membership.handleHello(ask)),
@@ -299,6 +303,11 @@
                 ownership.find(ask.engine)?.end(ask);
                 return Promise.resolve(DONE);
             },
+            claim: claims.handleAsk,
+            claimEnd: end => {
+                claims.handleEnd(end);
+                return Promise.resolve(DONE);
+            },
             placesHeld: ask => Promise.resolve(describeHeld(ask)),
             status: () => Promise.resolve(describeStatus()),
             configPush: ask => Promise.resolve(config.takePush(ask)),
@@ -321,16 +330,8 @@
         isLeaving: () => leaving,
         recordStep: (requestId, generation, step, detail) =>
             recordDecision({ step, detail, requestId, adapter: generation?.offered.adapter }),
-        claim: () =>
-            Promise.reject(
-                new ServeError("keyed requests are not served yet", {
-                    code: "kv_unavailable",
-                    step: "claim",
-                    peer: "self",
-                    outcome: "not_run",
-                    retryAfterMs: 1000,
-                }),
-            ),
+        claims,
+        findService: services.find,
     });
     const server = await createCallerServer({
         listen: cfg.callers,
@@ -339,23 +340,29 @@
         headersTimeoutMs: cfg.headersTimeoutMs,
     });
     log.write("info", 100, { host: cfg.host, callers: server.url, peers: peerServer.port });
-    const stopOnce = async (): Promise<void> => {
-        leaving = true;
-        log.write("info", 102, { host: cfg.host });
-        await membership.announce();
-        const closed = server.close();
-        await ownership.release();
-        await membership.announce();
-        await closed;
+    const closeAll = async (): Promise<void> => {
         ownership.stop();
-        await session.stop();
         membership.stop();
         spread.stop();
         config.stop();
         peers.close();
         await peerServer.close();
+        await services.close();
         await Promise.all([...drivers.values()].map(entry => entry.driver.close()));
         await kv.close();
+    };
+    const ready = Promise.all([config.ready, membership.ready]).then(() => log.write("info", 101, { host: cfg.host }));
+    const stopOnce = async (): Promise<void> => {
+        leaving = true;
+        log.write("info", 102, { host: cfg.host });
+        await membership.announce();
+        const closed = server.close();
+        await ownership.release().catch(() => metrics.count("release_failures_total"));
+        await membership.announce();
+        await closed;
+        await claims.stop();
+        await session.stop();
+        await closeAll();
         log.write("info", 103, { host: cfg.host });
     };
     let stopping: Promise<void> | undefined;
@@ -364,6 +371,12 @@
         url: server.url,
         peerPort: peerServer.port,
         metrics,
+        crash() {
+            session.abandon();
+            void server.close();
+            stopping = closeAll();
+            return stopping;
+        },
         configReached: seq =>
             new Promise(resolve => {
                 const stopWaiting = config.subscribe(snapshot => {
@@ -378,7 +391,7 @@
                 }
             }),
         describeUnfinished: () => `${router.heldCount} running answers`,
-        ready: Promise.all([config.ready, membership.ready]).then(() => undefined),
+        ready,
         stop: () => stopping ??= stopOnce(),
     };
 }
--- a/packages/kv/src/createKvClient.steps.ts
+++ b/packages/kv/src/createKvClient.steps.ts
@@ -12,6 +12,7 @@
     clock: ManualClock;
     client: KvClient;
     swaps: number;
+    stored: string;
     openWatches: number;
     outcome: KvOutcome;
     seen: string[][];
@@ -26,6 +27,7 @@
     const answers = JSON.parse(answersText) as string[];
     this.clock = createManualClock(0);
     this.swaps = 0;
+    this.stored = "present";
     this.openWatches = 0;
     const driver = createScriptedDriver(this, answers);
     this.client = createKvClient({
@@ -37,6 +39,10 @@
     });
 });
 
+Given("the KV driver reads {string}", function(this: ClientWorld, value: string) {
+    this.stored = value;
+});
+
 When("the KV client writes {string} with its nonce in it", async function(this: ClientWorld, value: string) {
     const writing = this.client.write({
         purpose: "claim",
@@ -90,9 +96,8 @@
 });
 
 function createScriptedDriver(world: ClientWorld, answers: readonly string[]): KvDriver {
-    const present: KvEntry = { value: "present", revision: 7 };
     return {
-        get: () => Promise.resolve(present),
+        get: () => Promise.resolve<KvEntry>({ value: world.stored, revision: 7 }),
         swap() {
             const answer = answers[world.swaps] ?? "unsent";
             world.swaps += 1;
--- a/packages/kv/src/createKvClient.ts
+++ b/packages/kv/src/createKvClient.ts
@@ -121,10 +121,19 @@
         if (clock.nowMs() + RETRY_MS >= deadlineMs) {
             return { kind: "unknown" };
         }
+        const readBack = await readOwn(write, options.driver, gate);
+        if (readBack !== undefined) {
+            return { kind: "applied", entry: readBack };
+        }
         await new Promise<void>(resolve => clock.setTimer(RETRY_MS, resolve));
     }
 }
 
+async function readOwn(write: KvWrite, driver: KvDriver, gate: CallGate): Promise<KvEntry | undefined> {
+    const entry = await gate.run(write.purpose, "get", () => driver.get(write.key)).catch(() => undefined);
+    return entry !== undefined && write.isOwn(entry.value) ? entry : undefined;
+}
+
 async function attemptSwap(write: KvWrite, driver: KvDriver, gate: CallGate): Promise<SwapAttempt> {
     try {
         return { kind: "answered", result: await gate.run(write.purpose, "swap", () => driver.swap(write)) };
--- a/packages/ownership/src/startEngineTask.ts
+++ b/packages/ownership/src/startEngineTask.ts
@@ -4,6 +4,7 @@
 import type { PolicyDecisions, PopularityTable } from "@fulmarcleat/placement";
 import type { Decision, EngineStatus, PlaceAsk, PlaceEnd, PlaceReply } from "@fulmarcleat/wire";
 import { PLACE_START_MS } from "./applyReport.js";
+import { countBatch } from "./countBatch.js";
 import { countPins } from "./countPins.js";
 import { createEngineState } from "./createEngineState.js";
 import type { EngineEffect } from "./engineEffect.js";
@@ -77,6 +78,7 @@
     const replies = new Map<string, PendingReply>();
     const stopping = new AbortController();
     let state = createEngineState(engine, options.limits);
+    let isShowingFence = false;
     let cancelTick: CancelTimer = () => undefined;
     let cancelReport: CancelTimer = () => undefined;
 
@@ -168,9 +170,14 @@
         send({ kind: "unloadAnswered", instance: effect.instance, result });
     };
     const showFence = async (effect: Extract<EngineEffect, { kind: "showFence" }>): Promise<void> => {
+        if (isShowingFence) {
+            return;
+        }
+        isShowingFence = true;
         const sentMs = clock.nowMs();
         const signal = AbortSignal.timeout(options.orderMs);
         const result = await driver.unload(effect.instance, effect.fence, signal).catch(() => undefined);
+        isShowingFence = false;
         send({ kind: "fenceAnswered", sentMs, result });
     };
     const tick = (): void => {
@@ -185,6 +192,7 @@
         if (state.phase === "owned") {
             const report = await driver.report(AbortSignal.timeout(reportLimitMs)).catch(() => undefined);
             if (report !== undefined && !stopping.signal.aborted) {
+                countBatch(metrics, report, state.waiting.length);
                 send({ kind: "report", report, askedMs });
             }
             if (report === undefined && !stopping.signal.aborted) {
@@ -219,10 +227,6 @@
     };
 }
 
-function addAsked(state: EngineState, message: EngineMessage): EngineState {
-    return message.kind === "ask" ? { ...state, waiting: [...state.waiting, message.waiting] } : state;
-}
-
 /** Replaces an engine's connections where they are silent and a new one works. */
 async function replaceSilent({ driver, engine, metrics, log }: EngineTaskOptions): Promise<void> {
     const works = await driver.probe(AbortSignal.timeout(PROBE_LIMIT_MS)).catch(() => false);
@@ -233,6 +237,10 @@
     }
 }
 
+function addAsked(state: EngineState, message: EngineMessage): EngineState {
+    return message.kind === "ask" ? { ...state, waiting: [...state.waiting, message.waiting] } : state;
+}
+
 function describe(state: EngineState, options: EngineTaskOptions): EngineStatus {
     return {
         engine: state.engine,
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -19,3 +19,5 @@
 export { refillBudget } from "./refillBudget.js";
 export { reserveLoads } from "./reserveLoads.js";
 export type { LoadDemand } from "./reserveLoads.js";
+export { shareLoads } from "./shareLoads.js";
+export type { StoreSplit } from "./shareLoads.js";
