--- a/packages/api/src/startApi.ts
+++ b/packages/api/src/startApi.ts
@@ -51,7 +51,6 @@
         metrics,
         heartbeatMs: PEER_HEARTBEAT_MS,
         silenceMs: PEER_SILENCE_MS,
-        ca: cfg.peerCaFile === undefined ? undefined : await readPem(cfg.peerCaFile),
     });
     const hostList = createHttpHostList(cfg.hostList);
     const stopping = new AbortController();
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,3 +1,4 @@
+import { createRetryBudget } from "@fulmarcleat/admission";
 import { startConfigTask } from "@fulmarcleat/config";
 import { createEtcdKv, createHttpEngine, createHttpHostList } from "@fulmarcleat/drivers";
 import type { EngineDriver } from "@fulmarcleat/drivers";
@@ -5,15 +6,14 @@
 import { createEventLog, createMetrics } from "@fulmarcleat/events";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
-import { rankByRendezvous } from "@fulmarcleat/hashing";
 import { createId, createSystemClock } from "@fulmarcleat/ids";
 import type { EngineId, HostId, Incarnation, RequestId } from "@fulmarcleat/ids";
 import { createKvClient } from "@fulmarcleat/kv";
 import { startMembershipTask } from "@fulmarcleat/membership";
 import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
-import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
+import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS, shareLoads } from "@fulmarcleat/placement";
 import type { LoadShare, PolicyDecisions } from "@fulmarcleat/placement";
-import { readPolicy } from "@fulmarcleat/resources";
+import { readPolicy, readResource } from "@fulmarcleat/resources";
 import { readPem, readTls } from "@fulmarcleat/settings";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
 import type {
@@ -31,6 +31,7 @@
 import { createCallerServer } from "./createCallerServer.js";
 import { createDecisionLog } from "./createDecisionLog.js";
 import { createPlaceRouter } from "./createPlaceRouter.js";
+import { createReplicaChooser } from "./createReplicaChooser.js";
 import { createServicePool } from "./createServicePool.js";
 import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
@@ -60,7 +61,6 @@
 
 const MAX_DECISIONS = 10_000;
 const DONE: Empty = { done: true };
-const BURST_LOADS = 2;
 
 /**
  * Starts a gateway with all its tasks.
@@ -172,25 +172,12 @@
             adapter: decision.adapter,
             requestId: decision.requestId,
         });
-    const replicaCounts = new Map<string, number>();
-    const chooseReplicas = (ask: PlaceAsk, ratePerSecond: number): readonly EngineId[] => {
-        const adapter = index.findAdapter(ask.adapter);
-        const engines = adapter === undefined
-            ? [ask.engine]
-            : index.listEngines(adapter.spec.baseModel).filter(entry => !entry.draining).map(entry => entry.engine);
-        const model = `${ask.adapter}@${ask.version}`;
-        const wanted = decisions.countReplicas({
-            engines: engines.length,
-            replicas: replicaCounts.get(model) ?? 1,
-            ratePerSecond,
-            replicaRate: readPolicy(config.snapshot).replicaRate,
-        });
-        replicaCounts.delete(model);
-        if (wanted > 1) {
-            replicaCounts.set(model, wanted);
-        }
-        return rankByRendezvous(hash, model, engines).slice(0, wanted);
-    };
+    const chooseReplicas = createReplicaChooser({
+        hash,
+        decisions,
+        readIndex: () => index,
+        readReplicaRate: () => readPolicy(config.snapshot).replicaRate,
+    });
     const askPeer = (host: HostId) => {
         const member = membership.find(host);
         if (member === undefined) {
@@ -203,16 +190,12 @@
         }
         return member;
     };
-    const share = (): LoadShare => {
-        const policy = readPolicy(config.snapshot);
-        const part = ownership.owned.length / Math.max(1, index.engines.length);
-        return {
-            loadsPerSecond: policy.storeLoadsPerSecond * part,
-            maxInTransit: Math.max(1, Math.floor(policy.storeMaxInTransit * part)),
-            maxFactor: part === 0 ? 1 : 1 / part,
-            burst: BURST_LOADS,
-        };
-    };
+    const share = (): LoadShare =>
+        shareLoads({
+            ...readPolicy(config.snapshot),
+            ownedEngines: ownership.owned.length,
+            engines: index.engines.length,
+        });
     const session = startSessionTask({ host: cfg.host, incarnation, kv, clock, log, leaseMs: cfg.leaseMs });
     const ownership = startOwnershipTask({
         host: cfg.host,
@@ -240,6 +223,7 @@
         chooseReplicas,
         decisions,
         popularity: createPopularityTable(DEFAULT_POPULARITY),
+        readWeight: caller => readResource(config.snapshot, "Caller", caller)?.spec.weight ?? 1,
         recordDecision,
     });
     const findAnnounced = (engine: EngineId): HostId | undefined =>
@@ -339,6 +323,7 @@
         clock,
         metrics,
         log,
+        retries: createRetryBudget(() => readPolicy(config.snapshot).retryShare),
         maxBodyBytes: cfg.maxBodyBytes,
         bodyTimeoutMs: cfg.bodyTimeoutMs,
         isReady: () => config.complete && !leaving,
