Take only confirmed refusals of an engine as not run

Cause: any status but 200 counted as a refusal, 500 included, so that a request which may have run was called not run and its key was freed. Change: 404, 410, 429 and 503 are refusals; every other status leaves the outcome unknown.

--- a/packages/capacity/src/measureMembership.ts
+++ b/packages/capacity/src/measureMembership.ts
@@ -12,6 +12,7 @@
 const HOST_SIZES = [8, 200, 1900] as const;
 const CANDIDATE_SIZES = [10, 1000, 10_000] as const;
 const CALLS = 20;
+const RANKED_IN_ALL = 200_000;
 const FAILURE_DOMAINS = 9;
 const FIRST_PORT = 7000;
 
@@ -37,7 +38,7 @@
             CANDIDATE_SIZES,
             engines => {
                 const ids = Array.from({ length: engines }, (unused, at) => `engine-${at}`);
-                return measureCpu(CALLS, call => void rankByRendezvous(hash, `adapter-${call}`, ids));
+                return measureCpu(RANKED_IN_ALL / engines, call => void rankByRendezvous(hash, `adapter-${call}`, ids));
             },
         ),
     ];
--- a/packages/drivers/src/createHttpEngine.ts
+++ b/packages/drivers/src/createHttpEngine.ts
@@ -15,6 +15,7 @@
     StreamResult,
 } from "./engineDriver.js";
 import { isUnsent } from "./isUnsent.js";
+import { readRefusalReason } from "./readRefusalReason.js";
 import { readToken } from "./readToken.js";
 
 /** Settings of the connection to one engine. */
@@ -159,12 +160,15 @@
         if (res.statusCode === 200) {
             return { kind: "accepted", tokens: readTokens(res, options, finish) };
         }
-        const refusal = await readRefusal(res);
+        const refusal = await readRefusal(res, options);
         finish();
         return refusal;
     }
     catch (cause) {
         finish();
+        if (cause instanceof ServeError) {
+            throw cause;
+        }
         throw new ServeError("the engine did not answer", {
             code: isSilence(cause) ? "upstream_silent" : "upstream_failed",
             step: "open stream",
@@ -181,16 +185,19 @@
 
 const SILENCE_CODES: ReadonlySet<string> = new Set(["UND_ERR_HEADERS_TIMEOUT", "UND_ERR_BODY_TIMEOUT"]);
 
-async function readRefusal(res: Dispatcher.ResponseData): Promise<StreamResult> {
-    const { error } = refusalSchema.parse(await res.body.json());
-    switch (res.statusCode) {
-        case 404:
-            return { kind: "refused", reason: "not_loaded", message: error.message };
-        case 410:
-            return { kind: "refused", reason: "leaving", message: error.message };
-        default:
-            return { kind: "refused", reason: "overloaded", message: error.message };
+async function readRefusal(res: Dispatcher.ResponseData, options: HttpEngineOptions): Promise<StreamResult> {
+    const reason = readRefusalReason(res.statusCode);
+    if (reason === undefined) {
+        await res.body.dump();
+        throw new ServeError(`the engine answered status ${res.statusCode}`, {
+            code: "upstream_failed",
+            step: "open stream",
+            peer: options.url,
+            outcome: "unknown",
+        });
     }
+    const { error } = refusalSchema.parse(await res.body.json());
+    return { kind: "refused", reason, message: error.message };
 }
 
 async function* readTokens(
--- a/packages/membership/src/mergeHostList.ts
+++ b/packages/membership/src/mergeHostList.ts
@@ -17,10 +17,10 @@
     listed: readonly ListedHost[],
     nowMs: number,
 ): readonly Member[] {
-    return listed.map(entry => mergeOne(members.find(member => member.host === entry.host), entry, nowMs)).sort((
-        a,
-        b,
-    ) => (a.host < b.host ? -1 : 1));
+    const known = new Map(members.map(member => [member.host, member]));
+    return listed
+        .map(entry => mergeOne(known.get(entry.host), entry, nowMs))
+        .sort((a, b) => (a.host < b.host ? -1 : 1));
 }
 
 function mergeOne(known: Member | undefined, entry: ListedHost, nowMs: number): Member {
