--- /dev/null
+++ b/packages/gateway/src/mayRetryService.feature
@@ -0,0 +1,14 @@
+Feature: mayRetryService
+
+    Scenario Outline: A call is sent again only where it may run twice or nothing was sent
+        Then mayRetryService of [{"isOnce":<once>,"wasSent":<sent>,"urlsLeft":<left>,"isExpired":<expired>}] gives <result>
+
+        Examples:
+            | once  | sent  | left | expired | result |
+            | true  | true  | 3    | false   | false  |
+            | true  | false | 3    | false   | true   |
+            | true  | false | 0    | false   | false  |
+            | false | true  | 3    | false   | true   |
+            | false | true  | 0    | false   | false  |
+            | false | true  | 3    | true    | false  |
+            | false | false | 1    | false   | true   |
--- /dev/null
+++ b/packages/gateway/src/mayRetryService.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { mayRetryService } from "./mayRetryService.js";
+
+registerTable("mayRetryService", mayRetryService);
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -11,11 +11,9 @@
 import { createKvClient } from "@fulmarcleat/kv";
 import { startMembershipTask } from "@fulmarcleat/membership";
 import { createLoadBudgetTask, startOwnershipTask } from "@fulmarcleat/ownership";
-import type { OwnableEngine } from "@fulmarcleat/ownership";
 import { createPopularityTable, DEFAULT_POPULARITY, FULMARCLEAT_DECISIONS } from "@fulmarcleat/placement";
 import type { LoadShare, PolicyDecisions } from "@fulmarcleat/placement";
 import { readPolicy } from "@fulmarcleat/resources";
-import type { PolicySpec } from "@fulmarcleat/resources";
 import { readPem, readTls } from "@fulmarcleat/settings";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
 import type {
@@ -36,6 +34,7 @@
 import { createServicePool } from "./createServicePool.js";
 import { fetchConfig } from "./fetchConfig.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { listOwnable } from "./listOwnable.js";
 import { prepareCounters } from "./prepareCounters.js";
 import { startConfigSpread } from "./startConfigSpread.js";
 import { startGatewayClaims } from "./startGatewayClaims.js";
@@ -399,26 +398,3 @@
         stop: () => stopping ??= stopOnce(),
     };
 }
-
-function listOwnable(
-    engines: readonly ConfiguredEngine[],
-    policy: PolicySpec,
-    ensureDriver: (entry: ConfiguredEngine) => EngineDriver,
-): readonly OwnableEngine[] {
-    return engines.map(entry => ({
-        engine: entry.engine,
-        failureDomain: entry.failureDomain,
-        driver: ensureDriver(entry),
-        limits: {
-            queueLimit: policy.queueLimit,
-            callerQueueLimit: policy.callerQueueLimit,
-            agingMs: policy.agingMs,
-            maxRequestMs: policy.maxRequestMs,
-            replicaRate: policy.replicaRate,
-            batchSlots: policy.engineBatchSlots,
-            adapterPlaces: policy.engineAdapterPlaces,
-            fencing: entry.fencing,
-            draining: entry.draining,
-        },
-    }));
-}
