--- a/packages/bench-once/src/main.ts
+++ b/packages/bench-once/src/main.ts
@@ -12,6 +12,7 @@
     .option("seed", { type: "number", default: 7, describe: "seed of keys and faults" })
     .option("fault-every", { type: "number", default: 200, describe: "requests between two faults; 0 for none" })
     .option("repeat-share", { type: "number", default: 0.3, describe: "share of requests that repeat a key" })
+    .option("partitions", { type: "number", default: 64, describe: "pages among which the keys are divided" })
     .strict()
     .parseAsync();
 const result = await runOnceBench({
@@ -22,6 +23,7 @@
     seed: args.seed,
     faultEvery: args.faultEvery,
     repeatShare: args.repeatShare,
+    partitions: args.partitions,
 });
 process.stdout.write(`${JSON.stringify(result, undefined, 2)}\n`);
 process.exitCode = result.maxRunsPerKey > 1 || result.falseNotRun > 0 || result.falseRan > 0 ? 1 : 0;
--- a/packages/bench-once/src/runOnceBench.ts
+++ b/packages/bench-once/src/runOnceBench.ts
@@ -19,6 +19,8 @@
     readonly faultEvery: number;
     /** Share of requests that repeat an earlier key. */
     readonly repeatShare: number;
+    /** Pages among which the keys are divided. */
+    readonly partitions: number;
 }
 
 /** What a run gave. */
@@ -98,7 +100,7 @@
         engines: options.engines,
         failureDomains: ["wien-a", "wien-b", "linz-c"],
         engine: { tokenMs: 1, batchSlots: 256 },
-        gateway: { streamSilenceMs: 1500 },
+        gateway: { streamSilenceMs: 1500, keyed: { partitions: options.partitions } },
         resources: [
             {
                 kind: "Policy",
