--- /dev/null
+++ b/packages/membership/src/applyHello.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { applyHello } from "./applyHello.js";
+
+registerTable("applyHello", applyHello);
