Find a watch that fell silent, and run scenarios in eight workers

Cause: a watch on a connection that goes silent never ends, so a host missed every later change: of 515 scenarios, "silent connections with conflicting operators" waited for 60 s in vain. Another red one, "one watching host pushes changes to its peers", posted its change while four hosts still watched. Ruled out: the pushes between hosts; all hosts of a failure domain watched. Change: an open watch is checked by reading its key every 3 s, and opened again where it said nothing of a newer value. The scenario of the pushes waits until just one host watches (gauge config_watching), so it is as strict as before. Conclusion: a change is in force within seconds on a host whose connections went silent; the price is a read every 3 s from each watching host.

--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -1,6 +1,6 @@
 export default {
     paths: ["packages/*/src/**/*.feature", "features/**/*.feature"],
     import: ["packages/*/src/**/*.steps.ts", "features/**/*.steps.ts"],
-    parallel: 5,
-    format: ["summary", "json:.work/cucumber.json"],
+    parallel: 8,
+    format: ["summary", "message:.work/messages.ndjson", "json:.work/cucumber.json"],
 };
--- a/features/config.steps.ts
+++ b/features/config.steps.ts
@@ -30,9 +30,16 @@
             failureDomains: ["wien-a"],
             gateway: { configSpread: { relaysPerDomain, compareMs: 200 } },
         });
+        while (countWatching(this) !== relaysPerDomain) {
+            await pause(WATCH_MS);
+        }
     },
 );
 
+function countWatching(world: FleetWorld): number {
+    return world.fleet.gateways.reduce((total, gateway) => total + gateway.metrics.read("config_watching"), 0);
+}
+
 When(
     "{int} writers race with {int} changes, and 1 in {int} loses a reply",
     async function(this: ConfigWorld, writers: number, changes: number, loseEvery: number) {
--- a/packages/config/src/startConfigTask.ts
+++ b/packages/config/src/startConfigTask.ts
@@ -171,6 +171,7 @@
             }
             watching?.abort();
             watching = isRelay ? new AbortController() : undefined;
+            metrics.set("config_watching", isRelay ? 1 : 0);
             if (watching !== undefined) {
                 const take = (value: string): void =>
                     send({ kind: "log", log: parseConfigLog(value, state.snapshot.seq) });
--- a/packages/events/src/createMetrics.ts
+++ b/packages/events/src/createMetrics.ts
@@ -13,7 +13,7 @@
     set(name: string, value: number, labels?: Labels): void;
     /** Records a duration in milliseconds. */
     record(name: string, valueMs: number, labels?: Labels): void;
-    /** Value of a counter, for tests and reports. */
+    /** Value of a counter or gauge, for tests and reports. */
     read(name: string, labels?: Labels): number;
     /** Everything in the Prometheus text format. */
     expose(): Promise<string>;
@@ -66,6 +66,7 @@
                     }),
             );
             gauge.set(labels, value);
+            values.set(formatSeries(name, labels), value);
         },
         record(name, valueMs, labels = {}) {
             const histogram = ensure(histograms, formatSeries(name, labels), () => buildHistogram());
--- a/packages/kv/src/createKvClient.feature
+++ b/packages/kv/src/createKvClient.feature
@@ -28,3 +28,17 @@
         Then the KV driver has 1 open watch and each subscriber saw the value once
         When all subscribers of the KV client end
         Then the KV driver has 0 open watches
+
+    Scenario: A watch that fell silent is found by reading the key, and replaced
+        Given a KV client over a driver that answers []
+        When 1 subscribers watch the same key through the KV client
+        And the KV driver's value becomes "later" without a word on its watches
+        Then the KV subscribers saw ["present", "later"] within 3000 ms of the clock
+        And the KV driver has 1 open watches
+        And the KV driver opened 2 watches in all
+
+    Scenario: A watch that works is kept
+        Given a KV client over a driver that answers []
+        When 1 subscribers watch the same key through the KV client
+        Then the KV subscribers saw ["present"] within 9000 ms of the clock
+        And the KV driver opened 1 watches in all
--- a/packages/kv/src/createKvClient.steps.ts
+++ b/packages/kv/src/createKvClient.steps.ts
@@ -14,6 +14,8 @@
     swaps: number;
     stored: string;
     openWatches: number;
+    openedWatches: number;
+    revision: number;
     outcome: KvOutcome;
     seen: string[][];
     stopping: AbortController[];
@@ -22,6 +24,7 @@
 const RESOLVE_MS = 500;
 const STEP_MS = 50;
 const ROUNDS = 40;
+const FIRST_REVISION = 7;
 
 Given("a KV client over a driver that answers {}", function(this: ClientWorld, answersText: string) {
     const answers = JSON.parse(answersText) as string[];
@@ -29,6 +32,8 @@
     this.swaps = 0;
     this.stored = "present";
     this.openWatches = 0;
+    this.openedWatches = 0;
+    this.revision = FIRST_REVISION;
     const driver = createScriptedDriver(this, answers);
     this.client = createKvClient({
         driver,
@@ -95,9 +100,35 @@
     strictEqual(this.openWatches, count);
 });
 
+When(
+    "the KV driver's value becomes {string} without a word on its watches",
+    function(this: ClientWorld, value: string) {
+        this.stored = value;
+        this.revision += 1;
+    },
+);
+
+Then(
+    "the KV subscribers saw {} within {int} ms of the clock",
+    async function(this: ClientWorld, seenText: string, ms: number) {
+        for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+            this.clock.advance(STEP_MS);
+            await settlePromises();
+        }
+        this.seen.forEach(seen => deepStrictEqual(seen, JSON.parse(seenText)));
+    },
+);
+
+Then("the KV driver opened {int} watches in all", async function(this: ClientWorld, count: number) {
+    strictEqual(this.openedWatches, count);
+    this.stopping.forEach(controller => controller.abort());
+    await settlePromises();
+    await this.client.close();
+});
+
 function createScriptedDriver(world: ClientWorld, answers: readonly string[]): KvDriver {
     return {
-        get: () => Promise.resolve<KvEntry>({ value: world.stored, revision: 7 }),
+        get: () => Promise.resolve<KvEntry>({ value: world.stored, revision: world.revision }),
         swap() {
             const answer = answers[world.swaps] ?? "unsent";
             world.swaps += 1;
@@ -108,6 +139,7 @@
         revokeLease: () => Promise.resolve(),
         async *watch(key, afterRevision, signal) {
             world.openWatches += 1;
+            world.openedWatches += 1;
             await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
             world.openWatches -= 1;
             yield { kind: "deleted", revision: afterRevision };
--- a/packages/kv/src/createKvClient.ts
+++ b/packages/kv/src/createKvClient.ts
@@ -49,6 +49,8 @@
     close(): Promise<void>;
 }
 
+/** Time between two reads that check an open watch, in milliseconds. */
+const WATCH_CHECK_MS = 3000;
 const RETRY_MS = 100;
 const PROBE_MS = 250;
 const PROBE_KEY = "probe";
@@ -73,7 +75,7 @@
         budget: options.budget ?? DEFAULT_BUDGET,
         slowMs: options.slowMs ?? DEFAULT_SLOW_MS,
     });
-    const watches = createSharedWatches({ driver, gate, clock, retryMs: RETRY_MS });
+    const watches = createSharedWatches({ driver, gate, clock, retryMs: RETRY_MS, checkMs: WATCH_CHECK_MS });
     let isClosed = false;
     let cancelProbe: CancelTimer = () => undefined;
     const probe = async (): Promise<void> => {
--- a/packages/kv/src/createSharedWatches.ts
+++ b/packages/kv/src/createSharedWatches.ts
@@ -1,5 +1,5 @@
 import type { KvDriver, KvEntry } from "@fulmarcleat/drivers";
-import type { Clock } from "@fulmarcleat/ids";
+import type { CancelTimer, Clock } from "@fulmarcleat/ids";
 import type { CallGate } from "./createCallGate.js";
 import type { KvPurpose } from "./createKvClient.js";
 
@@ -10,6 +10,8 @@
     readonly clock: Clock;
     /** Pause before a broken watch is opened again, in milliseconds. */
     readonly retryMs: number;
+    /** Time between two reads that check an open watch, in milliseconds. */
+    readonly checkMs: number;
 }
 
 /** Watches of keys; one call for each key, whoever asks. */
@@ -77,30 +79,71 @@
 }
 
 async function keepWatching(watch: SharedWatch, options: SharedWatchOptions): Promise<void> {
-    const { driver, gate, clock } = options;
     const { signal } = watch.stopping;
     while (!signal.aborted) {
+        const silent = new AbortController();
+        const cancelCheck = checkRegularly(watch, options, silent);
         try {
-            deliverNewer(watch, await gate.run(watch.purpose, "get", () => driver.get(watch.key)));
-            await gate.runWatch(watch.purpose, async () => {
-                try {
-                    for await (const event of driver.watch(watch.key, watch.last?.revision ?? 0, signal)) {
-                        deliverNewer(watch, event.kind === "put" ? event.entry : undefined);
-                    }
-                }
-                catch (err) {
-                    if (!signal.aborted) {
-                        throw err;
-                    }
-                }
-            });
+            deliverNewer(watch, await readKey(watch, options));
+            await followOnce(watch, options, AbortSignal.any([signal, silent.signal]));
         }
         catch {
-            await new Promise<void>(resolve => clock.setTimer(options.retryMs, resolve));
+            await new Promise<void>(resolve => options.clock.setTimer(options.retryMs, resolve));
+        }
+        finally {
+            cancelCheck();
         }
     }
 }
 
+function readKey({ purpose, key }: SharedWatch, { driver, gate }: SharedWatchOptions): Promise<KvEntry | undefined> {
+    return gate.run(purpose, "get", () => driver.get(key));
+}
+
+async function followOnce(
+    watch: SharedWatch,
+    { driver, gate }: SharedWatchOptions,
+    signal: AbortSignal,
+): Promise<void> {
+    await gate.runWatch(watch.purpose, async () => {
+        try {
+            for await (const event of driver.watch(watch.key, watch.last?.revision ?? 0, signal)) {
+                deliverNewer(watch, event.kind === "put" ? event.entry : undefined);
+            }
+        }
+        catch (err) {
+            if (!signal.aborted) {
+                throw err;
+            }
+        }
+    });
+}
+
+/** Reads the key now and then; a watch that said nothing of a newer value is silent and is opened again. */
+function checkRegularly(watch: SharedWatch, options: SharedWatchOptions, silent: AbortController): CancelTimer {
+    let cancel: CancelTimer = () => undefined;
+    let isOver = false;
+    const check = async (): Promise<void> => {
+        const known = watch.last?.revision ?? 0;
+        const entry = await readKey(watch, options).catch(() => undefined);
+        if (!isOver && entry !== undefined && entry.revision > known && watch.last?.revision === known) {
+            silent.abort();
+            deliverNewer(watch, entry);
+        }
+        plan();
+    };
+    const plan = (): void => {
+        if (!isOver && !silent.signal.aborted) {
+            cancel = options.clock.setTimer(options.checkMs, () => void check());
+        }
+    };
+    plan();
+    return () => {
+        isOver = true;
+        cancel();
+    };
+}
+
 function deliverNewer(watch: SharedWatch, entry: KvEntry | undefined): void {
     if (entry === undefined || entry.revision <= (watch.last?.revision ?? 0)) {
         return;
