End a stop only once each engine's release is written

Ruled out: the reducer; it reports the release after the last order's answer. Change: the ownership task waits for the writes of its releases.

--- a/features/leaving-hosts.feature
+++ b/features/leaving-hosts.feature
@@ -16,3 +16,9 @@
         When the host list calls gateway 1 leaving
         Then gateway 2 owns every engine
         And requests are served again by "1,2"
+
+    Scenario: A stop ends only once each engine's record says that it was released, also while the service is slow
+        Given an ownership fleet of 2 gateways and 4 engines with 2 adapter places, fences "ignored"
+        And the KV takes 150 ms for each answer
+        When leaving gateway 1 has stopped
+        Then no owner record names leaving gateway 1 as an owner that did not release
--- a/features/leaving.steps.ts
+++ b/features/leaving.steps.ts
@@ -1,4 +1,4 @@
-import { deepStrictEqual, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { checkPromises } from "./checkPromises.js";
 import type { FleetWorld } from "./fleetWorld.js";
 import "./fleetWorld.js";
@@ -87,3 +87,39 @@
 function countOwned(gateways: readonly FleetWorld["fleet"]["gateways"][number][]): number {
     return gateways.reduce((sum, gateway) => sum + gateway.ownedEngines.length, 0);
 }
+
+Given("the KV takes {int} ms for each answer", async function(this: FleetWorld, delayMs: number) {
+    await waitUntil(() =>
+        this.fleet.engines.every(engine => this.fleet.kv.store.read(formatOwnerKey(engine.id)) !== undefined)
+    );
+    this.fleet.kv.setFaults({ delayMs });
+});
+
+When("leaving gateway {int} has stopped", async function(this: FleetWorld, number: number) {
+    await this.fleet.gateways[number - 1]?.stop();
+});
+
+Then(
+    "no owner record names leaving gateway {int} as an owner that did not release",
+    function(this: FleetWorld, number: number) {
+        const host = this.fleet.gateways[number - 1]?.host;
+        const records = this.fleet.engines.map(engine => readOwnerRecord(this, engine.id));
+        strictEqual(records.filter(record => record.host === host && !record.released).length, 0);
+        ok(records.some(record => record.released || record.fence > 1), "gateway had nothing to release");
+    },
+);
+
+interface StoredOwner {
+    readonly host: string;
+    readonly released: boolean;
+    readonly fence: number;
+}
+
+function readOwnerRecord(world: FleetWorld, engine: string): StoredOwner {
+    const value = world.fleet.kv.store.read(formatOwnerKey(engine))?.value ?? "";
+    return JSON.parse(Buffer.from(value, "base64").toString("utf8")) as StoredOwner;
+}
+
+function formatOwnerKey(engine: string): string {
+    return Buffer.from(`owner/${engine}`, "utf8").toString("base64");
+}
--- a/packages/ownership/src/startOwnershipTask.ts
+++ b/packages/ownership/src/startOwnershipTask.ts
@@ -111,6 +111,7 @@
     const { clock, host, incarnation, log } = options;
     const records = createOwnerRecords(options);
     const tasks = new Map<EngineId, EngineTask>();
+    const releases = new Set<Promise<void>>();
     const notes = new Map<EngineId, EngineNotes>();
     let isStopped = false;
     let isReleasing = false;
@@ -123,6 +124,12 @@
         notes.set(engine, created);
         return created;
     };
+    const giveUp = (engine: EngineId, fence: number, holders: readonly HostId[]): void => {
+        const written = records.giveUp(engine, fence, holders)
+            .catch(() => options.metrics.count("release_failures_total"))
+            .finally(() => releases.delete(written));
+        releases.add(written);
+    };
     const ensureTask = (entry: OwnableEngine): EngineTask => {
         const present = tasks.get(entry.engine);
         if (present !== undefined) {
@@ -133,10 +140,7 @@
             engine: entry.engine,
             driver: entry.driver,
             limits: entry.limits,
-            onReleased: (fence, holders) =>
-                void records.giveUp(entry.engine, fence, holders).catch(() =>
-                    options.metrics.count("release_failures_total")
-                ),
+            onReleased: (fence, holders) => giveUp(entry.engine, fence, holders),
             isSuspended: () =>
                 !options.isSessionTrusted() || noteOf(entry.engine).confirmedMs < options.sessionOpenedMs(),
         });
@@ -291,6 +295,7 @@
             isReleasing = true;
             tasks.forEach(task => task.send({ kind: "release" }));
             await Promise.all([...tasks.values()].map(task => waitUnowned(task, options)));
+            await Promise.all(releases);
         },
         stop() {
             isStopped = true;
