Read bodies and send JSON by one piece of code, and draw retry waits from a seed

Cause: the gateway and the operators' API each had their own reader of bodies, and only one refused compressed and announced oversized ones at once; the wait before a retry took its draw from the process's own random source. Change: packages/http holds readBody and sendJson for both; the retry budget draws from an injected source.

--- a/packages/admission/src/createRetryBudget.ts
+++ b/packages/admission/src/createRetryBudget.ts
@@ -1,3 +1,5 @@
+import type { Random } from "@fulmarcleat/ids";
+
 /** Retries that one host may make, as a share of its requests. */
 export interface RetryBudget {
     /** Takes in a first attempt. */
@@ -5,6 +7,8 @@
     /** Takes out one retry. */
     spend(): void;
     readonly tokens: number;
+    /** A number in [0, 1) that spreads the waits before retries. */
+    draw(): number;
 }
 
 /** Retries that a quiet host may make, and the most that are saved up. */
@@ -14,12 +18,13 @@
  * Creates a host's retry budget.
  *
  * @param readShare - Gives the retries allowed for each request
+ * @param random - Spreads the waits before retries
  * @returns the budget
  *
  * @example
- * const retries = createRetryBudget(() => policy.retryShare);
+ * const retries = createRetryBudget(() => policy.retryShare, createRandom(7));
  */
-export function createRetryBudget(readShare: () => number): RetryBudget {
+export function createRetryBudget(readShare: () => number, random: Random): RetryBudget {
     let tokens = RESERVED_RETRIES;
     return {
         deposit() {
@@ -31,5 +36,6 @@
         get tokens() {
             return tokens;
         },
+        draw: () => random.next(),
     };
 }
--- a/packages/api/src/answerChange.ts
+++ b/packages/api/src/answerChange.ts
@@ -1,4 +1,5 @@
 import { ServeError, toErrorBody } from "@fulmarcleat/errors";
+import { readBody, sendJson } from "@fulmarcleat/http";
 import { readResource } from "@fulmarcleat/resources";
 import type { ConfigOp, ResourceKind, ResourceRef } from "@fulmarcleat/resources";
 import type { ApiCall } from "./createApiHandler.js";
@@ -7,8 +8,6 @@
 import { parseIfMatch } from "./parseIfMatch.js";
 import { parseResource } from "./parseResource.js";
 import type { FieldProblem } from "./parseResource.js";
-import { readBody } from "./readBody.js";
-import { sendJson } from "./sendJson.js";
 
 /**
  * Answers a request that changes a resource.
@@ -58,6 +57,7 @@
         maxBytes: call.cfg.maxBodyBytes,
         timeoutMs: call.cfg.bodyTimeoutMs,
         clock: call.clock,
+        peer: "operator",
     });
     const value = parseJson(bytes);
     if (call.req.method === "PATCH") {
--- a/packages/api/src/answerRead.ts
+++ b/packages/api/src/answerRead.ts
@@ -1,4 +1,5 @@
 import { ServeError } from "@fulmarcleat/errors";
+import { sendJson } from "@fulmarcleat/http";
 import { brandId } from "@fulmarcleat/ids";
 import type { AdapterName, RequestId } from "@fulmarcleat/ids";
 import { readResource } from "@fulmarcleat/resources";
@@ -8,7 +9,6 @@
 import { gatherDecisions, gatherStatus } from "./gatherStatus.js";
 import { listHistory } from "./listHistory.js";
 import { listPage } from "./listPage.js";
-import { sendJson } from "./sendJson.js";
 import { streamWatch } from "./streamWatch.js";
 
 /**
--- a/packages/api/src/createApiHandler.ts
+++ b/packages/api/src/createApiHandler.ts
@@ -1,6 +1,7 @@
 import type { Committer, ConfigTask } from "@fulmarcleat/config";
 import { ServeError, toErrorBody, toErrorStatus, toServeError } from "@fulmarcleat/errors";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
+import { sendJson } from "@fulmarcleat/http";
 import { createId } from "@fulmarcleat/ids";
 import type { Clock, RequestId } from "@fulmarcleat/ids";
 import { readResource, RESOURCE_KINDS } from "@fulmarcleat/resources";
@@ -13,7 +14,6 @@
 import { authenticateOperator } from "./authenticateOperator.js";
 import type { Operator } from "./authenticateOperator.js";
 import type { GatherOptions } from "./gatherStatus.js";
-import { sendJson } from "./sendJson.js";
 
 /** What operators' requests need. */
 export interface ApiHandlerOptions {
--- a/packages/gateway/src/createCallerHandler.ts
+++ b/packages/gateway/src/createCallerHandler.ts
@@ -2,6 +2,7 @@
 import type { EngineDriver, ServiceDriver } from "@fulmarcleat/drivers";
 import { ServeError, toServeError } from "@fulmarcleat/errors";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
+import { readBody, sendJson } from "@fulmarcleat/http";
 import { createId } from "@fulmarcleat/ids";
 import type { CallerName, Clock, EngineId, RequestId } from "@fulmarcleat/ids";
 import type { PolicySpec } from "@fulmarcleat/resources";
@@ -16,7 +17,6 @@
 import { hashRequest } from "./hashRequest.js";
 import { limitPriority } from "./limitPriority.js";
 import { parseModel } from "./parseModel.js";
-import { readBody } from "./readBody.js";
 import { readCallerHeaders } from "./readCallerHeaders.js";
 import { readGenerationBody } from "./readGenerationBody.js";
 import type { GenerationKind } from "./readGenerationBody.js";
@@ -176,7 +176,12 @@
     const index = call.readIndex();
     const caller = authenticateCaller(index, req.headers.authorization);
     const headers = readCallerHeaders(req.headers);
-    const bytes = await readBody(req, { maxBytes: call.maxBodyBytes, timeoutMs: call.bodyTimeoutMs, clock });
+    const bytes = await readBody(req, {
+        maxBytes: call.maxBodyBytes,
+        timeoutMs: call.bodyTimeoutMs,
+        clock,
+        peer: "caller",
+    });
     const parsed = parseJson(decodeText(bytes));
     const body = readGenerationBody(kind, parsed);
     const offered = resolveModel(index, caller, parseModel(body.model));
@@ -266,8 +271,3 @@
     sendJson(call.res, 200, { object: "list", data });
     return Promise.resolve();
 }
-
-function sendJson(res: ServerResponse, status: number, body: unknown): void {
-    res.writeHead(status, { "content-type": "application/json" });
-    res.end(JSON.stringify(body));
-}
--- a/packages/gateway/src/runGeneration.ts
+++ b/packages/gateway/src/runGeneration.ts
@@ -73,7 +73,7 @@
                 isRetryable: mayRetry(generation, failure, sink, context),
                 tokens: context.retries?.tokens ?? Infinity,
                 timeLeftMs: generation.deadlineMs - context.clock.nowMs(),
-                draw: context.retries === undefined ? 0 : Math.random(),
+                draw: context.retries?.draw() ?? 0,
             });
             if (decision.kind === "give_up") {
                 context.metrics.count("retries_given_up_total", { reason: decision.reason });
--- a/packages/gateway/src/serveService.ts
+++ b/packages/gateway/src/serveService.ts
@@ -1,6 +1,7 @@
 import type { ServiceAnswer, ServiceDriver } from "@fulmarcleat/drivers";
 import { ServeError } from "@fulmarcleat/errors";
 import type { Metrics } from "@fulmarcleat/events";
+import { readBody } from "@fulmarcleat/http";
 import type { CallerName, Clock, RequestId } from "@fulmarcleat/ids";
 import { hashSecret } from "@fulmarcleat/resources";
 import type { ResourceOf } from "@fulmarcleat/resources";
@@ -10,7 +11,6 @@
 import { callService } from "./callService.js";
 import { matchServiceRoute } from "./matchServiceRoute.js";
 import type { ServiceRoute } from "./matchServiceRoute.js";
-import { readBody } from "./readBody.js";
 import { readCallerHeaders } from "./readCallerHeaders.js";
 import { runKeyed } from "./runKeyed.js";
 import type { KeyedClaims } from "./startClaimTask.js";
@@ -59,7 +59,12 @@
             code: "key_required",
         });
     }
-    const body = await readBody(req, { maxBytes: context.maxBodyBytes, timeoutMs: context.bodyTimeoutMs, clock });
+    const body = await readBody(req, {
+        maxBytes: context.maxBodyBytes,
+        timeoutMs: context.bodyTimeoutMs,
+        clock,
+        peer: "caller",
+    });
     const timeoutMs = Math.min(route.timeoutMs, headers.deadlineMs ?? route.timeoutMs);
     const call = {
         method: route.method,
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -6,7 +6,7 @@
 import { createEventLog, createMetrics } from "@fulmarcleat/events";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
-import { createId, createSystemClock } from "@fulmarcleat/ids";
+import { createId, createRandom, createSystemClock } from "@fulmarcleat/ids";
 import type { EngineId, HostId, Incarnation, RequestId } from "@fulmarcleat/ids";
 import { createKvClient } from "@fulmarcleat/kv";
 import { startMembershipTask } from "@fulmarcleat/membership";
@@ -323,7 +323,7 @@
         clock,
         metrics,
         log,
-        retries: createRetryBudget(() => readPolicy(config.snapshot).retryShare),
+        retries: createRetryBudget(() => readPolicy(config.snapshot).retryShare, createRandom(hash(incarnation))),
         maxBodyBytes: cfg.maxBodyBytes,
         bodyTimeoutMs: cfg.bodyTimeoutMs,
         isReady: () => config.complete && !leaving,
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,3 @@
+export { readBody } from "./readBody.js";
+export type { ReadBodyOptions } from "./readBody.js";
+export { sendJson } from "./sendJson.js";
--- a/packages/gateway/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -8,6 +8,8 @@
     readonly maxBytes: number;
     readonly timeoutMs: number;
     readonly clock: Clock;
+    /** Who sends the body, for errors. */
+    readonly peer: "caller" | "operator";
 }
 
 /**
@@ -19,17 +21,17 @@
  * @throws ServeError `unsupported_encoding`, `body_too_large`, `body_timeout`, or `caller_gone` where it broke off
  *
  * @example
- * const bytes = await readBody(req, { maxBytes, timeoutMs, clock });
+ * const bytes = await readBody(req, { maxBytes, timeoutMs, clock, peer: "caller" });
  */
 export function readBody(req: IncomingMessage, options: ReadBodyOptions): Promise<Buffer> {
     return new Promise((resolve, reject) => {
         const tooLarge = `the body is over ${options.maxBytes} bytes`;
         if ((req.headers["content-encoding"] ?? "identity") !== "identity") {
-            reject(createError("unsupported_encoding", "the body must not be compressed"));
+            reject(createError("unsupported_encoding", "the body must not be compressed", options));
             return;
         }
         if (Number(req.headers["content-length"] ?? 0) > options.maxBytes) {
-            reject(createError("body_too_large", tooLarge));
+            reject(createError("body_too_large", tooLarge, options));
             return;
         }
         const chunks: Buffer[] = [];
@@ -43,7 +45,7 @@
         const fail = (code: ErrorCode, message: string): void => {
             finish();
             req.pause();
-            reject(createError(code, message));
+            reject(createError(code, message, options));
         };
         const onData = (chunk: Buffer): void => {
             bytes += chunk.length;
@@ -68,6 +70,6 @@
     });
 }
 
-function createError(code: ErrorCode, message: string): ServeError {
-    return new ServeError(message, { code, step: "read body", peer: "caller", outcome: "not_run" });
+function createError(code: ErrorCode, message: string, { peer }: ReadBodyOptions): ServeError {
+    return new ServeError(message, { code, step: "read body", peer, outcome: "not_run" });
 }
