Keep a granted place for the next request of the same kind

Cause: each request whose engine another host owns cost an ask and an end, 1.5 exchanges between processes, also for the hottest adapter. Weighed: credits, places granted ahead of need. They hold slots for requests that may not come, and need a way to call them back. Change: while nobody waits and half of the batch is free, an owner lets a place be kept for 250 ms after its request. It pins and is named like any place, and starts nothing later than 5 s after its grant or under a lower fence. Requests at once still ask for each place.

--- a/packages/capacity/src/measureFrames.ts
+++ b/packages/capacity/src/measureFrames.ts
@@ -69,10 +69,10 @@
         waitedMs: 3,
         startWithinMs: 5000,
         replicas: [engine],
-        credits: undefined,
+        reuseMs: 250,
         loadStallMs: 0,
     };
-    const end: PlaceEnd = { engine, ends: [{ place, use: "finished" }] };
+    const end: PlaceEnd = { engine, ends: [{ place, use: "finished", runs: 1 }] };
     const hello: PeerHello = {
         host,
         incarnation,
--- a/packages/gateway/src/createPlaceRouter.ts
+++ b/packages/gateway/src/createPlaceRouter.ts
@@ -17,6 +17,7 @@
 import type { Priority } from "@fulmarcleat/resources";
 import type { PlaceAsk, PlaceEnd, PlaceReply, PlacesHeldAsk, PlacesHeldReply, PlaceUse } from "@fulmarcleat/wire";
 import type { ConfiguredEngine, OfferedVersion } from "./buildOfferIndex.js";
+import { createIdlePlaces } from "./createIdlePlaces.js";
 
 /** A place that this host holds. */
 export interface HeldPlace {
@@ -26,6 +27,10 @@
     readonly fence: number;
     /** When the place may no longer be used to start a request, in milliseconds. */
     readonly startByMs: number;
+    /** Requests that may use the place after this one: same adapter, version and class. */
+    readonly reuseKey: string;
+    /** How long the place may be kept after its request, in milliseconds. */
+    readonly reuseMs: number;
     readonly loadStallMs: number;
 }
 
@@ -66,6 +71,8 @@
     mayStart(held: HeldPlace): boolean;
     /** Says what is held on an engine; places of a lower fence are no longer taken. */
     describeHeld(ask: PlacesHeldAsk): PlacesHeldReply;
+    /** Gives back the places that are kept for further requests. */
+    releaseIdle(): void;
     readonly heldCount: number;
 }
 
@@ -100,6 +107,7 @@
     const outstanding = new Map<EngineId, number>();
     const fences = new Map<EngineId, number>();
     const pending = new Map<PlaceId, EngineId>();
+    const runs = new Map<PlaceId, number>();
 
     const chooseEngine = (need: PlaceNeed, tried: readonly EngineId[]): EngineId | undefined => {
         const entries = options.listEngines(need.offered).filter(entry => !entry.draining);
@@ -119,10 +127,12 @@
         return options.decisions.chooseEngine(candidates);
     };
     const giveBack = async (engine: EngineId, place: PlaceId, use: PlaceUse): Promise<void> => {
+        const end = { place, use, runs: runs.get(place) ?? 1 };
+        runs.delete(place);
         for (let tries = 1; tries <= MAX_END_TRIES; tries += 1) {
             const owner = options.findOwner(engine);
             const isDone = owner !== undefined
-                && await options.end(owner, { engine, ends: [{ place, use }] }).then(() => true, () => false);
+                && await options.end(owner, { engine, ends: [end] }).then(() => true, () => false);
             if (isDone) {
                 return;
             }
@@ -130,6 +140,29 @@
             await pause(clock, END_RETRY_MS * tries);
         }
     };
+    const endHeld = (place: HeldPlace, use: PlaceUse): void => {
+        if (held.delete(place.place)) {
+            void giveBack(place.engine, place.place, use);
+        }
+    };
+    const idle = createIdlePlaces(clock, place => endHeld(place, "finished"));
+    const mayStart = (place: HeldPlace): boolean =>
+        clock.nowMs() < place.startByMs && place.fence >= (fences.get(place.engine) ?? 0);
+    const takeIdle = (need: PlaceNeed): HeldPlace | undefined => {
+        const usable = options.listEngines(need.offered).filter(entry => !entry.draining).map(entry => entry.engine);
+        const place = idle.take(
+            formatReuseKey(need),
+            candidate =>
+                mayStart(candidate) && usable.includes(candidate.engine) && !need.avoid.includes(candidate.engine),
+        );
+        if (place === undefined) {
+            return undefined;
+        }
+        runs.set(place.place, (runs.get(place.place) ?? 1) + 1);
+        outstanding.set(place.engine, (outstanding.get(place.engine) ?? 0) + 1);
+        options.metrics.count("places_reused_total");
+        return { ...place, loadStallMs: 0 };
+    };
     const waitOwner = async (engine: EngineId, untilMs: number): Promise<HostId | undefined> => {
         for (;;) {
             const owner = options.findOwner(engine) ?? await options.lookUpOwner(engine);
@@ -191,6 +224,8 @@
             instance: granted.instance,
             fence: granted.fence,
             startByMs: askedMs + granted.waitedMs + granted.startWithinMs,
+            reuseKey: formatReuseKey(need),
+            reuseMs: granted.reuseMs,
             loadStallMs: granted.loadStallMs,
         };
         held.set(place.place, place);
@@ -241,6 +276,10 @@
     };
     return {
         async acquire(need) {
+            const kept = takeIdle(need);
+            if (kept !== undefined) {
+                return kept;
+            }
             let tried: readonly EngineId[] = [];
             const ownerByMs = Math.min(need.deadlineMs, clock.nowMs() + OWNER_WAIT_MS);
             let last: ServeError | undefined;
@@ -283,13 +322,18 @@
             throw last ?? createOwnerless();
         },
         release(place, use) {
-            if (!held.delete(place.place)) {
+            if (!held.has(place.place)) {
                 return;
             }
             outstanding.set(place.engine, Math.max(0, (outstanding.get(place.engine) ?? 0) - 1));
-            void giveBack(place.engine, place.place, use);
+            if (use === "finished" && place.reuseMs > 0 && mayStart(place)) {
+                idle.put(place.reuseKey, place, place.reuseMs);
+                return;
+            }
+            endHeld(place, use);
         },
-        mayStart: place => clock.nowMs() < place.startByMs && place.fence >= (fences.get(place.engine) ?? 0),
+        mayStart,
+        releaseIdle: () => idle.clear(),
         describeHeld(ask) {
             fences.set(ask.engine, Math.max(ask.fence, fences.get(ask.engine) ?? 0));
             const places = [...held.values()].filter(place => place.engine === ask.engine);
@@ -305,6 +349,10 @@
     };
 }
 
+function formatReuseKey({ offered, priority }: PlaceNeed): string {
+    return `${offered.adapter}@${offered.version} ${priority}`;
+}
+
 function createOwnerless(): ServeError {
     return new ServeError("no engine has an owner", {
         ...DETAILS,
--- a/packages/gateway/src/runGeneration.steps.ts
+++ b/packages/gateway/src/runGeneration.steps.ts
@@ -128,7 +128,16 @@
             );
             ok(engine !== undefined, "no engine is left");
             const place = brandId<PlaceId>(`place-${engine}`);
-            return Promise.resolve({ place, engine, instance: INSTANCE, fence: 1, startByMs: 1000, loadStallMs: 0 });
+            return Promise.resolve({
+                place,
+                engine,
+                instance: INSTANCE,
+                fence: 1,
+                startByMs: 1000,
+                reuseKey: "",
+                reuseMs: 0,
+                loadStallMs: 0,
+            });
         },
         release: () => undefined,
         mayStart: () => true,
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -360,6 +360,7 @@
         await ownership.release().catch(() => metrics.count("release_failures_total"));
         await membership.announce();
         await closed;
+        router.releaseIdle();
         await claims.stop();
         await session.stop();
         await closeAll();
--- a/packages/ownership/src/endPlace.ts
+++ b/packages/ownership/src/endPlace.ts
@@ -1,3 +1,4 @@
+import { decayRate } from "@fulmarcleat/placement";
 import type { EngineContext, EngineMessage } from "./engineMessage.js";
 import type { EngineState, Instance, Place } from "./engineState.js";
 
@@ -26,7 +27,12 @@
     const freed = { ...state, places: state.places.filter(entry => entry !== place) };
     switch (message.use) {
         case "finished":
-            return { ...freed, instances: state.instances.map(instance => countEnded(instance, place)) };
+            return {
+                ...freed,
+                instances: state.instances.map(instance =>
+                    countRuns(countEnded(instance, place), place, message.runs ?? 1, nowMs)
+                ),
+            };
         case "unused":
             return freed;
         case "failed":
@@ -44,6 +50,13 @@
         : instance;
 }
 
+/** Requests beyond the first ran on a kept place without an ask, so they count with its end. */
+function countRuns(instance: Instance, place: Place, runs: number, nowMs: number): Instance {
+    return instance.instance === place.instance && runs > 1
+        ? { ...instance, rate: decayRate(instance.rate, runs - 1, nowMs), lastUsedMs: nowMs }
+        : instance;
+}
+
 function isMissing(instance: Instance, place: Place): boolean {
     return instance.instance === place.instance && (instance.status === "ready" || instance.status === "foreign");
 }
--- a/packages/ownership/src/engineMessage.ts
+++ b/packages/ownership/src/engineMessage.ts
@@ -26,7 +26,7 @@
     | { readonly kind: "release" }
     | { readonly kind: "ask"; readonly waiting: Waiting }
     | { readonly kind: "abandon"; readonly place: PlaceId }
-    | { readonly kind: "placeEnd"; readonly place: PlaceId; readonly use: PlaceUse }
+    | { readonly kind: "placeEnd"; readonly place: PlaceId; readonly use: PlaceUse; readonly runs?: number }
     /** `result` is undefined where no answer came. */
     | { readonly kind: "loadAnswered"; readonly instance: InstanceName; readonly result: OrderResult | undefined }
     | { readonly kind: "unloadAnswered"; readonly instance: InstanceName; readonly result: OrderResult | undefined }
--- a/packages/ownership/src/startEngineTask.ts
+++ b/packages/ownership/src/startEngineTask.ts
@@ -1,9 +1,10 @@
 import type { EngineDriver } from "@fulmarcleat/drivers";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
-import type { CallerName, CancelTimer, Clock, EngineId, HostId } from "@fulmarcleat/ids";
+import type { CallerName, CancelTimer, Clock, EngineId, HostId, PlaceId } from "@fulmarcleat/ids";
 import type { PolicyDecisions, PopularityTable } from "@fulmarcleat/placement";
 import type { Decision, EngineStatus, PlaceAsk, PlaceEnd, PlaceReply } from "@fulmarcleat/wire";
 import { PLACE_START_MS } from "./applyReport.js";
+import { chooseReuse } from "./chooseReuse.js";
 import { countBatch } from "./countBatch.js";
 import { countPins } from "./countPins.js";
 import { createEngineState } from "./createEngineState.js";
@@ -11,6 +12,7 @@
 import type { EngineContext, EngineMessage } from "./engineMessage.js";
 import type { EngineLimits, EngineState } from "./engineState.js";
 import type { LoadBudgetTask } from "./loadBudgetTask.js";
+import { parseInstanceName } from "./parseInstanceName.js";
 import { readLoadRank } from "./readLoadRank.js";
 import { reduceEngine } from "./reduceEngine.js";
 
@@ -147,7 +149,7 @@
             waitedMs,
             startWithinMs: PLACE_START_MS,
             replicas,
-            credits: undefined,
+            reuseMs: chooseReuse(state),
             loadStallMs,
         });
     };
@@ -203,6 +205,13 @@
             cancelReport = clock.setTimer(options.reportMs, () => void pollReport());
         }
     };
+    const recordRuns = (place: PlaceId, runs: number): void => {
+        const instance = state.places.find(entry => entry.place === place)?.instance;
+        const parts = instance === undefined ? undefined : parseInstanceName(instance);
+        for (let run = 0; parts !== undefined && run < runs; run += 1) {
+            options.popularity.record(`${parts.adapter}@${parts.version}`, clock.nowMs());
+        }
+    };
     tick();
     void pollReport();
     return {
@@ -216,7 +225,11 @@
                 options.popularity.record(`${ask.adapter}@${ask.version}`, nowMs);
                 send({ kind: "ask", waiting: { ...ask, arrivedMs: nowMs, deadlineMs: nowMs + ask.waitMs } });
             }),
-        end: end => end.ends.forEach(({ place, use }) => send({ kind: "placeEnd", place, use })),
+        end: end =>
+            end.ends.forEach(({ place, use, runs }) => {
+                recordRuns(place, runs - 1);
+                send({ kind: "placeEnd", place, use, runs });
+            }),
         send,
         status: () => describe(state, options),
         stop() {
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -31,13 +31,6 @@
     readonly incarnation: Incarnation;
 }
 
-/** Further places of the same adapter that the holder may use without asking. */
-export interface CreditGrant {
-    readonly places: readonly PlaceId[];
-    /** How long they may be used, in milliseconds from when the ask was sent. */
-    readonly validMs: number;
-}
-
 /** An owner's answer to a place ask. */
 export type PlaceReply =
     | {
@@ -51,7 +44,8 @@
         readonly startWithinMs: number;
         /** Engines that serve this adapter now, this one among them. */
         readonly replicas: readonly EngineId[];
-        readonly credits: CreditGrant | undefined;
+        /** How long the place may be kept for further requests after this one, in milliseconds; 0 for not at all. */
+        readonly reuseMs: number;
         /** How long the request waited for its adapter to load, in milliseconds. */
         readonly loadStallMs: number;
     }
@@ -69,7 +63,12 @@
 /** Gives places back. */
 export interface PlaceEnd {
     readonly engine: EngineId;
-    readonly ends: readonly { readonly place: PlaceId; readonly use: PlaceUse }[];
+    readonly ends: readonly {
+        readonly place: PlaceId;
+        readonly use: PlaceUse;
+        /** Requests that ran on the place, one after the other. */
+        readonly runs: number;
+    }[];
 }
 
 /** Asks the holders of an engine's places which they still hold; they take no place of a lower fence from then on. */
