Write the events that the catalogue names, and give engine stand-ins cache events

Cause: operators were told to look for events 200, 201, 306 and 501, which no code wrote; 503 said the same as 700. The stand-in's switch for dropped cache events had no events behind it. Change: peers' connections, an engine that restarted empty and a configuration that could not be read are logged; 503 is gone. Engine stand-ins list cache events, late and with gaps as told.

--- a/packages/api/src/startApi.ts
+++ b/packages/api/src/startApi.ts
@@ -49,6 +49,7 @@
         ca: cfg.peerCaFile === undefined ? undefined : await readPem(cfg.peerCaFile),
         clock,
         metrics,
+        log,
         heartbeatMs: PEER_HEARTBEAT_MS,
         silenceMs: PEER_SILENCE_MS,
     });
--- a/packages/config/src/startConfigTask.ts
+++ b/packages/config/src/startConfigTask.ts
@@ -105,6 +105,7 @@
         }
         catch {
             metrics.count("config_load_failures_total", { from: "kv" });
+            options.log.write("warn", 501, { seq: state.snapshot.seq });
             send({ kind: "loadFailed" });
             retryLater();
         }
--- a/packages/events/src/eventCatalogue.ts
+++ b/packages/events/src/eventCatalogue.ts
@@ -26,7 +26,6 @@
     500: "configuration in force",
     501: "configuration incomplete",
     502: "change accepted",
-    503: "change refused",
     600: "KV unavailable",
     601: "KV available",
     602: "KV write ambiguous",
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -90,6 +90,7 @@
         ca: cfg.peerCaFile === undefined ? undefined : await readPem(cfg.peerCaFile),
         clock,
         metrics,
+        log,
         heartbeatMs: cfg.helloMs,
         silenceMs: cfg.silenceMs,
     });
--- a/packages/ownership/src/startEngineTask.ts
+++ b/packages/ownership/src/startEngineTask.ts
@@ -99,7 +99,11 @@
             readRate,
             readWeight: options.readWeight,
         });
+        const former = state.engineIncarnation;
         state = step.state;
+        if (former !== undefined && state.engineIncarnation !== undefined && state.engineIncarnation !== former) {
+            log.write("warn", 306, { engine });
+        }
         step.effects.forEach(run);
     };
     const run = (effect: EngineEffect): void => {
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -55,7 +55,7 @@
         "  kv          loseReplies, loseRequests (of the next writes), lapseLeases",
         "  weights     failNext, stallMs",
         "  hosts       lagMs",
-        "  engine      checksFences, failLoads, stallLoadMs, reportLagMs, loseReports, dropCacheEvents (no effect yet),",
+        "  engine      checksFences, failLoads, stallLoadMs, reportLagMs, loseReports, dropCacheEvents, cacheEventLagMs,",
         "              cutStreamsAfterTokens, canResume, restart (comes back empty), leaving, echoInstance",
         "  service     loseReplies",
         "Signals: SIGTERM or SIGINT stops it; an engine finishes its running requests first. Exit codes: 0 stopped, 3 cut.",
--- a/packages/standin/src/startEngineStandin.ts
+++ b/packages/standin/src/startEngineStandin.ts
@@ -3,6 +3,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { Agent } from "undici";
 import { z } from "zod";
+import { createCacheEvents } from "./createCacheEvents.js";
 import { createFaultRoute, createStandinServer, sendJson, serverFaultShape } from "./createStandinServer.js";
 import type { StandinCall, StandinRoute, StandinServer } from "./createStandinServer.js";
 import { createEngineBatch } from "./engineBatch.js";
@@ -33,6 +34,7 @@
     loseReports: z.boolean().optional(),
     /** Accepted and without effect: this stand-in publishes no cache events yet. */
     dropCacheEvents: z.boolean().optional(),
+    cacheEventLagMs: z.int().min(0).optional(),
     cutStreamsAfterTokens: z.int().min(1).optional(),
     canResume: z.boolean().optional(),
     restart: z.boolean().optional(),
@@ -109,6 +111,7 @@
     const loaded = new Set<string>();
     const loading = new Set<string>();
     const streams = new Map<string, LiveStream>();
+    const cacheEvents = createCacheEvents();
     const runs: EngineRun[] = [];
     const orders: EngineOrderRecord[] = [];
     const refused: Record<string, number> = {};
@@ -208,6 +211,7 @@
             end: undefined,
         };
         runs.push(run);
+        cacheEvents.add(run.instance, run.prompt, run.receivedAtMs, faults.dropCacheEvents === true);
         const stream: LiveStream = { run, sent: [], reader: undefined, done: false };
         streams.set(run.requestId, stream);
         attach(stream, call.res, 0);
@@ -353,6 +357,17 @@
             answer: call => ({ cancelled: cancel(call.params["id"] ?? "") }),
         },
         { method: "GET", path: "/load", answer: report },
+        {
+            method: "GET",
+            path: "/cache_events",
+            answer: call => ({
+                events: cacheEvents.list(
+                    Number(call.query["after"] ?? 0),
+                    performance.now(),
+                    faults.cacheEventLagMs ?? 0,
+                ),
+            }),
+        },
         { method: "GET", path: "/health", answer: () => ({ status: "ok" }) },
         { method: "GET", path: "/record", answer: readRecord },
         createFaultRoute(faultSchema, setFaults),
--- a/packages/wire/src/createPeerClient.ts
+++ b/packages/wire/src/createPeerClient.ts
@@ -1,5 +1,5 @@
 import { ServeError } from "@fulmarcleat/errors";
-import type { Metrics } from "@fulmarcleat/events";
+import type { EventLog, Metrics } from "@fulmarcleat/events";
 import type { CancelTimer, Clock, HostId } from "@fulmarcleat/ids";
 import { randomBytes } from "node:crypto";
 import { connect } from "node:net";
@@ -29,6 +29,7 @@
     readonly ca?: string | undefined;
     readonly clock: Clock;
     readonly metrics: Metrics;
+    readonly log?: EventLog;
     /** Time between heartbeats, in milliseconds. */
     readonly heartbeatMs: number;
     /** Longest silence of a peer before its connection is replaced, in milliseconds. */
@@ -99,6 +100,11 @@
     const reader = createFrameReader();
     const nonce = randomBytes(NONCE_BYTES).toString("hex");
     let cancelHeartbeat: CancelTimer = () => undefined;
+    let isConnected = false;
+    const welcome = (): void => {
+        isConnected = true;
+        options.log?.write("info", 200, { peer: to.host });
+    };
     const beat = (): void => {
         writeFrame(socket, { t: "ping" }, options.metrics);
         cancelHeartbeat = options.clock.setTimer(options.heartbeatMs, beat);
@@ -109,12 +115,20 @@
         socket.on("close", () => {
             forget();
             cancelHeartbeat();
+            if (isConnected) {
+                options.log?.write("info", 201, { peer: to.host });
+            }
             reject(createError(to.host, "the connection could not be opened", "not_run"));
             asks.failAll("the connection to the peer is gone");
         });
+        const accept = (): void => {
+            welcome();
+            resolve();
+        };
         socket.on("data", chunk => {
             try {
-                reader(chunk).forEach(frame => handleFrame(frame, { socket, asks, nonce, to, options, resolve, beat }));
+                const link = { socket, asks, nonce, to, options, resolve: accept, beat };
+                reader(chunk).forEach(frame => handleFrame(frame, link));
             }
             catch {
                 socket.destroy();
