--- /dev/null
+++ b/packages/directory/src/index.ts
@@ -0,0 +1,8 @@
+export type { AdapterRelease } from "./adapterRelease.js";
+export type * from "./engineControl.js";
+export type * from "./engineEntry.js";
+export type * from "./engineTransport.js";
+export type * from "./metadataStore.js";
+export { reduceDirectory } from "./reduceDirectory.js";
+export type { DirectoryMessage, DirectoryState, KnownEngine } from "./reduceDirectory.js";
+export type * from "./servingConfig.js";
--- /dev/null
+++ b/packages/dispatch/src/chooseModelEngine.ts
@@ -0,0 +1,55 @@
+import type { EngineId } from "@fulmarcleat/ids";
+import type { AdapterPresence, ModelEngineView } from "./engineView.js";
+import { estimateEngineCost } from "./estimateEngineCost.js";
+import type { CostScale } from "./estimateEngineCost.js";
+import { findCheapest } from "./findCheapest.js";
+
+/** What a generation's choice depends on. */
+export interface ModelChoice {
+    readonly engines: readonly ModelEngineView[];
+    /** Engine ids in the adapter's rendezvous order, which all hosts share. */
+    readonly order: readonly EngineId[];
+    readonly atMs: number;
+    /** Usual time of an adapter's load, in milliseconds. */
+    readonly loadMs: number;
+}
+
+const MODEL_SCALE: CostScale = { idleFirstByteMs: 60, failureMs: 1500, delayPerRequestMs: 7 };
+/** Cost of each step down the rendezvous order for an adapter that must be loaded, in milliseconds. */
+const RANK_MS = 25;
+/** Wait for a place for an adapter where all are in use, in milliseconds. */
+const NO_ROOM_MS = 1200;
+/** Cost of an engine where nobody may order loads, in milliseconds. */
+const NO_OWNER_MS = 6000;
+/** An engine that leaves sooner gets no generation while another is left, in milliseconds. */
+const SHORTEST_STAY_MS = 4000;
+const LEAVING_MS = 3000;
+
+/**
+ * Chooses the engine for a generation: one that has the adapter unless its queue costs more than a load elsewhere.
+ *
+ * @param choice - The engines, the adapter's order and the time
+ * @returns the engine, or undefined where there is none
+ *
+ * @example
+ * const engine = chooseModelEngine({ engines, order, atMs, loadMs: 250 });
+ */
+export function chooseModelEngine(choice: ModelChoice): ModelEngineView | undefined {
+    const rank = new Map(choice.order.map((id, index) => [id, index]));
+    return findCheapest(choice.engines, view =>
+        estimateEngineCost(view, MODEL_SCALE, choice.atMs)
+        + estimatePresenceCost(view.presence, rank.get(view.id) ?? choice.order.length, choice.loadMs)
+        + (view.leavesInMs !== undefined && view.leavesInMs < SHORTEST_STAY_MS ? LEAVING_MS : 0));
+}
+
+function estimatePresenceCost(presence: AdapterPresence, rank: number, loadMs: number): number {
+    switch (presence.kind) {
+        case "present":
+            return 0;
+        case "coming":
+            return presence.readyInMs;
+        case "absent":
+            return loadMs + rank * RANK_MS + (presence.hasRoom ? 0 : NO_ROOM_MS)
+                + (presence.canLoad ? 0 : NO_OWNER_MS);
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,14 @@
+export { chooseModelEngine } from "./chooseModelEngine.js";
+export type { ModelChoice } from "./chooseModelEngine.js";
+export { choosePlainEngine } from "./choosePlainEngine.js";
+export type { PlainChoice } from "./choosePlainEngine.js";
+export { chooseRetryAfter } from "./chooseRetryAfter.js";
+export type { ReturnTerms } from "./chooseRetryAfter.js";
+export { createRetryWindow } from "./createRetryWindow.js";
+export type { RetryBudgetTerms, RetryWindow } from "./createRetryWindow.js";
+export type { AdapterPresence, EngineView, ModelEngineView } from "./engineView.js";
+export { joinOutcomes } from "./joinOutcomes.js";
+export { matchRoute } from "./matchRoute.js";
+export { pickTarget } from "./pickTarget.js";
+export { reduceHealth, UNKNOWN_HEALTH } from "./reduceHealth.js";
+export type { EngineHealth, HealthMessage } from "./reduceHealth.js";
--- /dev/null
+++ b/packages/dispatch/src/pickTarget.ts
@@ -0,0 +1,28 @@
+import type { RouteTarget } from "@fulmarcleat/directory";
+import type { Hasher } from "@fulmarcleat/hashing";
+import type { ServiceName } from "@fulmarcleat/ids";
+
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Picks one of a route's services by weight; the same request gets the same service.
+ *
+ * @param hash - The shared hash function
+ * @param targets - The route's services
+ * @param key - What decides, such as the request's id
+ * @returns the service, or undefined where no target has a weight
+ *
+ * @example
+ * const service = pickTarget(hash, route.targets, requestId);
+ */
+export function pickTarget(hash: Hasher, targets: readonly RouteTarget[], key: string): ServiceName | undefined {
+    const total = targets.reduce((sum, target) => sum + target.weight, 0);
+    let left = hash(key) / HASH_RANGE * total;
+    for (const target of targets) {
+        left -= target.weight;
+        if (left < 0) {
+            return target.service;
+        }
+    }
+    return undefined;
+}
--- /dev/null
+++ b/packages/front/src/frontContext.ts
@@ -0,0 +1,20 @@
+import type { EngineControl, EngineTransport, MetadataStore } from "@fulmarcleat/directory";
+import type { EventLog, Metrics } from "@fulmarcleat/events";
+import type { Hasher } from "@fulmarcleat/hashing";
+import type { Clock, Incarnation, Random } from "@fulmarcleat/ids";
+import type { Deployment } from "@fulmarcleat/platform";
+
+/** What the tasks of one process share. */
+export interface FrontContext {
+    readonly deployment: Deployment;
+    /** This run of the process. */
+    readonly incarnation: Incarnation;
+    readonly store: MetadataStore;
+    readonly control: EngineControl;
+    readonly transport: EngineTransport;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly hash: Hasher;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+}
--- /dev/null
+++ b/packages/front/src/index.ts
@@ -0,0 +1,1 @@
+export { startFront } from "./startFront.js";
--- /dev/null
+++ b/packages/front/src/requestWork.ts
@@ -0,0 +1,26 @@
+import type { Route, Service, ServingConfig } from "@fulmarcleat/directory";
+import type { RequestId } from "@fulmarcleat/ids";
+import type { ClientHead } from "@fulmarcleat/platform";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AnswerRelay } from "./relayAnswer.js";
+import type { WantedAdapter } from "./startAdapterBoard.js";
+
+/** One client attempt on its way through this process. */
+export interface RequestWork {
+    readonly req: IncomingMessage;
+    readonly res: ServerResponse;
+    readonly requestId: RequestId;
+    readonly head: ClientHead;
+    readonly config: ServingConfig;
+    readonly route: Route;
+    readonly service: Service;
+    readonly wanted: WantedAdapter | undefined;
+    readonly body: Buffer;
+    readonly startedMs: number;
+    /** When its time is over, in milliseconds. */
+    readonly endsAtMs: number;
+    /** Aborted when the client leaves or the time is over. */
+    readonly signal: AbortSignal;
+    /** Undefined where the answer is gathered whole. */
+    readonly relay: AnswerRelay | undefined;
+}
--- /dev/null
+++ b/packages/front/src/startAdapterBoard.ts
@@ -0,0 +1,291 @@
+import type { EngineEntry } from "@fulmarcleat/directory";
+import type { AdapterPresence } from "@fulmarcleat/dispatch";
+import { toServeError } from "@fulmarcleat/errors";
+import type { AdapterName, BaseModel, EngineId, HostId } from "@fulmarcleat/ids";
+import type { EngineWord } from "@fulmarcleat/residency";
+import type {
+    AdapterLoadAsk,
+    AdapterLoadReply,
+    EngineUseReply,
+    EngineUseTell,
+    PeerAddress,
+    PeerClient,
+} from "@fulmarcleat/wire";
+import type { EngineBoard } from "./createEngineBoard.js";
+import type { Knowledge } from "./createKnowledge.js";
+import type { FrontContext } from "./frontContext.js";
+import type { Ownership } from "./startOwnership.js";
+
+/** The adapter that a request needs. */
+export interface WantedAdapter {
+    readonly model: BaseModel;
+    readonly adapter: AdapterName;
+    /** Oldest version that will do; undefined for any. */
+    readonly version: number | undefined;
+    readonly priority: number;
+}
+
+/** What a host knows of the adapters on engines. */
+export interface AdapterBoard {
+    /** Says whether an engine has an adapter, as far as known. */
+    find(entry: EngineEntry, wanted: WantedAdapter | undefined): AdapterPresence;
+    /** Requests under way on an engine, over all hosts, as its owner says. */
+    countLoad(engine: EngineId): number | undefined;
+    /** Asks the engine's owner to have an adapter there. */
+    request(entry: EngineEntry, wanted: WantedAdapter, waitMs: number, isMissing: boolean): Promise<AdapterLoadReply>;
+    start(engine: EngineId, adapter: AdapterName | undefined): void;
+    finish(engine: EngineId, adapter: AdapterName | undefined): void;
+    answerLoad(ask: AdapterLoadAsk): Promise<AdapterLoadReply>;
+    answerUse(tell: EngineUseTell, from: HostId): EngineUseReply;
+    stop(): void;
+}
+
+interface Told {
+    readonly word: EngineWord;
+    readonly atMs: number;
+}
+
+interface OwnUse {
+    readonly inFlight: Map<AdapterName, number>;
+    total: number;
+    started: AdapterName[];
+    isChanged: boolean;
+    toldAtMs: number;
+    isTelling: boolean;
+}
+
+/** Pace of the word between hosts and owners, in milliseconds: with changes, and without. */
+const TELL_MS = 150;
+const IDLE_TELL_MS = 1000;
+/** How long an owner's word counts, in milliseconds. */
+const WORD_VALID_MS = 4000;
+const ASK_TIMEOUT_MS = 600;
+
+/**
+ * Keeps a host's knowledge of adapters on engines, and tells engines' owners what the host has under way.
+ *
+ * @param context - Clock, log and metrics
+ * @param knowledge - Engines, live hosts and claims
+ * @param ownership - Engines that this host owns
+ * @param board - Requests under way
+ * @param readPeers - Gives the connections to peers, once there are any
+ * @returns the knowledge
+ *
+ * @example
+ * const adapters = startAdapterBoard(context, knowledge, ownership, board, () => peers);
+ */
+export function startAdapterBoard(
+    context: FrontContext,
+    knowledge: Knowledge,
+    ownership: Ownership,
+    board: EngineBoard,
+    readPeers: () => PeerClient | undefined,
+): AdapterBoard {
+    const { clock, deployment, log, metrics } = context;
+    const told = new Map<EngineId, Told>();
+    const uses = new Map<EngineId, OwnUse>();
+    let isStopped = false;
+
+    const openUse = (engine: EngineId): OwnUse => {
+        const present = uses.get(engine);
+        if (present !== undefined) {
+            return present;
+        }
+        const use = {
+            inFlight: new Map(),
+            total: 0,
+            started: [],
+            isChanged: false,
+            toldAtMs: -Infinity,
+            isTelling: false,
+        };
+        uses.set(engine, use);
+        return use;
+    };
+    const findOwner = (engine: EngineId): PeerAddress | undefined => {
+        const claim = knowledge.claims.get(engine);
+        const member = claim === undefined || claim.isReleased ? undefined : knowledge.members.get(claim.host);
+        return member === undefined ? undefined : { host: member.host, address: member.ip, port: member.port };
+    };
+    const takeWord = (engine: EngineId, word: EngineWord): void => {
+        told.set(engine, { word, atMs: clock.nowMs() });
+    };
+    const answerUse = (tell: EngineUseTell, from: HostId): EngineUseReply => {
+        const task = ownership.find(tell.engine);
+        if (task === undefined) {
+            return { kind: "not_owner" };
+        }
+        const use = { atMs: clock.nowMs(), inFlight: new Map(tell.inFlight), total: tell.total };
+        return { kind: "word", ...task.use(from, use, tell.started) };
+    };
+    const tellOwner = async (engine: EngineId, use: OwnUse): Promise<void> => {
+        const tell = { engine, inFlight: [...use.inFlight], total: use.total, started: use.started };
+        use.started = [];
+        use.isChanged = false;
+        use.toldAtMs = clock.nowMs();
+        if (ownership.find(engine) !== undefined) {
+            const reply = answerUse(tell, deployment.host);
+            if (reply.kind === "word") {
+                takeWord(engine, reply);
+            }
+            return;
+        }
+        const owner = findOwner(engine);
+        const peers = readPeers();
+        if (owner === undefined || peers === undefined || owner.host === deployment.host) {
+            return;
+        }
+        use.isTelling = true;
+        try {
+            const reply = await peers.ask(owner, "engineUse", tell, ASK_TIMEOUT_MS);
+            if (reply.kind === "word") {
+                takeWord(engine, reply);
+            }
+        }
+        catch (err) {
+            metrics.count("peer_failures_total", { step: toServeError(err, INTERNAL).step });
+        }
+        finally {
+            use.isTelling = false;
+        }
+    };
+    const tick = (): void => {
+        if (isStopped) {
+            return;
+        }
+        const atMs = clock.nowMs();
+        for (const { entry } of knowledge.engines.values()) {
+            if (knowledge.config?.services.get(entry.service)?.engine === undefined) {
+                continue;
+            }
+            const use = openUse(entry.id);
+            if (!use.isTelling && (use.isChanged || atMs - use.toldAtMs >= IDLE_TELL_MS)) {
+                void tellOwner(entry.id, use);
+            }
+        }
+        clock.setTimer(TELL_MS, tick);
+    };
+    tick();
+    knowledge.onEngineGone(entry => {
+        told.delete(entry.id);
+        uses.delete(entry.id);
+        board.forget(entry.id);
+    });
+    const change = (engine: EngineId, adapter: AdapterName | undefined, by: 1 | -1): void => {
+        const use = openUse(engine);
+        use.total += by;
+        use.isChanged = true;
+        if (adapter !== undefined) {
+            const count = (use.inFlight.get(adapter) ?? 0) + by;
+            if (count <= 0) {
+                use.inFlight.delete(adapter);
+            }
+            else {
+                use.inFlight.set(adapter, count);
+            }
+            if (by === 1) {
+                use.started.push(adapter);
+            }
+        }
+    };
+    const answerLoad = async (ask: AdapterLoadAsk): Promise<AdapterLoadReply> => {
+        const task = ownership.find(ask.engine);
+        if (task === undefined) {
+            return { kind: "refused", reason: "not_owner" };
+        }
+        const sinceMs = clock.nowMs();
+        const want = { version: ask.version, priority: ask.priority, sinceMs, untilMs: sinceMs + ask.waitMs };
+        return task.want(ask.adapter, want, ask.isMissing);
+    };
+    return {
+        find(entry, wanted) {
+            if (wanted === undefined) {
+                return entry.models.length > 0 ? { kind: "present" } : { kind: "absent", hasRoom: true, canLoad: true };
+            }
+            const known = told.get(entry.id);
+            const atMs = clock.nowMs();
+            const canLoad = ownership.find(entry.id) !== undefined || findOwner(entry.id) !== undefined;
+            if (known === undefined || atMs - known.atMs > WORD_VALID_MS) {
+                return findInEntry(entry, wanted, canLoad);
+            }
+            const held = known.word.adapters.find(told => told.adapter === wanted.adapter);
+            if (held === undefined || !isNewEnough(held.version, wanted.version)) {
+                return { kind: "absent", hasRoom: held !== undefined || known.word.hasRoom, canLoad };
+            }
+            const readyInMs = held.readyInMs - (atMs - known.atMs);
+            return held.readyInMs === 0 || readyInMs <= 0 ? { kind: "present" } : { kind: "coming", readyInMs };
+        },
+        countLoad(engine) {
+            const known = told.get(engine);
+            return known === undefined || clock.nowMs() - known.atMs > WORD_VALID_MS ? undefined : known.word.load;
+        },
+        async request(entry, wanted, waitMs, isMissing) {
+            const { adapter, model, priority, version } = wanted;
+            const ask = { engine: entry.id, model, adapter, version, priority, waitMs, isMissing };
+            log.write("info", 310, { engine: entry.id, adapter, version, waitMs: Math.round(waitMs), isMissing });
+            const reply = ownership.find(entry.id) === undefined
+                ? await askOwner(readPeers(), findOwner(entry.id), ask, context)
+                : await answerLoad(ask);
+            if (reply.kind === "ready") {
+                noteComing(told, entry.id, wanted, reply.inMs, clock.nowMs());
+            }
+            return reply;
+        },
+        start: (engine, adapter) => change(engine, adapter, 1),
+        finish: (engine, adapter) => change(engine, adapter, -1),
+        answerLoad,
+        answerUse,
+        stop: () => void (isStopped = true),
+    };
+}
+
+const INTERNAL = { code: "internal", step: "tell owner", peer: "self", outcome: "not_run" } as const;
+
+async function askOwner(
+    peers: PeerClient | undefined,
+    owner: PeerAddress | undefined,
+    ask: AdapterLoadAsk,
+    { log, metrics }: FrontContext,
+): Promise<AdapterLoadReply> {
+    if (peers === undefined || owner === undefined) {
+        return { kind: "refused", reason: "not_owner" };
+    }
+    try {
+        return await peers.ask(owner, "adapterLoad", ask, ask.waitMs + ASK_TIMEOUT_MS);
+    }
+    catch (err) {
+        const { step, message } = toServeError(err, INTERNAL);
+        metrics.count("peer_failures_total", { step });
+        log.write("warn", 304, { engine: ask.engine, adapter: ask.adapter, peer: owner.host, reason: message });
+        return { kind: "refused", reason: "not_owner" };
+    }
+}
+
+function findInEntry(entry: EngineEntry, wanted: WantedAdapter, canLoad: boolean): AdapterPresence {
+    const held = entry.models.find(model => model.model === wanted.model)?.adapters
+        .find(adapter => adapter.adapter === wanted.adapter);
+    return held !== undefined && isNewEnough(held.version, wanted.version)
+        ? { kind: "present" }
+        : { kind: "absent", hasRoom: true, canLoad };
+}
+
+function isNewEnough(held: number | undefined, wanted: number | undefined): boolean {
+    return wanted === undefined || (held !== undefined && held >= wanted);
+}
+
+/** Lets the next request for the adapter find it on its way, before the owner's next word. */
+function noteComing(
+    told: Map<EngineId, Told>,
+    engine: EngineId,
+    { adapter, version }: WantedAdapter,
+    readyInMs: number,
+    atMs: number,
+): void {
+    const known = told.get(engine);
+    if (known !== undefined) {
+        const age = atMs - known.atMs;
+        const others = known.word.adapters.filter(held => held.adapter !== adapter);
+        const adapters = [...others, { adapter, version, readyInMs: readyInMs === 0 ? 0 : readyInMs + age }];
+        told.set(engine, { word: { ...known.word, adapters }, atMs: known.atMs });
+    }
+}
--- /dev/null
+++ b/packages/residency/src/applyEngineReport.ts
@@ -0,0 +1,39 @@
+import type { EngineReport, HeldAdapter } from "@fulmarcleat/directory";
+import type { AdapterName } from "@fulmarcleat/ids";
+import type { ResidencyState, Resident } from "./residencyState.js";
+
+/** Pause before the next report while a model is loading, in milliseconds. */
+const MODEL_POLL_MS = 200;
+
+/**
+ * Takes an engine's report into its owner's knowledge; a report takes the place of what orders without answers left open.
+ *
+ * @param state - The owner's knowledge
+ * @param report - The report
+ * @param atMs - Time now, in milliseconds
+ * @returns the owner's knowledge now
+ *
+ * @example
+ * const next = applyEngineReport(state, report, clock.nowMs());
+ */
+export function applyEngineReport(state: ResidencyState, report: EngineReport, atMs: number): ResidencyState {
+    const model = report.models.find(held => held.model === state.model);
+    const modelPhase = model !== undefined ? "present" : report.isBusy ? "loading" : "absent";
+    if (state.modelPhase === "loading" && modelPhase === "absent" && report.seq < (state.seq ?? 0)) {
+        return { ...state, reportFromMs: atMs + MODEL_POLL_MS };
+    }
+    const residents = new Map<AdapterName, Resident>();
+    const keep = (held: HeldAdapter, phase: Resident["phase"]): void => {
+        const former = state.residents.get(held.adapter);
+        residents.set(held.adapter, {
+            version: held.version,
+            phase,
+            demand: former?.demand ?? 0,
+            demandAtMs: former?.demandAtMs ?? atMs,
+            sinceMs: former?.sinceMs ?? atMs,
+        });
+    };
+    model?.adapters.forEach(held => keep(held, { kind: "present" }));
+    report.coming.forEach(held => keep(held, { kind: "loading", readyAtMs: atMs + state.loadMs / 2 }));
+    return { ...state, seq: report.seq, modelPhase, residents, reportFromMs: atMs + MODEL_POLL_MS };
+}
--- /dev/null
+++ b/packages/residency/src/describeResidency.ts
@@ -0,0 +1,51 @@
+import type { AdapterName } from "@fulmarcleat/ids";
+import { chooseVictim } from "./chooseVictim.js";
+import { countUses } from "./countUses.js";
+import type { ResidencyState } from "./residencyState.js";
+
+/** An adapter as an owner tells other hosts of it. */
+export interface ToldAdapter {
+    readonly adapter: AdapterName;
+    readonly version: number | undefined;
+    /** Time until it can run requests; 0 where it can now. */
+    readonly readyInMs: number;
+}
+
+/** What an owner tells other hosts of its engine. */
+export interface EngineWord {
+    readonly adapters: readonly ToldAdapter[];
+    /** Requests under way there, over all hosts. */
+    readonly load: number;
+    /** Whether an adapter can be loaded without waiting for running requests. */
+    readonly hasRoom: boolean;
+    readonly loadMs: number;
+}
+
+/**
+ * Tells what other hosts need to know of an engine.
+ *
+ * @param state - The owner's knowledge
+ * @param atMs - Time now, in milliseconds
+ * @returns the word
+ *
+ * @example
+ * const word = describeResidency(state, clock.nowMs());
+ */
+export function describeResidency(state: ResidencyState, atMs: number): EngineWord {
+    const adapters = [...state.residents].flatMap(([adapter, { version, phase }]): readonly ToldAdapter[] => {
+        switch (phase.kind) {
+            case "present":
+                return [{ adapter, version, readyInMs: 0 }];
+            case "loading":
+                return [{ adapter, version, readyInMs: Math.max(1, phase.readyAtMs - atMs) }];
+            case "leaving":
+                return [];
+        }
+    });
+    return {
+        adapters,
+        load: countUses(state, atMs),
+        hasRoom: state.residents.size < state.slots || chooseVictim(state, atMs) !== undefined,
+        loadMs: state.loadMs,
+    };
+}
--- /dev/null
+++ b/packages/residency/src/planOrder.ts
@@ -0,0 +1,78 @@
+import type { EngineOrder } from "@fulmarcleat/directory";
+import type { AdapterName } from "@fulmarcleat/ids";
+import { chooseVictim } from "./chooseVictim.js";
+import type { ResidencyState, Want } from "./residencyState.js";
+
+/** The next thing that an owner does to its engine. */
+export type OwnerStep =
+    | { readonly kind: "read_report" }
+    | { readonly kind: "order"; readonly order: EngineOrder }
+    /** Nothing to do, or nothing that may be done now. */
+    | { readonly kind: "wait" };
+
+/** Adapters that may be in transit to one engine at a time; engines take no more. */
+const TRANSIT_LIMIT = 4;
+
+const WAIT: OwnerStep = { kind: "wait" };
+
+/**
+ * Plans the next step of an engine's owner.
+ *
+ * @param state - The owner's knowledge
+ * @param atMs - Time now, in milliseconds
+ * @returns the step
+ *
+ * @example
+ * const step = planOrder(state, clock.nowMs());
+ */
+export function planOrder(state: ResidencyState, atMs: number): OwnerStep {
+    if (state.seq === undefined || state.modelPhase === "unknown" || state.modelPhase === "loading") {
+        return atMs >= state.reportFromMs ? { kind: "read_report" } : WAIT;
+    }
+    if (state.modelPhase === "absent") {
+        return { kind: "order", order: { kind: "load_model", model: state.model } };
+    }
+    const next = findNextWant(state, atMs);
+    if (next === undefined || countLoading(state) >= TRANSIT_LIMIT) {
+        return WAIT;
+    }
+    const [adapter, want] = next;
+    if (state.residents.has(adapter) || state.residents.size < state.slots) {
+        const order = { kind: "load_adapter", model: state.model, adapter, version: want.version } as const;
+        return { kind: "order", order };
+    }
+    const victim = chooseVictim(state, atMs);
+    return victim === undefined
+        ? WAIT
+        : { kind: "order", order: { kind: "unload_adapter", model: state.model, adapter: victim } };
+}
+
+function findNextWant(state: ResidencyState, atMs: number): readonly [AdapterName, Want] | undefined {
+    let next: readonly [AdapterName, Want] | undefined;
+    for (const entry of state.wants) {
+        const [adapter, want] = entry;
+        if (want.untilMs <= atMs || isOnItsWay(state, adapter, want)) {
+            continue;
+        }
+        if (next === undefined || isBefore(want, next[1])) {
+            next = entry;
+        }
+    }
+    return next;
+}
+
+function isBefore(a: Want, b: Want): boolean {
+    return a.priority < b.priority || (a.priority === b.priority && a.sinceMs < b.sinceMs);
+}
+
+function isOnItsWay(state: ResidencyState, adapter: AdapterName, want: Want): boolean {
+    const resident = state.residents.get(adapter);
+    return resident !== undefined
+        && (resident.phase.kind === "leaving"
+            || want.version === undefined
+            || (resident.version !== undefined && resident.version >= want.version));
+}
+
+function countLoading(state: ResidencyState): number {
+    return [...state.residents.values()].filter(resident => resident.phase.kind === "loading").length;
+}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -7,3 +7,4 @@
 export { encodeFrame } from "./encodeFrame.js";
 export type { Frame } from "./frame.js";
 export type * from "./messages.js";
+export type * from "./residencyMessages.js";
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -12,6 +12,7 @@
     RequestId,
 } from "@fulmarcleat/ids";
 import type { ConfigChange, Priority, Resource } from "@fulmarcleat/resources";
+import type { AdapterLoadAsk, AdapterLoadReply, EngineUseReply, EngineUseTell } from "./residencyMessages.js";
 
 /** Asks an engine's owner for a place in its batch with an adapter loaded. */
 export interface PlaceAsk {
@@ -249,6 +250,8 @@
     readonly status: { readonly ask: StatusAsk; readonly reply: StatusReply };
     readonly explain: { readonly ask: ExplainAsk; readonly reply: ExplainReply };
     readonly hello: { readonly ask: PeerHello; readonly reply: PeerHello };
+    readonly adapterLoad: { readonly ask: AdapterLoadAsk; readonly reply: AdapterLoadReply };
+    readonly engineUse: { readonly ask: EngineUseTell; readonly reply: EngineUseReply };
 }
 
 /** Name of an exchange. */
--- /dev/null
+++ b/packages/wire/src/residencyMessages.ts
@@ -0,0 +1,45 @@
+import type { AdapterName, BaseModel, EngineId } from "@fulmarcleat/ids";
+
+/** Asks an engine's owner to have an adapter there. */
+export interface AdapterLoadAsk {
+    readonly engine: EngineId;
+    readonly model: BaseModel;
+    readonly adapter: AdapterName;
+    /** Oldest version that will do; undefined for any. */
+    readonly version: number | undefined;
+    /** Priority of the request that waits; 0 is first. */
+    readonly priority: number;
+    /** How long the request can wait, in milliseconds. */
+    readonly waitMs: number;
+    /** Whether the engine has just refused a request because it lacks the adapter. */
+    readonly isMissing: boolean;
+}
+
+/** An owner's answer to a load ask. */
+export type AdapterLoadReply =
+    | { readonly kind: "ready"; readonly inMs: number }
+    | { readonly kind: "refused"; readonly reason: "no_room" | "not_owner" | "not_allowed" };
+
+/** Tells an engine's owner what a host has under way there. */
+export interface EngineUseTell {
+    readonly engine: EngineId;
+    readonly inFlight: readonly (readonly [AdapterName, number])[];
+    readonly total: number;
+    /** Adapters of requests that started since the last word. */
+    readonly started: readonly AdapterName[];
+}
+
+/** What an owner tells of its engine in return. */
+export type EngineUseReply =
+    | { readonly kind: "not_owner" }
+    | {
+        readonly kind: "word";
+        readonly adapters: readonly {
+            readonly adapter: AdapterName;
+            readonly version: number | undefined;
+            readonly readyInMs: number;
+        }[];
+        readonly load: number;
+        readonly hasRoom: boolean;
+        readonly loadMs: number;
+    };
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,27 @@
+import { build } from "esbuild";
+import { existsSync, readdirSync } from "node:fs";
+import { resolve } from "node:path";
+
+/** Resolves the workspace's packages to their sources, so that a bundle needs no build before. */
+const alias = Object.fromEntries(
+    [...readdirSync("packages").map(name => [name, `packages/${name}`]), ["platform", "platform"]]
+        .map(([name, folder]) => [`@fulmarcleat/${name}`, resolve(folder, "src/index.ts")])
+        .filter(([, file]) => existsSync(file)),
+);
+
+await build({
+    entryPoints: ["packages/front/src/main.ts"],
+    outfile: "target/fulmarcleat-front.mjs",
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    minifySyntax: true,
+    legalComments: "none",
+    mainFields: ["module", "main"],
+    treeShaking: true,
+    alias,
+    banner: {
+        js: 'import { createRequire as createBundleRequire } from "node:module"; const require = createBundleRequire(import.meta.url);',
+    },
+});
