--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,3 +1,4 @@
+export { canFinishBeforeStop } from "./canFinishBeforeStop.js";
 export { chooseModelEngine } from "./chooseModelEngine.js";
 export type { ModelChoice } from "./chooseModelEngine.js";
 export { choosePlainEngine } from "./choosePlainEngine.js";
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -1,5 +1,5 @@
 import type { Route } from "@fulmarcleat/directory";
-import { chooseRetryAfter, matchRoute, pickTarget } from "@fulmarcleat/dispatch";
+import { canFinishBeforeStop, chooseRetryAfter, matchRoute, pickTarget } from "@fulmarcleat/dispatch";
 import { toErrorStatus, toServeError } from "@fulmarcleat/errors";
 import type { ErrorCode } from "@fulmarcleat/errors";
 import { readBody } from "@fulmarcleat/http";
@@ -26,6 +26,8 @@
 const MS_PER_S = 1000;
 const BODY_TIMEOUT_MS = 10_000;
 const NO_CONFIG_RETRY_MS = 300;
+/** When a client that came to a stopping host should try another, in milliseconds. */
+const STOPPING_RETRY_MS = 30;
 const SERVER_ERROR_STATUS = { bad: 502, late: 504 } as const;
 /** Statuses that promise that a request did not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -36,18 +38,19 @@
  * @param context - Clock, log and metrics
  * @param knowledge - Configuration in force
  * @param runner - Takes requests to engines
- * @param isStopping - Whether connections end with their answers
+ * @param readStopMs - When the process ends; undefined where no stop has begun
  * @returns the handler
  *
  * @example
- * createServer(createClientHandler(context, knowledge, runner, () => false).handle);
+ * createServer(createClientHandler(context, knowledge, runner, () => undefined).handle);
  */
 export function createClientHandler(
     context: FrontContext,
     knowledge: Knowledge,
     runner: RequestRunner,
-    isStopping: () => boolean,
+    readStopMs: () => number | undefined,
 ): ClientHandler {
+    const isStopping = (): boolean => readStopMs() !== undefined;
     const { clock, log, metrics, random } = context;
     let running = 0;
     const refuse = (res: ServerResponse, requestId: string, refusal: Refusal): void => {
@@ -73,6 +76,19 @@
             return;
         }
         const { config, route, service, requestId } = plan;
+        const stopsAtMs = readStopMs();
+        if (stopsAtMs !== undefined && !canFinishBeforeStop(route.kind, route.timeoutMs, stopsAtMs - startedMs)) {
+            req.resume();
+            const status = toErrorStatus("stopping");
+            refuse(res, id, {
+                status,
+                reason: "stopping",
+                outcome: "not_run",
+                heldMs: 0,
+                retryAfterMs: STOPPING_RETRY_MS,
+            });
+            return;
+        }
         const ender = new AbortController();
         const endsAtMs = startedMs + Math.min(head.deadlineMs ?? Infinity, route.timeoutMs);
         const cancelEnd = clock.setTimer(endsAtMs - startedMs + END_SLACK_MS, () => ender.abort());
--- a/packages/front/src/createOwnerTask.ts
+++ b/packages/front/src/createOwnerTask.ts
@@ -4,6 +4,7 @@
 import {
     applyEngineReport,
     applyOrderReply,
+    countUses,
     createResidencyState,
     describeResidency,
     planOrder,
@@ -143,6 +144,9 @@
                 left.push(waiter);
             }
             else {
+                if (reply.kind === "refused") {
+                    log.write("warn", 304, { engine: target.id, adapter: waiter.adapter, ...countPlaces(state, atMs) });
+                }
                 waiter.resolve(reply);
             }
         }
@@ -190,6 +194,20 @@
     };
 }
 
+/** Says what takes the engine's places, for the log. */
+function countPlaces(state: ResidencyState, atMs: number): Readonly<Record<string, number>> {
+    const places = { used: 0, idle: 0, loading: 0, leaving: 0 };
+    for (const [adapter, { phase }] of state.residents) {
+        if (phase.kind === "present") {
+            places[countUses(state, atMs, adapter) > 0 ? "used" : "idle"] += 1;
+        }
+        else {
+            places[phase.kind] += 1;
+        }
+    }
+    return { ...places, wants: state.wants.size };
+}
+
 const INTERNAL = { code: "internal", step: "order engine", peer: "self", outcome: "unknown" } as const;
 
 function findReply(state: ResidencyState, waiter: Waiter, atMs: number): AdapterLoadReply | undefined {
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -31,8 +31,8 @@
 const CONNECT_TIMEOUT_MS = 250;
 /** How long an idle connection to an engine is kept, in milliseconds. */
 const ENGINE_IDLE_MS = 4000;
-/** Connections from this host to one engine; all hosts' stay below what engines take. */
-const ENGINE_CONNECTIONS = 40;
+/** Idle connections kept to one engine; all hosts' stay below what engines take. */
+const ENGINE_IDLE_CONNECTIONS = 12;
 const LOG_LINES_PER_SECOND = 60;
 const LOG_CAPACITY = 2000;
 /** Pace of heartbeats between hosts, and the silence after which a connection is replaced, in milliseconds. */
@@ -76,7 +76,8 @@
     });
     let isStopping = false;
     const isReady = (): boolean => !isStopping && knowledge.config !== undefined && knowledge.engines.size > 0;
-    const handler = createClientHandler(context, knowledge, runner, () => isStopping);
+    let stopsAtMs: number | undefined;
+    const handler = createClientHandler(context, knowledge, runner, () => stopsAtMs);
     const clients = createServer({
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
@@ -114,10 +115,11 @@
         async stop() {
             const startedMs = clock.nowMs();
             isStopping = true;
+            const limitMs = startedMs + deployment.bounds.stopMs - STOP_MARGIN_MS;
+            stopsAtMs = limitMs;
             log.write("info", 102, { running: handler.running });
             await Promise.all([session.leave(), ownership.release()]);
             await waitMs(clock, Math.max(0, DRAIN_NOTICE_MS - (clock.nowMs() - startedMs)));
-            const limitMs = startedMs + deployment.bounds.stopMs - STOP_MARGIN_MS;
             clients.closeIdleConnections();
             while (handler.running > 0 && clock.nowMs() < limitMs) {
                 await waitMs(clock, STOP_POLL_MS);
@@ -153,7 +155,7 @@
         transport: createEngineTransport({
             connectTimeoutMs: CONNECT_TIMEOUT_MS,
             idleMs: ENGINE_IDLE_MS,
-            connections: ENGINE_CONNECTIONS,
+            idleConnections: ENGINE_IDLE_CONNECTIONS,
         }),
         clock,
         random: createRandom(Math.floor(Math.random() * SEED_RANGE)),
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -8,5 +8,6 @@
 export type { OwnerStep } from "./planOrder.js";
 export { reduceWants } from "./reduceWants.js";
 export type { OwnerMessage } from "./reduceWants.js";
+export { countUses } from "./countUses.js";
 export { createResidencyState } from "./residencyState.js";
 export type { HostUse, ResidencyState, Resident, ResidentPhase, Want } from "./residencyState.js";
