--- a/packages/dispatch/src/chooseModelEngine.ts
+++ b/packages/dispatch/src/chooseModelEngine.ts
@@ -17,14 +17,19 @@
 const MODEL_SCALE: CostScale = { idleFirstByteMs: 60, failureMs: 1500, delayPerRequestMs: 7 };
 /** Cost of each step down the rendezvous order for an adapter that must be loaded, in milliseconds. */
 const RANK_MS = 25;
-/** Wait for a place for an adapter where all are in use, in milliseconds. */
-const NO_ROOM_MS = 1200;
 /** Cost of an engine where nobody may order loads, in milliseconds. */
 const NO_OWNER_MS = 6000;
 /** An engine that leaves sooner gets no generation while another is left, in milliseconds. */
 const SHORTEST_STAY_MS = 4000;
 const LEAVING_MS = 3000;
 
+/** The engine for a generation. */
+export interface ModelEngineChoice {
+    readonly id: EngineId;
+    /** Expected time to the first byte, in milliseconds. */
+    readonly expectedMs: number;
+}
+
 /**
  * Chooses the engine for a generation: one that has the adapter unless its queue costs more than a load elsewhere.
  *
@@ -34,12 +39,14 @@
  * @example
  * const engine = chooseModelEngine({ engines, order, atMs, loadMs: 250 });
  */
-export function chooseModelEngine(choice: ModelChoice): ModelEngineView | undefined {
+export function chooseModelEngine(choice: ModelChoice): ModelEngineChoice | undefined {
     const rank = new Map(choice.order.map((id, index) => [id, index]));
-    return findCheapest(choice.engines, view =>
+    const estimate = (view: ModelEngineView): number =>
         estimateEngineCost(view, MODEL_SCALE, choice.atMs)
         + estimatePresenceCost(view.presence, rank.get(view.id) ?? choice.order.length, choice.loadMs)
-        + (view.leavesInMs !== undefined && view.leavesInMs < SHORTEST_STAY_MS ? LEAVING_MS : 0));
+        + (view.leavesInMs !== undefined && view.leavesInMs < SHORTEST_STAY_MS ? LEAVING_MS : 0);
+    const best = findCheapest(choice.engines, estimate);
+    return best === undefined ? undefined : { id: best.id, expectedMs: estimate(best) };
 }
 
 function estimatePresenceCost(presence: AdapterPresence, rank: number, loadMs: number): number {
@@ -49,7 +56,6 @@
         case "coming":
             return presence.readyInMs;
         case "absent":
-            return loadMs + rank * RANK_MS + (presence.hasRoom ? 0 : NO_ROOM_MS)
-                + (presence.canLoad ? 0 : NO_OWNER_MS);
+            return loadMs + rank * RANK_MS + presence.placeWaitMs + (presence.canLoad ? 0 : NO_OWNER_MS);
     }
 }
--- a/packages/dispatch/src/engineView.ts
+++ b/packages/dispatch/src/engineView.ts
@@ -8,6 +8,8 @@
     readonly slots: number;
     /** Requests that run or wait there, over all hosts, as far as known. */
     readonly load: number;
+    /** Prompt tokens that wait to be read there, over all hosts. */
+    readonly queuedTokens: number;
     readonly health: EngineHealth;
     /** Requests are under way there and no byte has come for too long. */
     readonly isSilent: boolean;
@@ -22,8 +24,8 @@
     | { readonly kind: "coming"; readonly readyInMs: number }
     | {
         readonly kind: "absent";
-        /** Whether a place for an adapter is free, or can be made free without waiting for running requests. */
-        readonly hasRoom: boolean;
+        /** Expected wait until a place for an adapter is free, in milliseconds. */
+        readonly placeWaitMs: number;
         /** Whether somebody may order loads there now. */
         readonly canLoad: boolean;
     };
--- a/packages/dispatch/src/estimateEngineCost.ts
+++ b/packages/dispatch/src/estimateEngineCost.ts
@@ -33,9 +33,12 @@
     return (isOut ? OUTAGE_MS : 0)
         + Math.max(0, usualMs - scale.idleFirstByteMs) * SLOWNESS_WEIGHT
         + view.load * scale.delayPerRequestMs
+        + view.queuedTokens / TOKENS_PER_MS
         + queued / Math.max(1, view.slots) * usualMs
         + health.failureShare * scale.failureMs;
 }
 
+/** Prompt tokens that an engine reads in a millisecond; the deployments state 40.8. */
+const TOKENS_PER_MS = 40.8;
 /** Part of an engine's excess time to the first byte that is held against it; the rest comes from its load. */
 const SLOWNESS_WEIGHT = 0.5;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,6 +1,6 @@
 export { canFinishBeforeStop } from "./canFinishBeforeStop.js";
 export { chooseModelEngine } from "./chooseModelEngine.js";
-export type { ModelChoice } from "./chooseModelEngine.js";
+export type { ModelChoice, ModelEngineChoice } from "./chooseModelEngine.js";
 export { choosePlainEngine } from "./choosePlainEngine.js";
 export type { PlainChoice } from "./choosePlainEngine.js";
 export { chooseRetryAfter } from "./chooseRetryAfter.js";
@@ -8,6 +8,8 @@
 export { createRetryWindow } from "./createRetryWindow.js";
 export type { RetryBudgetTerms, RetryWindow } from "./createRetryWindow.js";
 export type { AdapterPresence, EngineView, ModelEngineView } from "./engineView.js";
+export { isHopeless } from "./isHopeless.js";
+export type { PatienceTerms } from "./isHopeless.js";
 export { joinOutcomes } from "./joinOutcomes.js";
 export { matchRoute } from "./matchRoute.js";
 export { pickTarget } from "./pickTarget.js";
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -1,4 +1,3 @@
-import type { Route } from "@fulmarcleat/directory";
 import { canFinishBeforeStop, chooseRetryAfter, matchRoute, pickTarget } from "@fulmarcleat/dispatch";
 import { toErrorStatus, toServeError } from "@fulmarcleat/errors";
 import type { ErrorCode } from "@fulmarcleat/errors";
@@ -110,7 +109,7 @@
             const relay = route.kind === "streaming"
                 ? createAnswerRelay(res, { byEvent: route.isResumable, isClosing: isStopping })
                 : undefined;
-            const wanted = findWanted(head, route, knowledge);
+            const wanted = findWanted(head, knowledge);
             const work: RequestWork = {
                 req,
                 res,
@@ -257,11 +256,11 @@
     return { kind: "planned", requestId: head.requestId, config, route, service };
 }
 
-function findWanted(head: ClientHead, route: Route, knowledge: Knowledge): RequestWork["wanted"] {
+function findWanted(head: ClientHead, knowledge: Knowledge): RequestWork["wanted"] {
     const { adapter, model } = head;
     return adapter === undefined || model === undefined
         ? undefined
-        : { model, adapter, version: knowledge.findRelease(model, adapter), priority: route.priority };
+        : { model, adapter, version: knowledge.findRelease(model, adapter) };
 }
 
 function hasBody(req: IncomingMessage): boolean {
--- a/packages/front/src/createEngineBoard.ts
+++ b/packages/front/src/createEngineBoard.ts
@@ -11,13 +11,16 @@
     finish(engine: EngineId): void;
     noteHealth(engine: EngineId, message: HealthMessage): void;
     noteLoad(engine: EngineId, load: EngineLoad): void;
-    countOwn(engine: EngineId): number;
+    /** Adds prompt tokens that wait to be read, or takes them off. */
+    queue(engine: EngineId, tokens: number): void;
+    countQueued(engine: EngineId): number;
     view(known: KnownEngine, silentMs: number): EngineView;
     forget(engine: EngineId): void;
 }
 
 interface Row {
     inFlight: number;
+    queuedTokens: number;
     /** Since when requests have been under way without a byte, in milliseconds. */
     quietSinceMs: number;
     health: EngineHealth;
@@ -43,7 +46,7 @@
         if (present !== undefined) {
             return present;
         }
-        const row: Row = { inFlight: 0, quietSinceMs: 0, health: UNKNOWN_HEALTH, told: undefined };
+        const row: Row = { inFlight: 0, queuedTokens: 0, quietSinceMs: 0, health: UNKNOWN_HEALTH, told: undefined };
         rows.set(engine, row);
         return row;
     };
@@ -69,7 +72,8 @@
             const row = open(engine);
             row.told = { others: Math.max(0, load.running + load.waiting - row.inFlight), atMs: clock.nowMs() };
         },
-        countOwn: engine => rows.get(engine)?.inFlight ?? 0,
+        queue: (engine, tokens) => void (open(engine).queuedTokens += tokens),
+        countQueued: engine => rows.get(engine)?.queuedTokens ?? 0,
         view({ entry, leavesAtMs }, silentMs) {
             const row = open(entry.id);
             const atMs = clock.nowMs();
@@ -79,6 +83,7 @@
                 domain: entry.domain,
                 slots: entry.slots,
                 load: row.inFlight + others,
+                queuedTokens: row.queuedTokens,
                 health: row.health,
                 isSilent: row.inFlight > 0 && atMs - row.quietSinceMs > silentMs,
                 leavesInMs: leavesAtMs === undefined ? undefined : leavesAtMs - atMs,
--- a/packages/front/src/createOwnerTask.ts
+++ b/packages/front/src/createOwnerTask.ts
@@ -49,8 +49,6 @@
 const REPORT_PAUSE_MS = 250;
 /** How long a new version is wanted on an engine that holds an older one, in milliseconds. */
 const REFRESH_MS = 20_000;
-/** Priority of loads that no request waits for. */
-const LOWEST_PRIORITY = 9;
 
 /**
  * Creates the task that orders what one engine holds.
@@ -177,7 +175,8 @@
         refresh(adapter, version) {
             if (state.residents.has(adapter)) {
                 const sinceMs = clock.nowMs();
-                const want = { version, priority: LOWEST_PRIORITY, sinceMs, untilMs: sinceMs + REFRESH_MS };
+                const untilMs = sinceMs + REFRESH_MS;
+                const want = { version, dueMs: untilMs, sinceMs, untilMs };
                 state = reduceWants(state, { kind: "want", adapter, want });
                 void pump();
             }
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,5 +1,5 @@
 import type { EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
-import { chooseModelEngine, choosePlainEngine, createRetryWindow, joinOutcomes } from "@fulmarcleat/dispatch";
+import { chooseModelEngine, choosePlainEngine, createRetryWindow, isHopeless, joinOutcomes } from "@fulmarcleat/dispatch";
 import type { ModelEngineView, RetryWindow } from "@fulmarcleat/dispatch";
 import type { Outcome } from "@fulmarcleat/errors";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
@@ -27,7 +27,16 @@
     };
 
 /** Why a request was given up. */
-export type GiveUpReason = "no_engine" | "no_room" | "refused" | "broken" | "no_retry_left" | "ended";
+export type GiveUpReason = "no_engine" | "no_room" | "overloaded" | "refused" | "broken" | "no_retry_left" | "ended";
+
+interface ChosenEngine {
+    readonly known: KnownEngine;
+    /** Expected time to the first byte, in milliseconds. */
+    readonly expectedMs: number;
+}
+
+/** What became of asking for an adapter. */
+type AdapterBrought = "ready" | "no_room" | "no_owner";
 
 /** Runs requests. */
 export interface RequestRunner {
@@ -44,7 +53,9 @@
 /** Pause before an engine that refused is asked again, in milliseconds. */
 const REFUSED_PAUSE_MS = 45;
 /** Longest wait for an adapter at one engine, in milliseconds. */
-const ADAPTER_WAIT_MS = 1500;
+const ADAPTER_WAIT_MS = 350;
+/** Pause before engines whose owners gave no answer are asked again, in milliseconds. */
+const NO_OWNER_PAUSE_MS = 80;
 /** Time that a request must have left to be worth sending, in milliseconds. */
 const LEAST_LEFT_MS = 40;
 const HIGHEST_URGENCY = 9;
@@ -91,49 +102,56 @@
     };
     const listEngines = (service: Service): readonly KnownEngine[] =>
         [...knowledge.engines.values()].filter(known => known.isUsable && known.entry.service === service.name);
-    const choose = (work: RequestWork, allowed: readonly KnownEngine[]): KnownEngine | undefined => {
+    const choose = (work: RequestWork, allowed: readonly KnownEngine[]): ChosenEngine | undefined => {
         const atMs = clock.nowMs();
         const byId = new Map(allowed.map(known => [known.entry.id, known]));
         if (work.service.engine === undefined) {
             const engines = allowed.map(known => board.view(known, PLAIN_SILENT_MS));
             const { domain } = context.deployment;
             const view = choosePlainEngine({ engines, ownDomain: domain, atMs, draw: random.next() });
-            return view === undefined ? undefined : byId.get(view.id);
+            const known = view === undefined ? undefined : byId.get(view.id);
+            return known === undefined ? undefined : { known, expectedMs: 0 };
         }
         const engines = allowed.map((known): ModelEngineView => {
             const view = board.view(known, MODEL_SILENT_MS);
             const load = Math.max(view.load, adapters.countLoad(known.entry.id) ?? 0);
-            return { ...view, load, presence: adapters.find(known.entry, work.wanted) };
+            const queuedTokens = Math.max(view.queuedTokens, adapters.countQueued(known.entry.id) ?? 0);
+            return { ...view, load, queuedTokens, presence: adapters.find(known.entry, work.wanted) };
         });
         const key = work.wanted?.adapter ?? work.requestId;
         const order = rankByRendezvous(hash, key, allowed.map(known => known.entry.id));
-        const view = chooseModelEngine({ engines, order, atMs, loadMs: USUAL_LOAD_MS });
-        return view === undefined ? undefined : byId.get(view.id);
+        const chosen = chooseModelEngine({ engines, order, atMs, loadMs: USUAL_LOAD_MS });
+        const known = chosen === undefined ? undefined : byId.get(chosen.id);
+        return known === undefined ? undefined : { known, expectedMs: chosen?.expectedMs ?? 0 };
     };
-    const bringAdapter = async (work: RequestWork, known: KnownEngine, isMissing: boolean): Promise<boolean> => {
+    const bringAdapter = async (work: RequestWork, known: KnownEngine, isMissing: boolean): Promise<AdapterBrought> => {
         const { wanted } = work;
         if (wanted === undefined) {
-            return true;
+            return "ready";
         }
         const presence = adapters.find(known.entry, wanted);
         if (presence.kind === "present" && !isMissing) {
-            return true;
+            return "ready";
         }
         if (presence.kind === "coming" && !isMissing) {
             await waitMs(clock, presence.readyInMs);
-            return true;
+            return "ready";
         }
-        const leftMs = work.endsAtMs - clock.nowMs() - LEAST_LEFT_MS;
-        const reply = await adapters.request(known.entry, wanted, Math.min(leftMs, ADAPTER_WAIT_MS), isMissing);
+        const nowMs = clock.nowMs();
+        const wait = {
+            waitMs: Math.min(work.endsAtMs - nowMs - LEAST_LEFT_MS, ADAPTER_WAIT_MS),
+            dueInMs: work.startedMs + work.route.goalMs - nowMs,
+        };
+        const reply = await adapters.request(known.entry, wanted, wait, isMissing);
         metrics.count("adapter_waits_total", { reply: reply.kind });
         if (reply.kind === "refused") {
             log.write("warn", 304, { id: work.requestId, engine: known.entry.id, reason: reply.reason });
-            return false;
+            return reply.reason === "no_room" ? "no_room" : "no_owner";
         }
         if (reply.inMs > 0) {
             await waitMs(clock, reply.inMs);
         }
-        return true;
+        return "ready";
     };
     const send = async (work: RequestWork, { entry }: KnownEngine): Promise<ExchangeResult> => {
         const sentMs = clock.nowMs();
@@ -154,6 +172,8 @@
             lastEventId: work.relay?.lastEventId ?? work.head.lastEventId,
         };
         log.write("info", 405, { id: work.requestId, engine: id, adapter, version: work.wanted?.version });
+        const promptTokens = isModel ? work.head.tokens?.prompt ?? 0 : 0;
+        board.queue(id, promptTokens);
         board.start(id);
         adapters.start(id, adapter);
         const result = await runExchange(req, {
@@ -164,7 +184,10 @@
             silenceMs: work.route.isResumable ? RESUME_SILENT_MS : undefined,
             onBytes() {
                 board.touch(id);
-                firstByteMs ??= clock.nowMs() - sentMs;
+                if (firstByteMs === undefined) {
+                    firstByteMs = clock.nowMs() - sentMs;
+                    board.queue(id, -promptTokens);
+                }
             },
             onHead(head) {
                 if (head.load !== undefined) {
@@ -172,6 +195,9 @@
                 }
             },
         });
+        if (firstByteMs === undefined) {
+            board.queue(id, -promptTokens);
+        }
         board.finish(id);
         adapters.finish(id, adapter);
         noteResult(id, result, firstByteMs ?? clock.nowMs() - sentMs);
@@ -210,6 +236,7 @@
         const budget = openBudget(work.service);
         const tried = new Set<EngineId>();
         const passedOver = new Set<EngineId>();
+        const unowned = new Set<EngineId>();
         const outcomes: Outcome[] = [];
         let isMissing = false;
         const giveUp = (reason: GiveUpReason, readyInMs: number): RequestEnd => ({
@@ -225,15 +252,34 @@
             }
             const isFull = tried.size >= work.route.maxEngines;
             const allowed = listEngines(work.service).filter(({ entry }) =>
-                !passedOver.has(entry.id) && (!isFull || tried.has(entry.id))
+                !passedOver.has(entry.id) && !unowned.has(entry.id) && (!isFull || tried.has(entry.id))
             );
-            const known = choose(work, allowed);
-            if (known === undefined) {
+            const chosen = choose(work, allowed);
+            if (chosen === undefined && unowned.size > 0) {
+                unowned.clear();
+                await waitMs(clock, NO_OWNER_PAUSE_MS);
+                continue;
+            }
+            if (chosen === undefined) {
                 return giveUp(passedOver.size > 0 ? "no_room" : "no_engine", NO_ENGINE_RETRY_MS);
             }
+            const { known, expectedMs } = chosen;
+            const nowMs = clock.nowMs();
+            const patience = {
+                expectedMs,
+                waitedMs: nowMs - work.startedMs,
+                goalMs: work.route.goalMs,
+                leftMs: work.endsAtMs - nowMs,
+            };
+            if (work.service.engine !== undefined && work.relay?.hasStarted !== true && isHopeless(patience)) {
+                return giveUp("overloaded", expectedMs - work.route.goalMs);
+            }
             const { id } = known.entry;
-            if (!await bringAdapter(work, known, isMissing)) {
-                passedOver.add(id);
+            const brought = await bringAdapter(work, known, isMissing);
+            if (brought !== "ready") {
+                if (brought === "no_owner") {
+                    unowned.add(id);
+                }
                 continue;
             }
             if (work.signal.aborted) {
--- a/packages/front/src/startAdapterBoard.ts
+++ b/packages/front/src/startAdapterBoard.ts
@@ -22,7 +22,13 @@
     readonly adapter: AdapterName;
     /** Oldest version that will do; undefined for any. */
     readonly version: number | undefined;
-    readonly priority: number;
+}
+
+/** How long a request can wait for an adapter. */
+export interface AdapterWait {
+    readonly waitMs: number;
+    /** How long it can still be on time, in milliseconds; negative where it is late. */
+    readonly dueInMs: number;
 }
 
 /** What a host knows of the adapters on engines. */
@@ -31,8 +37,10 @@
     find(entry: EngineEntry, wanted: WantedAdapter | undefined): AdapterPresence;
     /** Requests under way on an engine, over all hosts, as its owner says. */
     countLoad(engine: EngineId): number | undefined;
+    /** Prompt tokens that wait to be read on an engine, over all hosts, as its owner says. */
+    countQueued(engine: EngineId): number | undefined;
     /** Asks the engine's owner to have an adapter there. */
-    request(entry: EngineEntry, wanted: WantedAdapter, waitMs: number, isMissing: boolean): Promise<AdapterLoadReply>;
+    request(entry: EngineEntry, wanted: WantedAdapter, wait: AdapterWait, isMissing: boolean): Promise<AdapterLoadReply>;
     start(engine: EngineId, adapter: AdapterName | undefined): void;
     finish(engine: EngineId, adapter: AdapterName | undefined): void;
     answerLoad(ask: AdapterLoadAsk): Promise<AdapterLoadReply>;
@@ -55,7 +63,7 @@
 }
 
 /** Pace of the word between hosts and owners, in milliseconds: with changes, and without. */
-const TELL_MS = 150;
+const TELL_MS = 90;
 const IDLE_TELL_MS = 1000;
 /** How long an owner's word counts, in milliseconds. */
 const WORD_VALID_MS = 4000;
@@ -115,11 +123,11 @@
         if (task === undefined) {
             return { kind: "not_owner" };
         }
-        const use = { atMs: clock.nowMs(), inFlight: new Map(tell.inFlight), total: tell.total };
+        const use = { atMs: clock.nowMs(), inFlight: new Map(tell.inFlight), total: tell.total, queuedTokens: tell.queuedTokens };
         return { kind: "word", ...task.use(from, use, tell.started) };
     };
     const tellOwner = async (engine: EngineId, use: OwnUse): Promise<void> => {
-        const tell = { engine, inFlight: [...use.inFlight], total: use.total, started: use.started };
+        const tell = { engine, inFlight: [...use.inFlight], total: use.total, queuedTokens: board.countQueued(engine), started: use.started };
         use.started = [];
         use.isChanged = false;
         use.toldAtMs = clock.nowMs();
@@ -188,19 +196,23 @@
             }
         }
     };
+    const findWord = (engine: EngineId): EngineWord | undefined => {
+        const known = told.get(engine);
+        return known === undefined || clock.nowMs() - known.atMs > WORD_VALID_MS ? undefined : known.word;
+    };
     const answerLoad = async (ask: AdapterLoadAsk): Promise<AdapterLoadReply> => {
         const task = ownership.find(ask.engine);
         if (task === undefined) {
             return { kind: "refused", reason: "not_owner" };
         }
         const sinceMs = clock.nowMs();
-        const want = { version: ask.version, priority: ask.priority, sinceMs, untilMs: sinceMs + ask.waitMs };
+        const want = { version: ask.version, dueMs: sinceMs + ask.dueInMs, sinceMs, untilMs: sinceMs + ask.waitMs };
         return task.want(ask.adapter, want, ask.isMissing);
     };
     return {
         find(entry, wanted) {
             if (wanted === undefined) {
-                return entry.models.length > 0 ? { kind: "present" } : { kind: "absent", hasRoom: true, canLoad: true };
+                return entry.models.length > 0 ? { kind: "present" } : { kind: "absent", placeWaitMs: 0, canLoad: true };
             }
             const known = told.get(entry.id);
             const atMs = clock.nowMs();
@@ -210,18 +222,16 @@
             }
             const held = known.word.adapters.find(told => told.adapter === wanted.adapter);
             if (held === undefined || !isNewEnough(held.version, wanted.version)) {
-                return { kind: "absent", hasRoom: held !== undefined || known.word.hasRoom, canLoad };
+                return { kind: "absent", placeWaitMs: held !== undefined ? 0 : known.word.placeWaitMs, canLoad };
             }
             const readyInMs = held.readyInMs - (atMs - known.atMs);
             return held.readyInMs === 0 || readyInMs <= 0 ? { kind: "present" } : { kind: "coming", readyInMs };
         },
-        countLoad(engine) {
-            const known = told.get(engine);
-            return known === undefined || clock.nowMs() - known.atMs > WORD_VALID_MS ? undefined : known.word.load;
-        },
-        async request(entry, wanted, waitMs, isMissing) {
-            const { adapter, model, priority, version } = wanted;
-            const ask = { engine: entry.id, model, adapter, version, priority, waitMs, isMissing };
+        countLoad: engine => findWord(engine)?.load,
+        countQueued: engine => findWord(engine)?.queuedTokens,
+        async request(entry, wanted, { waitMs, dueInMs }, isMissing) {
+            const { adapter, model, version } = wanted;
+            const ask = { engine: entry.id, model, adapter, version, dueInMs, waitMs, isMissing };
             log.write("info", 310, { engine: entry.id, adapter, version, waitMs: Math.round(waitMs), isMissing });
             const reply = ownership.find(entry.id) === undefined
                 ? await askOwner(readPeers(), findOwner(entry.id), ask, context)
@@ -266,7 +276,7 @@
         .find(adapter => adapter.adapter === wanted.adapter);
     return held !== undefined && isNewEnough(held.version, wanted.version)
         ? { kind: "present" }
-        : { kind: "absent", hasRoom: true, canLoad };
+        : { kind: "absent", placeWaitMs: 0, canLoad };
 }
 
 function isNewEnough(held: number | undefined, wanted: number | undefined): boolean {
--- a/packages/residency/src/describeResidency.ts
+++ b/packages/residency/src/describeResidency.ts
@@ -1,6 +1,6 @@
 import type { AdapterName } from "@fulmarcleat/ids";
-import { chooseVictim } from "./chooseVictim.js";
-import { countUses } from "./countUses.js";
+import { countQueuedTokens, countUses } from "./countUses.js";
+import { estimatePlaceWait } from "./estimatePlaceWait.js";
 import type { ResidencyState } from "./residencyState.js";
 
 /** An adapter as an owner tells other hosts of it. */
@@ -16,8 +16,10 @@
     readonly adapters: readonly ToldAdapter[];
     /** Requests under way there, over all hosts. */
     readonly load: number;
-    /** Whether an adapter can be loaded without waiting for running requests. */
-    readonly hasRoom: boolean;
+    /** Prompt tokens of requests without a first byte so far, over all hosts. */
+    readonly queuedTokens: number;
+    /** Expected wait until a place for another adapter is free, in milliseconds. */
+    readonly placeWaitMs: number;
     readonly loadMs: number;
 }
 
@@ -45,7 +47,8 @@
     return {
         adapters,
         load: countUses(state, atMs),
-        hasRoom: state.residents.size < state.slots || chooseVictim(state, atMs) !== undefined,
+        queuedTokens: countQueuedTokens(state, atMs),
+        placeWaitMs: estimatePlaceWait(state, atMs),
         loadMs: state.loadMs,
     };
 }
--- a/packages/residency/src/planOrder.ts
+++ b/packages/residency/src/planOrder.ts
@@ -32,6 +32,9 @@
     if (state.modelPhase === "absent") {
         return { kind: "order", order: { kind: "load_model", model: state.model } };
     }
+    if (atMs >= state.reportFromMs && isAnyLeaving(state)) {
+        return { kind: "read_report" };
+    }
     const next = findNextWant(state, atMs);
     if (next === undefined || countLoading(state) >= TRANSIT_LIMIT) {
         return WAIT;
@@ -54,18 +57,22 @@
         if (want.untilMs <= atMs || isOnItsWay(state, adapter, want)) {
             continue;
         }
-        if (next === undefined || isBefore(want, next[1])) {
+        if (next === undefined || isBefore(want, next[1], atMs)) {
             next = entry;
         }
     }
     return next;
 }
 
-function isBefore(a: Want, b: Want): boolean {
-    return a.priority < b.priority || (a.priority === b.priority && a.sinceMs < b.sinceMs);
+/** Requests that can still be on time go first, the one with the least time left at the front. */
+function isBefore(a: Want, b: Want, atMs: number): boolean {
+    const isLateA = a.dueMs <= atMs;
+    const isLateB = b.dueMs <= atMs;
+    return isLateA === isLateB ? a.dueMs < b.dueMs : isLateB;
 }
 
-function isOnItsWay(state: ResidencyState, adapter: AdapterName, want: Want): boolean {
+/** Tells whether what a request waits for is there already or has been ordered. */
+export function isOnItsWay(state: ResidencyState, adapter: AdapterName, want: Want): boolean {
     const resident = state.residents.get(adapter);
     return resident !== undefined
         && (resident.phase.kind === "leaving"
@@ -73,6 +80,10 @@
             || (resident.version !== undefined && resident.version >= want.version));
 }
 
+function isAnyLeaving(state: ResidencyState): boolean {
+    return [...state.residents.values()].some(resident => resident.phase.kind === "leaving");
+}
+
 function countLoading(state: ResidencyState): number {
     return [...state.residents.values()].filter(resident => resident.phase.kind === "loading").length;
 }
--- a/packages/residency/src/reduceWants.ts
+++ b/packages/residency/src/reduceWants.ts
@@ -44,7 +44,7 @@
         version: a.version === undefined || b.version === undefined
             ? a.version ?? b.version
             : Math.max(a.version, b.version),
-        priority: Math.min(a.priority, b.priority),
+        dueMs: Math.min(a.dueMs, b.dueMs),
         sinceMs: Math.min(a.sinceMs, b.sinceMs),
         untilMs: Math.max(a.untilMs, b.untilMs),
     };
--- a/packages/residency/src/residencyState.ts
+++ b/packages/residency/src/residencyState.ts
@@ -20,8 +20,8 @@
 /** An adapter that a request waits for. */
 export interface Want {
     readonly version: number | undefined;
-    /** Priority of the most urgent request that waits; 0 is first. */
-    readonly priority: number;
+    /** Until when the request that waits can still be on time, in milliseconds. */
+    readonly dueMs: number;
     readonly sinceMs: number;
     readonly untilMs: number;
 }
@@ -31,6 +31,8 @@
     readonly atMs: number;
     readonly inFlight: ReadonlyMap<AdapterName, number>;
     readonly total: number;
+    /** Prompt tokens of its requests without a first byte so far. */
+    readonly queuedTokens: number;
 }
 
 /** What an engine's owner knows of it. */
--- a/packages/wire/src/residencyMessages.ts
+++ b/packages/wire/src/residencyMessages.ts
@@ -7,8 +7,8 @@
     readonly adapter: AdapterName;
     /** Oldest version that will do; undefined for any. */
     readonly version: number | undefined;
-    /** Priority of the request that waits; 0 is first. */
-    readonly priority: number;
+    /** How long the request that waits can still be on time, in milliseconds; negative where it is late. */
+    readonly dueInMs: number;
     /** How long the request can wait, in milliseconds. */
     readonly waitMs: number;
     /** Whether the engine has just refused a request because it lacks the adapter. */
@@ -25,6 +25,8 @@
     readonly engine: EngineId;
     readonly inFlight: readonly (readonly [AdapterName, number])[];
     readonly total: number;
+    /** Prompt tokens of requests without a first byte so far. */
+    readonly queuedTokens: number;
     /** Adapters of requests that started since the last word. */
     readonly started: readonly AdapterName[];
 }
@@ -40,6 +42,7 @@
             readonly readyInMs: number;
         }[];
         readonly load: number;
-        readonly hasRoom: boolean;
+        readonly queuedTokens: number;
+        readonly placeWaitMs: number;
         readonly loadMs: number;
     };
