Leave adapters in use in place when a new version is declared, and weigh what a place costs

Cause: a replacement that waits for running requests makes the engine refuse every other order (409) for seconds; and hot adapters took places on several engines while all places were in use. Also: load asks to owners that can't be reached go through the store, engines whose address another has are not used.

--- a/packages/directory/src/engineTransport.ts
+++ b/packages/directory/src/engineTransport.ts
@@ -1,4 +1,4 @@
-import type { RequestId } from "@fulmarcleat/ids";
+import type { EngineId, RequestId } from "@fulmarcleat/ids";
 import type { EngineTarget } from "./engineControl.js";
 
 /** A request as it goes to an engine. */
@@ -38,6 +38,8 @@
     /** The engine states that the request did not run and never will. */
     readonly isNotRun: boolean;
     readonly load: EngineLoad | undefined;
+    /** The engine that answers, where it says so. */
+    readonly instance: EngineId | undefined;
 }
 
 /** Why an exchange with an engine ended without a whole answer. */
--- a/packages/directory/src/reduceDirectory.ts
+++ b/packages/directory/src/reduceDirectory.ts
@@ -6,6 +6,8 @@
     readonly entry: EngineEntry;
     /** Whether it may be given new requests. */
     readonly isUsable: boolean;
+    /** Another engine has its address. */
+    readonly isReplaced: boolean;
     /** When it counts as gone although its entry may still come back; undefined while the entry is there. */
     readonly missingUntilMs: number | undefined;
     /** When its announced time runs out; undefined where it announced none. */
@@ -27,6 +29,8 @@
     | { readonly kind: "listed"; readonly entries: readonly EngineEntry[]; readonly atMs: number }
     /** The store answers again after a time without. */
     | { readonly kind: "store_returned"; readonly atMs: number }
+    /** Another engine answered at the address of an engine's incarnation. */
+    | { readonly kind: "replaced"; readonly engine: EngineId; readonly bornMs: number | undefined }
     | { readonly kind: "tick"; readonly atMs: number };
 
 /** How long after the store's return lapsed entries may take to come back, in milliseconds; the platform states about two seconds. */
@@ -59,6 +63,8 @@
         }
         case "store_returned":
             return { ...state, graceUntilMs: message.atMs + RETURN_GRACE_MS };
+        case "replaced":
+            return { ...state, engines: markReplaced(state.engines, message.engine, message.bornMs) };
         case "tick":
             return dropGone(state, message.atMs);
     }
@@ -74,12 +80,14 @@
         return engines;
     }
     const isSameLife = former !== undefined && former.entry.bornMs === entry.bornMs;
+    const isReplaced = isSameLife && former.isReplaced;
     const leavesAtMs = entry.leavesInMs === undefined
         ? undefined
         : Math.min(atMs + entry.leavesInMs, isSameLife ? former.leavesAtMs ?? Infinity : Infinity);
     return new Map(engines).set(entry.id, {
         entry,
-        isUsable: !entry.isDraining,
+        isUsable: !entry.isDraining && !isReplaced,
+        isReplaced,
         missingUntilMs: undefined,
         leavesAtMs,
     });
@@ -89,6 +97,17 @@
     return entry.bornMs !== undefined && known.bornMs !== undefined && entry.bornMs < known.bornMs;
 }
 
+function markReplaced(
+    engines: ReadonlyMap<EngineId, KnownEngine>,
+    id: EngineId,
+    bornMs: number | undefined,
+): ReadonlyMap<EngineId, KnownEngine> {
+    const known = engines.get(id);
+    return known === undefined || known.entry.bornMs !== bornMs
+        ? engines
+        : new Map(engines).set(id, { ...known, isUsable: false, isReplaced: true });
+}
+
 function markMissing(
     state: DirectoryState,
     ids: readonly EngineId[],
--- a/packages/dispatch/src/chooseModelEngine.ts
+++ b/packages/dispatch/src/chooseModelEngine.ts
@@ -16,7 +16,9 @@
 
 const MODEL_SCALE: CostScale = { idleFirstByteMs: 60, failureMs: 1500, delayPerRequestMs: 7 };
 /** Cost of each step down the rendezvous order for an adapter that must be loaded, in milliseconds. */
-const RANK_MS = 25;
+const RANK_MS = 40;
+/** Cost of taking one more place for an adapter that another engine may have, in milliseconds. */
+const PLACE_MS = 500;
 /** Cost of an engine where nobody may order loads, in milliseconds. */
 const NO_OWNER_MS = 6000;
 /** An engine that leaves sooner gets no generation while another is left, in milliseconds. */
@@ -41,21 +43,26 @@
  */
 export function chooseModelEngine(choice: ModelChoice): ModelEngineChoice | undefined {
     const rank = new Map(choice.order.map((id, index) => [id, index]));
-    const estimate = (view: ModelEngineView): number =>
-        estimateEngineCost(view, MODEL_SCALE, choice.atMs)
-        + estimatePresenceCost(view.presence, rank.get(view.id) ?? choice.order.length, choice.loadMs)
-        + (view.leavesInMs !== undefined && view.leavesInMs < SHORTEST_STAY_MS ? LEAVING_MS : 0);
-    const best = findCheapest(choice.engines, estimate);
-    return best === undefined ? undefined : { id: best.id, expectedMs: estimate(best) };
+    const expect = (view: ModelEngineView): number =>
+        estimateEngineCost(view, MODEL_SCALE, choice.atMs) + estimateAdapterWait(view.presence, choice.loadMs);
+    const best = findCheapest(choice.engines, view =>
+        expect(view)
+        + estimatePlaceCost(view.presence, rank.get(view.id) ?? choice.order.length)
+        + (view.leavesInMs !== undefined && view.leavesInMs < SHORTEST_STAY_MS ? LEAVING_MS : 0));
+    return best === undefined ? undefined : { id: best.id, expectedMs: expect(best) };
 }
 
-function estimatePresenceCost(presence: AdapterPresence, rank: number, loadMs: number): number {
+function estimateAdapterWait(presence: AdapterPresence, loadMs: number): number {
     switch (presence.kind) {
         case "present":
             return 0;
         case "coming":
             return presence.readyInMs;
         case "absent":
-            return loadMs + rank * RANK_MS + presence.placeWaitMs + (presence.canLoad ? 0 : NO_OWNER_MS);
+            return loadMs + presence.placeWaitMs + (presence.canLoad ? 0 : NO_OWNER_MS);
     }
 }
+
+function estimatePlaceCost(presence: AdapterPresence, rank: number): number {
+    return presence.kind === "absent" ? PLACE_MS + rank * RANK_MS : 0;
+}
--- a/packages/dispatch/src/isHopeless.ts
+++ b/packages/dispatch/src/isHopeless.ts
@@ -13,6 +13,8 @@
 /** Clients leave a stream without a byte after this time or a multiple of its goal, whichever is longer, in milliseconds. */
 const SHORTEST_PATIENCE_MS = 2000;
 const GOALS_OF_PATIENCE = 4;
+/** Waits beyond this multiple of the goal keep engines from requests that can still be on time. */
+const GOALS_OF_WAIT = 4;
 /** Part of a client's patience that an estimate may use up; estimates err. */
 const USED_PART = 0.85;
 
@@ -27,5 +29,5 @@
  */
 export function isHopeless({ expectedMs, waitedMs, goalMs, leftMs }: PatienceTerms): boolean {
     const patienceMs = Math.max(SHORTEST_PATIENCE_MS, goalMs * GOALS_OF_PATIENCE) * USED_PART;
-    return expectedMs > Math.min(patienceMs - waitedMs, leftMs);
+    return expectedMs > Math.min(goalMs * GOALS_OF_WAIT, patienceMs - waitedMs, leftMs);
 }
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -124,6 +124,7 @@
                 endsAtMs,
                 signal: ender.signal,
                 relay,
+                times: { sentMs: undefined, firstByteMs: undefined },
             };
             const end = await runner.run(work);
             finish(work, end, hasLeft);
@@ -136,15 +137,20 @@
         const tookMs = Math.round(clock.nowMs() - work.startedMs);
         metrics.record("request_duration", tookMs, { kind: work.route.kind, end: end.kind });
         if (hasLeft) {
-            log.write("info", 407, { id: work.requestId, tookMs, end: end.kind });
+            log.write("info", 407, { id: work.requestId, tookMs, end: end.kind, ...describeTimes(work) });
             return;
         }
         switch (end.kind) {
             case "relayed":
-                log.write("info", 406, { id: work.requestId, status: 200, tookMs });
+                log.write("info", 406, { id: work.requestId, status: 200, tookMs, ...describeTimes(work) });
                 return;
             case "answer":
-                log.write("info", 406, { id: work.requestId, status: end.result.head.status, tookMs });
+                log.write("info", 406, {
+                    id: work.requestId,
+                    status: end.result.head.status,
+                    tookMs,
+                    ...describeTimes(work),
+                });
                 sendAnswer(work.res, end.result, isStopping());
                 return;
             case "gave_up":
@@ -209,6 +215,20 @@
     };
 }
 
+/** Says what a request's time was spent on, for the log. */
+function describeTimes(
+    { route, startedMs, times }: RequestWork,
+): Readonly<Record<string, string | number | undefined>> {
+    const since = (atMs: number | undefined): number | undefined =>
+        atMs === undefined ? undefined : Math.round(atMs - startedMs);
+    return {
+        route: route.name,
+        goalMs: route.goalMs,
+        sentAfterMs: since(times.sentMs),
+        firstByteAfterMs: since(times.firstByteMs),
+    };
+}
+
 const INTERNAL = { code: "internal", step: "serve client", peer: "caller", outcome: "unknown" } as const;
 
 interface Refusal {
--- a/packages/front/src/createKnowledge.ts
+++ b/packages/front/src/createKnowledge.ts
@@ -20,8 +20,9 @@
     RELEASE_PREFIX,
 } from "@fulmarcleat/platform";
 import type { OwnerClaim } from "@fulmarcleat/residency";
+import type { AdapterLoadAsk } from "@fulmarcleat/wire";
 import type { FrontContext } from "./frontContext.js";
-import { parseHostKey, parseMember, parseOwner, SYSTEM_PREFIX } from "./hostKeys.js";
+import { parseHostKey, parseMember, parseOwner, parseWants, SYSTEM_PREFIX } from "./hostKeys.js";
 import type { Member } from "./hostKeys.js";
 import { startStoreWatch } from "./startStoreWatch.js";
 import type { StoreListener } from "./startStoreWatch.js";
@@ -39,9 +40,13 @@
     readonly hasHosts: boolean;
     /** Newest declared version of an adapter; undefined where none was declared. */
     findRelease(model: BaseModel, adapter: AdapterName): number | undefined;
+    /** Another engine has an engine's address; it is not used until it starts anew. */
+    noteReplaced(entry: EngineEntry): void;
     /** Calls a listener with each newly declared version. */
     onRelease(listener: (release: AdapterRelease) => void): void;
     onEngineGone(listener: (entry: EngineEntry) => void): void;
+    /** Calls a listener with the load asks that hosts leave in the store. */
+    onWants(listener: (asks: readonly AdapterLoadAsk[]) => void): void;
     stop(): void;
 }
 
@@ -73,6 +78,7 @@
     const unownedSince = new Map<EngineId, number>();
     const releaseListeners: ((release: AdapterRelease) => void)[] = [];
     const goneListeners: ((entry: EngineEntry) => void)[] = [];
+    const wantListeners: ((asks: readonly AdapterLoadAsk[]) => void)[] = [];
     const unreadable = new Set<string>();
 
     const noteUnreadable = (key: string): void => {
@@ -155,6 +161,9 @@
                 }
                 return;
             }
+            case "wants":
+                wantListeners.forEach(listener => listener(parseWants(item.value)));
+                return;
             case "other":
                 return;
         }
@@ -169,6 +178,7 @@
                 claims.delete(key.engine);
                 unownedSince.set(key.engine, clock.nowMs());
                 return;
+            case "wants":
             case "other":
                 return;
         }
@@ -203,7 +213,7 @@
                 .forEach(host => members.delete(host));
             [...claims.keys()].filter(engine => !present.has(`${SYSTEM_PREFIX}owner/${engine}`))
                 .forEach(engine => dropHostKey(`${SYSTEM_PREFIX}owner/${engine}`));
-            items.forEach(takeHostItem);
+            items.filter(item => parseHostKey(item.key).kind !== "wants").forEach(takeHostItem);
             hasHosts = true;
         },
         changed: events =>
@@ -237,7 +247,12 @@
             return hasHosts;
         },
         findRelease: (model, adapter) => releases.get(formatReleaseKey(model, adapter)),
+        noteReplaced(entry) {
+            log.write("info", 212, { engine: entry.id, reason: "another engine has its address" });
+            applyDirectory({ kind: "replaced", engine: entry.id, bornMs: entry.bornMs });
+        },
         onRelease: listener => void releaseListeners.push(listener),
+        onWants: listener => void wantListeners.push(listener),
         onEngineGone: listener => void goneListeners.push(listener),
         stop() {
             isStopped = true;
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -1,10 +1,12 @@
 import type { EngineId, HostId, Incarnation } from "@fulmarcleat/ids";
 import { brandId } from "@fulmarcleat/ids";
+import type { AdapterLoadAsk } from "@fulmarcleat/wire";
 import { z } from "zod";
 
 /** Keys below which the system keeps what must last. */
 export const SYSTEM_PREFIX = "fulmarcleat/";
 const MEMBER_PREFIX = `${SYSTEM_PREFIX}member/`;
+const WANT_PREFIX = `${SYSTEM_PREFIX}want/`;
 const OWNER_PREFIX = `${SYSTEM_PREFIX}owner/`;
 /** Key of the secret that hosts prove to each other. */
 export const PEER_SECRET_KEY = `${SYSTEM_PREFIX}peer-secret`;
@@ -32,11 +34,23 @@
     isLeaving: z.boolean(),
 });
 const ownerSchema = z.object({ host: z.string(), incarnation: z.string(), isReleased: z.boolean() });
+const wantsSchema = z.object({
+    asks: z.array(z.object({
+        engine: z.string(),
+        model: z.string(),
+        adapter: z.string(),
+        version: z.number().optional(),
+        dueInMs: z.number(),
+        waitMs: z.number(),
+        isMissing: z.boolean(),
+    })),
+});
 
 /** What a key of the system holds. */
 export type HostKey =
     | { readonly kind: "member"; readonly host: HostId }
     | { readonly kind: "owner"; readonly engine: EngineId }
+    | { readonly kind: "wants"; readonly host: HostId }
     | { readonly kind: "other" };
 
 /**
@@ -55,6 +69,9 @@
     if (key.startsWith(OWNER_PREFIX)) {
         return { kind: "owner", engine: brandId(key.slice(OWNER_PREFIX.length)) };
     }
+    if (key.startsWith(WANT_PREFIX)) {
+        return { kind: "wants", host: brandId(key.slice(WANT_PREFIX.length)) };
+    }
     return { kind: "other" };
 }
 
@@ -68,6 +85,25 @@
     return OWNER_PREFIX + engine;
 }
 
+/** Gives the key of the load asks that a host has left for owners. */
+export function formatWantKey(host: HostId): string {
+    return WANT_PREFIX + host;
+}
+
+/** Reads the load asks that a host has left; none where they can't be read. */
+export function parseWants(value: Buffer): readonly AdapterLoadAsk[] {
+    const parsed = wantsSchema.safeParse(parseJson(value));
+    return parsed.success
+        ? parsed.data.asks.map(ask => ({
+            ...ask,
+            engine: brandId(ask.engine),
+            model: brandId(ask.model),
+            adapter: brandId(ask.adapter),
+            version: ask.version,
+        }))
+        : [];
+}
+
 /** Reads a host's entry; undefined where it can't be read. */
 export function parseMember(host: HostId, value: Buffer): Member | undefined {
     const parsed = memberSchema.safeParse(parseJson(value));
--- a/packages/front/src/requestWork.ts
+++ b/packages/front/src/requestWork.ts
@@ -21,6 +21,8 @@
     readonly endsAtMs: number;
     /** Aborted when the client leaves or the time is over. */
     readonly signal: AbortSignal;
+    /** When it was last sent and when the first byte of an answer came, in milliseconds. */
+    readonly times: { sentMs: number | undefined; firstByteMs: number | undefined };
     /** Undefined where the answer is gathered whole. */
     readonly relay: AnswerRelay | undefined;
 }
--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -8,7 +8,12 @@
     | { readonly kind: "relayed"; readonly status: number }
     /** The whole answer, not sent to the client so far. */
     | { readonly kind: "answer"; readonly head: EngineAnswerHead; readonly body: Buffer }
-    | { readonly kind: "not_run"; readonly status: number }
+    | {
+        readonly kind: "not_run";
+        readonly status: number;
+        /** Another engine answers at the address. */
+        readonly isReplaced: boolean;
+    }
     | { readonly kind: "unsent"; readonly reason: string }
     /** It may have run. */
     | { readonly kind: "broken"; readonly reason: string }
@@ -122,7 +127,7 @@
                     finish({ kind: "relayed", status: head.status });
                 }
                 else if (head.isNotRun) {
-                    finish({ kind: "not_run", status: head.status });
+                    finish(describeNotRun(req, head));
                 }
                 else {
                     finish({ kind: "answer", head, body: Buffer.concat(pieces) });
@@ -131,10 +136,14 @@
             fail(failure) {
                 finish(
                     head?.isNotRun === true
-                        ? { kind: "not_run", status: head.status }
+                        ? describeNotRun(req, head)
                         : { kind: failure.kind, reason: failure.reason },
                 );
             },
         });
     });
 }
+
+function describeNotRun(req: EngineRequest, { status, instance }: EngineAnswerHead): ExchangeResult {
+    return { kind: "not_run", status, isReplaced: instance !== undefined && instance !== req.target.id };
+}
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,5 +1,11 @@
 import type { EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
-import { chooseModelEngine, choosePlainEngine, createRetryWindow, isHopeless, joinOutcomes } from "@fulmarcleat/dispatch";
+import {
+    chooseModelEngine,
+    choosePlainEngine,
+    createRetryWindow,
+    isHopeless,
+    joinOutcomes,
+} from "@fulmarcleat/dispatch";
 import type { ModelEngineView, RetryWindow } from "@fulmarcleat/dispatch";
 import type { Outcome } from "@fulmarcleat/errors";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
@@ -159,6 +165,7 @@
         const adapter = work.wanted?.adapter;
         const isModel = work.service.engine !== undefined;
         let firstByteMs: number | undefined;
+        work.times.sentMs = sentMs;
         const req: EngineRequest = {
             target: { id, address: entry.address },
             requestId: work.requestId,
@@ -186,6 +193,7 @@
                 board.touch(id);
                 if (firstByteMs === undefined) {
                     firstByteMs = clock.nowMs() - sentMs;
+                    work.times.firstByteMs ??= sentMs + firstByteMs;
                     board.queue(id, -promptTokens);
                 }
             },
@@ -308,7 +316,10 @@
                     sends += 1;
                     tried.add(id);
                     outcomes.push("not_run");
-                    isMissing = result.status === MISDIRECTED;
+                    isMissing = result.status === MISDIRECTED && !result.isReplaced;
+                    if (result.isReplaced) {
+                        knowledge.noteReplaced(known.entry);
+                    }
                     log.write("info", 402, { id: work.requestId, engine: id, status: result.status, sends });
                     await waitMs(clock, REFUSED_PAUSE_MS);
                     break;
--- a/packages/front/src/startAdapterBoard.ts
+++ b/packages/front/src/startAdapterBoard.ts
@@ -13,6 +13,7 @@
 } from "@fulmarcleat/wire";
 import type { EngineBoard } from "./createEngineBoard.js";
 import type { Knowledge } from "./createKnowledge.js";
+import type { WantMail } from "./createWantMail.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Ownership } from "./startOwnership.js";
 
@@ -40,7 +41,12 @@
     /** Prompt tokens that wait to be read on an engine, over all hosts, as its owner says. */
     countQueued(engine: EngineId): number | undefined;
     /** Asks the engine's owner to have an adapter there. */
-    request(entry: EngineEntry, wanted: WantedAdapter, wait: AdapterWait, isMissing: boolean): Promise<AdapterLoadReply>;
+    request(
+        entry: EngineEntry,
+        wanted: WantedAdapter,
+        wait: AdapterWait,
+        isMissing: boolean,
+    ): Promise<AdapterLoadReply>;
     start(engine: EngineId, adapter: AdapterName | undefined): void;
     finish(engine: EngineId, adapter: AdapterName | undefined): void;
     answerLoad(ask: AdapterLoadAsk): Promise<AdapterLoadReply>;
@@ -67,7 +73,11 @@
 const IDLE_TELL_MS = 1000;
 /** How long an owner's word counts, in milliseconds. */
 const WORD_VALID_MS = 4000;
-const ASK_TIMEOUT_MS = 600;
+/** Expected wait until an older version that requests run on can be replaced, in milliseconds. */
+const REPLACE_WAIT_MS = 2000;
+const ASK_TIMEOUT_MS = 450;
+/** Expected time of a load that is asked for through the store, in milliseconds. */
+const LOAD_BY_STORE_MS = 450;
 
 /**
  * Keeps a host's knowledge of adapters on engines, and tells engines' owners what the host has under way.
@@ -76,17 +86,19 @@
  * @param knowledge - Engines, live hosts and claims
  * @param ownership - Engines that this host owns
  * @param board - Requests under way
+ * @param mail - Way to owners that can't be reached
  * @param readPeers - Gives the connections to peers, once there are any
  * @returns the knowledge
  *
  * @example
- * const adapters = startAdapterBoard(context, knowledge, ownership, board, () => peers);
+ * const adapters = startAdapterBoard(context, knowledge, ownership, board, mail, () => peers);
  */
 export function startAdapterBoard(
     context: FrontContext,
     knowledge: Knowledge,
     ownership: Ownership,
     board: EngineBoard,
+    mail: WantMail,
     readPeers: () => PeerClient | undefined,
 ): AdapterBoard {
     const { clock, deployment, log, metrics } = context;
@@ -123,11 +135,22 @@
         if (task === undefined) {
             return { kind: "not_owner" };
         }
-        const use = { atMs: clock.nowMs(), inFlight: new Map(tell.inFlight), total: tell.total, queuedTokens: tell.queuedTokens };
+        const use = {
+            atMs: clock.nowMs(),
+            inFlight: new Map(tell.inFlight),
+            total: tell.total,
+            queuedTokens: tell.queuedTokens,
+        };
         return { kind: "word", ...task.use(from, use, tell.started) };
     };
     const tellOwner = async (engine: EngineId, use: OwnUse): Promise<void> => {
-        const tell = { engine, inFlight: [...use.inFlight], total: use.total, queuedTokens: board.countQueued(engine), started: use.started };
+        const tell = {
+            engine,
+            inFlight: [...use.inFlight],
+            total: use.total,
+            queuedTokens: board.countQueued(engine),
+            started: use.started,
+        };
         use.started = [];
         use.isChanged = false;
         use.toldAtMs = clock.nowMs();
@@ -152,6 +175,7 @@
         }
         catch (err) {
             metrics.count("peer_failures_total", { step: toServeError(err, INTERNAL).step });
+            mail.noteUnreachable(owner.host);
         }
         finally {
             use.isTelling = false;
@@ -174,6 +198,9 @@
         clock.setTimer(TELL_MS, tick);
     };
     tick();
+    knowledge.onWants(asks =>
+        asks.filter(ask => ownership.find(ask.engine) !== undefined).forEach(ask => void answerLoad(ask))
+    );
     knowledge.onEngineGone(entry => {
         told.delete(entry.id);
         uses.delete(entry.id);
@@ -212,7 +239,9 @@
     return {
         find(entry, wanted) {
             if (wanted === undefined) {
-                return entry.models.length > 0 ? { kind: "present" } : { kind: "absent", placeWaitMs: 0, canLoad: true };
+                return entry.models.length > 0
+                    ? { kind: "present" }
+                    : { kind: "absent", placeWaitMs: 0, canLoad: true };
             }
             const known = told.get(entry.id);
             const atMs = clock.nowMs();
@@ -221,8 +250,11 @@
                 return findInEntry(entry, wanted, canLoad);
             }
             const held = known.word.adapters.find(told => told.adapter === wanted.adapter);
-            if (held === undefined || !isNewEnough(held.version, wanted.version)) {
-                return { kind: "absent", placeWaitMs: held !== undefined ? 0 : known.word.placeWaitMs, canLoad };
+            if (held === undefined) {
+                return { kind: "absent", placeWaitMs: known.word.placeWaitMs, canLoad };
+            }
+            if (!isNewEnough(held.version, wanted.version)) {
+                return { kind: "absent", placeWaitMs: held.isUsed ? REPLACE_WAIT_MS : 0, canLoad };
             }
             const readyInMs = held.readyInMs - (atMs - known.atMs);
             return held.readyInMs === 0 || readyInMs <= 0 ? { kind: "present" } : { kind: "coming", readyInMs };
@@ -234,7 +266,7 @@
             const ask = { engine: entry.id, model, adapter, version, dueInMs, waitMs, isMissing };
             log.write("info", 310, { engine: entry.id, adapter, version, waitMs: Math.round(waitMs), isMissing });
             const reply = ownership.find(entry.id) === undefined
-                ? await askOwner(readPeers(), findOwner(entry.id), ask, context)
+                ? await askOwner(readPeers(), findOwner(entry.id), ask, mail, context)
                 : await answerLoad(ask);
             if (reply.kind === "ready") {
                 noteComing(told, entry.id, wanted, reply.inMs, clock.nowMs());
@@ -255,11 +287,16 @@
     peers: PeerClient | undefined,
     owner: PeerAddress | undefined,
     ask: AdapterLoadAsk,
+    mail: WantMail,
     { log, metrics }: FrontContext,
 ): Promise<AdapterLoadReply> {
     if (peers === undefined || owner === undefined) {
         return { kind: "refused", reason: "not_owner" };
     }
+    if (mail.isNeeded(owner.host)) {
+        mail.post(ask);
+        return { kind: "ready", inMs: LOAD_BY_STORE_MS };
+    }
     try {
         return await peers.ask(owner, "adapterLoad", ask, ask.waitMs + ASK_TIMEOUT_MS);
     }
@@ -267,7 +304,9 @@
         const { step, message } = toServeError(err, INTERNAL);
         metrics.count("peer_failures_total", { step });
         log.write("warn", 304, { engine: ask.engine, adapter: ask.adapter, peer: owner.host, reason: message });
-        return { kind: "refused", reason: "not_owner" };
+        mail.noteUnreachable(owner.host);
+        mail.post(ask);
+        return { kind: "ready", inMs: LOAD_BY_STORE_MS };
     }
 }
 
@@ -295,7 +334,12 @@
     if (known !== undefined) {
         const age = atMs - known.atMs;
         const others = known.word.adapters.filter(held => held.adapter !== adapter);
-        const adapters = [...others, { adapter, version, readyInMs: readyInMs === 0 ? 0 : readyInMs + age }];
+        const adapters = [...others, {
+            adapter,
+            version,
+            readyInMs: readyInMs === 0 ? 0 : readyInMs + age,
+            isUsed: true,
+        }];
         told.set(engine, { word: { ...known.word, adapters }, atMs: known.atMs });
     }
 }
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -18,6 +18,7 @@
 import { createClientHandler } from "./createClientHandler.js";
 import { createEngineBoard } from "./createEngineBoard.js";
 import { createKnowledge } from "./createKnowledge.js";
+import { createWantMail } from "./createWantMail.js";
 import type { FrontContext } from "./frontContext.js";
 import { createRequestRunner } from "./runRequest.js";
 import { startAdapterBoard } from "./startAdapterBoard.js";
@@ -66,8 +67,9 @@
     const session = startSession(context, health, knowledge);
     const ownership = startOwnership(context, health, knowledge, session);
     const board = createEngineBoard(clock);
+    const mail = createWantMail(context, () => session.lease);
     let peers: PeerClient | undefined;
-    const adapters = startAdapterBoard(context, knowledge, ownership, board, () => peers);
+    const adapters = startAdapterBoard(context, knowledge, ownership, board, mail, () => peers);
     const runner = createRequestRunner(context, knowledge, board, adapters);
     knowledge.onEngineGone(entry => transport.forget({ id: entry.id, address: entry.address }));
     watchPauses(clock, pausedMs => {
--- a/packages/residency/src/chooseVictim.ts
+++ b/packages/residency/src/chooseVictim.ts
@@ -1,7 +1,7 @@
 import type { AdapterName } from "@fulmarcleat/ids";
 import { countUses } from "./countUses.js";
 import { fadeDemand } from "./fadeDemand.js";
-import type { Resident, ResidencyState } from "./residencyState.js";
+import type { ResidencyState, Resident } from "./residencyState.js";
 
 /** How long a loaded adapter is kept for the request that it was loaded for, in milliseconds. */
 const FRESH_MS = 400;
--- a/packages/residency/src/describeResidency.ts
+++ b/packages/residency/src/describeResidency.ts
@@ -9,6 +9,8 @@
     readonly version: number | undefined;
     /** Time until it can run requests; 0 where it can now. */
     readonly readyInMs: number;
+    /** Whether requests run on it. */
+    readonly isUsed: boolean;
 }
 
 /** What an owner tells other hosts of its engine. */
@@ -35,11 +37,12 @@
  */
 export function describeResidency(state: ResidencyState, atMs: number): EngineWord {
     const adapters = [...state.residents].flatMap(([adapter, { version, phase }]): readonly ToldAdapter[] => {
+        const isUsed = countUses(state, atMs, adapter) > 0;
         switch (phase.kind) {
             case "present":
-                return [{ adapter, version, readyInMs: 0 }];
+                return [{ adapter, version, readyInMs: 0, isUsed }];
             case "loading":
-                return [{ adapter, version, readyInMs: Math.max(1, phase.readyAtMs - atMs) }];
+                return [{ adapter, version, readyInMs: Math.max(1, phase.readyAtMs - atMs), isUsed }];
             case "leaving":
                 return [];
         }
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -1,5 +1,6 @@
 export { applyEngineReport } from "./applyEngineReport.js";
 export { applyOrderReply } from "./applyOrderReply.js";
+export { countUses } from "./countUses.js";
 export { decideEngineClaim } from "./decideEngineClaim.js";
 export type { EngineClaimDecision, EngineClaimView, OwnerClaim } from "./decideEngineClaim.js";
 export { describeResidency } from "./describeResidency.js";
@@ -8,6 +9,5 @@
 export type { OwnerStep } from "./planOrder.js";
 export { reduceWants } from "./reduceWants.js";
 export type { OwnerMessage } from "./reduceWants.js";
-export { countUses } from "./countUses.js";
 export { createResidencyState } from "./residencyState.js";
 export type { HostUse, ResidencyState, Resident, ResidentPhase, Want } from "./residencyState.js";
--- a/packages/residency/src/planOrder.ts
+++ b/packages/residency/src/planOrder.ts
@@ -1,6 +1,7 @@
 import type { EngineOrder } from "@fulmarcleat/directory";
 import type { AdapterName } from "@fulmarcleat/ids";
 import { chooseVictim } from "./chooseVictim.js";
+import { countUses } from "./countUses.js";
 import type { ResidencyState, Want } from "./residencyState.js";
 
 /** The next thing that an owner does to its engine. */
@@ -54,7 +55,9 @@
     let next: readonly [AdapterName, Want] | undefined;
     for (const entry of state.wants) {
         const [adapter, want] = entry;
-        if (want.untilMs <= atMs || isOnItsWay(state, adapter, want)) {
+        const mustWait = state.residents.has(adapter) && countUses(state, atMs, adapter) > 0;
+        // Replacing an adapter in use would hold up every other order of the engine until its requests end.
+        if (want.untilMs <= atMs || mustWait || isOnItsWay(state, adapter, want)) {
             continue;
         }
         if (next === undefined || isBefore(want, next[1], atMs)) {
--- a/packages/wire/src/residencyMessages.ts
+++ b/packages/wire/src/residencyMessages.ts
@@ -40,6 +40,8 @@
             readonly adapter: AdapterName;
             readonly version: number | undefined;
             readonly readyInMs: number;
+            /** Whether requests run on it. */
+            readonly isUsed: boolean;
         }[];
         readonly load: number;
         readonly queuedTokens: number;
