Give an order without an answer again at once

Cause: a lost answer held an engine's owner for 1 s (timeout, then a report); with orders answered late (applied_late) few adapters were loaded. The same order on the same count of orders takes effect once.

--- a/packages/residency/src/applyOrderReply.ts
+++ b/packages/residency/src/applyOrderReply.ts
@@ -30,8 +30,10 @@
             return applyAccepted({ ...state, seq: (state.seq ?? 0) + 1 }, order, atMs);
         case "holds_already":
             return applyHolds(state, order, atMs);
-        case "conflict":
         case "unknown":
+            // Given again on the same count of orders, it can't take effect twice: the engine takes one of them.
+            return state;
+        case "conflict":
         case "fenced":
         case "misdirected":
             return { ...state, seq: undefined, reportFromMs: atMs + REPORT_LAG_MS };
