--- a/packages/dispatch/src/isHopeless.ts
+++ b/packages/dispatch/src/isHopeless.ts
@@ -14,7 +14,7 @@
 const SHORTEST_PATIENCE_MS = 2000;
 const GOALS_OF_PATIENCE = 4;
 /** Waits beyond this multiple of the goal keep engines from requests that can still be on time. */
-const GOALS_OF_WAIT = 4;
+const GOALS_OF_WAIT = 1.5;
 /** Part of a client's patience that an estimate may use up; estimates err. */
 const USED_PART = 0.85;
 
