--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "target/**"] },
     ...tseslint.configs.recommended,
     {
         files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts", "features/**/*.ts"],
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -10,7 +10,6 @@
 export type { AdapterPresence, EngineView, ModelEngineView } from "./engineView.js";
 export { isHopeless } from "./isHopeless.js";
 export type { PatienceTerms } from "./isHopeless.js";
-export { joinOutcomes } from "./joinOutcomes.js";
 export { matchRoute } from "./matchRoute.js";
 export { pickTarget } from "./pickTarget.js";
 export { reduceHealth, UNKNOWN_HEALTH } from "./reduceHealth.js";
--- /dev/null
+++ b/packages/dispatch/src/isHopeless.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { isHopeless } from "./isHopeless.js";
+
+registerTable("isHopeless", isHopeless);
--- /dev/null
+++ b/packages/errors/src/joinOutcomes.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { joinOutcomes } from "./joinOutcomes.js";
+
+registerTable("joinOutcomes", joinOutcomes);
--- a/packages/dispatch/src/joinOutcomes.ts
+++ b/packages/errors/src/joinOutcomes.ts
@@ -1,4 +1,4 @@
-import type { Outcome } from "@fulmarcleat/errors";
+import type { Outcome } from "./outcome.js";
 
 /**
  * Tells what became of a request from what became of its attempts: it did not run only where none of them did.
--- a/packages/events/src/createJsonLog.ts
+++ b/packages/events/src/createJsonLog.ts
@@ -69,6 +69,9 @@
     const startSecond = (nowSecond: number): void => {
         second = nowSecond;
         written.clear();
+        if (isBlocked) {
+            return;
+        }
         dropped.forEach((count, event) => emit(format("warn", DROPPED_EVENT, { dropped: event, count })));
         dropped.clear();
     };
--- a/packages/front/src/frontContext.ts
+++ b/packages/front/src/frontContext.ts
@@ -2,11 +2,13 @@
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import type { Hasher } from "@fulmarcleat/hashing";
 import type { Clock, Incarnation, Random } from "@fulmarcleat/ids";
-import type { Deployment } from "@fulmarcleat/platform";
+import type { Deployment, DeploymentBounds } from "@fulmarcleat/platform";
 
 /** What the tasks of one process share. */
 export interface FrontContext {
     readonly deployment: Deployment;
+    /** The platform's limits as its settings file has them now. */
+    readonly readBounds: () => DeploymentBounds;
     /** This run of the process. */
     readonly incarnation: Incarnation;
     readonly store: MetadataStore;
--- a/packages/front/src/main.ts
+++ b/packages/front/src/main.ts
@@ -9,7 +9,7 @@
 
 try {
     const deployment = await readDeployment(process.env);
-    const running = await startFront(deployment);
+    const running = await startFront(deployment, () => readDeployment(process.env));
     stopOnSignals(running, deployment.bounds.stopMs, log);
 }
 catch (err) {
--- /dev/null
+++ b/packages/front/src/relayAnswer.steps.ts
@@ -0,0 +1,43 @@
+import { Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import type { ServerResponse } from "node:http";
+import { createAnswerRelay } from "./relayAnswer.js";
+import type { AnswerRelay } from "./relayAnswer.js";
+
+const RESUME = "RESUME";
+let relay: AnswerRelay;
+let sent = "";
+
+Given(/^a relay that sends (as it comes|whole events)$/, (how: string) => {
+    sent = "";
+    const res = {
+        writeHead: () => undefined,
+        write(bytes: Buffer) {
+            sent += bytes.toString();
+            return true;
+        },
+    } as unknown as ServerResponse;
+    relay = createAnswerRelay(res, { byEvent: how === "whole events", isClosing: () => false });
+    const head = { status: 200, headers: [], requestId: undefined, isNotRun: false, load: undefined };
+    relay.begin({ ...head, instance: undefined });
+});
+
+When("the relay gets {string} and then {string}", (first: string, second: string) => {
+    for (const text of [first, second]) {
+        if (text.startsWith(RESUME)) {
+            relay.dropPartial();
+        }
+        const bytes = Buffer.from(unescapeLines(text.replace(RESUME, "")));
+        if (bytes.length > 0) {
+            relay.write(bytes);
+        }
+    }
+});
+
+Then("the client has {string} and the last event is {string}", (text: string, last: string) => {
+    strictEqual(sent, unescapeLines(text));
+    strictEqual(relay.lastEventId ?? "", last);
+});
+
+function unescapeLines(text: string): string {
+    return text.replaceAll(/\\+n/g, "\n");
+}
--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -50,7 +50,6 @@
 export function runExchange(req: EngineRequest, options: ExchangeOptions): Promise<ExchangeResult> {
     return new Promise(resolve => {
         const { clock, relay, signal } = options;
-        let exchange: EngineExchange | undefined;
         let head: EngineAnswerHead | undefined;
         let isRelayed = false;
         let isOver = false;
@@ -66,30 +65,28 @@
             }
         };
         const abort = (): void => {
-            exchange?.cancel();
+            exchange.cancel();
             finish({ kind: "cancelled" });
         };
         const watchSilence = (): void => {
             cancelSilence();
             if (options.silenceMs !== undefined && !isOver) {
                 cancelSilence = clock.setTimer(options.silenceMs, () => {
-                    exchange?.cancel();
+                    exchange.cancel();
                     finish({ kind: "broken", reason: "silent" });
                 });
             }
         };
         if (signal.aborted) {
-            finish({ kind: "cancelled" });
+            resolve({ kind: "cancelled" });
             return;
         }
-        signal.addEventListener("abort", abort, { once: true });
-        watchSilence();
-        exchange = options.transport.send(req, {
+        const exchange: EngineExchange = options.transport.send(req, {
             head(next) {
                 options.onBytes();
                 watchSilence();
                 if (next.requestId !== req.requestId && !next.isNotRun) {
-                    exchange?.cancel();
+                    exchange.cancel();
                     finish({ kind: "broken", reason: "answer to another request" });
                     return;
                 }
@@ -106,14 +103,14 @@
                 if (isRelayed && relay !== undefined) {
                     const canTakeMore = relay.write(bytes);
                     if (!canTakeMore) {
-                        relay.onDrain(() => exchange?.resume());
+                        relay.onDrain(() => exchange.resume());
                     }
                     return canTakeMore;
                 }
                 pieces.push(bytes);
                 gathered += bytes.length;
                 if (gathered > GATHER_LIMIT_BYTES) {
-                    exchange?.cancel();
+                    exchange.cancel();
                     finish({ kind: "broken", reason: "the answer is too large" });
                 }
                 return true;
@@ -141,6 +138,8 @@
                 );
             },
         });
+        signal.addEventListener("abort", abort, { once: true });
+        watchSilence();
     });
 }
 
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,12 +1,7 @@
 import type { EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
-import {
-    chooseModelEngine,
-    choosePlainEngine,
-    createRetryWindow,
-    isHopeless,
-    joinOutcomes,
-} from "@fulmarcleat/dispatch";
+import { chooseModelEngine, choosePlainEngine, createRetryWindow, isHopeless } from "@fulmarcleat/dispatch";
 import type { ModelEngineView, RetryWindow } from "@fulmarcleat/dispatch";
+import { joinOutcomes } from "@fulmarcleat/errors";
 import type { Outcome } from "@fulmarcleat/errors";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import type { EngineId, ServiceName } from "@fulmarcleat/ids";
@@ -96,7 +91,7 @@
         if (present !== undefined) {
             return present;
         }
-        const { retryRatio, retryReserve, retryWindowMs } = context.deployment.bounds;
+        const { retryRatio, retryReserve, retryWindowMs } = context.readBounds();
         const budget = createRetryWindow({
             ratio: retryRatio,
             reserve: retryReserve,
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -9,7 +9,7 @@
     createMetadataStore,
     isReadinessCall,
 } from "@fulmarcleat/platform";
-import type { Deployment } from "@fulmarcleat/platform";
+import type { Deployment, DeploymentBounds } from "@fulmarcleat/platform";
 import type { RunningProgram } from "@fulmarcleat/program";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
 import type { PeerClient } from "@fulmarcleat/wire";
@@ -19,6 +19,7 @@
 import { createEngineBoard } from "./createEngineBoard.js";
 import { createKnowledge } from "./createKnowledge.js";
 import { createWantMail } from "./createWantMail.js";
+import { followSettings } from "./followSettings.js";
 import type { FrontContext } from "./frontContext.js";
 import { createRequestRunner } from "./runRequest.js";
 import { startAdapterBoard } from "./startAdapterBoard.js";
@@ -53,13 +54,18 @@
  * Starts the process that serves clients on the platform's entry hosts.
  *
  * @param deployment - What the platform's settings say
+ * @param readSettings - Reads them again
  * @returns the running process
  *
  * @example
- * const front = await startFront(await readDeployment(process.env));
+ * const front = await startFront(await readDeployment(process.env), () => readDeployment(process.env));
  */
-export async function startFront(deployment: Deployment): Promise<RunningProgram> {
-    const context = await createContext(deployment);
+export async function startFront(
+    deployment: Deployment,
+    readSettings: () => Promise<Deployment>,
+): Promise<RunningProgram> {
+    const settings = { current: deployment };
+    const context = await createContext(deployment, () => settings.current.bounds);
     const { clock, log, metrics, store, transport } = context;
     log.write("info", 100, { host: deployment.host, isFirstStart: deployment.isFirstStart });
     const health = createStoreHealth(clock, log);
@@ -76,6 +82,7 @@
         log.write("warn", 106, { pausedMs: Math.round(pausedMs) });
         session.distrust();
     });
+    followSettings(context, settings, readSettings);
     let isStopping = false;
     const isReady = (): boolean => !isStopping && knowledge.config !== undefined && knowledge.engines.size > 0;
     let stopsAtMs: number | undefined;
@@ -117,7 +124,7 @@
         async stop() {
             const startedMs = clock.nowMs();
             isStopping = true;
-            const limitMs = startedMs + deployment.bounds.stopMs - STOP_MARGIN_MS;
+            const limitMs = startedMs + context.readBounds().stopMs - STOP_MARGIN_MS;
             stopsAtMs = limitMs;
             log.write("info", 102, { running: handler.running });
             await Promise.all([session.leave(), ownership.release()]);
@@ -139,7 +146,7 @@
     };
 }
 
-async function createContext(deployment: Deployment): Promise<FrontContext> {
+async function createContext(deployment: Deployment, readBounds: () => DeploymentBounds): Promise<FrontContext> {
     const clock = createSystemClock();
     const incarnation = createId<Incarnation>();
     const log = createJsonLog({
@@ -151,6 +158,7 @@
     });
     return {
         deployment,
+        readBounds,
         incarnation,
         store: createMetadataStore(deployment.store),
         control: createEngineControl(),
--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -105,11 +105,11 @@
             });
             health.note(true, "claim engine");
             if (reply.kind === "written") {
-                orderFrom.set(engine, clock.nowMs() + (mustWait ? deployment.bounds.orderLeaseMs : 0));
+                orderFrom.set(engine, clock.nowMs() + (mustWait ? context.readBounds().orderLeaseMs : 0));
             }
         }
         catch (err) {
-            orderFrom.set(engine, clock.nowMs() + (mustWait ? deployment.bounds.orderLeaseMs : 0));
+            orderFrom.set(engine, clock.nowMs() + (mustWait ? context.readBounds().orderLeaseMs : 0));
             log.write("warn", 602, { step: toServeError(err, INTERNAL).step, engine });
             health.note(false, "claim engine");
         }
--- /dev/null
+++ b/packages/front/src/watchPauses.steps.ts
@@ -0,0 +1,44 @@
+import type { Clock } from "@fulmarcleat/ids";
+import { Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { watchPauses } from "./watchPauses.js";
+
+const STEP_MS = 250;
+
+let nowMs = 0;
+let wallMs = 0;
+let pending: (() => void) | undefined;
+let pauses: number[] = [];
+
+Given("a watch for pauses", () => {
+    nowMs = 0;
+    wallMs = 1_000_000;
+    pauses = [];
+    const clock: Clock = {
+        nowMs: () => nowMs,
+        wallMs: () => wallMs,
+        setTimer(delayMs, fire) {
+            pending = fire;
+            return () => undefined;
+        },
+    };
+    watchPauses(clock, pausedMs => void pauses.push(pausedMs));
+});
+
+When(/^its host (runs for|is late by|misses) (\d+) ms.*$/, (what: string, text: string) => {
+    const ms = Number(text);
+    if (what === "runs for") {
+        for (let passed = 0; passed < ms; passed += STEP_MS) {
+            check(STEP_MS, STEP_MS);
+        }
+        return;
+    }
+    check(what === "misses" ? STEP_MS : STEP_MS + ms, STEP_MS + ms);
+});
+
+Then("the watch told of pauses of {string} ms", (expected: string) => strictEqual(pauses.join(" "), expected));
+
+function check(steadyMs: number, dayMs: number): void {
+    nowMs += steadyMs;
+    wallMs += dayMs;
+    pending?.();
+}
--- a/packages/gateway/src/runGeneration.feature
+++ b/packages/gateway/src/runGeneration.feature
@@ -21,3 +21,13 @@
         Given runGeneration engines "a" that is sound and "b" that is sound
         When runGeneration runs 100000 tokens to a caller that takes 10 tokens and stops
         Then runGeneration read at most 11 tokens from the engine
+
+    Scenario Outline: A request whose first attempt <kind> and that finds no other place is told the truth
+        Given runGeneration engines "a" that <kind> and "a" that <kind>
+        When runGeneration runs 6 tokens
+        Then runGeneration failed with "queue_full" and "<outcome>"
+
+        Examples:
+            | kind                  | outcome |
+            | refuses               | not_run |
+            | breaks after 3 tokens | ran     |
--- a/packages/gateway/src/runGeneration.steps.ts
+++ b/packages/gateway/src/runGeneration.steps.ts
@@ -1,5 +1,5 @@
 import type { EngineDriver, EngineToken } from "@fulmarcleat/drivers";
-import type { ServeError } from "@fulmarcleat/errors";
+import { ServeError } from "@fulmarcleat/errors";
 import { createEventLog, createMetrics } from "@fulmarcleat/events";
 import { brandId, createManualClock } from "@fulmarcleat/ids";
 import type {
@@ -126,7 +126,10 @@
             const engine = [...fakes.kinds.keys()].map(name => brandId<EngineId>(name)).find(name =>
                 !need.avoid.includes(name)
             );
-            ok(engine !== undefined, "no engine is left");
+            if (engine === undefined) {
+                const details = { code: "queue_full", step: "find place", peer: "self", outcome: "not_run" } as const;
+                return Promise.reject(new ServeError("no engine is left", details));
+            }
             const place = brandId<PlaceId>(`place-${engine}`);
             return Promise.resolve({
                 place,
--- a/packages/gateway/src/runGeneration.ts
+++ b/packages/gateway/src/runGeneration.ts
@@ -1,7 +1,8 @@
 import { decideRetry } from "@fulmarcleat/admission";
 import type { RetryBudget } from "@fulmarcleat/admission";
 import type { EngineDriver, EngineToken } from "@fulmarcleat/drivers";
-import { ServeError, toServeError } from "@fulmarcleat/errors";
+import { joinOutcomes, ServeError, toServeError } from "@fulmarcleat/errors";
+import type { Outcome } from "@fulmarcleat/errors";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
 import type { Clock, EngineId } from "@fulmarcleat/ids";
 import type { Priority } from "@fulmarcleat/resources";
@@ -49,8 +50,11 @@
     let avoid: readonly EngineId[] = [];
     context.retries?.deposit();
     let isClaimed = false;
+    const outcomes: Outcome[] = [];
     for (let attempt = 1;; attempt += 1) {
-        const held = await acquireInTime(generation, avoid, context);
+        const held = await acquireInTime(generation, avoid, context).catch((err: unknown) => {
+            throw joinAttempts(outcomes, toServeError(err, { ...WAITING, outcome: "not_run" }));
+        });
         context.recordStep(generation, "place", `${held.engine} ${held.instance}`);
         try {
             if (generation.key !== undefined && !isClaimed) {
@@ -77,8 +81,9 @@
             });
             if (decision.kind === "give_up") {
                 context.metrics.count("retries_given_up_total", { reason: decision.reason });
-                throw failure;
+                throw joinAttempts(outcomes, failure);
             }
+            outcomes.push(failure.outcome);
             context.retries?.spend();
             context.metrics.count("retries_total", { reason: failure.code });
             context.metrics.count("requests_run_again_total", { reason: failure.code });
@@ -97,6 +102,15 @@
     }
 }
 
+/** Gives the last attempt's failure the outcome of the whole request. */
+function joinAttempts(former: readonly Outcome[], failure: ServeError): ServeError {
+    const outcome = joinOutcomes([...former, failure.outcome]);
+    const { code, step, peer, message, retryAfterMs } = failure;
+    return outcome === failure.outcome
+        ? failure
+        : new ServeError(message, { code, step, peer, outcome, retryAfterMs, cause: failure });
+}
+
 function readUse(failure: ServeError, mayHaveStarted: boolean): PlaceUse {
     if (!mayHaveStarted) {
         return "unused";
--- /dev/null
+++ b/packages/residency/src/decideEngineClaim.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { decideEngineClaim } from "./decideEngineClaim.js";
+
+registerTable("decideEngineClaim", decideEngineClaim);
--- /dev/null
+++ b/packages/residency/src/planOrder.steps.ts
@@ -0,0 +1,183 @@
+import type { EngineOrder, EngineReport, OrderReply } from "@fulmarcleat/directory";
+import { brandId, createRandom } from "@fulmarcleat/ids";
+import type { AdapterName, BaseModel, HostId, Random } from "@fulmarcleat/ids";
+import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { applyEngineReport } from "./applyEngineReport.js";
+import { applyOrderReply } from "./applyOrderReply.js";
+import { planOrder } from "./planOrder.js";
+import { reduceWants } from "./reduceWants.js";
+import { createResidencyState } from "./residencyState.js";
+import type { ResidencyState, Resident, ResidentPhase, Want } from "./residencyState.js";
+
+const MODEL = brandId<BaseModel>("base");
+const HOST = brandId<HostId>("h");
+const FAR_MS = 100_000;
+let state: ResidencyState = createResidencyState(MODEL, 1);
+
+Given(
+    /^an owner of (\d+) places at order (\d+) with (.*) and wants (.*)$/,
+    (slots: string, seq: string, residents: string, wants: string) => {
+        const fields = residents.split(" ").map(parseMarks);
+        state = {
+            ...createResidencyState(MODEL, Number(slots)),
+            seq: Number(seq),
+            modelPhase: "present",
+            residents: new Map(fields.map(entry => [entry.adapter, createResident(entry)])),
+            wants: new Map(wants.split(" ").filter(text => text !== "").map(parseMarks).map(createWant)),
+            uses: new Map([[HOST, {
+                atMs: 1000,
+                inFlight: new Map(fields.filter(entry => entry.marks.has("used")).map(entry => [entry.adapter, 1])),
+                total: 0,
+                queuedTokens: 0,
+            }]]),
+        };
+    },
+);
+
+When("the owner's step at {int} ms has the answer {string}", (atMs: number, kind: OrderReply["kind"]) => {
+    const step = planOrder(state, atMs);
+    ok(step.kind === "order");
+    state = applyOrderReply(state, step.order, { kind } as OrderReply, atMs);
+});
+
+Then("the owner's next step at {int} ms is {string}", (atMs: number, expected: string) => {
+    const step = planOrder(state, atMs);
+    strictEqual(step.kind === "wait" ? "" : step.kind === "order" ? formatOrder(step.order) : "read report", expected);
+});
+
+Then("the owner counts {int} orders", (seq: number) => strictEqual(state.seq, seq));
+
+Then(
+    "{int} seeded walks of {int} steps over a model engine of {int} places keep it within them",
+    (walks: number, steps: number, slots: number) => {
+        let loads = 0;
+        for (let seed = 1; seed <= walks; seed += 1) {
+            loads += walk(seed, steps, slots);
+        }
+        ok(loads > walks, `only ${loads} loads`);
+    },
+);
+
+/** An engine that takes orders on a count, and may carry them out without an answer, or late. */
+class ModelEngine {
+    seq = 0;
+    readonly held = new Set<AdapterName>();
+    readonly late: { readonly order: EngineOrder; readonly expectedSeq: number }[] = [];
+    loads = 0;
+
+    constructor(readonly slots: number) {}
+
+    take(order: EngineOrder, expectedSeq: number): OrderReply {
+        if (order.kind === "load_model") {
+            return { kind: "holds_already" };
+        }
+        if (expectedSeq !== this.seq) {
+            return { kind: "conflict" };
+        }
+        if (order.kind === "load_adapter") {
+            this.held.add(order.adapter);
+            this.loads += 1;
+            ok(this.held.size <= this.slots, "more adapters than places");
+            this.seq += 1;
+            return { kind: "accepted" };
+        }
+        this.held.delete(order.adapter);
+        this.seq += 1;
+        return { kind: "holds_already" };
+    }
+
+    report(): EngineReport {
+        const adapters = [...this.held].map(adapter => ({ adapter, version: 1 }));
+        const models = [{ model: MODEL, version: 1, adapters }];
+        return { models, coming: [], isBusy: false, seq: this.seq, running: 0, waiting: 0 };
+    }
+}
+
+function walk(seed: number, steps: number, slots: number): number {
+    const random = createRandom(seed);
+    const engine = new ModelEngine(slots);
+    let owner = createResidencyState(MODEL, slots);
+    for (let atMs = 0, step = 0; step < steps; step += 1, atMs += 100) {
+        const adapter = brandId<AdapterName>(`a${Math.floor(random.next() * 9)}`);
+        const want = { version: undefined, dueMs: atMs + 500, sinceMs: atMs, untilMs: atMs + 1500 };
+        owner = reduceWants(owner, { kind: "want", adapter, want });
+        owner = reduceWants(owner, { kind: "tick", atMs });
+        owner = act(owner, engine, random, atMs);
+        if (engine.late.length > 0 && random.next() < 0.3) {
+            const { order, expectedSeq } = engine.late.shift() ?? { order: LOAD_MODEL, expectedSeq: -1 };
+            engine.take(order, expectedSeq);
+        }
+    }
+    return engine.loads;
+}
+
+const LOAD_MODEL: EngineOrder = { kind: "load_model", model: MODEL };
+
+function act(owner: ResidencyState, engine: ModelEngine, random: Random, atMs: number): ResidencyState {
+    const step = planOrder(owner, atMs);
+    switch (step.kind) {
+        case "wait":
+            return owner;
+        case "read_report":
+            return applyEngineReport(owner, engine.report(), atMs);
+        case "order": {
+            const expectedSeq = owner.seq ?? 0;
+            const chance = random.next();
+            if (chance < 0.2) {
+                engine.late.push({ order: step.order, expectedSeq });
+                return applyOrderReply(owner, step.order, { kind: "unknown" }, atMs);
+            }
+            const reply = engine.take(step.order, expectedSeq);
+            return applyOrderReply(owner, step.order, chance < 0.4 ? { kind: "unknown" } : reply, atMs);
+        }
+    }
+}
+
+interface Marked {
+    readonly adapter: AdapterName;
+    readonly marks: ReadonlyMap<string, number>;
+}
+
+function parseMarks(text: string): Marked {
+    const [name = "", ...marks] = text.split(",");
+    const entries = marks.map((mark): [string, number] => {
+        const [key = "", value = "0"] = mark.split("=");
+        return [key, Number(value)];
+    });
+    return { adapter: brandId<AdapterName>(name), marks: new Map(entries) };
+}
+
+function createResident({ marks }: Marked): Resident {
+    const phase: ResidentPhase = marks.has("loading")
+        ? { kind: "loading", readyAtMs: FAR_MS }
+        : marks.has("leaving")
+        ? { kind: "leaving" }
+        : { kind: "present" };
+    return {
+        version: marks.get("version") ?? 1,
+        phase,
+        demand: marks.get("demand") ?? 1,
+        demandAtMs: 1000,
+        sinceMs: marks.get("since") ?? 0,
+    };
+}
+
+function createWant({ adapter, marks }: Marked): [AdapterName, Want] {
+    return [adapter, {
+        version: marks.get("version"),
+        dueMs: marks.get("due") ?? 2000,
+        sinceMs: 0,
+        untilMs: marks.get("until") ?? FAR_MS,
+    }];
+}
+
+function formatOrder(order: EngineOrder): string {
+    switch (order.kind) {
+        case "load_model":
+            return "load model";
+        case "load_adapter":
+            return `load ${order.adapter}${order.version === undefined ? "" : `@${order.version}`}`;
+        case "unload_adapter":
+            return `unload ${order.adapter}`;
+    }
+}
