--- a/packages/dispatch/src/isHopeless.ts
+++ b/packages/dispatch/src/isHopeless.ts
@@ -6,6 +6,8 @@
     readonly waitedMs: number;
     /** Time within which an answer is on time, in milliseconds. */
     readonly goalMs: number;
+    /** 0 is the most urgent. */
+    readonly priority: number;
     /** Time that the client still has, in milliseconds. */
     readonly leftMs: number;
 }
@@ -15,6 +17,8 @@
 const GOALS_OF_PATIENCE = 4;
 /** Waits beyond this multiple of the goal keep engines from requests that can still be on time. */
 const GOALS_OF_WAIT = 1.5;
+/** The same for the most urgent kind: it is not refused while less urgent ones of its service are served. */
+const GOALS_OF_URGENT_WAIT = 3;
 /** Part of a client's patience that an estimate may use up; estimates err. */
 const USED_PART = 0.85;
 
@@ -25,9 +29,10 @@
  * @returns whether it is better refused at once
  *
  * @example
- * isHopeless({ expectedMs: 4000, waitedMs: 0, goalMs: 600, leftMs: 15000 }); // true
+ * isHopeless({ expectedMs: 4000, waitedMs: 0, goalMs: 600, priority: 1, leftMs: 15000 }); // true
  */
-export function isHopeless({ expectedMs, waitedMs, goalMs, leftMs }: PatienceTerms): boolean {
+export function isHopeless({ expectedMs, waitedMs, goalMs, priority, leftMs }: PatienceTerms): boolean {
     const patienceMs = Math.max(SHORTEST_PATIENCE_MS, goalMs * GOALS_OF_PATIENCE) * USED_PART;
-    return expectedMs > Math.min(goalMs * GOALS_OF_WAIT, patienceMs - waitedMs, leftMs);
+    const waitMs = goalMs * (priority === 0 ? GOALS_OF_URGENT_WAIT : GOALS_OF_WAIT);
+    return expectedMs > Math.min(waitMs, patienceMs - waitedMs, leftMs);
 }
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -100,6 +100,7 @@
             model: brandId(ask.model),
             adapter: brandId(ask.adapter),
             version: ask.version,
+            isRelayed: true,
         }))
         : [];
 }
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -272,6 +272,7 @@
                 expectedMs,
                 waitedMs: nowMs - work.startedMs,
                 goalMs: work.route.goalMs,
+                priority: work.route.priority,
                 leftMs: work.endsAtMs - nowMs,
             };
             if (work.service.engine !== undefined && work.relay?.hasStarted !== true && isHopeless(patience)) {
--- a/packages/front/src/startAdapterBoard.ts
+++ b/packages/front/src/startAdapterBoard.ts
@@ -1,7 +1,8 @@
 import type { EngineEntry } from "@fulmarcleat/directory";
 import type { AdapterPresence } from "@fulmarcleat/dispatch";
 import { toServeError } from "@fulmarcleat/errors";
-import type { AdapterName, BaseModel, EngineId, HostId } from "@fulmarcleat/ids";
+import { rankByRendezvous } from "@fulmarcleat/hashing";
+import type { AdapterName, BaseModel, EngineId } from "@fulmarcleat/ids";
 import type { EngineWord } from "@fulmarcleat/residency";
 import type {
     AdapterLoadAsk,
@@ -15,6 +16,7 @@
 import type { Knowledge } from "./createKnowledge.js";
 import type { WantMail } from "./createWantMail.js";
 import type { FrontContext } from "./frontContext.js";
+import type { Member } from "./hostKeys.js";
 import type { Ownership } from "./startOwnership.js";
 
 /** The adapter that a request needs. */
@@ -50,7 +52,7 @@
     start(engine: EngineId, adapter: AdapterName | undefined): void;
     finish(engine: EngineId, adapter: AdapterName | undefined): void;
     answerLoad(ask: AdapterLoadAsk): Promise<AdapterLoadReply>;
-    answerUse(tell: EngineUseTell, from: HostId): EngineUseReply;
+    answerUse(tell: EngineUseTell): Promise<EngineUseReply>;
     stop(): void;
 }
 
@@ -101,7 +103,7 @@
     mail: WantMail,
     readPeers: () => PeerClient | undefined,
 ): AdapterBoard {
-    const { clock, deployment, log, metrics } = context;
+    const { clock, deployment, hash, log, metrics } = context;
     const told = new Map<EngineId, Told>();
     const uses = new Map<EngineId, OwnUse>();
     let isStopped = false;
@@ -123,17 +125,33 @@
         return use;
     };
     const findOwner = (engine: EngineId): PeerAddress | undefined => {
+        if (ownership.isFenced(engine)) {
+            return findRelay(engine);
+        }
         const claim = knowledge.claims.get(engine);
         const member = claim === undefined || claim.isReleased ? undefined : knowledge.members.get(claim.host);
-        return member === undefined ? undefined : { host: member.host, address: member.ip, port: member.port };
+        return member === undefined ? undefined : toAddress(member);
+    };
+    /** A host that may know the owner better than this one does. */
+    const findRelay = (engine: EngineId): PeerAddress | undefined => {
+        const others = [...knowledge.members.values()].filter(member =>
+            member.host !== deployment.host && !mail.isNeeded(member.host)
+        );
+        const first = rankByRendezvous(hash, engine, others.map(member => member.host))[0];
+        const member = first === undefined ? undefined : knowledge.members.get(first);
+        return member === undefined ? undefined : toAddress(member);
     };
     const takeWord = (engine: EngineId, word: EngineWord): void => {
         told.set(engine, { word, atMs: clock.nowMs() });
     };
-    const answerUse = (tell: EngineUseTell, from: HostId): EngineUseReply => {
+    const answerUse = async (tell: EngineUseTell): Promise<EngineUseReply> => {
         const task = ownership.find(tell.engine);
+        const owner = findOwner(tell.engine);
         if (task === undefined) {
-            return { kind: "not_owner" };
+            return tell.isRelayed || owner === undefined || owner.host === deployment.host
+                ? { kind: "not_owner" }
+                : await readPeers()?.ask(owner, "engineUse", { ...tell, isRelayed: true }, ASK_TIMEOUT_MS)
+                    ?? { kind: "not_owner" };
         }
         const use = {
             atMs: clock.nowMs(),
@@ -141,10 +159,12 @@
             total: tell.total,
             queuedTokens: tell.queuedTokens,
         };
-        return { kind: "word", ...task.use(from, use, tell.started) };
+        return { kind: "word", ...task.use(tell.host, use, tell.started) };
     };
     const tellOwner = async (engine: EngineId, use: OwnUse): Promise<void> => {
         const tell = {
+            host: deployment.host,
+            isRelayed: false,
             engine,
             inFlight: [...use.inFlight],
             total: use.total,
@@ -155,7 +175,7 @@
         use.isChanged = false;
         use.toldAtMs = clock.nowMs();
         if (ownership.find(engine) !== undefined) {
-            const reply = answerUse(tell, deployment.host);
+            const reply = await answerUse(tell);
             if (reply.kind === "word") {
                 takeWord(engine, reply);
             }
@@ -230,7 +250,9 @@
     const answerLoad = async (ask: AdapterLoadAsk): Promise<AdapterLoadReply> => {
         const task = ownership.find(ask.engine);
         if (task === undefined) {
-            return { kind: "refused", reason: "not_owner" };
+            return ask.isRelayed
+                ? { kind: "refused", reason: "not_owner" }
+                : askOwner(readPeers(), findOwner(ask.engine), { ...ask, isRelayed: true }, mail, context);
         }
         const sinceMs = clock.nowMs();
         const want = { version: ask.version, dueMs: sinceMs + ask.dueInMs, sinceMs, untilMs: sinceMs + ask.waitMs };
@@ -263,7 +285,7 @@
         countQueued: engine => findWord(engine)?.queuedTokens,
         async request(entry, wanted, { waitMs, dueInMs }, isMissing) {
             const { adapter, model, version } = wanted;
-            const ask = { engine: entry.id, model, adapter, version, dueInMs, waitMs, isMissing };
+            const ask = { engine: entry.id, model, adapter, version, dueInMs, waitMs, isMissing, isRelayed: false };
             log.write("info", 310, { engine: entry.id, adapter, version, waitMs: Math.round(waitMs), isMissing });
             const reply = ownership.find(entry.id) === undefined
                 ? await askOwner(readPeers(), findOwner(entry.id), ask, mail, context)
@@ -281,6 +303,10 @@
     };
 }
 
+function toAddress({ host, ip, port }: Member): PeerAddress {
+    return { host, address: ip, port };
+}
+
 const INTERNAL = { code: "internal", step: "tell owner", peer: "self", outcome: "not_run" } as const;
 
 async function askOwner(
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -114,7 +114,7 @@
             listen: { host: deployment.ip, port: deployment.peerPort },
             handlers: {
                 adapterLoad: ask => adapters.answerLoad(ask),
-                engineUse: (tell, from) => Promise.resolve(adapters.answerUse(tell, from)),
+                engineUse: tell => adapters.answerUse(tell),
             },
         });
         peers = createPeerClient({ ...shared, heartbeatMs: PEER_HEARTBEAT_MS });
--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -1,8 +1,7 @@
 import type { EngineEntry, EngineSpec } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
-import { rankByRendezvous } from "@fulmarcleat/hashing";
-import type { EngineId } from "@fulmarcleat/ids";
-import { decideEngineClaim } from "@fulmarcleat/residency";
+import type { EngineId, HostId } from "@fulmarcleat/ids";
+import { assignOwners, decideEngineClaim } from "@fulmarcleat/residency";
 import type { Knowledge } from "./createKnowledge.js";
 import { createOwnerTask } from "./createOwnerTask.js";
 import type { OwnerTask } from "./createOwnerTask.js";
@@ -14,6 +13,8 @@
 /** Which engines this host owns. */
 export interface Ownership {
     find(engine: EngineId): OwnerTask | undefined;
+    /** Whether the engine has shown that another host owns it, which this host has not heard of so far. */
+    isFenced(engine: EngineId): boolean;
     /** Gives every engine up at a planned stop. */
     release(): Promise<void>;
     stop(): void;
@@ -26,6 +27,8 @@
 
 /** How often ownership is looked at, in milliseconds. */
 const ROUND_MS = 200;
+/** How long the hosts of a first start take to find each other before engines are shared out, in milliseconds. */
+const SETTLE_MS = 1500;
 
 /**
  * Claims engines that nobody owns, and runs the owners' tasks of this host's engines.
@@ -52,6 +55,7 @@
     const firstSeen = new Map<EngineId, number>();
     const fencedAt = new Map<EngineId, number>();
     const claiming = new Set<EngineId>();
+    const startedMs = clock.nowMs();
     let isStopped = false;
 
     const findSpec = (entry: EngineEntry): EngineSpec | undefined =>
@@ -117,9 +121,8 @@
             claiming.delete(engine);
         }
     };
-    const look = (entry: EngineEntry, spec: EngineSpec): void => {
-        const hosts = [...knowledge.members.values()].filter(member => !member.isLeaving).map(member => member.host);
-        const rank = rankByRendezvous(hash, entry.id, hosts).indexOf(deployment.host);
+    const look = (entry: EngineEntry, spec: EngineSpec, hosts: readonly HostId[]): void => {
+        const rank = hosts.indexOf(deployment.host);
         if (!firstSeen.has(entry.id)) {
             firstSeen.set(entry.id, clock.nowMs());
         }
@@ -153,11 +156,15 @@
         if (isStopped) {
             return;
         }
-        if (knowledge.hasHosts && session.lease !== undefined) {
-            for (const { entry } of knowledge.engines.values()) {
+        const isSettled = !deployment.isFirstStart || clock.nowMs() - startedMs >= SETTLE_MS;
+        if (knowledge.hasHosts && session.lease !== undefined && isSettled) {
+            const entries = [...knowledge.engines.values()].map(known => known.entry);
+            const hosts = [...knowledge.members.values()].filter(member => !member.isLeaving).map(({ host }) => host);
+            const owners = assignOwners(hash, entries.filter(findSpec).map(entry => entry.id), hosts);
+            for (const entry of entries) {
                 const spec = findSpec(entry);
                 if (spec !== undefined) {
-                    look(entry, spec);
+                    look(entry, spec, owners.get(entry.id) ?? hosts);
                 }
             }
         }
@@ -170,7 +177,11 @@
     });
     knowledge.onRelease(({ adapter, version }) => owned.forEach(({ task }) => task.refresh(adapter, version)));
     return {
-        find: engine => owned.get(engine)?.task,
+        find(engine) {
+            const task = owned.get(engine)?.task;
+            return task === undefined || fencedAt.get(engine) === task.fence ? undefined : task;
+        },
+        isFenced: engine => fencedAt.has(engine) && fencedAt.get(engine) === owned.get(engine)?.task.fence,
         async release() {
             isStopped = true;
             const engines = [...owned.entries()];
--- /dev/null
+++ b/packages/residency/src/assignOwners.ts
@@ -0,0 +1,33 @@
+import { rankByRendezvous } from "@fulmarcleat/hashing";
+import type { Hasher } from "@fulmarcleat/hashing";
+import type { EngineId, HostId } from "@fulmarcleat/ids";
+
+/**
+ * Shares engines out among hosts: each host gets no more than its share, and every host finds the same result.
+ *
+ * @param hash - The shared hash function
+ * @param engines - The engines
+ * @param hosts - The live hosts
+ * @returns for each engine the hosts in the order in which they should own it
+ *
+ * @example
+ * const first = assignOwners(hash, engines, hosts).get(engine)?.[0];
+ */
+export function assignOwners(
+    hash: Hasher,
+    engines: readonly EngineId[],
+    hosts: readonly HostId[],
+): ReadonlyMap<EngineId, readonly HostId[]> {
+    const most = Math.ceil(engines.length / Math.max(1, hosts.length));
+    const counts = new Map<HostId, number>();
+    const assigned = new Map<EngineId, readonly HostId[]>();
+    for (const engine of [...engines].sort()) {
+        const ranked = rankByRendezvous(hash, engine, hosts);
+        const first = ranked.find(host => (counts.get(host) ?? 0) < most);
+        if (first !== undefined) {
+            counts.set(first, (counts.get(first) ?? 0) + 1);
+        }
+        assigned.set(engine, first === undefined ? ranked : [first, ...ranked.filter(host => host !== first)]);
+    }
+    return assigned;
+}
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -1,5 +1,6 @@
 export { applyEngineReport } from "./applyEngineReport.js";
 export { applyOrderReply } from "./applyOrderReply.js";
+export { assignOwners } from "./assignOwners.js";
 export { countUses } from "./countUses.js";
 export { decideEngineClaim } from "./decideEngineClaim.js";
 export type { EngineClaimDecision, EngineClaimView, OwnerClaim } from "./decideEngineClaim.js";
--- a/packages/wire/src/residencyMessages.ts
+++ b/packages/wire/src/residencyMessages.ts
@@ -1,4 +1,4 @@
-import type { AdapterName, BaseModel, EngineId } from "@fulmarcleat/ids";
+import type { AdapterName, BaseModel, EngineId, HostId } from "@fulmarcleat/ids";
 
 /** Asks an engine's owner to have an adapter there. */
 export interface AdapterLoadAsk {
@@ -13,6 +13,8 @@
     readonly waitMs: number;
     /** Whether the engine has just refused a request because it lacks the adapter. */
     readonly isMissing: boolean;
+    /** Passed on by a host that knows the owner, for one that does not. */
+    readonly isRelayed: boolean;
 }
 
 /** An owner's answer to a load ask. */
@@ -23,6 +25,10 @@
 /** Tells an engine's owner what a host has under way there. */
 export interface EngineUseTell {
     readonly engine: EngineId;
+    /** Whose requests these are. */
+    readonly host: HostId;
+    /** Passed on by a host that knows the owner, for one that does not. */
+    readonly isRelayed: boolean;
     readonly inFlight: readonly (readonly [AdapterName, number])[];
     readonly total: number;
     /** Prompt tokens of requests without a first byte so far. */
