--- a/packages/ctl/src/runCtl.ts
+++ b/packages/ctl/src/runCtl.ts
@@ -12,6 +12,7 @@
 import { parseResourceFile } from "./parseResourceFile.js";
 import { runApply, runDelete, runDiff, runDrain, runWait } from "./runChange.js";
 import { runExplain, runGet, runList, runShow, runWatch } from "./runRead.js";
+import { traceRequest } from "./traceRequest.js";
 
 /** The command's surroundings. */
 export interface CtlSurroundings {
@@ -143,6 +144,22 @@
                 }),
             args => choose(context => runDrain(context, args)),
         )
+        .command(
+            "trace <id> <files..>",
+            "show a request's way from collected log files",
+            builder =>
+                builder
+                    .positional("id", { type: "string", demandOption: true, describe: "the request's id" })
+                    .positional("files", { type: "string", array: true, demandOption: true, describe: "log files" }),
+            async args => {
+                const texts = await Promise.all(args.files.map(file => readFile(file, "utf8")));
+                const lines = traceRequest(texts, args.id);
+                lines.forEach(line => surroundings.write(line));
+                if (lines.length === 0) {
+                    surroundings.tell(`no line of these files names request ${args.id}`);
+                }
+            },
+        )
         .command("wait [kind] [name]", "wait until a change is in force on every live host", builder =>
             builder
                 .positional("kind", { choices: RESOURCE_KINDS })
--- a/packages/dispatch/src/chooseRetryAfter.ts
+++ b/packages/dispatch/src/chooseRetryAfter.ts
@@ -13,6 +13,8 @@
 /** Shortest wait, in milliseconds; spreads clients that were refused together. */
 const SHORTEST_MS = 30;
 const SPREAD_PART = 0.5;
+/** Longest wait before the spread, in milliseconds; places come free and owners change within it. */
+const LONGEST_MS = 1500;
 
 /**
  * Chooses when a refused client should come back.
@@ -24,6 +26,6 @@
  * chooseRetryAfter({ readyInMs: 400, leftMs: 4000, draw: 0.5 }); // 500
  */
 export function chooseRetryAfter({ readyInMs, leftMs, draw }: ReturnTerms): number {
-    const wantedMs = Math.max(SHORTEST_MS, readyInMs) * (1 + draw * SPREAD_PART);
+    const wantedMs = Math.min(LONGEST_MS, Math.max(SHORTEST_MS, readyInMs)) * (1 + draw * SPREAD_PART);
     return Math.round(Math.max(1, Math.min(wantedMs, leftMs * HONOURED_PART)));
 }
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -61,6 +61,7 @@
             outcome: refusal.outcome,
             retryAfterMs: refusal.retryAfterMs,
             heldMs: refusal.heldMs,
+            expectedWaitMs: refusal.expectedWaitMs,
         });
         writeRefusal(res, refusal, isStopping());
     };
@@ -184,6 +185,7 @@
             reason: end.reason,
             outcome: end.outcome,
             heldMs,
+            expectedWaitMs: Math.round(end.readyInMs),
             retryAfterMs: end.outcome === "not_run" ? retryAfterMs : undefined,
         });
     };
@@ -236,6 +238,8 @@
     readonly reason: string;
     readonly outcome: "not_run" | "unknown" | "ran";
     readonly heldMs: number;
+    /** Estimate that led to the refusal, in milliseconds. */
+    readonly expectedWaitMs?: number;
     readonly retryAfterMs: number | undefined;
 }
 
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -242,12 +242,11 @@
         const unowned = new Set<EngineId>();
         const outcomes: Outcome[] = [];
         let isMissing = false;
-        const giveUp = (reason: GiveUpReason, readyInMs: number): RequestEnd => ({
-            kind: "gave_up",
-            outcome: joinOutcomes(outcomes),
-            reason,
-            readyInMs,
-        });
+        let failedAnswer: Extract<ExchangeResult, { kind: "answer" }> | undefined;
+        const giveUp = (reason: GiveUpReason, readyInMs: number): RequestEnd =>
+            failedAnswer === undefined
+                ? { kind: "gave_up", outcome: joinOutcomes(outcomes), reason, readyInMs }
+                : { kind: "answer", result: failedAnswer };
         budget.addRequest(clock.nowMs());
         for (let sends = 0; sends < SEND_LIMIT;) {
             if (work.signal.aborted || work.endsAtMs - clock.nowMs() < LEAST_LEFT_MS) {
@@ -306,6 +305,7 @@
                     if (!mayRepeatAnswer(work, result, tried, listEngines(work.service))) {
                         return { kind: "answer", result };
                     }
+                    failedAnswer = result;
                     passedOver.add(id);
                     break;
                 case "not_run":
