--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -135,6 +135,7 @@
             wasOwner: formerly.has(entry.id),
             unownedMs: clock.nowMs() - unownedSinceMs,
             isFirstStart: deployment.isFirstStart,
+            checksFences: context.readBounds().checksFences,
         });
         switch (decision.kind) {
             case "own":
--- a/packages/front/src/startSession.ts
+++ b/packages/front/src/startSession.ts
@@ -19,8 +19,11 @@
     leave(): Promise<void>;
 }
 
-/** Lease of a host's keys and the pace of its renewals, in milliseconds. */
-const LEASE_MS = 3000;
+/**
+ * Lease of a host's keys and the pace of its renewals, in milliseconds. The lease outlasts a restart, so that a host
+ * finds its engines still its own, and a former owner's last order is older than the platform's lease of orders.
+ */
+const LEASE_MS = 6000;
 const RENEW_MS = 1000;
 const RETRY_MS = 250;
 const SECRET_BYTES = 24;
--- a/packages/residency/src/decideEngineClaim.feature
+++ b/packages/residency/src/decideEngineClaim.feature
@@ -1,7 +1,7 @@
 Feature: An engine has one owner at a time, and another orders only when the former can't
 
     Scenario Outline: <case>
-        Then decideEngineClaim of [{"self":"a","incarnation":"1","rank":<rank>,"wasOwner":<was>,"unownedMs":<unowned>,"isFirstStart":<first>,<claim>}] gives <result>
+        Then decideEngineClaim of [{"self":"a","incarnation":"1","rank":<rank>,"wasOwner":<was>,"unownedMs":<unowned>,"isFirstStart":<first>,"checksFences":false,<claim>}] gives <result>
 
         Examples:
             | case                                     | rank | was   | unowned | first | claim                                                                       | result                                                        |
@@ -16,3 +16,6 @@
             | another's                                | 0    | false | 9000    | false | "claim":{"host":"b","incarnation":"1","isReleased":false,"revision":7}      | {"kind":"wait"}                                               |
             | given up after its last order            | 0    | false | 0       | false | "claim":{"host":"b","incarnation":"1","isReleased":true,"revision":7}       | {"kind":"claim","expectedRevision":7,"mustWait":false}        |
             | given up, second choice                  | 1    | false | 100     | false | "claim":{"host":"b","incarnation":"1","isReleased":true,"revision":7}       | {"kind":"wait"}                                               |
+
+    Scenario: An engine that checks fences needs no wait after its owner's lease has lapsed
+        Then decideEngineClaim of [{"self":"a","incarnation":"1","rank":0,"wasOwner":false,"unownedMs":700,"isFirstStart":false,"checksFences":true}] gives {"kind":"claim","expectedRevision":0,"mustWait":false}
--- a/packages/residency/src/decideEngineClaim.ts
+++ b/packages/residency/src/decideEngineClaim.ts
@@ -23,6 +23,8 @@
     readonly unownedMs: number;
     /** Whether the whole system starts for the first time. */
     readonly isFirstStart: boolean;
+    /** Whether engines refuse a former owner's orders once they have seen this one's. */
+    readonly checksFences: boolean;
 }
 
 /** What a host does about an engine's ownership. */
@@ -68,6 +70,6 @@
             : { kind: "wait" };
     }
     return view.unownedMs >= waitMs
-        ? { kind: "claim", expectedRevision: 0, mustWait: !view.wasOwner && !view.isFirstStart }
+        ? { kind: "claim", expectedRevision: 0, mustWait: !view.wasOwner && !view.isFirstStart && !view.checksFences }
         : { kind: "wait" };
 }
