--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,5 @@
 import { build } from "esbuild";
-import { existsSync, readdirSync } from "node:fs";
+import { existsSync, readdirSync, renameSync } from "node:fs";
 import { resolve } from "node:path";
 
 /** Resolves the workspace's packages to their sources, so that a bundle needs no build before. */
@@ -9,9 +9,13 @@
         .filter(([, file]) => existsSync(file)),
 );
 
+const OUTFILE = "target/fulmarcleat-front.mjs";
+/** Written apart and then renamed, so that a process that starts meanwhile reads a whole file. */
+const unfinished = `${OUTFILE}.${process.pid}.tmp`;
+
 await build({
     entryPoints: ["packages/front/src/main.ts"],
-    outfile: "target/fulmarcleat-front.mjs",
+    outfile: unfinished,
     bundle: true,
     platform: "node",
     target: "node20",
@@ -25,3 +29,5 @@
         js: 'import { createRequire as createBundleRequire } from "node:module"; const require = createBundleRequire(import.meta.url);',
     },
 });
+
+renameSync(unfinished, OUTFILE);
