--- a/packages/front/src/startAdapterBoard.steps.ts
+++ b/packages/front/src/startAdapterBoard.steps.ts
@@ -83,8 +83,8 @@
 });
 
 Then(
-    /^the ask went to "(\w*)"( relayed)? and the answer is "(\w+)"$/,
-    (to: string, relayed: string | null, kind: string) => {
+    /^the ask went to "(\w*)" (directly|relayed) and the answer is "(\w+)"$/,
+    (to: string, how: string, kind: string) => {
         strictEqual(sent[0]?.to ?? "", to);
         strictEqual(sent[0]?.isRelayed ?? false, how === "relayed");
         strictEqual(answer, kind);
