--- /dev/null
+++ b/features/listConstants.ts
@@ -0,0 +1,40 @@
+import { readdirSync, readFileSync } from "node:fs";
+
+const ROOT = new URL("../", import.meta.url).pathname;
+const FOLDERS = ["packages/directory", "packages/dispatch", "packages/front", "packages/residency", "platform"];
+const CONSTANT = /(?:\/\*\*([^/]*?)\*\/\n)?(?:export )?const ([A-Z][A-Z0-9_]+) = ([\d_.]+);/g;
+
+/** A named number of the platform path. */
+export interface NamedNumber {
+    readonly name: string;
+    readonly value: string;
+    readonly file: string;
+    /** What it means, with its unit; the comment of the constant before where several share one. */
+    readonly meaning: string;
+}
+
+/**
+ * Lists the named numbers in the sources of the platform path.
+ *
+ * @returns the numbers by file and place
+ *
+ * @example
+ * listConstants().map(constant => constant.name);
+ */
+export function listConstants(): readonly NamedNumber[] {
+    return FOLDERS.flatMap(folder =>
+        readdirSync(`${ROOT}${folder}/src`, { encoding: "utf8" })
+            .filter(file => file.endsWith(".ts") && !file.endsWith(".steps.ts"))
+            .sort()
+            .flatMap(file => listFile(`${folder}/src/${file}`))
+    );
+}
+
+function listFile(file: string): readonly NamedNumber[] {
+    let meaning = "";
+    return [...readFileSync(ROOT + file, "utf8").matchAll(CONSTANT)].map(match => {
+        const comment = match[1]?.replaceAll(/\s*\n?\s*\* ?/g, " ").trim();
+        meaning = comment === undefined || comment === "" ? meaning : comment;
+        return { name: match[2] ?? "", value: match[3] ?? "", file, meaning };
+    });
+}
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -21,8 +21,9 @@
 
 /** How much later than its time a request is ended, in milliseconds; engines answer at the very end. */
 const END_SLACK_MS = 80;
-/** Time that a request without a time of its own may take at the most, in milliseconds. */
+/** Milliseconds in a second. */
 const MS_PER_S = 1000;
+/** Longest time until a request's body is there, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000;
 const NO_CONFIG_RETRY_MS = 300;
 /** When a client that came to a stopping host should try another, in milliseconds. */
--- a/packages/front/src/main.ts
+++ b/packages/front/src/main.ts
@@ -4,6 +4,7 @@
 import { stopOnSignals } from "@fulmarcleat/program";
 import { startFront } from "./startFront.js";
 
+/** Exit code of a process that could not start. */
 const EXIT_FAILED = 1;
 const log = createEventLog({ process: "fulmarcleat-front" });
 
--- a/packages/front/src/watchPauses.ts
+++ b/packages/front/src/watchPauses.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@fulmarcleat/ids";
 
+/** How often the clocks are compared, in milliseconds. */
 const CHECK_MS = 250;
 /** A check that comes later than this after it was due shows that the process stood still, in milliseconds. */
 const PAUSE_MS = 700;
