--- a/features/listConstants.ts
+++ b/features/listConstants.ts
@@ -9,7 +9,7 @@
     readonly name: string;
     readonly value: string;
     readonly file: string;
-    /** What it means, with its unit; the comment of the constant before where several share one. */
+    /** What it means, with its unit. */
     readonly meaning: string;
 }
 
@@ -31,10 +31,10 @@
 }
 
 function listFile(file: string): readonly NamedNumber[] {
-    let meaning = "";
-    return [...readFileSync(ROOT + file, "utf8").matchAll(CONSTANT)].map(match => {
-        const comment = match[1]?.replaceAll(/\s*\n?\s*\* ?/g, " ").trim();
-        meaning = comment === undefined || comment === "" ? meaning : comment;
-        return { name: match[2] ?? "", value: match[3] ?? "", file, meaning };
-    });
+    return [...readFileSync(ROOT + file, "utf8").matchAll(CONSTANT)].map(match => ({
+        name: match[2] ?? "",
+        value: match[3] ?? "",
+        file,
+        meaning: (match[1] ?? "").replaceAll(/\s*\n?\s*\* ?/g, " ").trim(),
+    }));
 }
--- a/features/settings-page.steps.ts
+++ b/features/settings-page.steps.ts
@@ -6,6 +6,7 @@
 
 Then("{string} lists every named number of the platform path", (file: string) => {
     const rows = readFileSync(ROOT + file, "utf8").split("\n").filter(line => line.startsWith("| `"));
+    deepStrictEqual(listConstants().filter(({ meaning }) => meaning === ""), []);
     const wanted = listConstants().map(({ name, value, file: source, meaning }) =>
         `| \`${name}\` | ${value} | ${meaning} | ${source} |`
     );
--- a/packages/dispatch/src/canFinishBeforeStop.ts
+++ b/packages/dispatch/src/canFinishBeforeStop.ts
@@ -1,7 +1,8 @@
 import type { RouteKind } from "@fulmarcleat/directory";
 
-/** Usual time of a stream to its end, and of a plain answer with room for a slow one, in milliseconds. */
+/** Usual time of a stream to its end, in milliseconds; the sheets' longest kind takes about this. */
 const STREAM_MS = 4700;
+/** Time of a plain answer with room for a slow one, in milliseconds. */
 const PLAIN_MS = 900;
 
 /**
--- a/packages/dispatch/src/chooseModelEngine.ts
+++ b/packages/dispatch/src/chooseModelEngine.ts
@@ -23,6 +23,7 @@
 const NO_OWNER_MS = 6000;
 /** An engine that leaves sooner gets no generation while another is left, in milliseconds. */
 const SHORTEST_STAY_MS = 4000;
+/** Cost of an engine that leaves sooner than that, in milliseconds. */
 const LEAVING_MS = 3000;
 
 /** The engine for a generation. */
--- a/packages/dispatch/src/chooseRetryAfter.ts
+++ b/packages/dispatch/src/chooseRetryAfter.ts
@@ -12,6 +12,7 @@
 const HONOURED_PART = 0.3;
 /** Shortest wait, in milliseconds; spreads clients that were refused together. */
 const SHORTEST_MS = 30;
+/** Largest part of the wait that is added at random. */
 const SPREAD_PART = 0.5;
 /** Longest wait before the spread, in milliseconds; places come free and owners change within it. */
 const LONGEST_MS = 1500;
--- a/packages/dispatch/src/isHopeless.ts
+++ b/packages/dispatch/src/isHopeless.ts
@@ -14,6 +14,7 @@
 
 /** Clients leave a stream without a byte after this time or a multiple of its goal, whichever is longer, in milliseconds. */
 const SHORTEST_PATIENCE_MS = 2000;
+/** Multiple of its goal after which a client leaves a stream without a byte; the platform states it. */
 const GOALS_OF_PATIENCE = 4;
 /** Waits beyond this multiple of the goal keep engines from requests that can still be on time. */
 const GOALS_OF_WAIT = 1.5;
--- a/packages/dispatch/src/reduceHealth.ts
+++ b/packages/dispatch/src/reduceHealth.ts
@@ -36,6 +36,7 @@
 const FORGET_HALF_MS = 4000;
 /** First pause after a failed connection, in milliseconds; doubles up to the longest. */
 const FIRST_PAUSE_MS = 250;
+/** Longest pause after failed connections, in milliseconds. */
 const LONGEST_PAUSE_MS = 2000;
 /** Pause after a refusal for want of room, in milliseconds. */
 const SHED_PAUSE_MS = 40;
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -25,6 +25,7 @@
 const MS_PER_S = 1000;
 /** Longest time until a request's body is there, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000;
+/** When a client should come back to a host without a configuration, in milliseconds. */
 const NO_CONFIG_RETRY_MS = 300;
 /** When a client that came to a stopping host should try another, in milliseconds. */
 const STOPPING_RETRY_MS = 30;
--- a/packages/front/src/createKnowledge.ts
+++ b/packages/front/src/createKnowledge.ts
@@ -50,9 +50,11 @@
     stop(): void;
 }
 
-/** Pace of the watches, in milliseconds; engines' entries change often. */
+/** Shortest time between two calls of the configuration's watch, in milliseconds. */
 const CONFIG_GAP_MS = 60;
+/** The same for engines' entries, which change often, in milliseconds. */
 const ENGINE_GAP_MS = 350;
+/** The same for the system's own keys, in milliseconds. */
 const HOST_GAP_MS = 120;
 /** How often engines whose time is over are dropped, in milliseconds. */
 const TICK_MS = 200;
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -46,6 +46,7 @@
 
 /** Time without a byte after which an engine with requests under way counts as silent, in milliseconds. */
 const PLAIN_SILENT_MS = 400;
+/** The same for a model engine, whose long prompts take time, in milliseconds. */
 const MODEL_SILENT_MS = 900;
 /** Time without a byte after which a stream that may go on elsewhere does, in milliseconds. */
 const RESUME_SILENT_MS = 1100;
@@ -59,11 +60,15 @@
 const NO_OWNER_PAUSE_MS = 80;
 /** Time that a request must have left to be worth sending, in milliseconds. */
 const LEAST_LEFT_MS = 40;
+/** Least urgent rank that engines know. */
 const HIGHEST_URGENCY = 9;
+/** Status with which an engine refuses what it is not or does not hold. */
 const MISDIRECTED = 421;
+/** Lowest status of an engine's own failure. */
 const FIRST_SERVER_ERROR = 500;
 /** When a client whose request found no engine should try again, in milliseconds. */
 const NO_ENGINE_RETRY_MS = 400;
+/** When a client whose request engines refused should try again, in milliseconds. */
 const REFUSED_RETRY_MS = 120;
 
 /**
--- a/packages/front/src/startAdapterBoard.ts
+++ b/packages/front/src/startAdapterBoard.ts
@@ -70,13 +70,15 @@
     isTelling: boolean;
 }
 
-/** Pace of the word between hosts and owners, in milliseconds: with changes, and without. */
+/** Pace of the word to owners while requests come and go, in milliseconds. */
 const TELL_MS = 90;
+/** Pace of the word to owners otherwise, in milliseconds. */
 const IDLE_TELL_MS = 1000;
 /** How long an owner's word counts, in milliseconds. */
 const WORD_VALID_MS = 4000;
 /** Expected wait until an older version that requests run on can be replaced, in milliseconds. */
 const REPLACE_WAIT_MS = 2000;
+/** Longest time until a peer answers, in milliseconds; a load ask may wait at its owner besides. */
 const ASK_TIMEOUT_MS = 450;
 /** Expected time of a load that is asked for through the store, in milliseconds. */
 const LOAD_BY_STORE_MS = 450;
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -35,18 +35,23 @@
 const ENGINE_IDLE_MS = 4000;
 /** Idle connections kept to one engine; all hosts' stay below what engines take. */
 const ENGINE_IDLE_CONNECTIONS = 12;
+/** Log lines of one routine event that are written in a second. */
 const LOG_LINES_PER_SECOND = 60;
+/** Log lines that wait while standard output takes none. */
 const LOG_CAPACITY = 2000;
-/** Pace of heartbeats between hosts, and the silence after which a connection is replaced, in milliseconds. */
+/** Pace of heartbeats between hosts, in milliseconds. */
 const PEER_HEARTBEAT_MS = 500;
+/** Silence after which a connection between hosts is replaced, in milliseconds. */
 const PEER_SILENCE_MS = 1600;
 /** How long a stopping host goes on serving new requests while the balancer takes it out, in milliseconds. */
 const DRAIN_NOTICE_MS = 2600;
 /** How long before the platform's limit a stop ends what is left, in milliseconds. */
 const STOP_MARGIN_MS = 500;
+/** How often a stop looks whether requests still run, in milliseconds. */
 const STOP_POLL_MS = 50;
 /** Largest head that Node.js reads, in bytes; the configuration's limit is checked besides. */
 const MAX_HEADER_BYTES = 65_536;
+/** How often clients' connections are checked against their limits, in milliseconds. */
 const CONNECTION_CHECK_MS = 1000;
 const SEED_RANGE = 2 ** 31;
 
--- a/packages/front/src/startSession.ts
+++ b/packages/front/src/startSession.ts
@@ -20,12 +20,15 @@
 }
 
 /**
- * Lease of a host's keys and the pace of its renewals, in milliseconds. The lease outlasts a restart, so that a host
+ * Lease of a host's keys, in milliseconds. It outlasts a restart, so that a host
  * finds its engines still its own, and a former owner's last order is older than the platform's lease of orders.
  */
 const LEASE_MS = 6000;
+/** Pace of the lease's renewals, in milliseconds. */
 const RENEW_MS = 1000;
+/** Pause after a call that failed, in milliseconds. */
 const RETRY_MS = 250;
+/** Length of the secret that hosts prove to each other, in bytes. */
 const SECRET_BYTES = 24;
 
 /**
--- a/packages/front/src/startStoreWatch.ts
+++ b/packages/front/src/startStoreWatch.ts
@@ -25,8 +25,9 @@
 
 /** Longest wait of one watch call, in milliseconds; lease renewals find a silent connection sooner. */
 const WATCH_WAIT_MS = 12_000;
-/** Pauses after a failed call, in milliseconds. */
+/** First pause after a failed call, in milliseconds; doubles up to the longest. */
 const FIRST_PAUSE_MS = 150;
+/** Longest pause after failed calls, in milliseconds. */
 const LONGEST_PAUSE_MS = 700;
 
 /**
