Give long answers of the ownership scenarios the time that their tokens take

The log says 504, deadline_passed, step read stream, outcome ran: the test's own deadline of 8 s passed while the stand-in still sent its 1,000 tokens; the stop cut nothing off. Ruled out: the stop limit (no event 104). The check stays: every answer whole with status 200; only the request's deadline grows with its tokens.

--- a/features/ownershipRequests.ts
+++ b/features/ownershipRequests.ts
@@ -16,6 +16,11 @@
     readonly tokens: number;
 }
 
+/** Time of a request besides its tokens, in milliseconds. */
+const DEADLINE_MS = 8000;
+/** Time of a token at a stand-in on a busy machine, in milliseconds; on an idle one it takes about 1. */
+const TOKEN_MS = 50;
+
 /** Sends a request and keeps what its caller got; nothing is kept where the connection broke. */
 export async function sendOwnershipRequest(world: OwnershipWorld, request: OwnershipRequest): Promise<void> {
     const { tokens, gateway } = request;
@@ -23,7 +28,10 @@
     const model = `${request.adapter}@1`;
     const answer = await world.call(gateway, "/v1/completions", {
         method: "POST",
-        headers: { authorization: `Bearer ${world.keyOf("linz")}`, "fulmarcleat-deadline-ms": "8000" },
+        headers: {
+            authorization: `Bearer ${world.keyOf("linz")}`,
+            "fulmarcleat-deadline-ms": String(DEADLINE_MS + tokens * TOKEN_MS),
+        },
         body: JSON.stringify({ model, prompt, max_tokens: tokens }),
     }).catch(() => undefined);
     if (answer === undefined) {
