--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -1,3 +1,4 @@
+import type { ServingConfig } from "@fulmarcleat/directory";
 import { canFinishBeforeStop, chooseRetryAfter, matchRoute, pickTarget } from "@fulmarcleat/dispatch";
 import { toErrorStatus, toServeError } from "@fulmarcleat/errors";
 import type { ErrorCode } from "@fulmarcleat/errors";
@@ -118,7 +119,6 @@
                 res,
                 requestId,
                 head,
-                config,
                 route,
                 service,
                 wanted: service.engine === undefined ? undefined : wanted,
@@ -252,7 +252,9 @@
         readonly reason: ErrorCode;
         readonly retryAfterMs: number | undefined;
     }
-    | ({ readonly kind: "planned"; readonly requestId: RequestId } & Pick<RequestWork, "config" | "route" | "service">);
+    | ({ readonly kind: "planned"; readonly requestId: RequestId } & Pick<RequestWork, "route" | "service"> & {
+        readonly config: ServingConfig;
+    });
 
 function planRequest(
     head: ClientHead,
--- a/packages/front/src/requestWork.ts
+++ b/packages/front/src/requestWork.ts
@@ -1,4 +1,4 @@
-import type { Route, Service, ServingConfig } from "@fulmarcleat/directory";
+import type { Route, Service } from "@fulmarcleat/directory";
 import type { RequestId } from "@fulmarcleat/ids";
 import type { ClientHead } from "@fulmarcleat/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -11,7 +11,6 @@
     readonly res: ServerResponse;
     readonly requestId: RequestId;
     readonly head: ClientHead;
-    readonly config: ServingConfig;
     readonly route: Route;
     readonly service: Service;
     readonly wanted: WantedAdapter | undefined;
--- a/packages/front/src/startSession.ts
+++ b/packages/front/src/startSession.ts
@@ -1,3 +1,4 @@
+import type { MetadataStore } from "@fulmarcleat/directory";
 import { ServeError, toServeError } from "@fulmarcleat/errors";
 import { randomBytes } from "node:crypto";
 import type { Knowledge } from "./createKnowledge.js";
@@ -90,7 +91,7 @@
         }
     };
     const run = async (): Promise<void> => {
-        tellSecret(await retry(context, health, () => readPeerSecret(context)));
+        tellSecret(await retry(context, health, () => readPeerSecret(store)));
         while (!isStopped) {
             try {
                 await (lease === undefined ? open() : renew(lease));
@@ -138,7 +139,7 @@
 }
 
 /** The first host to come draws the secret; the others read it. */
-async function readPeerSecret({ store }: FrontContext): Promise<string> {
+async function readPeerSecret(store: MetadataStore): Promise<string> {
     const present = (await store.list(PEER_SECRET_KEY)).items[0];
     if (present !== undefined) {
         return present.value.toString("utf8");
@@ -146,5 +147,5 @@
     const value = Buffer.from(randomBytes(SECRET_BYTES).toString("hex"));
     const expect = [{ key: PEER_SECRET_KEY, revision: 0 }];
     await store.change({ expect, puts: [{ key: PEER_SECRET_KEY, value, lease: 0 }], removes: [] });
-    return readPeerSecret({ store } as FrontContext);
+    return readPeerSecret(store);
 }
