Ask owners only about engines that a request may go to, and close idle connections between hosts

Cause: on the grown sites each of 84 hosts told each of 42 owners of itself once a second and kept a heartbeat of 0.5 s to each of them: about 3,500 asks and 14,000 heartbeats a second without any request. Ruled out: the store's calls (under 300 a second) and requests themselves (260 a second over all hosts). Change: a host keeps words fresh for engines with requests under way and for the four candidates of its last choices (pickCandidates); a choice asks owners of candidates first where nothing was heard for 1.3 s. Connections between hosts send heartbeats only when nothing else is asked and close after 5 s.

--- a/features/listConstants.ts
+++ b/features/listConstants.ts
@@ -30,6 +30,19 @@
     );
 }
 
+/**
+ * Writes a named number as a row of the settings page.
+ *
+ * @param constant - The number
+ * @returns the row
+ *
+ * @example
+ * listConstants().map(formatConstant);
+ */
+export function formatConstant({ name, value, meaning, file }: NamedNumber): string {
+    return `| \`${name}\` | ${value} | ${meaning} | ${file} |`;
+}
+
 function listFile(file: string): readonly NamedNumber[] {
     return [...readFileSync(ROOT + file, "utf8").matchAll(CONSTANT)].map(match => ({
         name: match[2] ?? "",
--- a/packages/dispatch/src/chooseModelEngine.steps.ts
+++ b/packages/dispatch/src/chooseModelEngine.steps.ts
@@ -1,10 +1,10 @@
 import { createHasher, rankByRendezvous } from "@fulmarcleat/hashing";
-import { brandId, createRandom } from "@fulmarcleat/ids";
-import type { EngineId, FailureDomain } from "@fulmarcleat/ids";
+import { createRandom } from "@fulmarcleat/ids";
+import type { EngineId } from "@fulmarcleat/ids";
 import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { chooseModelEngine } from "./chooseModelEngine.js";
-import type { AdapterPresence, ModelEngineView } from "./engineView.js";
-import { UNKNOWN_HEALTH } from "./reduceHealth.js";
+import type { ModelEngineView } from "./engineView.js";
+import { parseModelEngine } from "./parseModelEngine.steps.js";
 
 const LOAD_MS = 260;
 const PLACE_WAIT_MS = 190;
@@ -13,7 +13,7 @@
 let seed = 0;
 
 Given(/^model engines (.*)$/, (text: string) => {
-    engines = text.split(" ").map(parseEngine);
+    engines = text.split(" ").map(parseModelEngine);
 });
 
 Then("the generation goes to {string}", (id: string) => {
@@ -25,7 +25,10 @@
     "{int} model engines with {int} places and 200 rare adapters, seed {int}",
     (count: number, places: number, given: number) => {
         seed = given;
-        engines = Array.from({ length: count }, (value, index) => createEngine(`e${index}`, absent(0), places));
+        engines = Array.from(
+            { length: count },
+            (value, index) => ({ ...parseModelEngine(`e${index}:absent`), slots: places }),
+        );
     },
 );
 
@@ -36,7 +39,9 @@
     for (let asked = 0; asked < count; asked += 1) {
         const views = engines.map(engine => {
             const taken = chosen.get(engine.id) ?? 0;
-            return { ...engine, load: taken, presence: absent(Math.max(0, taken + 1 - engine.slots) * PLACE_WAIT_MS) };
+            const placeWaitMs = Math.max(0, taken + 1 - engine.slots) * PLACE_WAIT_MS;
+            const absent = { kind: "absent", placeWaitMs, canLoad: true } as const;
+            return { ...engine, load: taken, presence: absent };
         });
         const adapter = `a${Math.floor(random.next() * 200)}`;
         const order = rankByRendezvous(hash, adapter, engines.map(engine => engine.id));
@@ -49,44 +54,3 @@
 Then("no engine was chosen for more than {int} of them", (most: number) => {
     ok(Math.max(...chosen.values()) <= most, JSON.stringify([...chosen]));
 });
-
-function absent(placeWaitMs: number): AdapterPresence {
-    return { kind: "absent", placeWaitMs, canLoad: true };
-}
-
-function createEngine(id: string, presence: AdapterPresence, slots: number): ModelEngineView {
-    return {
-        id: brandId<EngineId>(id),
-        domain: brandId<FailureDomain>("d"),
-        slots,
-        load: 0,
-        queuedTokens: 0,
-        health: UNKNOWN_HEALTH,
-        isSilent: false,
-        leavesInMs: undefined,
-        presence,
-    };
-}
-
-function parseEngine(text: string): ModelEngineView {
-    const [head = "", ...marks] = text.split(",");
-    const [id = "", state = ""] = head.split(":");
-    const [kind, wait = "0"] = state.split("+");
-    const canLoad = !marks.includes("unowned");
-    const presence: AdapterPresence = kind === "present"
-        ? { kind }
-        : kind === "coming"
-        ? { kind, readyInMs: Number(wait) }
-        : { kind: "absent", placeWaitMs: Number(wait), canLoad };
-    const read = (name: string): number | undefined => {
-        const mark = marks.find(entry => entry.startsWith(`${name}=`));
-        return mark === undefined ? undefined : Number(mark.slice(name.length + 1));
-    };
-    return {
-        ...createEngine(id, presence, 64),
-        load: read("load") ?? 0,
-        queuedTokens: read("tokens") ?? 0,
-        isSilent: marks.includes("silent"),
-        leavesInMs: read("leaves"),
-    };
-}
--- a/packages/dispatch/src/chooseModelEngine.ts
+++ b/packages/dispatch/src/chooseModelEngine.ts
@@ -43,14 +43,30 @@
  * const engine = chooseModelEngine({ engines, order, atMs, loadMs: 250 });
  */
 export function chooseModelEngine(choice: ModelChoice): ModelEngineChoice | undefined {
+    const weigh = createModelCost(choice);
+    const best = findCheapest(choice.engines, weigh);
+    return best === undefined ? undefined : { id: best.id, expectedMs: estimateFirstByte(best, choice) };
+}
+
+/**
+ * Creates the cost of a generation at an engine, with what it takes from other requests.
+ *
+ * @param choice - The engines, the adapter's order and the time
+ * @returns what gives an engine's cost in milliseconds
+ *
+ * @example
+ * const costMs = createModelCost(choice)(view);
+ */
+export function createModelCost(choice: ModelChoice): (view: ModelEngineView) => number {
     const rank = new Map(choice.order.map((id, index) => [id, index]));
-    const expect = (view: ModelEngineView): number =>
-        estimateEngineCost(view, MODEL_SCALE, choice.atMs) + estimateAdapterWait(view.presence, choice.loadMs);
-    const best = findCheapest(choice.engines, view =>
-        expect(view)
+    return view =>
+        estimateFirstByte(view, choice)
         + estimatePlaceCost(view.presence, rank.get(view.id) ?? choice.order.length)
-        + (view.leavesInMs !== undefined && view.leavesInMs < SHORTEST_STAY_MS ? LEAVING_MS : 0));
-    return best === undefined ? undefined : { id: best.id, expectedMs: expect(best) };
+        + (view.leavesInMs !== undefined && view.leavesInMs < SHORTEST_STAY_MS ? LEAVING_MS : 0);
+}
+
+function estimateFirstByte(view: ModelEngineView, { atMs, loadMs }: ModelChoice): number {
+    return estimateEngineCost(view, MODEL_SCALE, atMs) + estimateAdapterWait(view.presence, loadMs);
 }
 
 function estimateAdapterWait(presence: AdapterPresence, loadMs: number): number {
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -11,6 +11,7 @@
 export { isHopeless } from "./isHopeless.js";
 export type { PatienceTerms } from "./isHopeless.js";
 export { matchRoute } from "./matchRoute.js";
+export { pickCandidates } from "./pickCandidates.js";
 export { pickTarget } from "./pickTarget.js";
 export { reduceHealth, UNKNOWN_HEALTH } from "./reduceHealth.js";
 export type { EngineHealth, HealthMessage } from "./reduceHealth.js";
--- /dev/null
+++ b/packages/dispatch/src/parseModelEngine.steps.ts
@@ -0,0 +1,50 @@
+import { brandId } from "@fulmarcleat/ids";
+import type { EngineId, FailureDomain } from "@fulmarcleat/ids";
+import type { AdapterPresence, ModelEngineView } from "./engineView.js";
+import { UNKNOWN_HEALTH } from "./reduceHealth.js";
+
+/**
+ * Reads a model engine as tables of cases write it.
+ *
+ * @param text - Id, presence and marks, as in `a:present,load=9`
+ * @returns the engine
+ *
+ * @example
+ * parseModelEngine("a:coming+150").presence; // { kind: "coming", readyInMs: 150 }
+ */
+export function parseModelEngine(text: string): ModelEngineView {
+    const [head = "", ...marks] = text.split(",");
+    const [id = "", state = ""] = head.split(":");
+    const [kind, wait = "0"] = state.split("+");
+    const canLoad = !marks.includes("unowned");
+    const presence: AdapterPresence = kind === "present"
+        ? { kind }
+        : kind === "coming"
+        ? { kind, readyInMs: Number(wait) }
+        : { kind: "absent", placeWaitMs: Number(wait), canLoad };
+    const read = (name: string): number | undefined => {
+        const mark = marks.find(entry => entry.startsWith(`${name}=`));
+        return mark === undefined ? undefined : Number(mark.slice(name.length + 1));
+    };
+    return {
+        ...createEngine(id, presence, 64),
+        load: read("load") ?? 0,
+        queuedTokens: read("tokens") ?? 0,
+        isSilent: marks.includes("silent"),
+        leavesInMs: read("leaves"),
+    };
+}
+
+function createEngine(id: string, presence: AdapterPresence, slots: number): ModelEngineView {
+    return {
+        id: brandId<EngineId>(id),
+        domain: brandId<FailureDomain>("d"),
+        slots,
+        load: 0,
+        queuedTokens: 0,
+        health: UNKNOWN_HEALTH,
+        isSilent: false,
+        leavesInMs: undefined,
+        presence,
+    };
+}
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,6 +1,12 @@
 import type { EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
-import { chooseModelEngine, choosePlainEngine, createRetryWindow, isHopeless } from "@fulmarcleat/dispatch";
-import type { ModelEngineView, RetryWindow } from "@fulmarcleat/dispatch";
+import {
+    chooseModelEngine,
+    choosePlainEngine,
+    createRetryWindow,
+    isHopeless,
+    pickCandidates,
+} from "@fulmarcleat/dispatch";
+import type { ModelChoice, ModelEngineView, RetryWindow } from "@fulmarcleat/dispatch";
 import { joinOutcomes } from "@fulmarcleat/errors";
 import type { Outcome } from "@fulmarcleat/errors";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
@@ -11,7 +17,7 @@
 import type { RequestWork } from "./requestWork.js";
 import { runExchange } from "./runExchange.js";
 import type { ExchangeResult } from "./runExchange.js";
-import type { AdapterBoard } from "./startAdapterBoard.js";
+import type { AdapterBoard, WantedAdapter } from "./startAdapterBoard.js";
 import { waitMs } from "./waitMs.js";
 
 /** How a request ended. */
@@ -108,25 +114,40 @@
     };
     const listEngines = (service: Service): readonly KnownEngine[] =>
         [...knowledge.engines.values()].filter(known => known.isUsable && known.entry.service === service.name);
-    const choose = (work: RequestWork, allowed: readonly KnownEngine[]): ChosenEngine | undefined => {
-        const atMs = clock.nowMs();
+    const choosePlain = (allowed: readonly KnownEngine[]): ChosenEngine | undefined => {
+        const engines = allowed.map(known => board.view(known, PLAIN_SILENT_MS));
+        const { domain } = context.deployment;
+        const view = choosePlainEngine({ engines, ownDomain: domain, atMs: clock.nowMs(), draw: random.next() });
+        const known = allowed.find(({ entry }) => entry.id === view?.id);
+        return known === undefined ? undefined : { known, expectedMs: 0 };
+    };
+    const viewModelEngine = (known: KnownEngine, wanted: WantedAdapter | undefined): ModelEngineView => {
+        const view = board.view(known, MODEL_SILENT_MS);
+        const load = Math.max(view.load, adapters.countLoad(known.entry.id) ?? 0);
+        const queuedTokens = Math.max(view.queuedTokens, adapters.countQueued(known.entry.id) ?? 0);
+        return { ...view, load, queuedTokens, presence: adapters.find(known.entry, wanted) };
+    };
+    const chooseModel = async (
+        { requestId, wanted }: RequestWork,
+        allowed: readonly KnownEngine[],
+    ): Promise<ChosenEngine | undefined> => {
         const byId = new Map(allowed.map(known => [known.entry.id, known]));
-        if (work.service.engine === undefined) {
-            const engines = allowed.map(known => board.view(known, PLAIN_SILENT_MS));
-            const { domain } = context.deployment;
-            const view = choosePlainEngine({ engines, ownDomain: domain, atMs, draw: random.next() });
-            const known = view === undefined ? undefined : byId.get(view.id);
-            return known === undefined ? undefined : { known, expectedMs: 0 };
-        }
-        const engines = allowed.map((known): ModelEngineView => {
-            const view = board.view(known, MODEL_SILENT_MS);
-            const load = Math.max(view.load, adapters.countLoad(known.entry.id) ?? 0);
-            const queuedTokens = Math.max(view.queuedTokens, adapters.countQueued(known.entry.id) ?? 0);
-            return { ...view, load, queuedTokens, presence: adapters.find(known.entry, work.wanted) };
+        const order = rankByRendezvous(hash, wanted?.adapter ?? requestId, [...byId.keys()]);
+        const describe = (engines: readonly KnownEngine[]): ModelChoice => ({
+            engines: engines.map(known => viewModelEngine(known, wanted)),
+            order,
+            atMs: clock.nowMs(),
+            loadMs: USUAL_LOAD_MS,
         });
-        const key = work.wanted?.adapter ?? work.requestId;
-        const order = rankByRendezvous(hash, key, allowed.map(known => known.entry.id));
-        const chosen = chooseModelEngine({ engines, order, atMs, loadMs: USUAL_LOAD_MS });
+        const first = describe(allowed);
+        const candidates = pickCandidates(first, () => random.next());
+        const ids = candidates.map(view => view.id);
+        const hasNews = await adapters.refresh(ids);
+        const chosen = chooseModelEngine(
+            hasNews
+                ? describe(allowed.filter(({ entry }) => ids.includes(entry.id)))
+                : { ...first, engines: candidates },
+        );
         const known = chosen === undefined ? undefined : byId.get(chosen.id);
         return known === undefined ? undefined : { known, expectedMs: chosen?.expectedMs ?? 0 };
     };
@@ -261,7 +282,9 @@
             const allowed = listEngines(work.service).filter(({ entry }) =>
                 !passedOver.has(entry.id) && !unowned.has(entry.id) && (!isFull || tried.has(entry.id))
             );
-            const chosen = choose(work, allowed);
+            const chosen = work.service.engine === undefined
+                ? choosePlain(allowed)
+                : await chooseModel(work, allowed);
             if (chosen === undefined && unowned.size > 0) {
                 unowned.clear();
                 await waitMs(clock, NO_OWNER_PAUSE_MS);
--- a/packages/front/src/startAdapterBoard.feature
+++ b/packages/front/src/startAdapterBoard.feature
@@ -13,3 +13,28 @@
             | nobody owns it                           |       | reaches it                  | its own request        |        | directly  | refused  |
             | fenced here, so a peer is asked          | b     | has been fenced             | its own request        | c      | directly  | ready    |
             | the owner can't be reached               | c     | does not reach it           | its own request        | store  | directly  | ready    |
+
+    Scenario: A host asks owners about the engines that it uses and about no others
+        Given an adapter board on host "b" with 42 engines owned by "c"
+        When 5000 ms pass on the board
+        Then the board has told owners of 0 engines
+        When a request runs on engine "i-7" of the board
+        And 5000 ms pass on the board
+        Then the board has told owners of 1 engines
+        When the board's request on engine "i-7" ends
+        And 1000 ms pass on the board
+        And the board's messages are counted from here
+        And 5000 ms pass on the board
+        Then the board has told owners of 0 engines
+
+    Scenario: A choice asks owners of whom nothing was heard lately, and does not wait for one that is silent
+        Given an adapter board on host "b" with 42 engines owned by "c"
+        When the board refreshes "i-1 i-2"
+        Then the board has told owners of 2 engines
+        And the board had news
+        When the board's messages are counted from here
+        And the board refreshes "i-1 i-2"
+        Then the board has told owners of 0 engines
+        When the board's owners fall silent
+        And the board refreshes "i-3"
+        Then the board has told owners of 1 engines
--- a/packages/front/src/startAdapterBoard.steps.ts
+++ b/packages/front/src/startAdapterBoard.steps.ts
@@ -2,9 +2,10 @@
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock } from "@fulmarcleat/ids";
-import type { AdapterName, BaseModel, EngineId, HostId, Incarnation } from "@fulmarcleat/ids";
-import { Given, strictEqual, Then, When } from "@fulmarcleat/testing";
-import type { AdapterLoadAsk, PeerAddress, PeerClient } from "@fulmarcleat/wire";
+import type { AdapterName, BaseModel, EngineId, HostId, Incarnation, ManualClock, ServiceName } from "@fulmarcleat/ids";
+import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import type { AdapterLoadAsk, EngineUseReply, EngineUseTell, PeerAddress, PeerClient } from "@fulmarcleat/wire";
+import { setImmediate } from "node:timers/promises";
 import { createEngineBoard } from "./createEngineBoard.js";
 import type { Knowledge } from "./createKnowledge.js";
 import type { WantMail } from "./createWantMail.js";
@@ -90,3 +91,88 @@
         strictEqual(answer, kind);
     },
 );
+
+let clock: ManualClock;
+let tellsByEngine = new Map<EngineId, number>();
+let isSilent = false;
+let hasNews = false;
+
+Given("an adapter board on host {string} with {int} engines owned by {string}", async (
+    self: string,
+    count: number,
+    ownerName: string,
+) => {
+    clock = createManualClock(0);
+    tellsByEngine = new Map();
+    isSilent = false;
+    const owner = brandId<HostId>(ownerName);
+    const ids = Array.from({ length: count }, (value, index) => brandId<EngineId>(`i-${index}`));
+    const service = brandId<ServiceName>("models");
+    const context = {
+        clock,
+        log: { write: () => undefined },
+        deployment: { host: brandId<HostId>(self) },
+        metrics: createMetrics(),
+        hash: await createHasher(),
+    };
+    const knowledge = {
+        config: { services: new Map([[service, { name: service, engine: {} }]]) },
+        engines: new Map(ids.map(id => [id, { entry: { id, service, models: [] } }])),
+        members: new Map([[owner, { host: owner, ip: "127.0.0.1", port: 1, isLeaving: false }]]),
+        claims: new Map(ids.map(id => [id, { host: owner, isReleased: false, revision: 7 }])),
+        onWants: () => undefined,
+        onEngineGone: () => undefined,
+    };
+    const word: EngineUseReply = {
+        kind: "word",
+        adapters: [],
+        load: 0,
+        queuedTokens: 0,
+        placeWaitMs: 0,
+        loadMs: 250,
+    };
+    const peers = {
+        ask(to: PeerAddress, name: string, tell: EngineUseTell) {
+            tellsByEngine.set(tell.engine, (tellsByEngine.get(tell.engine) ?? 0) + 1);
+            return isSilent ? new Promise(() => undefined) : Promise.resolve(word);
+        },
+    };
+    board = startAdapterBoard(
+        context as unknown as FrontContext,
+        knowledge as unknown as Knowledge,
+        { find: () => undefined, isFenced: () => false } as unknown as Ownership,
+        createEngineBoard(clock),
+        { isNeeded: () => false, noteUnreachable: () => undefined, post: () => undefined },
+        () => peers as unknown as PeerClient,
+    );
+});
+
+When("a request runs on engine {string} of the board", (id: string) => board.start(brandId(id), brandId("a1")));
+
+When("the board's request on engine {string} ends", (id: string) => board.finish(brandId(id), brandId("a1")));
+
+When("{int} ms pass on the board", passOnBoard);
+
+When("the board's messages are counted from here", () => tellsByEngine.clear());
+
+When("the board's owners fall silent", () => void (isSilent = true));
+
+When("the board refreshes {string}", async (ids: string) => {
+    const refreshed = board.refresh(ids.split(" ").map(id => brandId<EngineId>(id)));
+    await passOnBoard(STEP_MS);
+    hasNews = await refreshed;
+});
+
+Then("the board has told owners of {int} engines", (count: number) => strictEqual(tellsByEngine.size, count));
+
+Then("the board had news", () => ok(hasNews));
+
+/** Step of the manual clock between turns of the event loop, in milliseconds. */
+const STEP_MS = 50;
+
+async function passOnBoard(ms: number): Promise<void> {
+    for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+        clock.advance(STEP_MS);
+        await setImmediate();
+    }
+}
--- a/packages/front/src/startAdapterBoard.ts
+++ b/packages/front/src/startAdapterBoard.ts
@@ -18,6 +18,7 @@
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
 import type { Ownership } from "./startOwnership.js";
+import { waitMs } from "./waitMs.js";
 
 /** The adapter that a request needs. */
 export interface WantedAdapter {
@@ -36,6 +37,11 @@
 
 /** What a host knows of the adapters on engines. */
 export interface AdapterBoard {
+    /**
+     * Asks owners for their word on engines that a request may go to, where none has come lately.
+     * Returns whether anything was asked; engines whose owners are slow to answer stay as they were known.
+     */
+    refresh(engines: readonly EngineId[]): Promise<boolean>;
     /** Says whether an engine has an adapter, as far as known. */
     find(entry: EngineEntry, wanted: WantedAdapter | undefined): AdapterPresence;
     /** Requests under way on an engine, over all hosts, as its owner says. */
@@ -68,12 +74,20 @@
     isChanged: boolean;
     toldAtMs: number;
     isTelling: boolean;
+    /** Until when owners' words are kept fresh though nothing is under way, in milliseconds. */
+    followedUntilMs: number;
 }
 
 /** Pace of the word to owners while requests come and go, in milliseconds. */
 const TELL_MS = 90;
-/** Pace of the word to owners otherwise, in milliseconds. */
+/** Pace of the word to owners of engines that requests may go to, in milliseconds. */
 const IDLE_TELL_MS = 1000;
+/** How long the word on an engine is kept fresh after a request might have gone there, in milliseconds. */
+const FOLLOW_MS = 3000;
+/** Age beyond which an owner is asked again before a choice, in milliseconds; above the pace of the word. */
+const FRESH_MS = 1300;
+/** Longest time that a choice waits for owners' words, in milliseconds; hosts are a few milliseconds apart. */
+const REFRESH_WAIT_MS = 25;
 /** How long an owner's word counts, in milliseconds. */
 const WORD_VALID_MS = 4000;
 /** Expected wait until an older version that requests run on can be replaced, in milliseconds. */
@@ -122,6 +136,7 @@
             isChanged: false,
             toldAtMs: -Infinity,
             isTelling: false,
+            followedUntilMs: -Infinity,
         };
         uses.set(engine, use);
         return use;
@@ -212,8 +227,12 @@
             if (knowledge.config?.services.get(entry.service)?.engine === undefined) {
                 continue;
             }
-            const use = openUse(entry.id);
-            if (!use.isTelling && (use.isChanged || atMs - use.toldAtMs >= IDLE_TELL_MS)) {
+            const use = uses.get(entry.id);
+            if (use === undefined || use.isTelling) {
+                continue;
+            }
+            const isFollowed = use.total > 0 || use.followedUntilMs > atMs;
+            if (use.isChanged || isFollowed && atMs - use.toldAtMs >= IDLE_TELL_MS) {
                 void tellOwner(entry.id, use);
             }
         }
@@ -260,7 +279,28 @@
         const want = { version: ask.version, dueMs: sinceMs + ask.dueInMs, sinceMs, untilMs: sinceMs + ask.waitMs };
         return task.want(ask.adapter, want, ask.isMissing);
     };
+    const isStale = (engine: EngineId, atMs: number): boolean => {
+        const owner = findOwner(engine);
+        return owner !== undefined && !mail.isNeeded(owner.host)
+            && atMs - (told.get(engine)?.atMs ?? -Infinity) > FRESH_MS;
+    };
     return {
+        async refresh(engines) {
+            const atMs = clock.nowMs();
+            const stale: Promise<void>[] = [];
+            for (const engine of engines) {
+                const use = openUse(engine);
+                use.followedUntilMs = atMs + FOLLOW_MS;
+                if (!use.isTelling && isStale(engine, atMs)) {
+                    stale.push(tellOwner(engine, use));
+                }
+            }
+            if (stale.length === 0) {
+                return false;
+            }
+            await Promise.race([Promise.all(stale), waitMs(clock, REFRESH_WAIT_MS)]);
+            return true;
+        },
         find(entry, wanted) {
             if (wanted === undefined) {
                 return entry.models.length > 0
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -43,6 +43,8 @@
 const PEER_HEARTBEAT_MS = 500;
 /** Silence after which a connection between hosts is replaced, in milliseconds. */
 const PEER_SILENCE_MS = 1600;
+/** Time after which a connection between hosts that nothing is asked on is closed, in milliseconds. */
+const PEER_IDLE_MS = 5000;
 /** How long a stopping host goes on serving new requests while the balancer takes it out, in milliseconds. */
 const DRAIN_NOTICE_MS = 2600;
 /** How long before the platform's limit a stop ends what is left, in milliseconds. */
@@ -122,7 +124,7 @@
                 engineUse: tell => adapters.answerUse(tell),
             },
         });
-        peers = createPeerClient({ ...shared, heartbeatMs: PEER_HEARTBEAT_MS });
+        peers = createPeerClient({ ...shared, heartbeatMs: PEER_HEARTBEAT_MS, idleMs: PEER_IDLE_MS });
     });
     return {
         describeUnfinished: () => `${handler.running} requests`,
--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -57,6 +57,7 @@
     const claiming = new Set<EngineId>();
     const startedMs = clock.nowMs();
     let isStopped = false;
+    let shared: { readonly key: string; readonly owners: ReturnType<typeof assignOwners> } | undefined;
 
     const findSpec = (entry: EngineEntry): EngineSpec | undefined =>
         knowledge.config?.services.get(entry.service)?.engine;
@@ -153,6 +154,14 @@
                 return;
         }
     };
+    /** Shares engines out again only where engines or hosts have changed. */
+    const share = (engines: readonly EngineId[], hosts: readonly HostId[]): ReturnType<typeof assignOwners> => {
+        const key = JSON.stringify([engines, hosts]);
+        if (shared?.key !== key) {
+            shared = { key, owners: assignOwners(hash, engines, hosts) };
+        }
+        return shared.owners;
+    };
     const round = (): void => {
         if (isStopped) {
             return;
@@ -161,7 +170,7 @@
         if (knowledge.hasHosts && session.lease !== undefined && isSettled) {
             const entries = [...knowledge.engines.values()].map(known => known.entry);
             const hosts = [...knowledge.members.values()].filter(member => !member.isLeaving).map(({ host }) => host);
-            const owners = assignOwners(hash, entries.filter(findSpec).map(entry => entry.id), hosts);
+            const owners = share(entries.filter(findSpec).map(entry => entry.id), hosts);
             for (const entry of entries) {
                 const spec = findSpec(entry);
                 if (spec !== undefined) {
--- a/packages/wire/src/createPeerClient.ts
+++ b/packages/wire/src/createPeerClient.ts
@@ -34,6 +34,8 @@
     readonly heartbeatMs: number;
     /** Longest silence of a peer before its connection is replaced, in milliseconds. */
     readonly silenceMs: number;
+    /** Time without an ask after which a connection is closed, in milliseconds; it is kept where this is not set. */
+    readonly idleMs?: number | undefined;
 }
 
 /** Connections to peers, one for each, opened on demand. */
@@ -52,6 +54,8 @@
     readonly socket: Socket;
     readonly asks: AskTable;
     readonly verified: Promise<void>;
+    /** When the last ask was sent, in milliseconds. */
+    askedAtMs: number;
 }
 
 const NONCE_BYTES = 16;
@@ -71,6 +75,7 @@
         async ask(to, name, body, timeoutMs) {
             const link = openLink(links, to, options);
             await withinTimeout(link.verified, options.clock, timeoutMs, to.host);
+            link.askedAtMs = options.clock.nowMs();
             const { id, reply } = link.asks.add(timeoutMs);
             options.metrics.count("peer_asks_sent_total", { name });
             writeFrame(link.socket, { t: "ask", id, name, body }, options.metrics);
@@ -106,7 +111,15 @@
         options.log?.write("info", 200, { peer: to.host });
     };
     const beat = (): void => {
-        writeFrame(socket, { t: "ping" }, options.metrics);
+        const quietMs = options.clock.nowMs() - link.askedAtMs;
+        if (asks.size === 0 && quietMs >= (options.idleMs ?? Infinity)) {
+            socket.destroy();
+            return;
+        }
+        // An ask brings a reply, which shows as well as a pong that the peer is there.
+        if (quietMs >= options.heartbeatMs) {
+            writeFrame(socket, { t: "ping" }, options.metrics);
+        }
         cancelHeartbeat = options.clock.setTimer(options.heartbeatMs, beat);
     };
     const verified = new Promise<void>((resolve, reject) => {
@@ -127,8 +140,8 @@
         };
         socket.on("data", chunk => {
             try {
-                const link = { socket, asks, nonce, to, options, resolve: accept, beat };
-                reader(chunk).forEach(frame => handleFrame(frame, link));
+                const context = { socket, asks, nonce, to, options, resolve: accept, beat };
+                reader(chunk).forEach(frame => handleFrame(frame, context));
             }
             catch {
                 socket.destroy();
@@ -136,7 +149,8 @@
         });
     });
     verified.catch(() => undefined);
-    return { socket, asks, verified };
+    const link: Link = { socket, asks, verified, askedAtMs: options.clock.nowMs() };
+    return link;
 }
 
 /** The certificate is checked against the authority; which host it is, the proof of the key shows. */
