--- a/packages/directory/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -1,4 +1,5 @@
 export type { AdapterRelease } from "./adapterRelease.js";
+export { chooseWatchGap } from "./chooseWatchGap.js";
 export type * from "./engineControl.js";
 export type * from "./engineEntry.js";
 export type * from "./engineTransport.js";
--- a/packages/front/src/createKnowledge.ts
+++ b/packages/front/src/createKnowledge.ts
@@ -1,4 +1,4 @@
-import { reduceDirectory } from "@fulmarcleat/directory";
+import { chooseWatchGap, reduceDirectory } from "@fulmarcleat/directory";
 import type {
     AdapterRelease,
     DirectoryMessage,
@@ -25,7 +25,7 @@
 import { parseHostKey, parseMember, parseOwner, parseWants, SYSTEM_PREFIX } from "./hostKeys.js";
 import type { Member } from "./hostKeys.js";
 import { startStoreWatch } from "./startStoreWatch.js";
-import type { StoreListener } from "./startStoreWatch.js";
+import type { StoreListener, StoreWatch } from "./startStoreWatch.js";
 import type { StoreHealth } from "./storeHealth.js";
 
 /** What a host knows of configuration, engines and other hosts. */
@@ -54,8 +54,12 @@
 const CONFIG_GAP_MS = 60;
 /** The same for engines' entries, which change often, in milliseconds. */
 const ENGINE_GAP_MS = 350;
-/** The same for the system's own keys, in milliseconds. */
+/** What each host adds to it, in milliseconds; all hosts' calls stay below 60 a second. */
+const ENGINE_GAP_PER_HOST_MS = 18;
+/** The same as the first for the system's own keys, in milliseconds. */
 const HOST_GAP_MS = 120;
+/** What each host adds to it, in milliseconds; owners and hosts change seldom. */
+const HOST_GAP_PER_HOST_MS = 6;
 /** How often engines whose time is over are dropped, in milliseconds. */
 const TICK_MS = 200;
 
@@ -222,10 +226,12 @@
             events.forEach(event => event.kind === "put" ? takeHostItem(event.item) : dropHostKey(event.key)),
     };
     health.onReturn(() => applyDirectory({ kind: "store_returned", atMs: clock.nowMs() }));
+    const follow = (prefix: string, listener: StoreListener, readGapMs: () => number): StoreWatch =>
+        startStoreWatch(context, health, { prefix, readGapMs }, listener);
     const watches = [
-        startStoreWatch(context, health, { prefix: OPERATOR_PREFIX, gapMs: CONFIG_GAP_MS }, operatorKeys),
-        startStoreWatch(context, health, { prefix: ENGINE_PREFIX, gapMs: ENGINE_GAP_MS }, engineKeys),
-        startStoreWatch(context, health, { prefix: SYSTEM_PREFIX, gapMs: HOST_GAP_MS }, hostKeys),
+        follow(OPERATOR_PREFIX, operatorKeys, () => CONFIG_GAP_MS),
+        follow(ENGINE_PREFIX, engineKeys, () => chooseWatchGap(members.size, ENGINE_GAP_MS, ENGINE_GAP_PER_HOST_MS)),
+        follow(SYSTEM_PREFIX, hostKeys, () => chooseWatchGap(members.size, HOST_GAP_MS, HOST_GAP_PER_HOST_MS)),
     ];
     let isStopped = false;
     const tick = (): void => {
--- a/packages/front/src/followSettings.steps.ts
+++ b/packages/front/src/followSettings.steps.ts
@@ -3,7 +3,7 @@
 import { createManualClock } from "@fulmarcleat/ids";
 import type { ManualClock } from "@fulmarcleat/ids";
 import type { Deployment } from "@fulmarcleat/platform";
-import { After, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { Given, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { followSettings } from "./followSettings.js";
 
 let clock: ManualClock;
@@ -46,8 +46,6 @@
     },
 );
 
-After(() => void process.removeAllListeners("SIGHUP"));
-
 function createDeployment(stopMs: number): Deployment {
     return { bounds: { stopMs } } as Deployment;
 }
--- a/packages/front/src/followSettings.ts
+++ b/packages/front/src/followSettings.ts
@@ -1,6 +1,7 @@
 import { toServeError } from "@fulmarcleat/errors";
 import type { Deployment } from "@fulmarcleat/platform";
 import type { FrontContext } from "./frontContext.js";
+import { onReload } from "./onReload.js";
 
 /** How often the settings file is looked at without a signal, in milliseconds. */
 const LOOK_MS = 5000;
@@ -40,7 +41,7 @@
             refused = message;
         }
     };
-    process.on("SIGHUP", () => void read(true));
+    onReload(() => void read(true));
     const look = (): void => {
         void read(false);
         clock.setTimer(LOOK_MS, look);
--- a/packages/front/src/main.ts
+++ b/packages/front/src/main.ts
@@ -1,3 +1,5 @@
+// First, so that a reload signal is taken from the start.
+import "./onReload.js";
 import { toServeError } from "@fulmarcleat/errors";
 import { createEventLog } from "@fulmarcleat/events";
 import { readDeployment } from "@fulmarcleat/platform";
--- a/packages/front/src/startStoreWatch.ts
+++ b/packages/front/src/startStoreWatch.ts
@@ -14,8 +14,8 @@
 /** Settings of a watch. */
 export interface StoreWatchOptions {
     readonly prefix: string;
-    /** Shortest time between two calls, in milliseconds; changes in between come together. */
-    readonly gapMs: number;
+    /** Gives the shortest time between two calls, in milliseconds; changes in between come together. */
+    readonly readGapMs: () => number;
 }
 
 /** A running watch. */
@@ -40,7 +40,7 @@
  * @returns the running watch
  *
  * @example
- * startStoreWatch(context, health, { prefix: "op/", gapMs: 100 }, listener);
+ * startStoreWatch(context, health, { prefix: "op/", readGapMs: () => 100 }, listener);
  */
 export function startStoreWatch(
     context: FrontContext,
@@ -76,7 +76,7 @@
             try {
                 await read();
                 pauseMs = FIRST_PAUSE_MS;
-                await waitMs(context.clock, options.gapMs);
+                await waitMs(context.clock, options.readGapMs());
             }
             catch (err) {
                 const { step, message } = toServeError(err, INTERNAL);
--- a/packages/residency/src/planOrder.feature
+++ b/packages/residency/src/planOrder.feature
@@ -19,6 +19,8 @@
             | the one with the least time left goes first       | x y                                | a,due=1500 b,due=1200     | load b         |
             | what is late goes after what can be on time       | x y                                | a,due=900 b,due=1900      | load b         |
             | a request that has ended wants nothing            | x y                                | a,until=900               |                |
+            | an adapter in use that the engine no longer lists keeps its place | x y z,unlisted,used | a       | unload x       |
+            | the same once its requests have ended             | x y z,unlisted                     | a                         | load a         |
             | an unload that waits for requests is looked after | x y z,leaving                      |                           | read report    |
 
     Scenario: An order without an answer is given again on the same count of orders
--- a/packages/residency/src/planOrder.steps.ts
+++ b/packages/residency/src/planOrder.steps.ts
@@ -22,7 +22,11 @@
             ...createResidencyState(MODEL, Number(slots)),
             seq: Number(seq),
             modelPhase: "present",
-            residents: new Map(fields.map(entry => [entry.adapter, createResident(entry)])),
+            residents: new Map(
+                fields.filter(entry => !entry.marks.has("unlisted")).map(
+                    entry => [entry.adapter, createResident(entry)],
+                ),
+            ),
             wants: new Map(wants.split(" ").filter(text => text !== "").map(parseMarks).map(createWant)),
             uses: new Map([[HOST, {
                 atMs: 1000,
--- a/packages/residency/src/planOrder.ts
+++ b/packages/residency/src/planOrder.ts
@@ -41,7 +41,7 @@
         return WAIT;
     }
     const [adapter, want] = next;
-    if (state.residents.has(adapter) || state.residents.size < state.slots) {
+    if (state.residents.has(adapter) || state.residents.size + countUnlisted(state, atMs) < state.slots) {
         const order = { kind: "load_adapter", model: state.model, adapter, version: want.version } as const;
         return { kind: "order", order };
     }
@@ -83,6 +83,15 @@
             || (resident.version !== undefined && resident.version >= want.version));
 }
 
+/**
+ * Counts adapters that requests run on though the engine does not list them: they leave once these have ended, and
+ * take their places until then.
+ */
+function countUnlisted(state: ResidencyState, atMs: number): number {
+    const used = new Set([...state.uses.values()].flatMap(use => [...use.inFlight.keys()]));
+    return [...used].filter(adapter => !state.residents.has(adapter) && countUses(state, atMs, adapter) > 0).length;
+}
+
 function isAnyLeaving(state: ResidencyState): boolean {
     return [...state.residents.values()].some(resident => resident.phase.kind === "leaving");
 }
