--- a/packages/dispatch/src/chooseModelEngine.feature
+++ b/packages/dispatch/src/chooseModelEngine.feature
@@ -22,3 +22,17 @@
         Given 6 model engines with 8 places and 200 rare adapters, seed 3
         When 40 rare adapters are asked for within 200 ms
         Then no engine was chosen for more than 12 of them
+
+    Scenario Outline: Simple policies to compare with: <case>
+        Given model engines <engines>
+        Then under "<policy>" the generation goes to "<engine>"
+
+        Examples:
+            | case                                       | policy       | engines                                          | engine |
+            | the shortest queue, wherever the adapter is | least_loaded | a:present,load=3 b:absent,load=1 c:absent,load=2 | b      |
+            | not to an engine that fell silent          | least_loaded | a:present,load=3 b:absent,silent                 | a      |
+            | the first in the adapter's own order       | adapter_hash | a:absent,load=90 b:present                       | a      |
+            | the next one where the first is silent     | adapter_hash | a:absent,silent b:absent c:present               | b      |
+
+    Scenario: A policy that does not exist is refused
+        Then "round_robin" is refused as a policy
--- a/packages/dispatch/src/chooseModelEngine.steps.ts
+++ b/packages/dispatch/src/chooseModelEngine.steps.ts
@@ -1,8 +1,9 @@
 import { createHasher, rankByRendezvous } from "@fulmarcleat/hashing";
 import { createRandom } from "@fulmarcleat/ids";
 import type { EngineId } from "@fulmarcleat/ids";
-import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { Given, ok, strictEqual, Then, throws, When } from "@fulmarcleat/testing";
 import { chooseModelEngine } from "./chooseModelEngine.js";
+import { parseEnginePolicy } from "./enginePolicy.js";
 import type { ModelEngineView } from "./engineView.js";
 import { parseModelEngine } from "./parseModelEngine.steps.js";
 
@@ -18,9 +19,17 @@
 
 Then("the generation goes to {string}", (id: string) => {
     const order = engines.map(engine => engine.id);
-    strictEqual(chooseModelEngine({ engines, order, atMs: 0, loadMs: LOAD_MS })?.id, id);
+    strictEqual(chooseModelEngine({ engines, order, atMs: 0, loadMs: LOAD_MS, policy: "expected_wait" })?.id, id);
 });
 
+Then("under {string} the generation goes to {string}", (policy: string, id: string) => {
+    const order = engines.map(engine => engine.id);
+    const choice = { engines, order, atMs: 0, loadMs: LOAD_MS, policy: parseEnginePolicy(policy) };
+    strictEqual(chooseModelEngine(choice)?.id, id);
+});
+
+Then("{string} is refused as a policy", (name: string) => throws(() => parseEnginePolicy(name), /no policy/));
+
 Given(
     "{int} model engines with {int} places and 200 rare adapters, seed {int}",
     (count: number, places: number, given: number) => {
@@ -45,7 +54,7 @@
         });
         const adapter = `a${Math.floor(random.next() * 200)}`;
         const order = rankByRendezvous(hash, adapter, engines.map(engine => engine.id));
-        const choice = chooseModelEngine({ engines: views, order, atMs: 0, loadMs: LOAD_MS });
+        const choice = chooseModelEngine({ engines: views, order, atMs: 0, loadMs: LOAD_MS, policy: "expected_wait" });
         ok(choice !== undefined);
         chosen.set(choice.id, (chosen.get(choice.id) ?? 0) + 1);
     }
--- a/packages/dispatch/src/chooseModelEngine.ts
+++ b/packages/dispatch/src/chooseModelEngine.ts
@@ -1,6 +1,7 @@
 import type { EngineId } from "@fulmarcleat/ids";
+import type { EnginePolicy } from "./enginePolicy.js";
 import type { AdapterPresence, ModelEngineView } from "./engineView.js";
-import { estimateEngineCost } from "./estimateEngineCost.js";
+import { estimateEngineCost, estimateOutage } from "./estimateEngineCost.js";
 import type { CostScale } from "./estimateEngineCost.js";
 import { findCheapest } from "./findCheapest.js";
 
@@ -12,6 +13,7 @@
     readonly atMs: number;
     /** Usual time of an adapter's load, in milliseconds. */
     readonly loadMs: number;
+    readonly policy: EnginePolicy;
 }
 
 const MODEL_SCALE: CostScale = { idleFirstByteMs: 60, failureMs: 1500, delayPerRequestMs: 7 };
@@ -58,11 +60,19 @@
  * const costMs = createModelCost(choice)(view);
  */
 export function createModelCost(choice: ModelChoice): (view: ModelEngineView) => number {
-    const rank = new Map(choice.order.map((id, index) => [id, index]));
-    return view =>
-        estimateFirstByte(view, choice)
-        + estimatePlaceCost(view.presence, rank.get(view.id) ?? choice.order.length)
-        + (view.leavesInMs !== undefined && view.leavesInMs < SHORTEST_STAY_MS ? LEAVING_MS : 0);
+    const ranks = new Map(choice.order.map((id, index) => [id, index]));
+    const rank = (view: ModelEngineView): number => ranks.get(view.id) ?? choice.order.length;
+    const estimateLeaving = ({ leavesInMs }: ModelEngineView): number =>
+        leavesInMs !== undefined && leavesInMs < SHORTEST_STAY_MS ? LEAVING_MS : 0;
+    switch (choice.policy) {
+        case "expected_wait":
+            return view =>
+                estimateFirstByte(view, choice) + estimatePlaceCost(view.presence, rank(view)) + estimateLeaving(view);
+        case "least_loaded":
+            return view => estimateOutage(view, choice.atMs) + view.load + estimateLeaving(view);
+        case "adapter_hash":
+            return view => estimateOutage(view, choice.atMs) + rank(view) + estimateLeaving(view);
+    }
 }
 
 function estimateFirstByte(view: ModelEngineView, { atMs, loadMs }: ModelChoice): number {
--- a/packages/dispatch/src/estimateEngineCost.ts
+++ b/packages/dispatch/src/estimateEngineCost.ts
@@ -27,10 +27,9 @@
  */
 export function estimateEngineCost(view: EngineView, scale: CostScale, atMs: number): number {
     const health = fadeHealth(view.health, atMs);
-    const isOut = view.isSilent || health.blockedUntilMs > atMs;
     const usualMs = health.firstByteMs ?? scale.idleFirstByteMs;
     const queued = Math.max(0, view.load + 1 - view.slots);
-    return (isOut ? OUTAGE_MS : 0)
+    return estimateOutage(view, atMs)
         + Math.max(0, usualMs - scale.idleFirstByteMs) * SLOWNESS_WEIGHT
         + view.load * scale.delayPerRequestMs
         + view.queuedTokens / TOKENS_PER_MS
@@ -38,6 +37,20 @@
         + health.failureShare * scale.failureMs;
 }
 
+/**
+ * Estimates what an engine costs a request for being silent or out of reach.
+ *
+ * @param view - The engine
+ * @param atMs - Time now, in milliseconds
+ * @returns milliseconds; 0 where it can be used
+ *
+ * @example
+ * const isUsable = estimateOutage(view, clock.nowMs()) === 0;
+ */
+export function estimateOutage(view: EngineView, atMs: number): number {
+    return view.isSilent || view.health.blockedUntilMs > atMs ? OUTAGE_MS : 0;
+}
+
 /** Prompt tokens that an engine reads in a millisecond; the deployments state 40.8. */
 const TOKENS_PER_MS = 40.8;
 /** Part of an engine's excess time to the first byte that is held against it; the rest comes from its load. */
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -7,6 +7,8 @@
 export type { ReturnTerms } from "./chooseRetryAfter.js";
 export { createRetryWindow } from "./createRetryWindow.js";
 export type { RetryBudgetTerms, RetryWindow } from "./createRetryWindow.js";
+export { parseEnginePolicy } from "./enginePolicy.js";
+export type { EnginePolicy } from "./enginePolicy.js";
 export type { AdapterPresence, EngineView, ModelEngineView } from "./engineView.js";
 export { isHopeless } from "./isHopeless.js";
 export type { PatienceTerms } from "./isHopeless.js";
--- a/packages/dispatch/src/pickCandidates.steps.ts
+++ b/packages/dispatch/src/pickCandidates.steps.ts
@@ -19,7 +19,7 @@
 
 Then("candidates are {string}", (text: string) => {
     const order = engines.map(engine => engine.id);
-    const picked = pickCandidates({ engines, order, atMs: 0, loadMs: LOAD_MS }, () => 0);
+    const picked = pickCandidates({ engines, order, atMs: 0, loadMs: LOAD_MS, policy: "expected_wait" }, () => 0);
     strictEqual(picked.map(engine => engine.id).sort().join(" "), text);
 });
 
@@ -28,7 +28,12 @@
     const order = engines.map(engine => engine.id);
     picks = new Map(order.map(id => [id, 0]));
     for (let host = 0; host < hosts; host += 1) {
-        for (const { id } of pickCandidates({ engines, order, atMs: 0, loadMs: LOAD_MS }, () => random.next())) {
+        for (
+            const { id } of pickCandidates(
+                { engines, order, atMs: 0, loadMs: LOAD_MS, policy: "expected_wait" },
+                () => random.next(),
+            )
+        ) {
             picks.set(id, (picks.get(id) ?? 0) + 1);
         }
     }
--- a/packages/front/src/main.ts
+++ b/packages/front/src/main.ts
@@ -1,5 +1,6 @@
 // First, so that a reload signal is taken from the start.
 import "./onReload.js";
+import { parseEnginePolicy } from "@fulmarcleat/dispatch";
 import { toServeError } from "@fulmarcleat/errors";
 import { createEventLog } from "@fulmarcleat/events";
 import { readDeployment } from "@fulmarcleat/platform";
@@ -8,11 +9,14 @@
 
 /** Exit code of a process that could not start. */
 const EXIT_FAILED = 1;
+/** Environment variable that names the policy of engine choice. */
+const POLICY_VARIABLE = "FULMARCLEAT_POLICY";
 const log = createEventLog({ process: "fulmarcleat-front" });
 
 try {
     const deployment = await readDeployment(process.env);
-    const running = await startFront(deployment, () => readDeployment(process.env));
+    const policy = parseEnginePolicy(process.env[POLICY_VARIABLE]);
+    const running = await startFront(deployment, policy, () => readDeployment(process.env));
     stopOnSignals(running, deployment.bounds.stopMs, log);
 }
 catch (err) {
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -138,6 +138,7 @@
             order,
             atMs: clock.nowMs(),
             loadMs: USUAL_LOAD_MS,
+            policy: context.policy,
         });
         const first = describe(allowed);
         const candidates = pickCandidates(first, () => random.next());
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -1,4 +1,5 @@
 import type { ServingConfig } from "@fulmarcleat/directory";
+import type { EnginePolicy } from "@fulmarcleat/dispatch";
 import { createJsonLog, createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { createId, createRandom, createSystemClock } from "@fulmarcleat/ids";
@@ -61,20 +62,22 @@
  * Starts the process that serves clients on the platform's entry hosts.
  *
  * @param deployment - What the platform's settings say
+ * @param policy - How engines are chosen
  * @param readSettings - Reads them again
  * @returns the running process
  *
  * @example
- * const front = await startFront(await readDeployment(process.env), () => readDeployment(process.env));
+ * const front = await startFront(await readDeployment(process.env), "expected_wait", () => readDeployment(process.env));
  */
 export async function startFront(
     deployment: Deployment,
+    policy: EnginePolicy,
     readSettings: () => Promise<Deployment>,
 ): Promise<RunningProgram> {
     const settings = { current: deployment };
-    const context = await createContext(deployment, () => settings.current.bounds);
+    const context = await createContext(deployment, policy, () => settings.current.bounds);
     const { clock, log, metrics, store, transport } = context;
-    log.write("info", 100, { host: deployment.host, isFirstStart: deployment.isFirstStart });
+    log.write("info", 100, { host: deployment.host, isFirstStart: deployment.isFirstStart, policy });
     const health = createStoreHealth(clock, log);
     const knowledge = createKnowledge(context, health);
     const session = startSession(context, health, knowledge);
@@ -153,7 +156,11 @@
     };
 }
 
-async function createContext(deployment: Deployment, readBounds: () => DeploymentBounds): Promise<FrontContext> {
+async function createContext(
+    deployment: Deployment,
+    policy: EnginePolicy,
+    readBounds: () => DeploymentBounds,
+): Promise<FrontContext> {
     const clock = createSystemClock();
     const incarnation = createId<Incarnation>();
     const log = createJsonLog({
@@ -165,6 +172,7 @@
     });
     return {
         deployment,
+        policy,
         readBounds,
         incarnation,
         store: createMetadataStore(deployment.store),
