--- a/packages/spec/src/checkedSpecifications.ts
+++ b/packages/spec/src/checkedSpecifications.ts
@@ -1,6 +1,7 @@
 import { CHECKED_IDEMPOTENCY } from "./checkedIdempotency.js";
 import { CONFIG_SPECIFICATIONS } from "./configSpecifications.js";
 import { OWNERSHIP_SPECIFICATIONS } from "./exploreOwnership.js";
+import { PLATFORM_OWNERSHIP_SPECIFICATIONS } from "./explorePlatformOwnership.js";
 import type { CheckedSpecification } from "./specification.js";
 
 /** Every specification that `check:model` explores. */
@@ -8,4 +9,5 @@
     ...CHECKED_IDEMPOTENCY,
     ...CONFIG_SPECIFICATIONS,
     ...OWNERSHIP_SPECIFICATIONS,
+    ...PLATFORM_OWNERSHIP_SPECIFICATIONS,
 ];
