--- a/packages/front/src/startAdapterBoard.ts
+++ b/packages/front/src/startAdapterBoard.ts
@@ -74,16 +74,12 @@
     isChanged: boolean;
     toldAtMs: number;
     isTelling: boolean;
-    /** Until when owners' words are kept fresh though nothing is under way, in milliseconds. */
-    followedUntilMs: number;
 }
 
 /** Pace of the word to owners while requests come and go, in milliseconds. */
 const TELL_MS = 90;
-/** Pace of the word to owners of engines that requests may go to, in milliseconds. */
+/** Pace of the word to owners while requests are under way and none comes or goes, in milliseconds. */
 const IDLE_TELL_MS = 1000;
-/** How long the word on an engine is kept fresh after a request might have gone there, in milliseconds. */
-const FOLLOW_MS = 3000;
 /** Age beyond which an owner is asked again before a choice, in milliseconds; above the pace of the word. */
 const FRESH_MS = 1300;
 /** Longest time that a choice waits for owners' words, in milliseconds; hosts are a few milliseconds apart. */
@@ -136,7 +132,6 @@
             isChanged: false,
             toldAtMs: -Infinity,
             isTelling: false,
-            followedUntilMs: -Infinity,
         };
         uses.set(engine, use);
         return use;
@@ -231,8 +226,7 @@
             if (use === undefined || use.isTelling) {
                 continue;
             }
-            const isFollowed = use.total > 0 || use.followedUntilMs > atMs;
-            if (use.isChanged || isFollowed && atMs - use.toldAtMs >= IDLE_TELL_MS) {
+            if (use.isChanged || use.total > 0 && atMs - use.toldAtMs >= IDLE_TELL_MS) {
                 void tellOwner(entry.id, use);
             }
         }
@@ -290,7 +284,6 @@
             const stale: Promise<void>[] = [];
             for (const engine of engines) {
                 const use = openUse(engine);
-                use.followedUntilMs = atMs + FOLLOW_MS;
                 if (!use.isTelling && isStale(engine, atMs)) {
                     stale.push(tellOwner(engine, use));
                 }
