--- /dev/null
+++ b/packages/front/src/applyAttempt.steps.ts
@@ -0,0 +1,86 @@
+import type { EngineAnswerHead } from "@fulmarcleat/directory";
+import type { Outcome } from "@fulmarcleat/errors";
+import { brandId } from "@fulmarcleat/ids";
+import type { EngineId } from "@fulmarcleat/ids";
+import { Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { applyAttempt, giveUp, NOTHING_TRIED } from "./applyAttempt.js";
+import type { AttemptOutcome, GatheredAnswer, RequestEnd, RequestProgress } from "./applyAttempt.js";
+import type { ExchangeResult } from "./runExchange.js";
+
+const ENGINE = brandId<EngineId>("e2");
+let progress: RequestProgress = NOTHING_TRIED;
+let next: AttemptOutcome;
+
+Given("a request whose attempts so far were {string}", (text: string) => {
+    const marks = text === "" ? [] : text.split(" ");
+    progress = {
+        ...NOTHING_TRIED,
+        sends: marks.length,
+        outcomes: marks.map(mark => mark === "failed" ? "ran" : mark as Outcome),
+        failedAnswer: marks.includes("failed") ? createAnswer(500) : undefined,
+    };
+});
+
+When(
+    /^its attempt at "e2" ends as "(.*)" and it (may not run again|may run again|may be answered by others)$/,
+    (result: string, may: string) => {
+        next = applyAttempt(progress, {
+            engine: ENGINE,
+            result: parseResult(result),
+            mayRepeat: may === "may run again",
+            mayReplaceFailure: may === "may be answered by others",
+        });
+    },
+);
+
+Then("what follows is {string}", (expected: string) => {
+    if (next.kind === "over") {
+        strictEqual(formatEnd(next.end), expected);
+        return;
+    }
+    const { outcomes, passedOver, isMissing } = next.progress;
+    const words = [
+        "again",
+        ...outcomes,
+        ...(isMissing ? ["missing"] : []),
+        ...(passedOver.has(ENGINE) ? ["passed"] : []),
+        ...(next.pauseMs > 0 ? [`after ${next.pauseMs}`] : []),
+    ];
+    strictEqual(words.join(" "), expected);
+});
+
+Then("giving it up as {string} says {string}", (reason: string, expected: string) => {
+    strictEqual(formatEnd(giveUp(progress, reason as "no_room", 400)), expected);
+});
+
+function parseResult(text: string): ExchangeResult {
+    const [kind, status = "0", mark] = text.split(" ");
+    switch (kind) {
+        case "relayed":
+            return { kind, status: 200 };
+        case "answer":
+            return createAnswer(Number(status));
+        case "not_run":
+            return { kind, status: Number(status), isReplaced: mark === "replaced" };
+        case "unsent":
+        case "broken":
+            return { kind, reason: "ECONNRESET" };
+        default:
+            return { kind: "cancelled" };
+    }
+}
+
+function createAnswer(status: number): GatheredAnswer {
+    return { kind: "answer", head: { status } as EngineAnswerHead, body: Buffer.alloc(0) };
+}
+
+function formatEnd(end: RequestEnd): string {
+    switch (end.kind) {
+        case "relayed":
+            return end.kind;
+        case "answer":
+            return `answer ${end.result.head.status}`;
+        case "gave_up":
+            return `gave_up ${end.outcome} ${end.reason}`;
+    }
+}
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -7,11 +7,12 @@
 import { parseClientHead } from "@fulmarcleat/platform";
 import type { ClientHead } from "@fulmarcleat/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { RequestEnd } from "./applyAttempt.js";
 import type { Knowledge } from "./createKnowledge.js";
 import type { FrontContext } from "./frontContext.js";
 import { createAnswerRelay, writeAnswerHead } from "./relayAnswer.js";
 import type { RequestWork } from "./requestWork.js";
-import type { RequestEnd, RequestRunner } from "./runRequest.js";
+import type { RequestRunner } from "./runRequest.js";
 
 /** Serves clients' requests. */
 export interface ClientHandler {
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,46 +1,25 @@
 import type { EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
-import {
-    chooseModelEngine,
-    choosePlainEngine,
-    createRetryWindow,
-    isHopeless,
-    pickCandidates,
-} from "@fulmarcleat/dispatch";
-import type { ModelChoice, ModelEngineView, RetryWindow } from "@fulmarcleat/dispatch";
-import { joinOutcomes } from "@fulmarcleat/errors";
-import type { Outcome } from "@fulmarcleat/errors";
-import { rankByRendezvous } from "@fulmarcleat/hashing";
+import { createRetryWindow, isHopeless } from "@fulmarcleat/dispatch";
+import type { PatienceTerms, RetryWindow } from "@fulmarcleat/dispatch";
 import { waitMs } from "@fulmarcleat/ids";
 import type { EngineId, ServiceName } from "@fulmarcleat/ids";
+import { applyAttempt, giveUp, NOTHING_TRIED } from "./applyAttempt.js";
+import type { GatheredAnswer, RequestEnd, RequestProgress } from "./applyAttempt.js";
 import type { EngineBoard } from "./createEngineBoard.js";
+import { createEngineChooser } from "./createEngineChooser.js";
 import type { Knowledge } from "./createKnowledge.js";
 import type { FrontContext } from "./frontContext.js";
 import type { RequestWork } from "./requestWork.js";
 import { runExchange } from "./runExchange.js";
 import type { ExchangeResult } from "./runExchange.js";
-import type { AdapterBoard, WantedAdapter } from "./startAdapterBoard.js";
+import type { AdapterBoard } from "./startAdapterBoard.js";
 
-/** How a request ended. */
-export type RequestEnd =
-    /** The answer has gone to the client. */
-    | { readonly kind: "relayed" }
-    | { readonly kind: "answer"; readonly result: Extract<ExchangeResult, { kind: "answer" }> }
-    | {
-        readonly kind: "gave_up";
-        readonly outcome: Outcome;
-        readonly reason: GiveUpReason;
-        /** When it might be served, in milliseconds. */
-        readonly readyInMs: number;
-    };
-
-/** Why a request was given up. */
-export type GiveUpReason = "no_engine" | "no_room" | "overloaded" | "refused" | "broken" | "no_retry_left" | "ended";
-
-interface ChosenEngine {
-    readonly known: KnownEngine;
-    /** Expected time to the first byte, in milliseconds. */
-    readonly expectedMs: number;
-}
+/** What came of choosing an engine. */
+type Prepared =
+    | { readonly kind: "chosen"; readonly known: KnownEngine }
+    | { readonly kind: "over"; readonly end: RequestEnd }
+    /** Another engine may do, or the same one later. */
+    | { readonly kind: "again" };
 
 /** What became of asking for an adapter. */
 type AdapterBrought = "ready" | "no_room" | "no_owner";
@@ -50,16 +29,10 @@
     run(work: RequestWork): Promise<RequestEnd>;
 }
 
-/** Time without a byte after which an engine with requests under way counts as silent, in milliseconds. */
-const PLAIN_SILENT_MS = 400;
-/** The same for a model engine, whose long prompts take time, in milliseconds. */
-const MODEL_SILENT_MS = 900;
 /** Time without a byte after which a stream that may go on elsewhere does, in milliseconds. */
 const RESUME_SILENT_MS = 1100;
 /** Most sends of one request, refused ones included. */
 const SEND_LIMIT = 8;
-/** Pause before an engine that refused is asked again, in milliseconds. */
-const REFUSED_PAUSE_MS = 45;
 /** Longest wait for an adapter at one engine, in milliseconds. */
 const ADAPTER_WAIT_MS = 350;
 /** Pause before engines whose owners gave no answer are asked again, in milliseconds. */
@@ -95,7 +68,8 @@
     board: EngineBoard,
     adapters: AdapterBoard,
 ): RequestRunner {
-    const { clock, hash, log, metrics, random } = context;
+    const { clock, log, metrics } = context;
+    const chooser = createEngineChooser(context, knowledge, board, adapters);
     const budgets = new Map<ServiceName, RetryWindow>();
     const openBudget = ({ name }: Service): RetryWindow => {
         const present = budgets.get(name);
@@ -112,46 +86,6 @@
         budgets.set(name, budget);
         return budget;
     };
-    const listEngines = (service: Service): readonly KnownEngine[] =>
-        [...knowledge.engines.values()].filter(known => known.isUsable && known.entry.service === service.name);
-    const choosePlain = (allowed: readonly KnownEngine[]): ChosenEngine | undefined => {
-        const engines = allowed.map(known => board.view(known, PLAIN_SILENT_MS));
-        const { domain } = context.deployment;
-        const view = choosePlainEngine({ engines, ownDomain: domain, atMs: clock.nowMs(), draw: random.next() });
-        const known = allowed.find(({ entry }) => entry.id === view?.id);
-        return known === undefined ? undefined : { known, expectedMs: 0 };
-    };
-    const viewModelEngine = (known: KnownEngine, wanted: WantedAdapter | undefined): ModelEngineView => {
-        const view = board.view(known, MODEL_SILENT_MS);
-        const load = Math.max(view.load, adapters.countLoad(known.entry.id) ?? 0);
-        const queuedTokens = Math.max(view.queuedTokens, adapters.countQueued(known.entry.id) ?? 0);
-        return { ...view, load, queuedTokens, presence: adapters.find(known.entry, wanted) };
-    };
-    const chooseModel = async (
-        { requestId, wanted }: RequestWork,
-        allowed: readonly KnownEngine[],
-    ): Promise<ChosenEngine | undefined> => {
-        const byId = new Map(allowed.map(known => [known.entry.id, known]));
-        const order = rankByRendezvous(hash, wanted?.adapter ?? requestId, [...byId.keys()]);
-        const describe = (engines: readonly KnownEngine[]): ModelChoice => ({
-            engines: engines.map(known => viewModelEngine(known, wanted)),
-            order,
-            atMs: clock.nowMs(),
-            loadMs: USUAL_LOAD_MS,
-            policy: context.policy,
-        });
-        const first = describe(allowed);
-        const candidates = pickCandidates(first, () => random.next());
-        const ids = candidates.map(view => view.id);
-        const hasNews = await adapters.refresh(ids);
-        const chosen = chooseModelEngine(
-            hasNews
-                ? describe(allowed.filter(({ entry }) => ids.includes(entry.id)))
-                : { ...first, engines: candidates },
-        );
-        const known = chosen === undefined ? undefined : byId.get(chosen.id);
-        return known === undefined ? undefined : { known, expectedMs: chosen?.expectedMs ?? 0 };
-    };
     const bringAdapter = async (work: RequestWork, known: KnownEngine, isMissing: boolean): Promise<AdapterBrought> => {
         const { wanted } = work;
         if (wanted === undefined) {
@@ -262,122 +196,108 @@
                 return;
         }
     };
+    /** Chooses the next engine and has the adapter brought there; says why where it comes to nothing. */
+    const prepare = async (work: RequestWork, progress: RequestProgress, unowned: Set<EngineId>): Promise<Prepared> => {
+        const isFull = progress.tried.size >= work.route.maxEngines;
+        const allowed = chooser.list(work.service).filter(({ entry: { id } }) =>
+            !progress.passedOver.has(id) && !unowned.has(id) && (!isFull || progress.tried.has(id))
+        );
+        const chosen = await chooser.choose(work, allowed);
+        if (chosen === undefined && unowned.size > 0) {
+            unowned.clear();
+            await waitMs(clock, NO_OWNER_PAUSE_MS);
+            return { kind: "again" };
+        }
+        if (chosen === undefined) {
+            const reason = progress.passedOver.size > 0 ? "no_room" : "no_engine";
+            return { kind: "over", end: giveUp(progress, reason, NO_ENGINE_RETRY_MS) };
+        }
+        const { known, expectedMs } = chosen;
+        if (mayRefuse(work) && isHopeless(describePatience(work, expectedMs, clock.nowMs()))) {
+            return { kind: "over", end: giveUp(progress, "overloaded", expectedMs - work.route.goalMs) };
+        }
+        switch (await bringAdapter(work, known, progress.isMissing)) {
+            case "ready":
+                return { kind: "chosen", known };
+            case "no_room":
+                return { kind: "again" };
+            case "no_owner":
+                unowned.add(known.entry.id);
+                return { kind: "again" };
+        }
+    };
+    const logRetry = (work: RequestWork, known: KnownEngine, result: ExchangeResult, sends: number): void => {
+        const details = { id: work.requestId, engine: known.entry.id, sends };
+        switch (result.kind) {
+            case "not_run":
+                log.write("info", 402, { ...details, status: result.status });
+                return;
+            case "unsent":
+            case "broken":
+                log.write("info", 402, { ...details, reason: result.reason });
+                return;
+            case "answer":
+            case "relayed":
+            case "cancelled":
+                return;
+        }
+    };
     const run = async (work: RequestWork): Promise<RequestEnd> => {
         const budget = openBudget(work.service);
-        const tried = new Set<EngineId>();
-        const passedOver = new Set<EngineId>();
         const unowned = new Set<EngineId>();
-        const outcomes: Outcome[] = [];
-        let isMissing = false;
-        let failedAnswer: Extract<ExchangeResult, { kind: "answer" }> | undefined;
-        const giveUp = (reason: GiveUpReason, readyInMs: number): RequestEnd =>
-            failedAnswer === undefined
-                ? { kind: "gave_up", outcome: joinOutcomes(outcomes), reason, readyInMs }
-                : { kind: "answer", result: failedAnswer };
+        let progress = NOTHING_TRIED;
         budget.addRequest(clock.nowMs());
-        for (let sends = 0; sends < SEND_LIMIT;) {
+        while (progress.sends < SEND_LIMIT) {
             if (work.signal.aborted || work.endsAtMs - clock.nowMs() < LEAST_LEFT_MS) {
-                return giveUp("ended", NO_ENGINE_RETRY_MS);
-            }
-            const isFull = tried.size >= work.route.maxEngines;
-            const allowed = listEngines(work.service).filter(({ entry }) =>
-                !passedOver.has(entry.id) && !unowned.has(entry.id) && (!isFull || tried.has(entry.id))
-            );
-            const chosen = work.service.engine === undefined
-                ? choosePlain(allowed)
-                : await chooseModel(work, allowed);
-            if (chosen === undefined && unowned.size > 0) {
-                unowned.clear();
-                await waitMs(clock, NO_OWNER_PAUSE_MS);
-                continue;
-            }
-            if (chosen === undefined) {
-                return giveUp(passedOver.size > 0 ? "no_room" : "no_engine", NO_ENGINE_RETRY_MS);
+                return giveUp(progress, "ended", NO_ENGINE_RETRY_MS);
             }
-            const { known, expectedMs } = chosen;
-            const nowMs = clock.nowMs();
-            const patience = {
-                expectedMs,
-                waitedMs: nowMs - work.startedMs,
-                goalMs: work.route.goalMs,
-                priority: work.route.priority,
-                leftMs: work.endsAtMs - nowMs,
-            };
-            if (work.service.engine !== undefined && work.relay?.hasStarted !== true && isHopeless(patience)) {
-                return giveUp("overloaded", expectedMs - work.route.goalMs);
+            const prepared = await prepare(work, progress, unowned);
+            if (prepared.kind === "over") {
+                return prepared.end;
             }
-            const { id } = known.entry;
-            const brought = await bringAdapter(work, known, isMissing);
-            if (brought !== "ready") {
-                if (brought === "no_owner") {
-                    unowned.add(id);
-                }
+            if (prepared.kind === "again") {
                 continue;
             }
             if (work.signal.aborted) {
-                return giveUp("ended", NO_ENGINE_RETRY_MS);
+                return giveUp(progress, "ended", NO_ENGINE_RETRY_MS);
             }
-            if (sends > 0 && !budget.trySpend(clock.nowMs())) {
+            if (progress.sends > 0 && !budget.trySpend(clock.nowMs())) {
                 metrics.count("retries_refused_total", { service: work.service.name });
-                return giveUp("no_retry_left", REFUSED_RETRY_MS);
+                return giveUp(progress, "no_retry_left", REFUSED_RETRY_MS);
             }
+            const { known } = prepared;
             const result = await send(work, known);
             metrics.count("exchanges_total", { result: result.kind });
-            isMissing = false;
-            switch (result.kind) {
-                case "relayed":
-                    return { kind: "relayed" };
-                case "answer":
-                    sends += 1;
-                    tried.add(id);
-                    outcomes.push("ran");
-                    if (!mayRepeatAnswer(work, result, tried, listEngines(work.service))) {
-                        return { kind: "answer", result };
-                    }
-                    failedAnswer = result;
-                    passedOver.add(id);
-                    break;
-                case "not_run":
-                    sends += 1;
-                    tried.add(id);
-                    outcomes.push("not_run");
-                    isMissing = result.status === MISDIRECTED && !result.isReplaced;
-                    if (result.isReplaced) {
-                        knowledge.noteReplaced(known.entry);
-                    }
-                    log.write("info", 402, { id: work.requestId, engine: id, status: result.status, sends });
-                    await waitMs(clock, REFUSED_PAUSE_MS);
-                    break;
-                case "unsent":
-                    passedOver.add(id);
-                    log.write("info", 402, { id: work.requestId, engine: id, reason: result.reason, sends });
-                    break;
-                case "broken":
-                    sends += 1;
-                    tried.add(id);
-                    outcomes.push("unknown");
-                    log.write("info", 402, { id: work.requestId, engine: id, reason: result.reason, sends });
-                    work.relay?.dropPartial();
-                    if (!mayRepeat(work)) {
-                        return giveUp("broken", 0);
-                    }
-                    passedOver.add(id);
-                    break;
-                case "cancelled":
-                    outcomes.push("unknown");
-                    return giveUp("ended", 0);
+            logRetry(work, known, result, progress.sends + 1);
+            if (result.kind === "not_run" && result.isReplaced) {
+                knowledge.noteReplaced(known.entry);
+            }
+            if (result.kind === "broken") {
+                work.relay?.dropPartial();
+            }
+            const next = applyAttempt(progress, {
+                engine: known.entry.id,
+                result,
+                mayRepeat: mayRepeat(work),
+                mayReplaceFailure: result.kind === "answer"
+                    && mayReplaceFailure(work, result, progress.tried, known, chooser.list(work.service)),
+            });
+            if (next.kind === "over") {
+                return next.end;
             }
             metrics.count("retries_total", { reason: result.kind });
+            progress = next.progress;
+            if (next.pauseMs > 0) {
+                await waitMs(clock, next.pauseMs);
+            }
         }
-        return giveUp("refused", REFUSED_RETRY_MS);
+        return giveUp(progress, "refused", REFUSED_RETRY_MS);
     };
     return { run };
 }
 
 /** Hosts that the retry budget is split over until more are known. */
 const LEAST_HOSTS = 6;
-/** Usual time of an adapter's load, in milliseconds; the deployments state 250 to 288. */
-const USUAL_LOAD_MS = 260;
 
 function mayRepeat(work: RequestWork): boolean {
     switch (work.route.kind) {
@@ -391,12 +311,29 @@
 }
 
 /** An engine's own failure may be tried at another engine where the request is safe. */
-function mayRepeatAnswer(
+function mayReplaceFailure(
     work: RequestWork,
-    { head }: Extract<ExchangeResult, { kind: "answer" }>,
+    { head }: GatheredAnswer,
     tried: ReadonlySet<EngineId>,
+    known: KnownEngine,
     engines: readonly KnownEngine[],
 ): boolean {
-    return work.route.kind === "safe" && head.status >= FIRST_SERVER_ERROR && tried.size < work.route.maxEngines
-        && engines.some(known => !tried.has(known.entry.id));
+    const used = new Set(tried).add(known.entry.id);
+    return work.route.kind === "safe" && head.status >= FIRST_SERVER_ERROR && used.size < work.route.maxEngines
+        && engines.some(other => !used.has(other.entry.id));
+}
+
+/** A stream that has begun goes on where it can, however long that takes. */
+function mayRefuse(work: RequestWork): boolean {
+    return work.service.engine !== undefined && work.relay?.hasStarted !== true;
+}
+
+function describePatience(work: RequestWork, expectedMs: number, nowMs: number): PatienceTerms {
+    return {
+        expectedMs,
+        waitedMs: nowMs - work.startedMs,
+        goalMs: work.route.goalMs,
+        priority: work.route.priority,
+        leftMs: work.endsAtMs - nowMs,
+    };
 }
