--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -1,7 +1,7 @@
 import type { EngineId, HostId, Incarnation } from "@fulmarcleat/ids";
 import { brandId } from "@fulmarcleat/ids";
 import type { AdapterLoadAsk } from "@fulmarcleat/wire";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Keys below which the system keeps what must last. */
 export const SYSTEM_PREFIX = "fulmarcleat/";
--- a/packages/resources/src/schemas.ts
+++ b/packages/resources/src/schemas.ts
@@ -10,7 +10,7 @@
     ServiceName,
     UpstreamName,
 } from "@fulmarcleat/ids";
-import { z } from "zod";
+import * as z from "zod";
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,127}$/;
 const NAME_RULE = "lower-case letters, digits, '.', '_' and '-', at most 128 characters";
--- a/packages/settings/src/describeSettings.steps.ts
+++ b/packages/settings/src/describeSettings.steps.ts
@@ -1,5 +1,5 @@
 import { registerTable } from "@fulmarcleat/testing";
-import { z } from "zod";
+import * as z from "zod";
 import { describeSettings } from "./describeSettings.js";
 
 const schema = z.strictObject({
--- a/packages/settings/src/describeSettings.ts
+++ b/packages/settings/src/describeSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** One settings key and what is allowed for it. */
 export interface SettingDescription {
--- a/packages/settings/src/listenSchema.ts
+++ b/packages/settings/src/listenSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Certificate and key of a listener, as PEM files. */
 export const tlsSchema = z.strictObject({ certFile: z.string().min(1), keyFile: z.string().min(1) });
--- a/packages/settings/src/parseSettings.steps.ts
+++ b/packages/settings/src/parseSettings.steps.ts
@@ -1,6 +1,6 @@
 import { ServeError } from "@fulmarcleat/errors";
 import { fc, ok, registerTable, strictEqual, Then } from "@fulmarcleat/testing";
-import { z } from "zod";
+import * as z from "zod";
 import { parseSettings } from "./parseSettings.js";
 
 const schema = z.strictObject({
