--- a/packages/spec/src/explorePlatformOwnership.ts
+++ b/packages/spec/src/explorePlatformOwnership.ts
@@ -52,7 +52,7 @@
  * @example
  * const { violations } = explorePlatformOwnership({ checksFences: false });
  */
-export function explorePlatformOwnership(changed: Partial<PlatformOwnershipBounds>): Exploration {
+function explorePlatformOwnership(changed: Partial<PlatformOwnershipBounds>): Exploration {
     const specification = platformOwnershipSpecification({ ...BOUNDS, ...changed });
     return exploreSpecification(specification, { stopAtFirst: changed.defect !== undefined });
 }
