--- a/packages/front/src/startAdapterBoard.feature
+++ b/packages/front/src/startAdapterBoard.feature
@@ -14,6 +14,16 @@
             | fenced here, so a peer is asked          | b     | has been fenced             | its own request        | c      | directly  | ready    |
             | the owner can't be reached               | c     | does not reach it           | its own request        | store  | directly  | ready    |
 
+    Scenario Outline: A load is expected to take longer where the engine's owner can't be reached
+        Given an adapter board on host "b" that knows "<owner>" as the owner of "i-1" and <state>
+        Then an absent adapter is expected to wait <wait> ms for a place there, and loads <can> be ordered
+
+        Examples:
+            | owner | state             | wait | can   |
+            | c     | reaches it        | 0    | can   |
+            | c     | does not reach it | 1000 | can   |
+            |       | reaches it        | 0    | can't |
+
     Scenario: A host asks owners about the engines that it uses and about no others
         Given an adapter board on host "b" with 42 engines owned by "c"
         When 5000 ms pass on the board
--- a/packages/front/src/startAdapterBoard.steps.ts
+++ b/packages/front/src/startAdapterBoard.steps.ts
@@ -3,7 +3,7 @@
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock } from "@fulmarcleat/ids";
 import type { AdapterName, BaseModel, EngineId, HostId, Incarnation, ManualClock, ServiceName } from "@fulmarcleat/ids";
-import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import type { AdapterLoadAsk, EngineUseReply, EngineUseTell, PeerAddress, PeerClient } from "@fulmarcleat/wire";
 import { setImmediate } from "node:timers/promises";
 import { createEngineBoard } from "./createEngineBoard.js";
@@ -92,6 +92,15 @@
     },
 );
 
+Then(
+    /^an absent adapter is expected to wait (\d+) ms for a place there, and loads (can|can't) be ordered$/,
+    (placeWaitMs: string, can: string) => {
+        const { model, adapter, version } = ASK;
+        const presence = board.find({ id: ENGINE, models: [] } as unknown as EngineEntry, { model, adapter, version });
+        deepStrictEqual(presence, { kind: "absent", placeWaitMs: Number(placeWaitMs), canLoad: can === "can" });
+    },
+);
+
 let clock: ManualClock;
 let tellsByEngine = new Map<EngineId, number>();
 let isSilent = false;
--- a/packages/front/src/startAdapterBoard.ts
+++ b/packages/front/src/startAdapterBoard.ts
@@ -90,6 +90,8 @@
 const REPLACE_WAIT_MS = 2000;
 /** Longest time until a peer answers, in milliseconds; a load ask may wait at its owner besides. */
 const ASK_TIMEOUT_MS = 450;
+/** What a load takes longer where its owner can't be reached and may be gone, in milliseconds; near half its lease. */
+const UNREACHED_OWNER_MS = 1000;
 /** Expected time of a load that is asked for through the store, in milliseconds. */
 const LOAD_BY_STORE_MS = 450;
 
@@ -302,13 +304,15 @@
             }
             const known = told.get(entry.id);
             const atMs = clock.nowMs();
-            const canLoad = ownership.find(entry.id) !== undefined || findOwner(entry.id) !== undefined;
+            const owner = ownership.find(entry.id) === undefined ? findOwner(entry.id) : undefined;
+            const canLoad = ownership.find(entry.id) !== undefined || owner !== undefined;
+            const ownerWaitMs = owner !== undefined && mail.isNeeded(owner.host) ? UNREACHED_OWNER_MS : 0;
             if (known === undefined || atMs - known.atMs > WORD_VALID_MS) {
-                return findInEntry(entry, wanted, canLoad);
+                return findInEntry(entry, wanted, { canLoad, placeWaitMs: ownerWaitMs });
             }
             const held = known.word.adapters.find(told => told.adapter === wanted.adapter);
             if (held === undefined) {
-                return { kind: "absent", placeWaitMs: known.word.placeWaitMs, canLoad };
+                return { kind: "absent", placeWaitMs: known.word.placeWaitMs + ownerWaitMs, canLoad };
             }
             if (!isNewEnough(held.version, wanted.version)) {
                 return { kind: "absent", placeWaitMs: held.isUsed ? REPLACE_WAIT_MS : 0, canLoad };
@@ -371,12 +375,16 @@
     }
 }
 
-function findInEntry(entry: EngineEntry, wanted: WantedAdapter, canLoad: boolean): AdapterPresence {
+function findInEntry(
+    entry: EngineEntry,
+    wanted: WantedAdapter,
+    absent: { readonly placeWaitMs: number; readonly canLoad: boolean },
+): AdapterPresence {
     const held = entry.models.find(model => model.model === wanted.model)?.adapters
         .find(adapter => adapter.adapter === wanted.adapter);
     return held !== undefined && isNewEnough(held.version, wanted.version)
         ? { kind: "present" }
-        : { kind: "absent", placeWaitMs: 0, canLoad };
+        : { kind: "absent", ...absent };
 }
 
 function isNewEnough(held: number | undefined, wanted: number | undefined): boolean {
