--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,7 +24,7 @@
     legalComments: "none",
     mainFields: ["module", "main"],
     treeShaking: true,
-    alias: { ...alias, undici: resolve("scripts/undiciClients.cjs") },
+    alias: { ...alias, undici: resolve("scripts/undiciClients.mjs") },
     banner: {
         js: 'import { createRequire as createBundleRequire } from "node:module"; const require = createBundleRequire(import.meta.url);',
     },
