Keep connections between hosts without heartbeats; a reply that is overdue replaces its connection

Cause: on the grown sites a choice asks owners of four engines, so that each host keeps some 40 connections, each with two heartbeats a second both ways: about 168 messages a second and host, more than its requests. Connections close after 8 s without an ask, first at the side that asks.

--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -39,12 +39,10 @@
 const LOG_LINES_PER_SECOND = 60;
 /** Log lines that wait while standard output takes none. */
 const LOG_CAPACITY = 2000;
-/** Pace of heartbeats between hosts, in milliseconds. */
-const PEER_HEARTBEAT_MS = 500;
-/** Silence after which a connection between hosts is replaced, in milliseconds. */
-const PEER_SILENCE_MS = 1600;
 /** Time after which a connection between hosts that nothing is asked on is closed, in milliseconds. */
-const PEER_IDLE_MS = 5000;
+const PEER_IDLE_MS = 8000;
+/** How many times as long a host keeps a connection that another opened; the one that asks closes first. */
+const SERVER_PATIENCE = 2;
 /** How long a stopping host goes on serving new requests while the balancer takes it out, in milliseconds. */
 const DRAIN_NOTICE_MS = 2600;
 /** How long before the platform's limit a stop ends what is left, in milliseconds. */
@@ -117,16 +115,17 @@
     ]);
     followLimits(context, clients, () => knowledge.config);
     void session.peerSecret.then(async peerKey => {
-        const shared = { host: deployment.host, peerKey, clock, metrics, log, silenceMs: PEER_SILENCE_MS };
+        const shared = { host: deployment.host, peerKey, clock, metrics, log, silenceMs: PEER_IDLE_MS };
         await createPeerServer({
             ...shared,
+            silenceMs: PEER_IDLE_MS * SERVER_PATIENCE,
             listen: { host: deployment.ip, port: deployment.peerPort },
             handlers: {
                 adapterLoad: ask => adapters.answerLoad(ask),
                 engineUse: tell => adapters.answerUse(tell),
             },
         });
-        peers = createPeerClient({ ...shared, heartbeatMs: PEER_HEARTBEAT_MS, idleMs: PEER_IDLE_MS });
+        peers = createPeerClient({ ...shared, heartbeatMs: undefined });
     });
     return {
         describeUnfinished: () => `${handler.running} requests`,
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -11,5 +11,5 @@
 } from "@cucumber/cucumber";
 export type { DataTable } from "@cucumber/cucumber";
 export * as fc from "fast-check";
-export { deepStrictEqual, notDeepStrictEqual, ok, strictEqual, throws } from "node:assert";
+export { deepStrictEqual, notDeepStrictEqual, ok, rejects, strictEqual, throws } from "node:assert";
 export { registerTable } from "./registerTable.js";
--- a/packages/wire/src/createPeerClient.ts
+++ b/packages/wire/src/createPeerClient.ts
@@ -30,12 +30,13 @@
     readonly clock: Clock;
     readonly metrics: Metrics;
     readonly log?: EventLog;
-    /** Time between heartbeats, in milliseconds. */
-    readonly heartbeatMs: number;
-    /** Longest silence of a peer before its connection is replaced, in milliseconds. */
+    /**
+     * Time between heartbeats, in milliseconds. Without them a connection is replaced when a reply is overdue, which
+     * suits many peers that are asked seldom.
+     */
+    readonly heartbeatMs: number | undefined;
+    /** Longest silence of a peer before its connection is closed, in milliseconds. */
     readonly silenceMs: number;
-    /** Time without an ask after which a connection is closed, in milliseconds; it is kept where this is not set. */
-    readonly idleMs?: number | undefined;
 }
 
 /** Connections to peers, one for each, opened on demand. */
@@ -54,8 +55,6 @@
     readonly socket: Socket;
     readonly asks: AskTable;
     readonly verified: Promise<void>;
-    /** When the last ask was sent, in milliseconds. */
-    askedAtMs: number;
 }
 
 const NONCE_BYTES = 16;
@@ -74,12 +73,20 @@
     return {
         async ask(to, name, body, timeoutMs) {
             const link = openLink(links, to, options);
-            await withinTimeout(link.verified, options.clock, timeoutMs, to.host);
-            link.askedAtMs = options.clock.nowMs();
-            const { id, reply } = link.asks.add(timeoutMs);
-            options.metrics.count("peer_asks_sent_total", { name });
-            writeFrame(link.socket, { t: "ask", id, name, body }, options.metrics);
-            return await reply as ReplyOf<typeof name>;
+            try {
+                await withinTimeout(link.verified, options.clock, timeoutMs, to.host);
+                const { id, reply } = link.asks.add(timeoutMs);
+                options.metrics.count("peer_asks_sent_total", { name });
+                writeFrame(link.socket, { t: "ask", id, name, body }, options.metrics);
+                return await reply as ReplyOf<typeof name>;
+            }
+            catch (err) {
+                // Without heartbeats an overdue reply is all that shows a silent connection.
+                if (options.heartbeatMs === undefined) {
+                    dropLink(links, to, link);
+                }
+                throw err;
+            }
         },
         close() {
             links.forEach(link => link.socket.destroy());
@@ -89,16 +96,28 @@
 }
 
 function openLink(links: Map<string, Link>, to: PeerAddress, options: PeerClientOptions): Link {
-    const key = `${to.host}|${to.address}|${to.port}`;
+    const key = formatKey(to);
     const present = links.get(key);
     if (present !== undefined) {
         return present;
     }
-    const link = connectLink(to, options, () => links.delete(key));
+    const link = connectLink(to, options, () => dropLink(links, to, link));
     links.set(key, link);
     return link;
 }
 
+/** Closes a connection; the next ask opens another. */
+function dropLink(links: Map<string, Link>, to: PeerAddress, link: Link): void {
+    if (links.get(formatKey(to)) === link) {
+        links.delete(formatKey(to));
+    }
+    link.socket.destroy();
+}
+
+function formatKey({ host, address, port }: PeerAddress): string {
+    return `${host}|${address}|${port}`;
+}
+
 function connectLink(to: PeerAddress, options: PeerClientOptions, forget: () => void): Link {
     const socket = openSocket(to, options.ca);
     const asks = createAskTable(options.clock, to.host);
@@ -111,16 +130,10 @@
         options.log?.write("info", 200, { peer: to.host });
     };
     const beat = (): void => {
-        const quietMs = options.clock.nowMs() - link.askedAtMs;
-        if (asks.size === 0 && quietMs >= (options.idleMs ?? Infinity)) {
-            socket.destroy();
-            return;
-        }
-        // An ask brings a reply, which shows as well as a pong that the peer is there.
-        if (quietMs >= options.heartbeatMs) {
+        if (options.heartbeatMs !== undefined) {
             writeFrame(socket, { t: "ping" }, options.metrics);
+            cancelHeartbeat = options.clock.setTimer(options.heartbeatMs, beat);
         }
-        cancelHeartbeat = options.clock.setTimer(options.heartbeatMs, beat);
     };
     const verified = new Promise<void>((resolve, reject) => {
         socket.setTimeout(options.silenceMs, () => socket.destroy());
@@ -140,8 +153,8 @@
         };
         socket.on("data", chunk => {
             try {
-                const context = { socket, asks, nonce, to, options, resolve: accept, beat };
-                reader(chunk).forEach(frame => handleFrame(frame, context));
+                const link = { socket, asks, nonce, to, options, resolve: accept, beat };
+                reader(chunk).forEach(frame => handleFrame(frame, link));
             }
             catch {
                 socket.destroy();
@@ -149,8 +162,7 @@
         });
     });
     verified.catch(() => undefined);
-    const link: Link = { socket, asks, verified, askedAtMs: options.clock.nowMs() };
-    return link;
+    return { socket, asks, verified };
 }
 
 /** The certificate is checked against the authority; which host it is, the proof of the key shows. */
--- a/packages/wire/src/createPeerServer.feature
+++ b/packages/wire/src/createPeerServer.feature
@@ -23,3 +23,12 @@
     Scenario: Bytes of a stranger change nothing
         Given peerserver listens as "entry-1" with the key "k"
         Then peerserver survives any bytes and still answers
+
+    Scenario Outline: A peer that falls silent is reached by a new connection <when>
+        Given a silent peer is asked twice by a client <heartbeats>
+        Then the silent peer saw <count> connections
+
+        Examples:
+            | when                                   | heartbeats         | count |
+            | at the next ask                        | without heartbeats | 2     |
+            | once its silence has lasted too long   | with heartbeats    | 1     |
--- a/packages/wire/src/createPeerServer.steps.ts
+++ b/packages/wire/src/createPeerServer.steps.ts
@@ -1,10 +1,11 @@
 import { createMetrics } from "@fulmarcleat/events";
 import { brandId, createSystemClock } from "@fulmarcleat/ids";
 import type { HostId } from "@fulmarcleat/ids";
-import { After, fc, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { After, fc, Given, ok, rejects, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { readFileSync } from "node:fs";
-import { connect } from "node:net";
+import { connect, createServer } from "node:net";
 import type { Socket } from "node:net";
+import { setTimeout } from "node:timers/promises";
 import { computeMac } from "./computeMac.js";
 import { createFrameReader } from "./createFrameReader.js";
 import { createPeerClient } from "./createPeerClient.js";
@@ -83,6 +84,41 @@
     return readFileSync(new URL(`../../../features/certificates/${name}.pem`, import.meta.url), "utf8");
 }
 
+let silentConnections = 0;
+
+Given(/^a silent peer is asked twice by a client (with|without) heartbeats$/, async (how: string) => {
+    silentConnections = 0;
+    const silent = createServer(socket => {
+        silentConnections += 1;
+        socket.on("error", () => undefined);
+    });
+    await new Promise<void>(resolve => silent.listen(0, LOCAL, () => resolve()));
+    const address = silent.address();
+    const port = typeof address === "object" && address !== null ? address.port : 0;
+    const client = createPeerClient({
+        host: CLIENT,
+        peerKey: padKey("k"),
+        clock: createSystemClock(),
+        metrics: createMetrics(),
+        heartbeatMs: how === "with" ? LONG_MS : undefined,
+        silenceMs: LONG_MS,
+    });
+    const to = { host: brandId<HostId>("entry-1"), address: LOCAL, port };
+    for (let asked = 0; asked < 2; asked += 1) {
+        await rejects(client.ask(to, "explain", { adapter: undefined, requestId: undefined }, SHORT_MS));
+    }
+    await setTimeout(SHORT_MS);
+    client.close();
+    silent.close();
+});
+
+Then("the silent peer saw {int} connections", (count: number) => strictEqual(silentConnections, count));
+
+/** Longest wait for the silent peer's reply, in milliseconds. */
+const SHORT_MS = 100;
+/** Longer than the whole scenario, in milliseconds. */
+const LONG_MS = 60_000;
+
 function padKey(key: string): string {
     return key.repeat(32);
 }
