--- a/packages/ownership/src/answerLoad.ts
+++ b/packages/ownership/src/answerLoad.ts
@@ -1,6 +1,7 @@
 import type { EngineStep } from "./engineEffect.js";
 import type { EngineContext, EngineMessage } from "./engineMessage.js";
 import type { EngineState, Instance, LoadBackoff } from "./engineState.js";
+import { formatModel } from "./formatModel.js";
 import { refuseWaiting } from "./refuseWaiting.js";
 import { replaceInstance } from "./replaceInstance.js";
 
@@ -43,13 +44,14 @@
 }
 
 function failLoad(state: EngineState, instance: Instance, reason: string, nowMs: number): EngineStep {
-    const failures = (state.backoffs.find(backoff => isSameAdapter(backoff, instance))?.failures ?? 0) + 1;
+    const model = formatModel(instance);
+    const failures = (state.backoffs.find(backoff => formatModel(backoff) === model)?.failures ?? 0) + 1;
     const untilMs = nowMs + Math.min(MAX_BACKOFF_MS, BACKOFF_MS * 2 ** (failures - 1));
     const next = backOff(state, instance, failures, untilMs);
     if (failures < MAX_FAILURES) {
         return { state: next, effects: [] };
     }
-    return refuseWaiting(next, next.waiting.filter(waiting => isSameAdapter(waiting, instance)), {
+    return refuseWaiting(next, next.waiting.filter(waiting => formatModel(waiting) === model), {
         code: "load_failed",
         message: `the adapter could not be loaded: ${reason}`,
         retryAfterMs: untilMs - nowMs,
@@ -62,9 +64,6 @@
 }
 
 function dropBackoff(state: EngineState, adapter: Pick<Instance, "adapter" | "version">): readonly LoadBackoff[] {
-    return state.backoffs.filter(backoff => !isSameAdapter(backoff, adapter));
-}
-
-function isSameAdapter(a: Pick<Instance, "adapter" | "version">, b: Pick<Instance, "adapter" | "version">): boolean {
-    return a.adapter === b.adapter && a.version === b.version;
+    const model = formatModel(adapter);
+    return state.backoffs.filter(backoff => formatModel(backoff) !== model);
 }
--- a/packages/ownership/src/countLoadsAhead.ts
+++ b/packages/ownership/src/countLoadsAhead.ts
@@ -1,6 +1,7 @@
 import { rankWaiting } from "@fulmarcleat/admission";
 import type { EngineState, Waiting } from "./engineState.js";
-import { formatModel, listUnloaded } from "./listUnloaded.js";
+import { formatModel } from "./formatModel.js";
+import { listUnloaded } from "./listUnloaded.js";
 
 /**
  * Counts the adapters that load on this engine before a request's own.
--- a/packages/ownership/src/listUnloaded.ts
+++ b/packages/ownership/src/listUnloaded.ts
@@ -1,6 +1,7 @@
 import { rankWaiting } from "@fulmarcleat/admission";
 import type { LoadCandidate } from "@fulmarcleat/placement";
 import type { EngineState, Waiting } from "./engineState.js";
+import { formatModel } from "./formatModel.js";
 
 /** An adapter version that requests wait for and that is neither loaded nor on its way. */
 export interface UnloadedModel extends LoadCandidate {
@@ -45,16 +46,3 @@
     }
     return [...models.values()];
 }
-
-/**
- * Names an adapter version within an engine's state.
- *
- * @param wanted - Adapter and version
- * @returns both in one text
- *
- * @example
- * const model = formatModel(waiting);
- */
-export function formatModel({ adapter, version }: Pick<Waiting, "adapter" | "version">): string {
-    return `${adapter}@${version}`;
-}
--- a/packages/ownership/src/serveWaiting.ts
+++ b/packages/ownership/src/serveWaiting.ts
@@ -2,7 +2,7 @@
 import type { EngineEffect, EngineStep } from "./engineEffect.js";
 import type { EngineContext } from "./engineMessage.js";
 import type { EngineState, Instance, Place, Waiting } from "./engineState.js";
-import { formatModel } from "./listUnloaded.js";
+import { formatModel } from "./formatModel.js";
 import { startLoads } from "./startLoads.js";
 
 /** Places beyond the batch, so that a slot of the batch is refilled as soon as it is free. */
--- a/packages/ownership/src/startLoads.ts
+++ b/packages/ownership/src/startLoads.ts
@@ -5,7 +5,8 @@
 import type { EngineContext } from "./engineMessage.js";
 import type { EngineState, Instance, Waiting } from "./engineState.js";
 import { formatInstanceName } from "./formatInstanceName.js";
-import { formatModel, listUnloaded } from "./listUnloaded.js";
+import { formatModel } from "./formatModel.js";
+import { listUnloaded } from "./listUnloaded.js";
 
 /**
  * Starts loads for the requests that wait, and evicts to make room, within the budget.
