--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -205,6 +205,14 @@
             serve(req, res).catch((err: unknown) => {
                 const failure = toServeError(err, INTERNAL);
                 if (res.headersSent) {
+                    metrics.count("streams_cut_total", { reason: failure.code });
+                    log.write("error", 401, {
+                        id: parseClientHead(req.rawHeaders).requestId ?? "none",
+                        reason: failure.message,
+                        step: failure.step,
+                        outcome: failure.outcome,
+                        isCut: true,
+                    });
                     res.destroy();
                     return;
                 }
