Render the pages of both experiment tools by one package

renderReport (bench) and renderExperiment repeated the page, the inlined library and the table; only the table of the second escaped its text. packages/plots holds one renderPlotPage and one renderTable for both.

--- a/packages/bench/src/renderReport.ts
+++ b/packages/bench/src/renderReport.ts
@@ -1,6 +1,4 @@
-import { readFile } from "node:fs/promises";
-import { createRequire } from "node:module";
-import { dirname, join } from "node:path";
+import { renderPlotPage, renderTable } from "@fulmarcleat/plots";
 import type { BoundFigures } from "./boundStalls.js";
 import type { Deployment } from "./deployment.js";
 import type { PolicyFigures } from "./summarizeRun.js";
@@ -28,43 +26,34 @@
  * @example
  * await writeFile("report.html", await renderReport(result));
  */
-export async function renderReport(result: BenchResult): Promise<string> {
-    const dist = dirname(createRequire(import.meta.url).resolve("uplot"));
-    const script = await readFile(join(dist, "uPlot.iife.min.js"), "utf8");
-    const style = await readFile(join(dist, "uPlot.min.css"), "utf8");
+export function renderReport(result: BenchResult): Promise<string> {
     const runs = Object.entries(result.policies).flatMap(([name, figures]) =>
         "stalls" in figures ? [{ name, stalls: figures.stalls }] : []
     );
-    const data = JSON.stringify(runs).replaceAll("<", "\\u003c");
     const title = `${result.scenario}, ${result.deployment.name}, seed ${result.seed}, ${result.seconds} s`;
-    return `<!doctype html>
-<html lang="en">
-<head><meta charset="utf-8"><title>${title}</title><style>${style}
-body { font: 14px sans-serif; margin: 2em; } td, th { padding: 0.2em 0.8em; text-align: right; }</style></head>
-<body>
-<h1>${title}</h1>
-${renderTable(result)}
+    return renderPlotPage({
+        title,
+        body: `<h1>${title}</h1>
+${renderPolicies(result)}
 <h2>Load stall of each request (s) by when it was sent (s)</h2>
-<div id="plots"></div>
-<script>${script}</script>
-<script>
-for (const { name, stalls } of ${data}) {
+<div id="plots"></div>`,
+        data: runs,
+        script: DRAW_STALLS,
+    });
+}
+
+const DRAW_STALLS = `for (const { name, stalls } of data) {
     const sorted = stalls.slice().sort((a, b) => a.atMs - b.atMs);
-    const data = [sorted.map(stall => stall.atMs / 1000), sorted.map(stall => stall.stallMs / 1000)];
+    const points = [sorted.map(stall => stall.atMs / 1000), sorted.map(stall => stall.stallMs / 1000)];
     const series = [{ label: "sent at" }, { label: "load stall", stroke: "navy", paths: () => null, points: { show: true } }];
     new uPlot(
         { title: name, width: ${WIDTH_PX}, height: ${HEIGHT_PX}, scales: { x: { time: false } }, series },
-        data,
+        points,
         document.getElementById("plots"),
     );
-}
-</script>
-</body>
-</html>
-`;
-}
+}`;
 
-function renderTable(result: BenchResult): string {
+function renderPolicies(result: BenchResult): string {
     const rows = Object.entries(result.policies).map(([name, figures]) => {
         const { all, urgent } = figures.loadStallMs;
         const run = "served" in figures
@@ -76,8 +65,7 @@
                 figures.goodputTokensPerSecond.toFixed(0),
             ]
             : ["-", "-", "-", "-", "-"];
-        const cells = [name, figures.requests, figures.loads, all.mean.toFixed(0), urgent.mean.toFixed(0), ...run];
-        return `<tr>${cells.map(cell => `<td>${cell}</td>`).join("")}</tr>`;
+        return [name, figures.requests, figures.loads, all.mean.toFixed(0), urgent.mean.toFixed(0), ...run].map(String);
     });
     const heads = [
         "policy",
@@ -91,5 +79,5 @@
         "batch efficiency",
         "tokens/s",
     ];
-    return `<table><tr>${heads.map(head => `<th>${head}</th>`).join("")}</tr>${rows.join("")}</table>`;
+    return renderTable(heads, rows);
 }
--- /dev/null
+++ b/packages/plots/src/index.ts
@@ -0,0 +1,3 @@
+export { renderPlotPage } from "./renderPlotPage.js";
+export type { PlotPage } from "./renderPlotPage.js";
+export { renderTable } from "./renderTable.js";
