--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,7 +4,7 @@
     { ignores: ["**/dist/**", "**/node_modules/**", "target/**"] },
     ...tseslint.configs.recommended,
     {
-        files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts", "features/**/*.ts"],
+        files: ["packages/*/src/**/*.ts", "platform/**/src/**/*.ts", "features/**/*.ts"],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         rules: {
             "@typescript-eslint/switch-exhaustiveness-check": ["error", { considerDefaultExhaustiveForUnions: true }],
