Read the platform path once more: one copy of what stood twice, and sums made once

One copy: an owner's word (wire, in place of a type each in wire and residency; its loadMs was read by nobody), isNewEnough (four), listen (three) and parseJson (three) in http, sendJson in the stand-in (http's), MISDIRECTED (three), the statuses that promise not run (two), the values of member and owner keys beside what reads them, the keys themselves in createKnowledge. Done once: what hosts have under way on an engine is summed up once for a word or a step (sumUses) in place of a pass over all hosts for each adapter; a fresh word no longer has its owner looked up; leaving engines are weighed in one place. Simpler: the adapter board's tests share their set-up; plain waits of the soak are node:timers/promises. Files that held two public functions are split. Behaviour stays; no test's assertion changed.

--- a/packages/directory/src/engineTransport.ts
+++ b/packages/directory/src/engineTransport.ts
@@ -28,6 +28,9 @@
     readonly slots: number;
 }
 
+/** Status with which an engine refuses a request for another engine, or for an adapter that it does not hold. */
+export const MISDIRECTED = 421;
+
 /** The beginning of an engine's answer. */
 export interface EngineAnswerHead {
     readonly status: number;
--- a/packages/directory/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -2,7 +2,7 @@
 export { chooseWatchGap } from "./chooseWatchGap.js";
 export type * from "./engineControl.js";
 export type * from "./engineEntry.js";
-export type * from "./engineTransport.js";
+export * from "./engineTransport.js";
 export type * from "./metadataStore.js";
 export { reduceDirectory } from "./reduceDirectory.js";
 export type { DirectoryMessage, DirectoryState, KnownEngine } from "./reduceDirectory.js";
--- a/packages/dispatch/src/estimateEngineCost.ts
+++ b/packages/dispatch/src/estimateEngineCost.ts
@@ -1,4 +1,5 @@
 import type { EngineView } from "./engineView.js";
+import { estimateOutage } from "./estimateOutage.js";
 import { fadeHealth } from "./reduceHealth.js";
 
 /** What kinds of work cost on an engine. */
@@ -11,9 +12,6 @@
     readonly delayPerRequestMs: number;
 }
 
-/** Time that sending to a silent or blocked engine is taken to cost, in milliseconds; more than any other delay. */
-const OUTAGE_MS = 20_000;
-
 /**
  * Estimates how long a request would wait for its first byte at an engine.
  *
@@ -37,20 +35,6 @@
         + health.failureShare * scale.failureMs;
 }
 
-/**
- * Estimates what an engine costs a request for being silent or out of reach.
- *
- * @param view - The engine
- * @param atMs - Time now, in milliseconds
- * @returns milliseconds; 0 where it can be used
- *
- * @example
- * const isUsable = estimateOutage(view, clock.nowMs()) === 0;
- */
-export function estimateOutage(view: EngineView, atMs: number): number {
-    return view.isSilent || view.health.blockedUntilMs > atMs ? OUTAGE_MS : 0;
-}
-
 /** Prompt tokens that an engine reads in a millisecond; the deployments state 40.8. */
 const TOKENS_PER_MS = 40.8;
 /** Part of an engine's excess time to the first byte that is held against it; the rest comes from its load. */
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,10 +1,11 @@
 export { canFinishBeforeStop } from "./canFinishBeforeStop.js";
 export { chooseModelEngine } from "./chooseModelEngine.js";
-export type { ModelChoice, ModelEngineChoice } from "./chooseModelEngine.js";
+export type { ModelEngineChoice } from "./chooseModelEngine.js";
 export { choosePlainEngine } from "./choosePlainEngine.js";
 export type { PlainChoice } from "./choosePlainEngine.js";
 export { chooseRetryAfter } from "./chooseRetryAfter.js";
 export type { ReturnTerms } from "./chooseRetryAfter.js";
+export type { ModelChoice } from "./createModelCost.js";
 export { createRetryWindow } from "./createRetryWindow.js";
 export type { RetryBudgetTerms, RetryWindow } from "./createRetryWindow.js";
 export { parseEnginePolicy } from "./enginePolicy.js";
--- a/packages/dispatch/src/pickCandidates.ts
+++ b/packages/dispatch/src/pickCandidates.ts
@@ -1,5 +1,5 @@
-import { createModelCost } from "./chooseModelEngine.js";
-import type { ModelChoice } from "./chooseModelEngine.js";
+import { createModelCost } from "./createModelCost.js";
+import type { ModelChoice } from "./createModelCost.js";
 import type { ModelEngineView } from "./engineView.js";
 
 /** Engines of which a host asks for news before it chooses one; more than two of them add little. */
--- a/packages/front/src/applyAttempt.steps.ts
+++ b/packages/front/src/applyAttempt.steps.ts
@@ -3,8 +3,9 @@
 import { brandId } from "@fulmarcleat/ids";
 import type { EngineId } from "@fulmarcleat/ids";
 import { Given, strictEqual, Then, When } from "@fulmarcleat/testing";
-import { applyAttempt, giveUp, NOTHING_TRIED } from "./applyAttempt.js";
+import { applyAttempt, NOTHING_TRIED } from "./applyAttempt.js";
 import type { AttemptOutcome, GatheredAnswer, RequestEnd, RequestProgress } from "./applyAttempt.js";
+import { giveUp } from "./giveUp.js";
 import type { ExchangeResult } from "./runExchange.js";
 
 const ENGINE = brandId<EngineId>("e2");
--- a/packages/front/src/applyAttempt.ts
+++ b/packages/front/src/applyAttempt.ts
@@ -1,6 +1,7 @@
-import { joinOutcomes } from "@fulmarcleat/errors";
+import { MISDIRECTED } from "@fulmarcleat/directory";
 import type { Outcome } from "@fulmarcleat/errors";
 import type { EngineId } from "@fulmarcleat/ids";
+import { giveUp } from "./giveUp.js";
 import type { ExchangeResult } from "./runExchange.js";
 
 /** An answer that has not gone to the client so far. */
@@ -64,8 +65,6 @@
 
 /** Pause before an engine that refused is asked again, in milliseconds. */
 const REFUSED_PAUSE_MS = 45;
-/** Status with which an engine refuses what it is not or does not hold. */
-const MISDIRECTED = 421;
 
 /**
  * Decides what follows from an attempt: the request is over, or it is tried again, and what is known of it then.
@@ -112,20 +111,3 @@
             return { kind: "over", end: giveUp(reach("unknown"), "ended", 0) };
     }
 }
-
-/**
- * Ends a request that is given up: with an engine's failure where there is one, else with what its attempts came to.
- *
- * @param progress - What the request has tried
- * @param reason - Why it is given up
- * @param readyInMs - When it might be served, in milliseconds
- * @returns the end
- *
- * @example
- * giveUp(NOTHING_TRIED, "no_engine", 400); // its outcome is "not_run"
- */
-export function giveUp(progress: RequestProgress, reason: GiveUpReason, readyInMs: number): RequestEnd {
-    return progress.failedAnswer === undefined
-        ? { kind: "gave_up", outcome: joinOutcomes(progress.outcomes), reason, readyInMs }
-        : { kind: "answer", result: progress.failedAnswer };
-}
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -4,7 +4,7 @@
 import type { ErrorCode } from "@fulmarcleat/errors";
 import { readBody } from "@fulmarcleat/http";
 import type { RequestId } from "@fulmarcleat/ids";
-import { parseClientHead } from "@fulmarcleat/platform";
+import { parseClientHead, promisesNotRun } from "@fulmarcleat/platform";
 import type { ClientHead } from "@fulmarcleat/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { RequestEnd } from "./applyAttempt.js";
@@ -32,8 +32,6 @@
 /** When a client that came to a stopping host should try another, in milliseconds. */
 const STOPPING_RETRY_MS = 30;
 const SERVER_ERROR_STATUS = { bad: 502, late: 504 } as const;
-/** Statuses that promise that a request did not run. */
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
 /**
  * Creates the handler of clients' requests.
@@ -310,7 +308,7 @@
     isClosing: boolean,
 ): void {
     // Without the engine's own word that it did not run a request, these statuses would promise too much.
-    const isFalsePromise = NOT_RUN_STATUSES.has(head.status) && !head.isNotRun;
+    const isFalsePromise = promisesNotRun(head.status) && !head.isNotRun;
     if (isFalsePromise) {
         const status = SERVER_ERROR_STATUS.bad;
         writeRefusal(
--- a/packages/front/src/createKnowledge.ts
+++ b/packages/front/src/createKnowledge.ts
@@ -22,7 +22,15 @@
 import type { OwnerClaim } from "@fulmarcleat/residency";
 import type { AdapterLoadAsk } from "@fulmarcleat/wire";
 import type { FrontContext } from "./frontContext.js";
-import { parseHostKey, parseMember, parseOwner, parseWants, SYSTEM_PREFIX } from "./hostKeys.js";
+import {
+    formatMemberKey,
+    formatOwnerKey,
+    parseHostKey,
+    parseMember,
+    parseOwner,
+    parseWants,
+    SYSTEM_PREFIX,
+} from "./hostKeys.js";
 import type { Member } from "./hostKeys.js";
 import { startStoreWatch } from "./startStoreWatch.js";
 import type { StoreListener, StoreWatch } from "./startStoreWatch.js";
@@ -215,10 +223,9 @@
     const hostKeys: StoreListener = {
         listed(items) {
             const present = new Set(items.map(item => item.key));
-            [...members.keys()].filter(host => !present.has(`${SYSTEM_PREFIX}member/${host}`))
+            [...members.keys()].filter(host => !present.has(formatMemberKey(host)))
                 .forEach(host => members.delete(host));
-            [...claims.keys()].filter(engine => !present.has(`${SYSTEM_PREFIX}owner/${engine}`))
-                .forEach(engine => dropHostKey(`${SYSTEM_PREFIX}owner/${engine}`));
+            [...claims.keys()].map(formatOwnerKey).filter(key => !present.has(key)).forEach(dropHostKey);
             items.filter(item => parseHostKey(item.key).kind !== "wants").forEach(takeHostItem);
             hasHosts = true;
         },
--- a/packages/front/src/createOwnerTask.ts
+++ b/packages/front/src/createOwnerTask.ts
@@ -4,14 +4,15 @@
 import {
     applyEngineReport,
     applyOrderReply,
-    countUses,
     createResidencyState,
     describeResidency,
+    isNewEnough,
     planOrder,
     reduceWants,
+    sumUses,
 } from "@fulmarcleat/residency";
-import type { EngineWord, HostUse, ResidencyState, Want } from "@fulmarcleat/residency";
-import type { AdapterLoadReply } from "@fulmarcleat/wire";
+import type { HostUse, ResidencyState, Want } from "@fulmarcleat/residency";
+import type { AdapterLoadReply, EngineWord } from "@fulmarcleat/wire";
 import type { FrontContext } from "./frontContext.js";
 
 /** What an engine's owner runs with. */
@@ -196,9 +197,10 @@
 /** Says what takes the engine's places, for the log. */
 function countPlaces(state: ResidencyState, atMs: number): Readonly<Record<string, number>> {
     const places = { used: 0, idle: 0, loading: 0, leaving: 0 };
+    const { byAdapter } = sumUses(state, atMs);
     for (const [adapter, { phase }] of state.residents) {
         if (phase.kind === "present") {
-            places[countUses(state, atMs, adapter) > 0 ? "used" : "idle"] += 1;
+            places[byAdapter.has(adapter) ? "used" : "idle"] += 1;
         }
         else {
             places[phase.kind] += 1;
@@ -211,9 +213,9 @@
 
 function findReply(state: ResidencyState, waiter: Waiter, atMs: number): AdapterLoadReply | undefined {
     const resident = state.residents.get(waiter.adapter);
-    const isVersion = waiter.version === undefined
-        || (resident?.version !== undefined && resident.version >= waiter.version);
-    if (resident !== undefined && isVersion && resident.phase.kind !== "leaving") {
+    if (
+        resident !== undefined && resident.phase.kind !== "leaving" && isNewEnough(resident.version, waiter.version)
+    ) {
         const inMs = resident.phase.kind === "loading" ? Math.max(0, resident.phase.readyAtMs - atMs) : 0;
         return { kind: "ready", inMs };
     }
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -1,3 +1,4 @@
+import { parseJson } from "@fulmarcleat/http";
 import type { EngineId, HostId, Incarnation } from "@fulmarcleat/ids";
 import { brandId } from "@fulmarcleat/ids";
 import type { AdapterLoadAsk } from "@fulmarcleat/wire";
@@ -85,6 +86,16 @@
     return OWNER_PREFIX + engine;
 }
 
+/** Writes the value of a host's entry. */
+export function formatMember({ incarnation, ip, port, isLeaving }: Omit<Member, "host">): Buffer {
+    return Buffer.from(JSON.stringify({ incarnation, ip, port, isLeaving }));
+}
+
+/** Writes the value of an engine's owner key. */
+export function formatOwner({ host, incarnation, isReleased }: OwnerValue): Buffer {
+    return Buffer.from(JSON.stringify({ host, incarnation, isReleased }));
+}
+
 /** Gives the key of the load asks that a host has left for owners. */
 export function formatWantKey(host: HostId): string {
     return WANT_PREFIX + host;
@@ -92,7 +103,7 @@
 
 /** Reads the load asks that a host has left; none where they can't be read. */
 export function parseWants(value: Buffer): readonly AdapterLoadAsk[] {
-    const parsed = wantsSchema.safeParse(parseJson(value));
+    const parsed = wantsSchema.safeParse(parseJson(value.toString("utf8")));
     return parsed.success
         ? parsed.data.asks.map(ask => ({
             ...ask,
@@ -107,13 +118,13 @@
 
 /** Reads a host's entry; undefined where it can't be read. */
 export function parseMember(host: HostId, value: Buffer): Member | undefined {
-    const parsed = memberSchema.safeParse(parseJson(value));
+    const parsed = memberSchema.safeParse(parseJson(value.toString("utf8")));
     return parsed.success ? { ...parsed.data, host, incarnation: brandId(parsed.data.incarnation) } : undefined;
 }
 
 /** Reads an engine's owner; undefined where it can't be read. */
 export function parseOwner(value: Buffer): OwnerValue | undefined {
-    const parsed = ownerSchema.safeParse(parseJson(value));
+    const parsed = ownerSchema.safeParse(parseJson(value.toString("utf8")));
     return parsed.success
         ? {
             host: brandId(parsed.data.host),
@@ -122,13 +133,3 @@
         }
         : undefined;
 }
-
-function parseJson(value: Buffer): unknown {
-    try {
-        return JSON.parse(value.toString("utf8"));
-    }
-    catch {
-        // A value that is not JSON fails the schema.
-        return undefined;
-    }
-}
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,14 +1,16 @@
+import { MISDIRECTED } from "@fulmarcleat/directory";
 import type { EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
 import { createRetryWindow, isHopeless } from "@fulmarcleat/dispatch";
 import type { PatienceTerms, RetryWindow } from "@fulmarcleat/dispatch";
 import { waitMs } from "@fulmarcleat/ids";
 import type { EngineId, ServiceName } from "@fulmarcleat/ids";
-import { applyAttempt, giveUp, NOTHING_TRIED } from "./applyAttempt.js";
+import { applyAttempt, NOTHING_TRIED } from "./applyAttempt.js";
 import type { GatheredAnswer, RequestEnd, RequestProgress } from "./applyAttempt.js";
 import type { EngineBoard } from "./createEngineBoard.js";
 import { createEngineChooser } from "./createEngineChooser.js";
 import type { Knowledge } from "./createKnowledge.js";
 import type { FrontContext } from "./frontContext.js";
+import { giveUp } from "./giveUp.js";
 import type { RequestWork } from "./requestWork.js";
 import { runExchange } from "./runExchange.js";
 import type { ExchangeResult } from "./runExchange.js";
@@ -41,8 +43,6 @@
 const LEAST_LEFT_MS = 40;
 /** Least urgent rank that engines know. */
 const HIGHEST_URGENCY = 9;
-/** Status with which an engine refuses what it is not or does not hold. */
-const MISDIRECTED = 421;
 /** Lowest status of an engine's own failure. */
 const FIRST_SERVER_ERROR = 500;
 /** When a client whose request found no engine should try again, in milliseconds. */
--- a/packages/front/src/startAdapterBoard.steps.ts
+++ b/packages/front/src/startAdapterBoard.steps.ts
@@ -35,42 +35,17 @@
     /^an adapter board on host "(\w+)" that knows "(\w*)" as the owner of "i-1" and (.*)$/,
     async (self: string, owner: string, state: string) => {
         sent = [];
-        const clock = createManualClock(0);
-        const log = { write: () => undefined };
-        const deployment = { host: brandId<HostId>(self) };
-        const context = { clock, log, deployment, metrics: createMetrics(), hash: await createHasher() };
-        const members = ["b", "c"].map(name => brandId<HostId>(name))
-            .map(host =>
-                [host, { host, incarnation: INCARNATION, ip: "127.0.0.1", port: 1, isLeaving: false }] as const
-            );
-        const claim = { host: brandId<HostId>(owner), incarnation: INCARNATION, isReleased: false, revision: 7 };
-        const knowledge = {
-            engines: new Map(),
-            members: new Map(members),
-            claims: new Map(owner === "" ? [] : [[ENGINE, claim]]),
-            onWants: () => undefined,
-            onEngineGone: () => undefined,
-        };
-        const ownership = { find: () => undefined, isFenced: () => state === "has been fenced" };
-        const mail: WantMail = {
-            isNeeded: () => state === "does not reach it",
-            noteUnreachable: () => undefined,
-            post: ask => void sent.push({ to: "store", isRelayed: ask.isRelayed }),
-        };
-        const peers = {
-            ask(to: PeerAddress, name: string, ask: AdapterLoadAsk) {
-                sent.push({ to: to.host, isRelayed: ask.isRelayed });
+        await openBoard({
+            self,
+            engines: [],
+            owners: new Map(owner === "" ? [] : [[ENGINE, owner]]),
+            isFenced: state === "has been fenced",
+            isReached: state !== "does not reach it",
+            ask(to, ask) {
+                sent.push({ to: to.host, isRelayed: (ask as AdapterLoadAsk).isRelayed });
                 return Promise.resolve({ kind: "ready", inMs: 250 });
             },
-        };
-        board = startAdapterBoard(
-            context as unknown as FrontContext,
-            knowledge as unknown as Knowledge,
-            ownership as unknown as Ownership,
-            createEngineBoard(clock),
-            mail,
-            () => peers as unknown as PeerClient,
-        );
+        });
     },
 );
 
@@ -106,55 +81,27 @@
 let isSilent = false;
 let hasNews = false;
 
-Given("an adapter board on host {string} with {int} engines owned by {string}", async (
-    self: string,
-    count: number,
-    ownerName: string,
-) => {
-    clock = createManualClock(0);
-    tellsByEngine = new Map();
-    isSilent = false;
-    const owner = brandId<HostId>(ownerName);
-    const ids = Array.from({ length: count }, (value, index) => brandId<EngineId>(`i-${index}`));
-    const service = brandId<ServiceName>("models");
-    const context = {
-        clock,
-        log: { write: () => undefined },
-        deployment: { host: brandId<HostId>(self) },
-        metrics: createMetrics(),
-        hash: await createHasher(),
-    };
-    const knowledge = {
-        config: { services: new Map([[service, { name: service, engine: {} }]]) },
-        engines: new Map(ids.map(id => [id, { entry: { id, service, models: [] } }])),
-        members: new Map([[owner, { host: owner, ip: "127.0.0.1", port: 1, isLeaving: false }]]),
-        claims: new Map(ids.map(id => [id, { host: owner, isReleased: false, revision: 7 }])),
-        onWants: () => undefined,
-        onEngineGone: () => undefined,
-    };
-    const word: EngineUseReply = {
-        kind: "word",
-        adapters: [],
-        load: 0,
-        queuedTokens: 0,
-        placeWaitMs: 0,
-        loadMs: 250,
-    };
-    const peers = {
-        ask(to: PeerAddress, name: string, tell: EngineUseTell) {
-            tellsByEngine.set(tell.engine, (tellsByEngine.get(tell.engine) ?? 0) + 1);
-            return isSilent ? new Promise(() => undefined) : Promise.resolve(word);
-        },
-    };
-    board = startAdapterBoard(
-        context as unknown as FrontContext,
-        knowledge as unknown as Knowledge,
-        { find: () => undefined, isFenced: () => false } as unknown as Ownership,
-        createEngineBoard(clock),
-        { isNeeded: () => false, noteUnreachable: () => undefined, post: () => undefined },
-        () => peers as unknown as PeerClient,
-    );
-});
+Given(
+    "an adapter board on host {string} with {int} engines owned by {string}",
+    async (self: string, count: number, owner: string) => {
+        tellsByEngine = new Map();
+        isSilent = false;
+        const engines = Array.from({ length: count }, (value, index) => brandId<EngineId>(`i-${index}`));
+        const word: EngineUseReply = { kind: "word", adapters: [], load: 0, queuedTokens: 0, placeWaitMs: 0 };
+        await openBoard({
+            self,
+            engines,
+            owners: new Map(engines.map(engine => [engine, owner])),
+            isFenced: false,
+            isReached: true,
+            ask(to, tell) {
+                const { engine } = tell as EngineUseTell;
+                tellsByEngine.set(engine, (tellsByEngine.get(engine) ?? 0) + 1);
+                return isSilent ? new Promise(() => undefined) : Promise.resolve(word);
+            },
+        });
+    },
+);
 
 When("a request runs on engine {string} of the board", (id: string) => board.start(brandId(id), brandId("a1")));
 
@@ -185,3 +132,51 @@
         await setImmediate();
     }
 }
+
+interface BoardSetup {
+    readonly self: string;
+    readonly engines: readonly EngineId[];
+    readonly owners: ReadonlyMap<EngineId, string>;
+    /** Whether each engine has shown that another host owns it. */
+    readonly isFenced: boolean;
+    /** Whether owners can be asked directly. */
+    readonly isReached: boolean;
+    readonly ask: (to: PeerAddress, body: unknown) => Promise<unknown>;
+}
+
+async function openBoard({ self, engines, owners, isFenced, isReached, ask }: BoardSetup): Promise<void> {
+    clock = createManualClock(0);
+    const service = brandId<ServiceName>("models");
+    const context = {
+        clock,
+        log: { write: () => undefined },
+        deployment: { host: brandId<HostId>(self) },
+        metrics: createMetrics(),
+        hash: await createHasher(),
+    };
+    const hosts = ["b", "c"].map(name => brandId<HostId>(name));
+    const address = { incarnation: INCARNATION, ip: "127.0.0.1", port: 1, isLeaving: false };
+    const claim = { incarnation: INCARNATION, isReleased: false, revision: 7 };
+    const knowledge = {
+        config: { services: new Map([[service, { name: service, engine: {} }]]) },
+        engines: new Map(engines.map(id => [id, { entry: { id, service, models: [] } }])),
+        members: new Map(hosts.map(host => [host, { host, ...address }])),
+        claims: new Map([...owners].map(([engine, owner]) => [engine, { host: brandId<HostId>(owner), ...claim }])),
+        onWants: () => undefined,
+        onEngineGone: () => undefined,
+    };
+    const mail: WantMail = {
+        isNeeded: () => !isReached,
+        noteUnreachable: () => undefined,
+        post: posted => void sent.push({ to: "store", isRelayed: posted.isRelayed }),
+    };
+    const peers = { ask: (to: PeerAddress, name: string, body: unknown) => ask(to, body) };
+    board = startAdapterBoard(
+        context as unknown as FrontContext,
+        knowledge as unknown as Knowledge,
+        { find: () => undefined, isFenced: () => isFenced } as unknown as Ownership,
+        createEngineBoard(clock),
+        mail,
+        () => peers as unknown as PeerClient,
+    );
+}
--- a/packages/front/src/startAdapterBoard.ts
+++ b/packages/front/src/startAdapterBoard.ts
@@ -4,12 +4,13 @@
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import { waitMs } from "@fulmarcleat/ids";
 import type { AdapterName, BaseModel, EngineId } from "@fulmarcleat/ids";
-import type { EngineWord } from "@fulmarcleat/residency";
+import { isNewEnough } from "@fulmarcleat/residency";
 import type {
     AdapterLoadAsk,
     AdapterLoadReply,
     EngineUseReply,
     EngineUseTell,
+    EngineWord,
     PeerAddress,
     PeerClient,
 } from "@fulmarcleat/wire";
@@ -276,9 +277,11 @@
         return task.want(ask.adapter, want, ask.isMissing);
     };
     const isStale = (engine: EngineId, atMs: number): boolean => {
+        if (atMs - (told.get(engine)?.atMs ?? -Infinity) <= FRESH_MS) {
+            return false;
+        }
         const owner = findOwner(engine);
-        return owner !== undefined && !mail.isNeeded(owner.host)
-            && atMs - (told.get(engine)?.atMs ?? -Infinity) > FRESH_MS;
+        return owner !== undefined && !mail.isNeeded(owner.host);
     };
     return {
         async refresh(engines) {
@@ -304,8 +307,9 @@
             }
             const known = told.get(entry.id);
             const atMs = clock.nowMs();
-            const owner = ownership.find(entry.id) === undefined ? findOwner(entry.id) : undefined;
-            const canLoad = ownership.find(entry.id) !== undefined || owner !== undefined;
+            const isOwn = ownership.find(entry.id) !== undefined;
+            const owner = isOwn ? undefined : findOwner(entry.id);
+            const canLoad = isOwn || owner !== undefined;
             const ownerWaitMs = owner !== undefined && mail.isNeeded(owner.host) ? UNREACHED_OWNER_MS : 0;
             if (known === undefined || atMs - known.atMs > WORD_VALID_MS) {
                 return findInEntry(entry, wanted, { canLoad, placeWaitMs: ownerWaitMs });
@@ -387,10 +391,6 @@
         : { kind: "absent", ...absent };
 }
 
-function isNewEnough(held: number | undefined, wanted: number | undefined): boolean {
-    return wanted === undefined || (held !== undefined && held >= wanted);
-}
-
 /** Lets the next request for the adapter find it on its way, before the owner's next word. */
 function noteComing(
     told: Map<EngineId, Told>,
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -2,6 +2,7 @@
 import type { EnginePolicy } from "@fulmarcleat/dispatch";
 import { createJsonLog, createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
+import { listen } from "@fulmarcleat/http";
 import { createId, createRandom, createSystemClock, waitMs } from "@fulmarcleat/ids";
 import type { Incarnation } from "@fulmarcleat/ids";
 import {
@@ -109,9 +110,9 @@
         void metrics.expose().then(text => res.writeHead(200, { "content-type": "text/plain" }).end(text));
     });
     await Promise.all([
-        listen(clients, deployment.clients.ip, deployment.clients.port),
-        listen(readiness, deployment.readiness.ip, deployment.readiness.port),
-        listen(metricsServer, deployment.ip, deployment.metricsPort),
+        listen(clients, { host: deployment.clients.ip, port: deployment.clients.port }),
+        listen(readiness, { host: deployment.readiness.ip, port: deployment.readiness.port }),
+        listen(metricsServer, { host: deployment.ip, port: deployment.metricsPort }),
     ]);
     followLimits(context, clients, () => knowledge.config);
     void session.peerSecret.then(async peerKey => {
@@ -188,16 +189,6 @@
     };
 }
 
-function listen(server: Server, ip: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, ip, () => {
-            server.removeListener("error", reject);
-            resolve();
-        });
-    });
-}
-
 /** Keeps the server's limits as the configuration in force has them. */
 function followLimits(context: FrontContext, server: Server, readConfig: () => ServingConfig | undefined): void {
     const limits = readConfig()?.limits;
--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -1,4 +1,4 @@
-import type { EngineEntry, EngineSpec } from "@fulmarcleat/directory";
+import type { ChangeReply, EngineEntry, EngineSpec } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
 import type { EngineId, HostId } from "@fulmarcleat/ids";
 import { assignOwners, decideEngineClaim } from "@fulmarcleat/residency";
@@ -6,7 +6,7 @@
 import { createOwnerTask } from "./createOwnerTask.js";
 import type { OwnerTask } from "./createOwnerTask.js";
 import type { FrontContext } from "./frontContext.js";
-import { formatOwnerKey } from "./hostKeys.js";
+import { formatOwner, formatOwnerKey } from "./hostKeys.js";
 import type { Session } from "./startSession.js";
 import type { StoreHealth } from "./storeHealth.js";
 
@@ -20,6 +20,13 @@
     stop(): void;
 }
 
+/** A change of an engine's owner key. */
+interface OwnerChange {
+    readonly expectedRevision: number;
+    readonly lease: number;
+    readonly isReleased: boolean;
+}
+
 interface Owned {
     readonly task: OwnerTask;
     readonly bornMs: number | undefined;
@@ -94,27 +101,33 @@
         owned.set(entry.id, { task, bornMs: entry.bornMs });
         log.write("info", 300, { engine: entry.id, fence, bornMs: entry.bornMs });
     };
+    const writeOwner = (
+        engine: EngineId,
+        { expectedRevision, lease, isReleased }: OwnerChange,
+    ): Promise<ChangeReply> => {
+        const key = formatOwnerKey(engine);
+        const value = formatOwner({ host: deployment.host, incarnation, isReleased });
+        const expect = [{ key, revision: expectedRevision }];
+        return store.change({ expect, puts: [{ key, value, lease }], removes: [] });
+    };
     const claim = async (engine: EngineId, expectedRevision: number, mustWait: boolean): Promise<void> => {
         const { lease } = session;
         if (lease === undefined || claiming.has(engine)) {
             return;
         }
+        const allowOrders = (): void =>
+            void orderFrom.set(engine, clock.nowMs() + (mustWait ? context.readBounds().orderLeaseMs : 0));
         claiming.add(engine);
         try {
-            const key = formatOwnerKey(engine);
-            const value = Buffer.from(JSON.stringify({ host: deployment.host, incarnation, isReleased: false }));
-            const reply = await store.change({
-                expect: [{ key, revision: expectedRevision }],
-                puts: [{ key, value, lease }],
-                removes: [],
-            });
+            const reply = await writeOwner(engine, { expectedRevision, lease, isReleased: false });
             health.note(true, "claim engine");
             if (reply.kind === "written") {
-                orderFrom.set(engine, clock.nowMs() + (mustWait ? context.readBounds().orderLeaseMs : 0));
+                allowOrders();
             }
         }
         catch (err) {
-            orderFrom.set(engine, clock.nowMs() + (mustWait ? context.readBounds().orderLeaseMs : 0));
+            // The claim may have been written.
+            allowOrders();
             log.write("warn", 602, { step: toServeError(err, INTERNAL).step, engine });
             health.note(false, "claim engine");
         }
@@ -196,15 +209,9 @@
             isStopped = true;
             const engines = [...owned.entries()];
             engines.forEach(([engine]) => drop(engine, "the host stops"));
-            const value = Buffer.from(JSON.stringify({ host: deployment.host, incarnation, isReleased: true }));
             await Promise.all(engines.map(async ([engine, { task }]) => {
-                const key = formatOwnerKey(engine);
                 try {
-                    await store.change({
-                        expect: [{ key, revision: task.fence }],
-                        puts: [{ key, value, lease: 0 }],
-                        removes: [],
-                    });
+                    await writeOwner(engine, { expectedRevision: task.fence, lease: 0, isReleased: true });
                     log.write("info", 301, { engine });
                 }
                 catch (err) {
--- a/packages/front/src/startSession.ts
+++ b/packages/front/src/startSession.ts
@@ -4,7 +4,7 @@
 import { randomBytes } from "node:crypto";
 import type { Knowledge } from "./createKnowledge.js";
 import type { FrontContext } from "./frontContext.js";
-import { formatMemberKey, PEER_SECRET_KEY } from "./hostKeys.js";
+import { formatMember, formatMemberKey, PEER_SECRET_KEY } from "./hostKeys.js";
 import type { StoreHealth } from "./storeHealth.js";
 
 /** This host's session in the store. */
@@ -54,12 +54,8 @@
         tellSecret = resolve;
     });
     const writeMember = async (current: number): Promise<void> => {
-        const value = Buffer.from(JSON.stringify({
-            incarnation: context.incarnation,
-            ip: deployment.ip,
-            port: deployment.peerPort,
-            isLeaving,
-        }));
+        const { ip, peerPort: port } = deployment;
+        const value = formatMember({ incarnation: context.incarnation, ip, port, isLeaving });
         const puts = [{ key: formatMemberKey(deployment.host), value, lease: current }];
         const reply = await store.change({ expect: [], puts, removes: [] });
         if (reply.kind === "lease_ended") {
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,3 +1,5 @@
+export { listen } from "./listen.js";
+export { parseJson } from "./parseJson.js";
 export { readBody } from "./readBody.js";
 export type { ReadBodyOptions } from "./readBody.js";
 export { sendJson } from "./sendJson.js";
--- a/packages/residency/src/estimatePlaceWait.ts
+++ b/packages/residency/src/estimatePlaceWait.ts
@@ -1,6 +1,7 @@
-import { isVictim } from "./chooseVictim.js";
-import { isOnItsWay } from "./planOrder.js";
+import { isOnItsWay } from "./isOnItsWay.js";
+import { isVictim } from "./isVictim.js";
 import type { ResidencyState } from "./residencyState.js";
+import type { EngineUses } from "./sumUses.js";
 
 /** Usual time for which requests use an adapter's place, in milliseconds. */
 const USE_MS = 1500;
@@ -9,16 +10,17 @@
  * Estimates how long one more adapter would wait for a place on an engine.
  *
  * @param state - The owner's knowledge
+ * @param uses - Requests under way there
  * @param atMs - Time now, in milliseconds
  * @returns milliseconds; 0 where a place is free or can be made free at once
  *
  * @example
- * const waitMs = estimatePlaceWait(state, clock.nowMs());
+ * const waitMs = estimatePlaceWait(state, sumUses(state, atMs), atMs);
  */
-export function estimatePlaceWait(state: ResidencyState, atMs: number): number {
+export function estimatePlaceWait(state: ResidencyState, uses: EngineUses, atMs: number): number {
     let free = Math.max(0, state.slots - state.residents.size);
     for (const entry of state.residents) {
-        if (isVictim(state, entry, atMs)) {
+        if (isVictim(state, entry, uses, atMs)) {
             free += 1;
         }
     }
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -1,14 +1,14 @@
 export { applyEngineReport } from "./applyEngineReport.js";
 export { applyOrderReply } from "./applyOrderReply.js";
 export { assignOwners } from "./assignOwners.js";
-export { countUses } from "./countUses.js";
 export { decideEngineClaim } from "./decideEngineClaim.js";
 export type { EngineClaimDecision, EngineClaimView, OwnerClaim } from "./decideEngineClaim.js";
 export { describeResidency } from "./describeResidency.js";
-export type { EngineWord, ToldAdapter } from "./describeResidency.js";
+export { isNewEnough } from "./isNewEnough.js";
 export { planOrder } from "./planOrder.js";
 export type { OwnerStep } from "./planOrder.js";
 export { reduceWants } from "./reduceWants.js";
 export type { OwnerMessage } from "./reduceWants.js";
 export { createResidencyState } from "./residencyState.js";
 export type { HostUse, ResidencyState, Resident, ResidentPhase, Want } from "./residencyState.js";
+export { sumUses } from "./sumUses.js";
--- a/packages/residency/src/planOrder.ts
+++ b/packages/residency/src/planOrder.ts
@@ -1,8 +1,10 @@
 import type { EngineOrder } from "@fulmarcleat/directory";
 import type { AdapterName } from "@fulmarcleat/ids";
 import { chooseVictim } from "./chooseVictim.js";
-import { countUses } from "./countUses.js";
+import { isOnItsWay } from "./isOnItsWay.js";
 import type { ResidencyState, Want } from "./residencyState.js";
+import { sumUses } from "./sumUses.js";
+import type { EngineUses } from "./sumUses.js";
 
 /** The next thing that an owner does to its engine. */
 export type OwnerStep =
@@ -36,26 +38,34 @@
     if (atMs >= state.reportFromMs && isAnyLeaving(state)) {
         return { kind: "read_report" };
     }
-    const next = findNextWant(state, atMs);
+    if (state.wants.size === 0) {
+        return WAIT;
+    }
+    const uses = sumUses(state, atMs);
+    const next = findNextWant(state, uses, atMs);
     if (next === undefined || countLoading(state) >= TRANSIT_LIMIT) {
         return WAIT;
     }
     const [adapter, want] = next;
-    if (state.residents.has(adapter) || state.residents.size + countUnlisted(state, atMs) < state.slots) {
+    if (state.residents.has(adapter) || state.residents.size + countUnlisted(state, uses) < state.slots) {
         const order = { kind: "load_adapter", model: state.model, adapter, version: want.version } as const;
         return { kind: "order", order };
     }
-    const victim = chooseVictim(state, atMs);
+    const victim = chooseVictim(state, uses, atMs);
     return victim === undefined
         ? WAIT
         : { kind: "order", order: { kind: "unload_adapter", model: state.model, adapter: victim } };
 }
 
-function findNextWant(state: ResidencyState, atMs: number): readonly [AdapterName, Want] | undefined {
+function findNextWant(
+    state: ResidencyState,
+    uses: EngineUses,
+    atMs: number,
+): readonly [AdapterName, Want] | undefined {
     let next: readonly [AdapterName, Want] | undefined;
     for (const entry of state.wants) {
         const [adapter, want] = entry;
-        const mustWait = state.residents.has(adapter) && countUses(state, atMs, adapter) > 0;
+        const mustWait = state.residents.has(adapter) && uses.byAdapter.has(adapter);
         // Replacing an adapter in use would hold up every other order of the engine until its requests end.
         if (want.untilMs <= atMs || mustWait || isOnItsWay(state, adapter, want)) {
             continue;
@@ -74,22 +84,12 @@
     return isLateA === isLateB ? a.dueMs < b.dueMs : isLateB;
 }
 
-/** Tells whether what a request waits for is there already or has been ordered. */
-export function isOnItsWay(state: ResidencyState, adapter: AdapterName, want: Want): boolean {
-    const resident = state.residents.get(adapter);
-    return resident !== undefined
-        && (resident.phase.kind === "leaving"
-            || want.version === undefined
-            || (resident.version !== undefined && resident.version >= want.version));
-}
-
 /**
  * Counts adapters that requests run on though the engine does not list them: they leave once these have ended, and
  * take their places until then.
  */
-function countUnlisted(state: ResidencyState, atMs: number): number {
-    const used = new Set([...state.uses.values()].flatMap(use => [...use.inFlight.keys()]));
-    return [...used].filter(adapter => !state.residents.has(adapter) && countUses(state, atMs, adapter) > 0).length;
+function countUnlisted(state: ResidencyState, { byAdapter }: EngineUses): number {
+    return [...byAdapter.keys()].filter(adapter => !state.residents.has(adapter)).length;
 }
 
 function isAnyLeaving(state: ResidencyState): boolean {
--- a/packages/residency/src/reduceWants.ts
+++ b/packages/residency/src/reduceWants.ts
@@ -1,5 +1,6 @@
 import type { AdapterName, HostId } from "@fulmarcleat/ids";
 import { fadeDemand } from "./fadeDemand.js";
+import { isNewEnough } from "./isNewEnough.js";
 import type { HostUse, ResidencyState, Want } from "./residencyState.js";
 
 /** What hosts tell an engine's owner. */
@@ -84,8 +85,7 @@
     const wants = new Map(state.wants);
     for (const [adapter, want] of wants) {
         const resident = residents.get(adapter);
-        const isMet = resident?.phase.kind === "present"
-            && (want.version === undefined || (resident.version !== undefined && resident.version >= want.version));
+        const isMet = resident?.phase.kind === "present" && isNewEnough(resident.version, want.version);
         if (isMet || want.untilMs <= atMs) {
             wants.delete(adapter);
         }
--- a/packages/soak/src/checkAnswers.ts
+++ b/packages/soak/src/checkAnswers.ts
@@ -1,3 +1,4 @@
+import { promisesNotRun } from "@fulmarcleat/platform";
 import type { StandinRun } from "@fulmarcleat/platform-standin";
 import type { SoakAnswer } from "./sendRequest.js";
 
@@ -7,9 +8,6 @@
     readonly misorders: readonly string[];
 }
 
-/** Statuses that promise that a request did not run and never will. */
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
-
 /**
  * Checks what clients and engines saw against the promises.
  *
@@ -39,7 +37,7 @@
     if (req.kind === "unsafe" && runs.length > 1) {
         broken.push(`TWICE ${req.id} ran ${runs.length} times`);
     }
-    if (req.kind === "unsafe" && NOT_RUN_STATUSES.has(status) && runs.length > 0) {
+    if (req.kind === "unsafe" && promisesNotRun(status) && runs.length > 0) {
         broken.push(`REFUSED ${req.id} was answered ${status} and ran on ${runs[0]?.engine}`);
     }
     if (status === 200 && answer.isWhole && !(answer.hasSeal && answer.text === formatWhole(answer))) {
--- a/packages/soak/src/createLoopbackProxy.ts
+++ b/packages/soak/src/createLoopbackProxy.ts
@@ -1,6 +1,7 @@
-import { listenLoopback } from "@fulmarcleat/platform-standin";
+import { listen } from "@fulmarcleat/http";
 import { connect, createServer } from "node:net";
 import type { Socket } from "node:net";
+import { setTimeout as wait } from "node:timers/promises";
 
 /** What a proxy does to the connections that pass it. */
 export type LinkMode =
@@ -55,10 +56,10 @@
     };
     const hold = async (isAnswer: boolean): Promise<void> => {
         if (mode === "delayed") {
-            await sleep(DELAY_MS);
+            await wait(DELAY_MS);
         }
         while (mode === "silent" || mode === "deaf" && isAnswer) {
-            await sleep(HOLD_MS);
+            await wait(HOLD_MS);
         }
     };
     const server = createServer({ allowHalfOpen: true, noDelay: true }, client => {
@@ -73,7 +74,7 @@
         pass(client, upstream, false);
         pass(upstream, client, true);
     });
-    const port = await listenLoopback(server);
+    const port = await listen(server, { host: "127.0.0.1", port: 0 });
     return {
         port,
         setMode: next => void (mode = next),
@@ -84,9 +85,3 @@
         },
     };
 }
-
-function sleep(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-        setTimeout(resolve, delayMs);
-    });
-}
--- a/packages/soak/src/runSoak.steps.ts
+++ b/packages/soak/src/runSoak.steps.ts
@@ -2,12 +2,14 @@
 import { execFileSync } from "node:child_process";
 import { Agent } from "node:http";
 import { setTimeout } from "node:timers/promises";
+import type { LogLine } from "./createFrontProcess.js";
 import { runSoak } from "./runSoak.js";
 import type { SoakReport } from "./runSoak.js";
 import { sendRequest } from "./sendRequest.js";
 import type { SoakAnswer, SoakRequest } from "./sendRequest.js";
-import type { LogLine } from "./startFrontProcess.js";
-import { HOST_NAME, MODEL, startSoakFleet, toTarget, waitUntilReady } from "./startSoakFleet.js";
+import { HOST_NAME, MODEL, startSoakFleet } from "./startSoakFleet.js";
+import { toTarget } from "./toTarget.js";
+import { waitUntilReady } from "./waitUntilReady.js";
 
 const ROOT = new URL("../../../", import.meta.url).pathname;
 const STEP_TIMEOUT_MS = 120_000;
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -1,13 +1,16 @@
 import { createRandom } from "@fulmarcleat/ids";
 import type { Random } from "@fulmarcleat/ids";
 import { Agent } from "node:http";
+import { setTimeout as wait } from "node:timers/promises";
 import { checkAnswers } from "./checkAnswers.js";
 import { planFaults } from "./planFaults.js";
 import type { Fault, PlannedFault } from "./planFaults.js";
 import { sendRequest } from "./sendRequest.js";
 import type { SoakAnswer, SoakRequest } from "./sendRequest.js";
-import { HOST_NAME, MODEL, startSoakFleet, toTarget, waitUntilReady } from "./startSoakFleet.js";
+import { HOST_NAME, MODEL, startSoakFleet } from "./startSoakFleet.js";
 import type { SoakFleet, SoakSize } from "./startSoakFleet.js";
+import { toTarget } from "./toTarget.js";
+import { waitUntilReady } from "./waitUntilReady.js";
 
 /** What a soak runs with. */
 export interface SoakOptions extends SoakSize {
@@ -74,7 +77,7 @@
                 const req = drawRequest(draws, `${options.seed}-${client}-${sent}`, fleet);
                 answers.push(await sendRequest(req, toTarget(front), agent));
             }
-            await sleep(CLIENT_PAUSE_MS * 2 * draws.next());
+            await wait(CLIENT_PAUSE_MS * 2 * draws.next());
         }
     };
     try {
@@ -86,9 +89,9 @@
         if (!await waitUntilReady(fleet, RECOVERY_MS)) {
             broken.push("RECOVER not every host was ready again in time");
         }
-        await sleep(VERSION_MS);
+        await wait(VERSION_MS);
         const settledAtMs = performance.now();
-        await sleep(AFTER_MS);
+        await wait(AFTER_MS);
         isOver = true;
         await Promise.all(clients);
         const after = answers.filter(answer => answer.sentAtMs >= settledAtMs);
@@ -141,7 +144,7 @@
     const startedAtMs = performance.now();
     const running: Promise<void>[] = [];
     for (const { atMs, forMs, fault } of plan) {
-        await sleep(Math.max(0, startedAtMs + atMs - performance.now()));
+        await wait(Math.max(0, startedAtMs + atMs - performance.now()));
         running.push(inject(fleet, fault, forMs, random));
     }
     await Promise.all(running);
@@ -157,7 +160,7 @@
                 front.signal(fault.kind === "kill" ? "SIGKILL" : "SIGTERM");
                 front.signal("SIGCONT");
                 await front.waitForEnd();
-                await sleep(forMs / 4);
+                await wait(forMs / 4);
                 if (!front.isRunning) {
                     front.start();
                 }
@@ -166,7 +169,7 @@
         }
         case "pause":
             fleet.fronts[fault.host]?.signal("SIGSTOP");
-            await sleep(forMs);
+            await wait(forMs);
             fleet.fronts[fault.host]?.signal("SIGCONT");
             return;
         case "reload":
@@ -178,7 +181,7 @@
         case "engine_link": {
             const link = (fault.kind === "store_link" ? fleet.storeLinks : fleet.engineLinks)[fault.index];
             link?.setMode(fault.mode);
-            await sleep(forMs);
+            await wait(forMs);
             link?.setMode("open");
             return;
         }
@@ -190,7 +193,7 @@
             return;
         case "store_refuses":
             fleet.store.setMode("refusing");
-            await sleep(forMs);
+            await wait(forMs);
             fleet.store.setMode("serving");
             return;
         case "store_compacts":
@@ -198,20 +201,20 @@
             return;
         case "engine_crash":
             fleet.engine(fault.index)?.crash();
-            await sleep(forMs);
+            await wait(forMs);
             await fleet.replaceEngine(fault.index);
             return;
         case "engine_leaves": {
             const engine = fleet.engine(fault.index);
             engine?.drain();
-            await sleep(LEAVING_MS);
+            await wait(LEAVING_MS);
             await fleet.replaceEngine(fault.index);
             engine?.crash();
             return;
         }
         case "engine_fails":
             fleet.engine(fault.index)?.setFailing(true);
-            await sleep(forMs);
+            await wait(forMs);
             fleet.engine(fault.index)?.setFailing(false);
             return;
         case "new_config":
@@ -249,9 +252,3 @@
     }
     return broken;
 }
-
-function sleep(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-        setTimeout(resolve, delayMs);
-    });
-}
--- a/packages/soak/src/startSoakFleet.ts
+++ b/packages/soak/src/startSoakFleet.ts
@@ -6,10 +6,10 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { EngineRecord } from "./checkAnswers.js";
+import { createFrontProcess } from "./createFrontProcess.js";
+import type { FrontProcess } from "./createFrontProcess.js";
 import { createLoopbackProxy } from "./createLoopbackProxy.js";
 import type { LoopbackProxy } from "./createLoopbackProxy.js";
-import { createFrontProcess } from "./startFrontProcess.js";
-import type { FrontProcess } from "./startFrontProcess.js";
 
 /** Real front processes before stand-ins of the platform, with a proxy on each of their links. */
 export interface SoakFleet {
@@ -55,8 +55,6 @@
 /** First port of the hosts; below those that the kernel gives to outgoing connections. */
 const FIRST_PORT = 20_000;
 const PORTS_PER_HOST = 4;
-/** How often hosts are asked whether they are ready, in milliseconds. */
-const POLL_MS = 50;
 const ROUTES: readonly StandinRoute[] = [
     { name: "status", kind: "safe", pathPrefix: "/status/", service: PLAIN_SERVICE },
     { name: "orders", kind: "unsafe", pathPrefix: "/orders/", service: PLAIN_SERVICE },
@@ -172,43 +170,6 @@
     };
 }
 
-/**
- * Gives the address at which a front takes clients' requests.
- *
- * @param front - The process
- * @returns its name and address
- *
- * @example
- * await sendRequest(req, toTarget(front), agent);
- */
-export function toTarget({ host }: FrontProcess): { host: string; ip: string; port: number } {
-    return { host: host.name, ip: host.ip, port: host.clientPort };
-}
-
-/**
- * Waits until every host of a fleet says that it is ready.
- *
- * @param fleet - The fleet
- * @param timeoutMs - Longest wait, in milliseconds
- * @returns whether all were ready in time
- *
- * @example
- * if (!await waitUntilReady(fleet, 15_000)) { ... }
- */
-export async function waitUntilReady(fleet: SoakFleet, timeoutMs: number): Promise<boolean> {
-    const endsAtMs = performance.now() + timeoutMs;
-    while (performance.now() < endsAtMs) {
-        const ready = await Promise.all(fleet.fronts.map(front => front.isReady()));
-        if (ready.every(Boolean)) {
-            return true;
-        }
-        await new Promise(resolve => {
-            setTimeout(resolve, POLL_MS);
-        });
-    }
-    return false;
-}
-
 /** Gives each run a loopback address of its own, so that runs beside each other share no ports. */
 function chooseOwnAddress(pid: number): string {
     return `127.${1 + (pid >> 16) % BYTE}.${(pid >> 8) % BYTE}.${2 + pid % (BYTE - 2)}`;
--- a/packages/wire/src/createPeerClient.ts
+++ b/packages/wire/src/createPeerClient.ts
@@ -125,10 +125,6 @@
     const nonce = randomBytes(NONCE_BYTES).toString("hex");
     let cancelHeartbeat: CancelTimer = () => undefined;
     let isConnected = false;
-    const welcome = (): void => {
-        isConnected = true;
-        options.log?.write("info", 200, { peer: to.host });
-    };
     const beat = (): void => {
         if (options.heartbeatMs !== undefined) {
             writeFrame(socket, { t: "ping" }, options.metrics);
@@ -148,7 +144,8 @@
             asks.failAll("the connection to the peer is gone");
         });
         const accept = (): void => {
-            welcome();
+            isConnected = true;
+            options.log?.write("info", 200, { peer: to.host });
             resolve();
         };
         socket.on("data", chunk => {
--- a/packages/wire/src/createPeerServer.ts
+++ b/packages/wire/src/createPeerServer.ts
@@ -1,5 +1,6 @@
 import { toServeError } from "@fulmarcleat/errors";
 import type { EventLog, Metrics } from "@fulmarcleat/events";
+import { listen } from "@fulmarcleat/http";
 import type { Clock, HostId } from "@fulmarcleat/ids";
 import { randomBytes } from "node:crypto";
 import { createServer } from "node:net";
@@ -60,10 +61,9 @@
         sockets.add(socket);
         socket.on("close", () => sockets.delete(socket));
     });
-    await listen(server, options.listen);
-    const address = server.address();
+    const port = await listen(server, options.listen);
     return {
-        port: typeof address === "object" && address !== null ? address.port : options.listen.port,
+        port,
         close: () =>
             new Promise(resolve => {
                 server.close(() => resolve());
@@ -72,16 +72,6 @@
     };
 }
 
-function listen(server: Server, address: { readonly host: string; readonly port: number }): Promise<void> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(address.port, address.host, () => {
-            server.removeListener("error", reject);
-            resolve();
-        });
-    });
-}
-
 function serveSocket(socket: Socket, options: PeerServerOptions): void {
     const nonce = randomBytes(NONCE_BYTES).toString("hex");
     let from: HostId | undefined;
--- a/packages/wire/src/residencyMessages.ts
+++ b/packages/wire/src/residencyMessages.ts
@@ -37,20 +37,26 @@
     readonly started: readonly AdapterName[];
 }
 
-/** What an owner tells of its engine in return. */
-export type EngineUseReply =
-    | { readonly kind: "not_owner" }
-    | {
-        readonly kind: "word";
-        readonly adapters: readonly {
-            readonly adapter: AdapterName;
-            readonly version: number | undefined;
-            readonly readyInMs: number;
-            /** Whether requests run on it. */
-            readonly isUsed: boolean;
-        }[];
-        readonly load: number;
-        readonly queuedTokens: number;
-        readonly placeWaitMs: number;
-        readonly loadMs: number;
-    };
+/** An adapter as an owner tells other hosts of it. */
+export interface ToldAdapter {
+    readonly adapter: AdapterName;
+    readonly version: number | undefined;
+    /** Time until it can run requests; 0 where it can now. */
+    readonly readyInMs: number;
+    /** Whether requests run on it. */
+    readonly isUsed: boolean;
+}
+
+/** What an owner tells other hosts of its engine. */
+export interface EngineWord {
+    readonly adapters: readonly ToldAdapter[];
+    /** Requests under way there, over all hosts. */
+    readonly load: number;
+    /** Prompt tokens of requests without a first byte so far, over all hosts. */
+    readonly queuedTokens: number;
+    /** Expected wait until a place for another adapter is free, in milliseconds. */
+    readonly placeWaitMs: number;
+}
+
+/** An owner's answer to what a host tells it. */
+export type EngineUseReply = { readonly kind: "not_owner" } | ({ readonly kind: "word" } & EngineWord);
