--- a/packages/directory/src/engineTransport.ts
+++ b/packages/directory/src/engineTransport.ts
@@ -31,9 +31,13 @@
 /** Status of an engine's refusal of a request for another engine, or for an adapter that it does not hold. */
 export const MISDIRECTED = 421;
 
+/** How an answer states where its body ends; with `connection_end`, only the closing of the connection does. */
+export type AnswerFraming = "length" | "chunks" | "connection_end";
+
 /** Status and headers of an engine's answer. */
 export interface EngineAnswerHead {
     readonly status: number;
+    readonly framing: AnswerFraming;
     /** Alternating names and values, without hop-by-hop headers. */
     readonly headers: readonly string[];
     /** Id of the answered request, as echoed by the engine. */
--- a/packages/front/src/applyAttempt.steps.ts
+++ b/packages/front/src/applyAttempt.steps.ts
@@ -58,14 +58,15 @@
     const [kind, status = "0", detail] = text.split(" ");
     switch (kind) {
         case "relayed":
-            return { kind, status: 200 };
+            return { kind, status: 200, framing: "chunks", unfinishedBytes: 0 };
         case "answer":
             return createAnswer(Number(status));
         case "not_run":
             return { kind, status: Number(status), isReplaced: detail === "replaced" };
         case "unsent":
-        case "broken":
             return { kind, reason: "ECONNRESET" };
+        case "broken":
+            return { kind, reason: "ECONNRESET", framing: undefined };
         default:
             return { kind: "cancelled" };
     }
--- a/packages/front/src/applyAttempt.ts
+++ b/packages/front/src/applyAttempt.ts
@@ -7,10 +7,13 @@
 /** An engine's complete answer, held in memory and not yet sent to the client. */
 export type BufferedAnswer = Extract<ExchangeResult, { kind: "answer" }>;
 
+/** An engine's answer that has been sent to the client. */
+export type RelayedAnswer = Extract<ExchangeResult, { kind: "relayed" }>;
+
 /** How a request ended. */
 export type RequestEnd =
     /** The answer has been sent to the client. */
-    | { readonly kind: "relayed" }
+    | { readonly kind: "relayed"; readonly result: RelayedAnswer }
     | { readonly kind: "answer"; readonly result: BufferedAnswer }
     | {
         readonly kind: "gave_up";
@@ -93,7 +96,7 @@
     const excluded = new Set(progress.excluded).add(engine);
     switch (result.kind) {
         case "relayed":
-            return { kind: "over", end: { kind: "relayed" } };
+            return { kind: "over", end: { kind: "relayed", result } };
         case "answer":
             return attempt.mayFailOver
                 ? retryWith({ ...recordSend("ran"), failedAnswer: result, excluded })
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -146,14 +146,24 @@
             return;
         }
         switch (end.kind) {
-            case "relayed":
-                log.write("info", 406, { id: request.requestId, status: 200, tookMs, ...describeTimes(request) });
+            case "relayed": {
+                const { status, framing, unfinishedBytes } = end.result;
+                log.write("info", 406, {
+                    id: request.requestId,
+                    status,
+                    tookMs,
+                    framing,
+                    unfinishedBytes,
+                    ...describeTimes(request),
+                });
                 return;
+            }
             case "answer":
                 log.write("info", 406, {
                     id: request.requestId,
                     status: end.result.head.status,
                     tookMs,
+                    framing: end.result.head.framing,
                     ...describeTimes(request),
                 });
                 sendAnswer(request.res, end.result, isStopping());
--- a/packages/front/src/relayAnswer.steps.ts
+++ b/packages/front/src/relayAnswer.steps.ts
@@ -17,7 +17,14 @@
         },
     } as unknown as ServerResponse;
     relay = createAnswerRelay(res, { sendsCompleteEvents: how === "complete events", isClosing: () => false });
-    const head = { status: 200, headers: [], requestId: undefined, isNotRun: false, load: undefined };
+    const head = {
+        status: 200,
+        framing: "chunks" as const,
+        headers: [],
+        requestId: undefined,
+        isNotRun: false,
+        load: undefined,
+    };
     relay.begin({ ...head, instance: undefined });
 });
 
--- a/packages/front/src/relayAnswer.ts
+++ b/packages/front/src/relayAnswer.ts
@@ -7,6 +7,8 @@
     readonly hasStarted: boolean;
     /** Id of the last complete event that was sent to the client. */
     readonly lastEventId: string | undefined;
+    /** Number of bytes received after the last complete event. */
+    readonly unfinishedBytes: number;
     /** Sets the head of the answer; later heads of a resumed stream are ignored. */
     begin(head: EngineAnswerHead): void;
     /** Writes bytes to the client; returns false while the client's buffer is full. */
@@ -64,27 +66,29 @@
         get lastEventId() {
             return lastEventId;
         },
+        get unfinishedBytes() {
+            return partial.length;
+        },
         begin(next) {
             head ??= next;
         },
         write(bytes) {
+            const all = partial.length === 0 ? bytes : Buffer.concat([partial, bytes]);
+            const end = all.lastIndexOf(EVENT_END) + EVENT_END.length;
+            const complete = all.subarray(0, end < EVENT_END.length ? 0 : end);
+            partial = all.subarray(complete.length);
             if (!options.sendsCompleteEvents) {
                 return write(bytes);
             }
-            const all = partial.length === 0 ? bytes : Buffer.concat([partial, bytes]);
-            const end = all.lastIndexOf(EVENT_END);
-            if (end < 0) {
-                partial = all;
+            if (complete.length === 0) {
                 return true;
             }
-            const complete = all.subarray(0, end + EVENT_END.length);
-            partial = all.subarray(end + EVENT_END.length);
             lastEventId = findLastEventId(complete) ?? lastEventId;
             return write(complete);
         },
         onDrain: listener => void res.once("drain", listener),
         end() {
-            if (partial.length > 0) {
+            if (options.sendsCompleteEvents && partial.length > 0) {
                 write(partial);
             }
             writeHeadOnce();
--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -1,11 +1,23 @@
-import type { EngineAnswerHead, EngineExchange, EngineRequest, EngineTransport } from "@fulmarcleat/directory";
+import type {
+    AnswerFraming,
+    EngineAnswerHead,
+    EngineExchange,
+    EngineRequest,
+    EngineTransport,
+} from "@fulmarcleat/directory";
 import type { Clock } from "@fulmarcleat/ids";
 import type { AnswerRelay } from "./relayAnswer.js";
 
 /** How one exchange with an engine ended. */
 export type ExchangeResult =
     /** The whole answer has been sent to the client. */
-    | { readonly kind: "relayed"; readonly status: number }
+    | {
+        readonly kind: "relayed";
+        readonly status: number;
+        readonly framing: AnswerFraming;
+        /** Number of bytes after the last complete event. */
+        readonly unfinishedBytes: number;
+    }
     /** The whole answer, buffered and not yet sent to the client. */
     | { readonly kind: "answer"; readonly head: EngineAnswerHead; readonly body: Buffer }
     | {
@@ -17,7 +29,12 @@
     /** Nothing was sent to the engine. */
     | { readonly kind: "unsent"; readonly reason: string }
     /** The exchange failed after the request was sent, so the engine may have run it. */
-    | { readonly kind: "broken"; readonly reason: string }
+    | {
+        readonly kind: "broken";
+        readonly reason: string;
+        /** Framing of the answer; undefined if it broke before its head. */
+        readonly framing: AnswerFraming | undefined;
+    }
     | { readonly kind: "cancelled" };
 
 /** Settings of one exchange. */
@@ -76,7 +93,7 @@
             if (options.silenceMs !== undefined && !isOver) {
                 cancelSilenceTimer = clock.setTimer(options.silenceMs, () => {
                     exchange.cancel();
-                    finish({ kind: "broken", reason: "silent" });
+                    finish({ kind: "broken", reason: "silent", framing: head?.framing });
                 });
             }
         };
@@ -90,7 +107,7 @@
                 restartSilenceTimer();
                 if (next.requestId !== req.requestId && !next.isNotRun) {
                     exchange.cancel();
-                    finish({ kind: "broken", reason: "answer to another request" });
+                    finish({ kind: "broken", reason: "answer to another request", framing: next.framing });
                     return;
                 }
                 head = next;
@@ -114,17 +131,18 @@
                 bufferedBytes += bytes.length;
                 if (bufferedBytes > MAX_BUFFERED_ANSWER_BYTES) {
                     exchange.cancel();
-                    finish({ kind: "broken", reason: "the answer is too large" });
+                    finish({ kind: "broken", reason: "the answer is too large", framing: head?.framing });
                 }
                 return true;
             },
             end() {
                 if (head === undefined) {
-                    finish({ kind: "broken", reason: "no head" });
+                    finish({ kind: "broken", reason: "no head", framing: undefined });
                 }
-                else if (isRelayed) {
-                    relay?.end();
-                    finish({ kind: "relayed", status: head.status });
+                else if (isRelayed && relay !== undefined) {
+                    const { unfinishedBytes } = relay;
+                    relay.end();
+                    finish({ kind: "relayed", status: head.status, framing: head.framing, unfinishedBytes });
                 }
                 else if (head.isNotRun) {
                     finish(describeNotRun(req, head));
@@ -134,11 +152,12 @@
                 }
             },
             fail(failure) {
-                finish(
-                    head?.isNotRun === true
-                        ? describeNotRun(req, head)
-                        : { kind: failure.kind, reason: failure.reason },
-                );
+                if (head?.isNotRun === true) {
+                    finish(describeNotRun(req, head));
+                }
+                else {
+                    finish(failure.kind === "unsent" ? failure : { ...failure, framing: head?.framing });
+                }
             },
         });
         signal.addEventListener("abort", abort, { once: true });
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -247,9 +247,11 @@
                 log.write("info", 402, { ...details, status: result.status });
                 return;
             case "unsent":
-            case "broken":
                 log.write("info", 402, { ...details, reason: result.reason });
                 return;
+            case "broken":
+                log.write("info", 402, { ...details, reason: result.reason, framing: result.framing });
+                return;
             case "answer":
             case "relayed":
             case "cancelled":
