--- /dev/null
+++ b/packages/front/src/runExchange.steps.ts
@@ -0,0 +1,119 @@
+import type { AnswerFraming, EngineRequest } from "@fulmarcleat/directory";
+import { listen } from "@fulmarcleat/http";
+import { brandId, createSystemClock } from "@fulmarcleat/ids";
+import type { EngineId, RequestId } from "@fulmarcleat/ids";
+import { createEngineTransport } from "@fulmarcleat/platform";
+import { After, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { createServer as createHttpServer, get } from "node:http";
+import { createServer } from "node:net";
+import type { Server } from "node:net";
+import { createAnswerRelay } from "./relayAnswer.js";
+import { runExchange } from "./runExchange.js";
+
+const REQUEST_ID = brandId<RequestId>("r1");
+const servers: Server[] = [];
+let enginePort = 0;
+let exchange = "";
+let received = "";
+let isComplete = false;
+
+Given(
+    /^an engine whose stream is "(.*)", its end stated by (\w+), before it closes the connection$/,
+    async (text: string, framing: AnswerFraming) => {
+        const answer = formatAnswer(unescapeLines(text), framing);
+        const server = createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.once("data", () => socket.end(answer));
+        });
+        servers.push(server);
+        enginePort = await listen(server, { host: "127.0.0.1", port: 0 });
+    },
+);
+
+When(/^a client's request is relayed (by whole events|as bytes arrive) from the engine$/, async (how: string) => {
+    const transport = createEngineTransport({ connectTimeoutMs: 1000, idleMs: 4000, idleConnections: 4 });
+    const server = createHttpServer((clientReq, res) => {
+        clientReq.resume();
+        const relay = createAnswerRelay(res, {
+            sendsCompleteEvents: how === "by whole events",
+            isClosing: () => false,
+        });
+        void runExchange(createRequest(), {
+            transport,
+            clock: createSystemClock(),
+            relay,
+            signal: new AbortController().signal,
+            silenceMs: undefined,
+            onBytes: () => undefined,
+            onHead: () => undefined,
+        }).then(result => {
+            exchange = result.kind;
+            if (result.kind !== "relayed") {
+                relay.abort();
+            }
+        });
+    });
+    servers.push(server);
+    const port = await listen(server, { host: "127.0.0.1", port: 0 });
+    await receive(port);
+    transport.close();
+});
+
+Then("the exchange ends as {string}", (expected: string) => strictEqual(exchange, expected));
+
+Then(
+    /^the client has received "(.*)" as (an incomplete|a complete) response$/,
+    (expected: string, completeness: string) => {
+        strictEqual(received, unescapeLines(expected));
+        strictEqual(isComplete, completeness === "a complete");
+    },
+);
+
+After(() => servers.splice(0).forEach(server => server.close()));
+
+/** Sends a request and records the text that arrives and whether HTTP calls the response complete. */
+function receive(port: number): Promise<void> {
+    received = "";
+    isComplete = false;
+    return new Promise(resolve => {
+        get({ host: "127.0.0.1", port }, res => {
+            res.on("data", (bytes: Buffer) => void (received += bytes.toString()));
+            res.on("error", () => undefined);
+            res.on("close", () => {
+                isComplete = res.complete;
+                resolve();
+            });
+        }).on("error", () => resolve());
+    });
+}
+
+function formatAnswer(body: string, framing: AnswerFraming): string {
+    const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${REQUEST_ID}\r\nContent-Type: text/event-stream\r\n`;
+    switch (framing) {
+        case "length":
+            return `${head}Content-Length: ${body.length}\r\n\r\n${body}`;
+        case "chunks":
+            return `${head}Transfer-Encoding: chunked\r\n\r\n${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
+        case "connection_end":
+            return `${head}\r\n${body}`;
+    }
+}
+
+function createRequest(): EngineRequest {
+    return {
+        target: { id: brandId<EngineId>("i-1"), address: { ip: "127.0.0.1", port: enginePort } },
+        requestId: REQUEST_ID,
+        method: "GET",
+        path: "/",
+        headers: ["Host", "h", "Request-Id", REQUEST_ID],
+        body: Buffer.alloc(0),
+        deadlineMs: 1000,
+        urgency: undefined,
+        version: undefined,
+        lastEventId: undefined,
+    };
+}
+
+function unescapeLines(text: string): string {
+    return text.replaceAll(/\\+n/g, "\n").replaceAll(/\\+r/g, "\r");
+}
