Relay events whose lines end in CRLF or CR as they arrive

A relay that sends whole events knew only LF line ends, so a stream with other line ends, which the format allows, was held back until its end, and its last event id was its first one. findEventsEnd knows all three. The new case of relayAnswer.feature failed before (nothing had been sent).

--- a/packages/front/src/relayAnswer.feature
+++ b/packages/front/src/relayAnswer.feature
@@ -6,9 +6,10 @@
         Then the client has received "<sent>" and the last event id is "<last>"
 
         Examples:
-            | case                               | how             | first                   | second                | sent                                    | last |
-            | bytes as they arrive               | all bytes       | id: 1\\ndata: a         | \\n\\nid: 2           | id: 1\\ndata: a\\n\\nid: 2              |      |
-            | complete events only               | complete events | id: 1\\ndata: a         | \\n\\nid: 2           | id: 1\\ndata: a\\n\\n                   | 1    |
-            | several events in one chunk        | complete events | id: 1\\n\\nid: 2\\n\\n  | id: 3\\n\\n           | id: 1\\n\\nid: 2\\n\\nid: 3\\n\\n       | 3    |
-            | an incomplete event at a resume    | complete events | id: 1\\n\\nid: 2\\nda   | RESUME                | id: 1\\n\\n                             | 1    |
-            | the event again after a resume     | complete events | id: 1\\n\\nid: 2\\nda   | RESUMEid: 2\\n\\n     | id: 1\\n\\nid: 2\\n\\n                  | 2    |
+            | case                            | how             | first                              | second            | sent                               | last |
+            | bytes as they arrive            | all bytes       | id: 1\\ndata: a                    | \\n\\nid: 2       | id: 1\\ndata: a\\n\\nid: 2         |      |
+            | complete events only            | complete events | id: 1\\ndata: a                    | \\n\\nid: 2       | id: 1\\ndata: a\\n\\n              | 1    |
+            | several events in one chunk     | complete events | id: 1\\n\\nid: 2\\n\\n             | id: 3\\n\\n       | id: 1\\n\\nid: 2\\n\\nid: 3\\n\\n  | 3    |
+            | an incomplete event at a resume | complete events | id: 1\\n\\nid: 2\\nda              | RESUME            | id: 1\\n\\n                        | 1    |
+            | the event again after a resume  | complete events | id: 1\\n\\nid: 2\\nda              | RESUMEid: 2\\n\\n | id: 1\\n\\nid: 2\\n\\n             | 2    |
+            | events whose lines end in CRLF  | complete events | id: 1\\r\\n\\r\\nid: 2\\r\\n\\r\\n | id: 3\\r\\n       | id: 1\\r\\n\\r\\nid: 2\\r\\n\\r\\n | 2    |
--- a/packages/front/src/relayAnswer.steps.ts
+++ b/packages/front/src/relayAnswer.steps.ts
@@ -46,5 +46,5 @@
 });
 
 function unescapeLines(text: string): string {
-    return text.replaceAll(/\\+n/g, "\n");
+    return text.replaceAll(/\\+n/g, "\n").replaceAll(/\\+r/g, "\r");
 }
--- a/packages/front/src/relayAnswer.ts
+++ b/packages/front/src/relayAnswer.ts
@@ -1,5 +1,6 @@
 import type { EngineAnswerHead } from "@fulmarcleat/directory";
 import type { ServerResponse } from "node:http";
+import { findEventsEnd } from "./findEventsEnd.js";
 
 /** Streams one engine's answer to the client. */
 export interface AnswerRelay {
@@ -31,8 +32,7 @@
     readonly isClosing: () => boolean;
 }
 
-const EVENT_END = Buffer.from("\n\n");
-const ID_LINE = /^id:[ ]?(.*)$/m;
+const ID_LINES = /^id:[ ]?(.*)$/gm;
 
 /**
  * Creates the relay of one answer; the head is sent together with the first bytes.
@@ -74,8 +74,7 @@
         },
         write(bytes) {
             const all = partial.length === 0 ? bytes : Buffer.concat([partial, bytes]);
-            const end = all.lastIndexOf(EVENT_END) + EVENT_END.length;
-            const complete = all.subarray(0, end < EVENT_END.length ? 0 : end);
+            const complete = all.subarray(0, findEventsEnd(all));
             partial = all.subarray(complete.length);
             if (!options.sendsCompleteEvents) {
                 return write(bytes);
@@ -120,12 +119,5 @@
 }
 
 function findLastEventId(events: Buffer): string | undefined {
-    const blocks = events.toString("utf8").split("\n\n");
-    for (let at = blocks.length - 1; at >= 0; at -= 1) {
-        const id = ID_LINE.exec(blocks[at] ?? "")?.[1];
-        if (id !== undefined) {
-            return id;
-        }
-    }
-    return undefined;
+    return [...events.toString("utf8").matchAll(ID_LINES)].at(-1)?.[1];
 }
