Treat a stream that ends inside an event as broken off

Cause: an exchange ended well whenever HTTP said that the body had ended. A body without a length and chunks ends with its connection, so an engine that crashed and closed it looked like one that had finished; the relay then sent the fragment and closed its own chunked response, which states that the response is complete.

An exchange with a relayed stream now ends well only between two events, however its end was stated. Inside an event it is broken: a resumable stream goes on elsewhere after its last whole event, any other is cut, so the client sees that it is incomplete.

--- a/packages/front/src/applyAttempt.steps.ts
+++ b/packages/front/src/applyAttempt.steps.ts
@@ -58,7 +58,7 @@
     const [kind, status = "0", detail] = text.split(" ");
     switch (kind) {
         case "relayed":
-            return { kind, status: 200, framing: "chunks", unfinishedBytes: 0 };
+            return { kind, status: 200, framing: "chunks" };
         case "answer":
             return createAnswer(Number(status));
         case "not_run":
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -147,13 +147,12 @@
         }
         switch (end.kind) {
             case "relayed": {
-                const { status, framing, unfinishedBytes } = end.result;
+                const { status, framing } = end.result;
                 log.write("info", 406, {
                     id: request.requestId,
                     status,
                     tookMs,
                     framing,
-                    unfinishedBytes,
                     ...describeTimes(request),
                 });
                 return;
--- a/packages/front/src/relayAnswer.ts
+++ b/packages/front/src/relayAnswer.ts
@@ -8,8 +8,8 @@
     readonly hasStarted: boolean;
     /** Id of the last complete event that was sent to the client. */
     readonly lastEventId: string | undefined;
-    /** Number of bytes received after the last complete event. */
-    readonly unfinishedBytes: number;
+    /** Whether the last byte received belongs to an event that is not complete. */
+    readonly isInsideEvent: boolean;
     /** Sets the head of the answer; later heads of a resumed stream are ignored. */
     begin(head: EngineAnswerHead): void;
     /** Writes bytes to the client; returns false while the client's buffer is full. */
@@ -32,6 +32,7 @@
     readonly isClosing: () => boolean;
 }
 
+const LINE_ENDS: ReadonlySet<number> = new Set(Buffer.from("\r\n"));
 const ID_LINES = /^id:[ ]?(.*)$/gm;
 
 /**
@@ -66,8 +67,8 @@
         get lastEventId() {
             return lastEventId;
         },
-        get unfinishedBytes() {
-            return partial.length;
+        get isInsideEvent() {
+            return partial.some(byte => !LINE_ENDS.has(byte));
         },
         begin(next) {
             head ??= next;
--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -11,13 +11,7 @@
 /** How one exchange with an engine ended. */
 export type ExchangeResult =
     /** The whole answer has been sent to the client. */
-    | {
-        readonly kind: "relayed";
-        readonly status: number;
-        readonly framing: AnswerFraming;
-        /** Number of bytes after the last complete event. */
-        readonly unfinishedBytes: number;
-    }
+    | { readonly kind: "relayed"; readonly status: number; readonly framing: AnswerFraming }
     /** The whole answer, buffered and not yet sent to the client. */
     | { readonly kind: "answer"; readonly head: EngineAnswerHead; readonly body: Buffer }
     | {
@@ -139,10 +133,12 @@
                 if (head === undefined) {
                     finish({ kind: "broken", reason: "no head", framing: undefined });
                 }
-                else if (isRelayed && relay !== undefined) {
-                    const { unfinishedBytes } = relay;
-                    relay.end();
-                    finish({ kind: "relayed", status: head.status, framing: head.framing, unfinishedBytes });
+                else if (isRelayed && relay?.isInsideEvent === true) {
+                    finish({ kind: "broken", reason: "the stream ended inside an event", framing: head.framing });
+                }
+                else if (isRelayed) {
+                    relay?.end();
+                    finish({ kind: "relayed", status: head.status, framing: head.framing });
                 }
                 else if (head.isNotRun) {
                     finish(describeNotRun(req, head));
