Report a reset answer of a plain service as an error

A caller got the truncated answer as a whole one, and a keyed request stored it.

The connector that the platform's transport had for this is now buildResetConnector in packages/http, used by both.

--- a/packages/drivers/src/createHttpService.ts
+++ b/packages/drivers/src/createHttpService.ts
@@ -1,4 +1,5 @@
 import { ServeError } from "@fulmarcleat/errors";
+import { buildResetConnector } from "@fulmarcleat/http";
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
 import { isUnsent } from "./isUnsent.js";
@@ -30,7 +31,7 @@
 }
 
 function createAgent(options: HttpServiceOptions): Agent {
-    return new Agent({ connectTimeout: options.connectTimeoutMs });
+    return new Agent({ connect: buildResetConnector({ timeout: options.connectTimeoutMs }) });
 }
 
 async function callOnce(options: HttpServiceOptions, call: ServiceCall): Promise<ServiceAnswer> {
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,3 +1,4 @@
+export { buildResetConnector } from "./buildResetConnector.js";
 export { listen } from "./listen.js";
 export { parseJson } from "./parseJson.js";
 export { readBody } from "./readBody.js";
