Soak: model engines truncate one stream in twelve

One stream in twelve now ends inside an event, without chunks or a length, and closes its connection.

--- a/packages/soak/src/startSoakFleet.ts
+++ b/packages/soak/src/startSoakFleet.ts
@@ -53,6 +53,8 @@
 const MODEL_SERVICE = "models";
 /** Adapter slots of one engine; fewer than the adapters that clients request, so that adapters are evicted. */
 const ADAPTER_SLOTS = 4;
+/** Of each so many streams of a model engine, one is truncated. */
+const TRUNCATED_STREAM_INTERVAL = 12;
 /** Longest duration of a graceful stop, in seconds. */
 const STOP_TIMEOUT_S = 6;
 /** Number of values that each octet of a loopback address is drawn from. */
@@ -109,6 +111,7 @@
             domain: "a",
             store,
             clock,
+            truncatedStreamInterval: TRUNCATED_STREAM_INTERVAL,
             model: isModel ? { name: MODEL, adapterSlots: ADAPTER_SLOTS } : undefined,
             async announcedPort(port) {
                 const link = await createLoopbackProxy(port);
