Don't forward the length of an answer that another engine may finish

The rest of the stream has other bytes, so the client's response ended too early, or its surplus stood where the next answer on the connection was due. A stream that may be resumed is now framed by this host alone.

Evidence: the case 'another engine may go on' of relayAnswer.feature failed before.

--- a/packages/front/src/relayAnswer.feature
+++ b/packages/front/src/relayAnswer.feature
@@ -13,3 +13,14 @@
             | an incomplete event at a resume | complete events | id: 1\\n\\nid: 2\\nda              | RESUME            | id: 1\\n\\n                        | 1    |
             | the event again after a resume  | complete events | id: 1\\n\\nid: 2\\nda              | RESUMEid: 2\\n\\n | id: 1\\n\\nid: 2\\n\\n             | 2    |
             | events whose lines end in CRLF  | complete events | id: 1\\r\\n\\r\\nid: 2\\r\\n\\r\\n | id: 3\\r\\n       | id: 1\\r\\n\\r\\nid: 2\\r\\n\\r\\n | 2    |
+
+    # Guards against a resumed stream whose bytes don't match the length that its first engine stated.
+    Scenario Outline: The length of the first engine's answer is not forwarded for a stream that may resume: <case>
+        Given a relay that sends <how>
+        When the relay receives a head with the headers "<headers>" and the event "id: 1\\n\\n"
+        Then the client has received the headers "<forwarded>"
+
+        Examples:
+            | case                      | how             | headers                          | forwarded                        |
+            | another engine may go on  | complete events | Content-Length: 7, Request-Id: r | Request-Id: r                    |
+            | no other engine may go on | all bytes       | Content-Length: 7, Request-Id: r | Content-Length: 7, Request-Id: r |
--- a/packages/front/src/relayAnswer.steps.ts
+++ b/packages/front/src/relayAnswer.steps.ts
@@ -1,3 +1,4 @@
+import type { EngineAnswerHead } from "@fulmarcleat/directory";
 import { Given, strictEqual, Then, When } from "@fulmarcleat/testing";
 import type { ServerResponse } from "node:http";
 import { createAnswerRelay } from "./relayAnswer.js";
@@ -6,29 +7,34 @@
 const RESUME = "RESUME";
 let relay: AnswerRelay;
 let sent = "";
+let sentHeaders: readonly string[] = [];
+
+const HEAD = {
+    status: 200,
+    framing: "chunks",
+    headers: [],
+    requestId: undefined,
+    isNotRun: false,
+    load: undefined,
+    instance: undefined,
+} satisfies EngineAnswerHead;
 
 Given(/^a relay that sends (all bytes|complete events)$/, (how: string) => {
     sent = "";
     const res = {
-        writeHead: () => undefined,
+        writeHead(status: number, headers: readonly string[]) {
+            sentHeaders = headers;
+        },
         write(bytes: Buffer) {
             sent += bytes.toString();
             return true;
         },
     } as unknown as ServerResponse;
     relay = createAnswerRelay(res, { sendsCompleteEvents: how === "complete events", isClosing: () => false });
-    const head = {
-        status: 200,
-        framing: "chunks" as const,
-        headers: [],
-        requestId: undefined,
-        isNotRun: false,
-        load: undefined,
-    };
-    relay.begin({ ...head, instance: undefined });
 });
 
 When("the relay receives {string} and then {string}", (first: string, second: string) => {
+    relay.begin(HEAD);
     for (const text of [first, second]) {
         if (text.startsWith(RESUME)) {
             relay.discardPartialEvent();
@@ -40,6 +46,19 @@
     }
 });
 
+When(
+    "the relay receives a head with the headers {string} and the event {string}",
+    (headers: string, event: string) => {
+        relay.begin({ ...HEAD, headers: headers.split(", ").flatMap(header => header.split(": ")) });
+        relay.write(Buffer.from(unescapeLines(event)));
+    },
+);
+
+Then("the client has received the headers {string}", (expected: string) => {
+    const lines = sentHeaders.flatMap((text, at) => at % 2 === 0 ? [`${text}: ${sentHeaders[at + 1] ?? ""}`] : []);
+    strictEqual(lines.join(", "), expected);
+});
+
 Then("the client has received {string} and the last event id is {string}", (text: string, last: string) => {
     strictEqual(sent, unescapeLines(text));
     strictEqual(relay.lastEventId ?? "", last);
--- a/packages/front/src/relayAnswer.ts
+++ b/packages/front/src/relayAnswer.ts
@@ -53,7 +53,8 @@
     const writeHeadOnce = (): void => {
         if (!hasStarted && head !== undefined) {
             hasStarted = true;
-            writeAnswerHead(res, head, options.isClosing());
+            const forwarded = options.sendsCompleteEvents ? removeLength(head) : head;
+            writeAnswerHead(res, forwarded, options.isClosing());
         }
     };
     const write = (bytes: Buffer): boolean => {
@@ -119,6 +120,13 @@
     res.writeHead(head.status, headers);
 }
 
+/** Removes the length of the engine's answer, as another engine may send the rest of the stream in other bytes. */
+function removeLength(head: EngineAnswerHead): EngineAnswerHead {
+    const { headers } = head;
+    const isKept = (at: number): boolean => headers[at - at % 2]?.toLowerCase() !== "content-length";
+    return { ...head, headers: headers.filter((text, at) => isKept(at)) };
+}
+
 function findLastEventId(events: Buffer): string | undefined {
     return [...events.toString("utf8").matchAll(ID_LINES)].at(-1)?.[1];
 }
