--- a/packages/directory/src/engineEntry.ts
+++ b/packages/directory/src/engineEntry.ts
@@ -1,4 +1,4 @@
-import type { AdapterName, BaseModel, EngineId, FailureDomain, ServiceName } from "@fulmarcleat/ids";
+import type { AdapterName, BaseModel, EngineId, FailureDomain, ServiceName, SoftwareVersion } from "@fulmarcleat/ids";
 
 /** Network address at which a process listens. */
 export interface NetAddress {
@@ -25,6 +25,8 @@
     readonly service: ServiceName;
     readonly address: NetAddress;
     readonly domain: FailureDomain;
+    /** Undefined if the engine states none; it then counts as a version of its own. */
+    readonly softwareVersion: SoftwareVersion | undefined;
     readonly isDraining: boolean;
     /** Time until the engine stops, in milliseconds; undefined if it announced none. */
     readonly leavesInMs: number | undefined;
--- a/packages/directory/src/reduceDirectory.steps.ts
+++ b/packages/directory/src/reduceDirectory.steps.ts
@@ -48,6 +48,7 @@
         address: { ip: "127.0.0.1", port: 1 },
         domain: brandId<FailureDomain>("d"),
         isDraining,
+        softwareVersion: undefined,
         leavesInMs: undefined,
         bornMs,
         slots: 1,
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -144,6 +144,9 @@
             engine: id,
             adapter,
             version: request.requestedAdapter?.version,
+            softwareVersion: entry.softwareVersion,
+            afterEvent: req.lastEventId,
+            resumes: request.head.resumedRequestId,
         });
         const promptTokens = isModel ? request.head.tokens?.prompt ?? 0 : 0;
         loadTracker.addQueuedTokens(id, promptTokens);
--- a/packages/ids/src/brandId.ts
+++ b/packages/ids/src/brandId.ts
@@ -23,6 +23,8 @@
 export type HostId = Branded<"HostId">;
 /** Id of one process run on a host; each restart creates a new one. */
 export type Incarnation = Branded<"Incarnation">;
+/** Version of an engine's software; opaque, only compared for equality. */
+export type SoftwareVersion = Branded<"SoftwareVersion">;
 /** Name of a failure domain of the platform. */
 export type FailureDomain = Branded<"FailureDomain">;
 /** Id of a caller's request. */
