--- a/packages/soak/src/checkAnswers.steps.ts
+++ b/packages/soak/src/checkAnswers.steps.ts
@@ -3,7 +3,8 @@
 import { checkAnswers } from "./checkAnswers.js";
 import type { SoakAnswer, SoakRequest } from "./sendRequest.js";
 
-const COMPLETE_STREAM = "id: 1\ndata: r1 1/2\n\nid: 2\ndata: r1 2/2\n\n";
+const FIRST_EVENT = "id: 1\ndata: r1 1/2 v1\n\n";
+const COMPLETE_STREAM = `${FIRST_EVENT}id: 2\ndata: r1 2/2 v1\n\n`;
 
 let req: SoakRequest;
 let runs: readonly StandinRun[] = [];
@@ -28,7 +29,9 @@
 
 When(/^its client received (\d+)(?: (.*))?$/, (status: string, defect: string | undefined) => {
     const plainText = `r1:${req.kind === "unsafe" ? req.body.length : 0}`;
-    const expectedText = req.kind === "streaming" ? COMPLETE_STREAM : plainText;
+    const wholeText = req.kind === "streaming" ? COMPLETE_STREAM : plainText;
+    const isMixed = defect?.includes("mixed") === true;
+    const expectedText = isMixed ? wholeText.replace("2/2 v1", "2/2 v2") : wholeText;
     const answer: SoakAnswer = {
         req,
         host: "front-0",
@@ -37,11 +40,21 @@
         status: Number(status),
         isComplete: defect !== "cut",
         hasSignature: defect !== "unproved",
-        text: defect === "with a gap" ? expectedText.slice(0, expectedText.indexOf("id: 2")) : expectedText,
+        text: defect === "with a gap" ? FIRST_EVENT : expectedText,
     };
-    violations = checkAnswers([answer], { runs, invalidOrders: [] });
+    const answers = defect?.startsWith("resumed") === true ? splitAnswer(answer) : [answer];
+    violations = checkAnswers(answers, { runs, invalidOrders: [] });
 });
 
+/** Splits an answer after its first event into one that broke off and one that resumed it. */
+function splitAnswer(answer: SoakAnswer): readonly SoakAnswer[] {
+    const resumed = { requestId: req.id, afterEvent: 1 };
+    return [
+        { ...answer, isComplete: false, text: FIRST_EVENT },
+        { ...answer, req: { ...req, id: "r1+1", resumed }, text: answer.text.slice(FIRST_EVENT.length) },
+    ];
+}
+
 Then("the soak reports {string}", (codes: string) => {
     strictEqual(violations.map(line => line.split(" ")[0]).join(" "), codes);
 });
--- a/packages/soak/src/checkAnswers.ts
+++ b/packages/soak/src/checkAnswers.ts
@@ -28,6 +28,7 @@
     return [
         ...record.invalidOrders.map(order => `ORDER ${order}`),
         ...[...runs.keys()].filter(id => !sentIds.has(id)).map(id => `UNASKED ${id} ran, but no client sent it`),
+        ...findMixedStreams(answers),
         ...answers.flatMap(answer => checkAnswer(answer, runs.get(answer.req.id) ?? [])),
     ];
 }
@@ -41,7 +42,10 @@
     if (req.kind === "unsafe" && promisesNotRun(status) && runs.length > 0) {
         violations.push(`REFUSED ${req.id} was answered ${status} and ran on ${runs[0]?.engine}`);
     }
-    if (status === 200 && answer.isComplete && !(answer.hasSignature && answer.text === formatExpectedText(answer))) {
+    if (
+        status === 200 && answer.isComplete
+        && !(answer.hasSignature && removeVersions(answer.text) === formatExpectedText(answer))
+    ) {
         violations.push(
             `MIXED ${req.id} got an answer that differs from the expected one: ${answer.text.slice(0, 80)}`,
         );
@@ -62,14 +66,35 @@
     return violations;
 }
 
-/** Formats the complete answer that an engine gives to a request. */
+/** Lists the streams that hold events from several software versions, in one answer or over a client's attempts. */
+function findMixedStreams(answers: readonly SoakAnswer[]): readonly string[] {
+    const versions = new Map<string, Set<string>>();
+    for (const { req, text } of answers.filter(answer => answer.req.generation !== undefined)) {
+        const id = req.resumed?.requestId ?? req.id;
+        const found = [...text.matchAll(EVENT)].map(match => match[2] ?? "");
+        versions.set(id, new Set([...versions.get(id) ?? [], ...found]));
+    }
+    return [...versions].filter(([, found]) => found.size > 1)
+        .map(([id, found]) => `ORDER stream ${id} holds events from software versions ${[...found].join(", ")}`);
+}
+
+/** A whole event: its number out of the total, and the software version that made it. */
+const EVENT = /(\d+\/\d+) (\S+)(?=\n\n)/g;
+
+/** Removes the software versions, which are not part of the expected answer. */
+function removeVersions(text: string): string {
+    return text.replaceAll(EVENT, "$1");
+}
+
+/** Formats the complete answer that an engine gives to a request, without software versions. */
 function formatExpectedText({ req }: SoakAnswer): string {
     if (req.generation === undefined) {
         return `${req.id}:${req.kind === "unsafe" ? req.body.length : 0}`;
     }
     const { events } = req.generation;
-    return Array.from({ length: events }, (value, index) => {
-        const event = index + 1;
-        return `id: ${event}\ndata: ${req.id} ${event}/${events}\n\n`;
+    const { requestId, afterEvent } = req.resumed ?? { requestId: req.id, afterEvent: 0 };
+    return Array.from({ length: events - afterEvent }, (value, index) => {
+        const event = afterEvent + index + 1;
+        return `id: ${event}\ndata: ${requestId} ${event}/${events}\n\n`;
     }).join("");
 }
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -26,6 +26,7 @@
     .option("hosts", { type: "number", default: 3 })
     .option("engines", { type: "number", default: 3, describe: "number of model engines" })
     .option("plain", { type: "number", default: 2, describe: "number of engines of the plain service" })
+    .option("versions", { type: "number", default: 2, describe: "versions of the engines' software, side by side" })
     .option("clients", { type: "number", default: 8 })
     .option("logs", { type: "string", default: ".work/soak", describe: "folder for the logs of failed seeds" })
     .strict()
@@ -39,6 +40,7 @@
         hosts: args.hosts,
         modelEngines: args.engines,
         plainEngines: args.plain,
+        softwareVersions: args.versions,
         lengthMs: args.seconds * MS_PER_S,
         clients: args.clients,
     });
--- a/packages/soak/src/runSoak.feature
+++ b/packages/soak/src/runSoak.feature
@@ -2,13 +2,19 @@
 
     Scenario Outline: <case>
         Given the front program is bundled
-        When the soak of seed <seed> runs for <seconds> s
+        When the soak of seed <seed> runs for <seconds> s with engines of <versions> software versions
         Then the soak reports no violation
         And every line that the processes wrote is a JSON log line
 
         Examples:
-            | case            | seed | seconds |
-            | a short run     | 1    | 4       |
+            | case        | seed | seconds | versions |
+            | a short run | 1    | 4       | 1        |
+
+    # Guards against a stream that holds events of engines of two software versions.
+    Scenario: A stream goes on only at the software version that began it
+        Given the front program is bundled
+        When the soak of seed 3 runs for 6 s with engines of 2 software versions
+        Then the soak reports no violation
 
     Scenario: The log of a host traces a request by its id
         Given the front program is bundled
--- a/packages/soak/src/runSoak.steps.ts
+++ b/packages/soak/src/runSoak.steps.ts
@@ -27,16 +27,21 @@
     execFileSync(process.execPath, ["scripts/bundle.mjs"], { cwd: ROOT });
 });
 
-When("the soak of seed {int} runs for {int} s", { timeout: STEP_TIMEOUT_MS }, async (seed: number, seconds: number) => {
-    report = await runSoak({
-        seed,
-        hosts: 3,
-        modelEngines: 3,
-        plainEngines: 2,
-        lengthMs: seconds * 1000,
-        clients: 6,
-    });
-});
+When(
+    "the soak of seed {int} runs for {int} s with engines of {int} software versions",
+    { timeout: STEP_TIMEOUT_MS },
+    async (seed: number, seconds: number, softwareVersions: number) => {
+        report = await runSoak({
+            seed,
+            hosts: 3,
+            modelEngines: 3,
+            plainEngines: 2,
+            softwareVersions,
+            lengthMs: seconds * 1000,
+            clients: 6,
+        });
+    },
+);
 
 Then("the soak reports no violation", () => {
     deepStrictEqual(report.violations, [], JSON.stringify(report.plan));
@@ -53,7 +58,7 @@
     "a soak fleet of {int} hosts serves a {string} request",
     { timeout: STEP_TIMEOUT_MS },
     async (hosts: number, kind: string) => {
-        const fleet = await startSoakFleet({ hosts, modelEngines: 2, plainEngines: 1 });
+        const fleet = await startSoakFleet({ hosts, modelEngines: 2, plainEngines: 1, softwareVersions: 1 });
         try {
             ok(await waitUntilReady(fleet, START_TIMEOUT_MS), "the hosts did not become ready in time");
             const [front] = fleet.fronts;
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -3,8 +3,10 @@
 import { Agent } from "node:http";
 import { setTimeout as wait } from "node:timers/promises";
 import { checkAnswers } from "./checkAnswers.js";
+import type { FrontProcess } from "./createFrontProcess.js";
 import { planFaults } from "./planFaults.js";
 import type { Fault, PlannedFault } from "./planFaults.js";
+import { resumeRequest } from "./resumeRequest.js";
 import { sendRequest } from "./sendRequest.js";
 import type { SoakAnswer, SoakRequest } from "./sendRequest.js";
 import { HOST_NAME, MODEL, startSoakFleet } from "./startSoakFleet.js";
@@ -60,7 +62,7 @@
  * @returns the plan of faults, the violated guarantees and the logs of the processes
  *
  * @example
- * const size = { hosts: 3, modelEngines: 3, plainEngines: 2 };
+ * const size = { hosts: 3, modelEngines: 3, plainEngines: 2, softwareVersions: 2 };
  * const { violations } = await runSoak({ ...size, seed: 7, lengthMs: 8000, clients: 8 });
  */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
@@ -81,7 +83,7 @@
             const front = fleet.fronts[Math.floor(clientRandom.next() * fleet.fronts.length)];
             if (front !== undefined) {
                 const req = drawRequest(clientRandom, `${options.seed}-${client}-${sent}`, fleet);
-                answers.push(await sendRequest(req, toTarget(front), agent));
+                answers.push(...await sendAndResume(req, front, fleet, agent));
             }
             await wait(MEAN_CLIENT_PAUSE_MS * 2 * clientRandom.next());
         }
@@ -150,6 +152,26 @@
     };
 }
 
+/** Sends a request; a stream that breaks off is resumed at the other hosts, one after the other. */
+async function sendAndResume(
+    req: SoakRequest,
+    front: FrontProcess,
+    fleet: SoakFleet,
+    agent: Agent,
+): Promise<readonly SoakAnswer[]> {
+    const answers: SoakAnswer[] = [];
+    const endsAtMs = performance.now() + req.deadlineMs;
+    const first = fleet.fronts.indexOf(front);
+    let next: SoakRequest | undefined = req;
+    for (let attempt = 0; attempt < fleet.fronts.length && next !== undefined; attempt += 1) {
+        const host = fleet.fronts[(first + attempt) % fleet.fronts.length] ?? front;
+        const answer: SoakAnswer = await sendRequest(next, toTarget(host), agent);
+        answers.push(answer);
+        next = resumeRequest(answer, endsAtMs - performance.now());
+    }
+    return answers;
+}
+
 async function injectFaults(fleet: SoakFleet, plan: readonly PlannedFault[], random: Random): Promise<void> {
     const startedAtMs = performance.now();
     const running: Promise<void>[] = [];
--- a/packages/soak/src/startSoakFleet.ts
+++ b/packages/soak/src/startSoakFleet.ts
@@ -38,11 +38,12 @@
     close(): Promise<void>;
 }
 
-/** Number of hosts and engines of a fleet. */
+/** Number of hosts, engines and versions of the engines' software in a fleet. */
 export interface SoakSize {
     readonly hosts: number;
     readonly modelEngines: number;
     readonly plainEngines: number;
+    readonly softwareVersions: number;
 }
 
 /** Host name in the requests of clients. */
@@ -76,7 +77,7 @@
  * @returns the fleet; its processes are started, but may not be ready yet
  *
  * @example
- * const fleet = await startSoakFleet({ hosts: 3, modelEngines: 4, plainEngines: 2 });
+ * const fleet = await startSoakFleet({ hosts: 3, modelEngines: 4, plainEngines: 2, softwareVersions: 2 });
  */
 export async function startSoakFleet(size: SoakSize): Promise<SoakFleet> {
     const clock = createSystemClock();
@@ -111,6 +112,7 @@
             domain: "a",
             store,
             clock,
+            softwareVersion: `v${1 + startedEngines % size.softwareVersions}`,
             truncatedStreamInterval: TRUNCATED_STREAM_INTERVAL,
             model: isModel ? { name: MODEL, adapterSlots: ADAPTER_SLOTS } : undefined,
             async announcedPort(port) {
