Send the head of the engine whose event comes first

Until bytes have been sent, a later head now replaces the former one.

Evidence: the case 'the first engine sent part of one' of relayAnswer.feature had the first engine's signature before.

--- a/packages/front/src/relayAnswer.feature
+++ b/packages/front/src/relayAnswer.feature
@@ -24,3 +24,15 @@
             | case                      | how             | headers                          | forwarded                        |
             | another engine may go on  | complete events | Content-Length: 7, Request-Id: r | Request-Id: r                    |
             | no other engine may go on | all bytes       | Content-Length: 7, Request-Id: r | Content-Length: 7, Request-Id: r |
+
+    # Guards against an answer whose signature is of an engine that sent none of its events.
+    Scenario Outline: The head is that of the engine whose event is sent first: <case>
+        Given a relay that sends complete events
+        When the relay receives a head with the headers "Response-Seal: one" and the event "<first>"
+        And the relay receives a head with the headers "Response-Seal: two" and the event "id: 2\\n\\n"
+        Then the client has received the headers "<headers>"
+
+        Examples:
+            | case                                | first       | headers            |
+            | the first engine sent a whole event | id: 1\\n\\n | Response-Seal: one |
+            | the first engine sent part of one   | id: 1       | Response-Seal: two |
--- a/packages/front/src/relayAnswer.ts
+++ b/packages/front/src/relayAnswer.ts
@@ -10,7 +10,7 @@
     readonly lastEventId: string | undefined;
     /** Whether the last byte received belongs to an event that is not complete. */
     readonly isInsideEvent: boolean;
-    /** Sets the head of the answer; later heads of a resumed stream are ignored. */
+    /** Sets the head of the answer, until bytes have been sent; later heads of a resumed stream are ignored. */
     begin(head: EngineAnswerHead): void;
     /** Writes bytes to the client; returns false while the client's buffer is full. */
     write(bytes: Buffer): boolean;
@@ -72,7 +72,9 @@
             return partial.some(byte => !LINE_ENDS.has(byte));
         },
         begin(next) {
-            head ??= next;
+            if (!hasStarted) {
+                head = next;
+            }
         },
         write(bytes) {
             const all = partial.length === 0 ? bytes : Buffer.concat([partial, bytes]);
