Let a stream go on only at the software version that began it

Cause: an engine's entry names its version, and nothing read it. A host that resumed a stream within one answer chose among all engines of the service; a host that a client asked to resume one had no way to know where it had begun, as the client names only its earlier request.

The host that sends a stream's first event now records service and version under the request's id, in memory: with itself and with the first two hosts in rendezvous order of the id. A host that gets Last-Event-Id looks among its own records, asks up to six peers at once for at most 200 ms, and otherwise goes by the only version that the service has had for the last 30 s. Engines of another version or service are no candidates. If the origin can't be known, or no engine of the version is left, the request is refused at once as not run.

Weighed and left: the platform's store (a write for each stream, 26 a second here of 400 allowed, and lost with a copy of it), a version chosen by a hash of the request's id (moves with each new version, and binds new streams).

--- a/packages/front/src/applyAttempt.ts
+++ b/packages/front/src/applyAttempt.ts
@@ -24,7 +24,18 @@
     };
 
 /** Why no further attempt is made. */
-export type GiveUpReason = "no_engine" | "no_room" | "overloaded" | "refused" | "broken" | "no_retry_left" | "ended";
+export type GiveUpReason =
+    | "no_engine"
+    | "no_room"
+    | "overloaded"
+    | "refused"
+    | "broken"
+    | "no_retry_left"
+    | "ended"
+    /** No engine of the software version that began the stream is left. */
+    | "version_gone"
+    /** It is not known which software version began the stream. */
+    | "unknown_origin";
 
 /** State of a request between its attempts. */
 export interface RequestProgress {
--- /dev/null
+++ b/packages/front/src/createStreamOrigins.steps.ts
@@ -0,0 +1,115 @@
+import type { EngineEntry, KnownEngine, Service } from "@fulmarcleat/directory";
+import { createMetrics } from "@fulmarcleat/events";
+import { createHasher } from "@fulmarcleat/hashing";
+import { brandId, createManualClock } from "@fulmarcleat/ids";
+import type { EngineId, HostId, Incarnation, ManualClock, RequestId, ServiceName } from "@fulmarcleat/ids";
+import { deepStrictEqual, Given, Then, When } from "@fulmarcleat/testing";
+import type { PeerClient, StreamOriginRequest, StreamRecord } from "@fulmarcleat/wire";
+import { createStreamOrigins } from "./createStreamOrigins.js";
+import type { StreamOrigins } from "./createStreamOrigins.js";
+import type { FrontContext } from "./frontContext.js";
+import type { Member } from "./hostKeys.js";
+
+const STREAM = brandId<RequestId>("r1");
+const SERVICE = { name: brandId<ServiceName>("models") } as Service;
+
+let clock: ManualClock;
+let members: Map<HostId, Member>;
+let engines: Map<EngineId, KnownEngine>;
+let hosts: Map<HostId, StreamOrigins>;
+let removalListeners: ((entry: EngineEntry) => void)[];
+let versions: readonly (string | undefined)[] = [];
+
+const toHost = (number: number | string): HostId => brandId<HostId>(`host-${number}`);
+
+/** Sends a request to another host of the test; a killed one refuses the connection. */
+const peers = {
+    request(to: { readonly host: HostId }, name: string, body: unknown) {
+        const host = hosts.get(to.host);
+        if (host === undefined) {
+            return Promise.reject(new Error("connection refused"));
+        }
+        if (name === "streamStart") {
+            host.keep(body as StreamRecord);
+            return Promise.resolve({ done: true });
+        }
+        return Promise.resolve(host.answer((body as StreamOriginRequest).requestId));
+    },
+} as unknown as PeerClient;
+
+async function startHost(number: number): Promise<void> {
+    const host = toHost(number);
+    members.set(host, { host, incarnation: brandId<Incarnation>("1"), ip: "127.0.0.1", port: 1, isLeaving: false });
+    const context = { clock, deployment: { host }, hash: await createHasher(), metrics: createMetrics() };
+    const clusterView = {
+        engines,
+        members,
+        onEngineRemoved: (listener: (entry: EngineEntry) => void) => void removalListeners.push(listener),
+    };
+    hosts.set(host, createStreamOrigins(context as unknown as FrontContext, clusterView, () => peers));
+}
+
+function killHost(number: string): void {
+    members.delete(toHost(number));
+    hosts.delete(toHost(number));
+}
+
+Given("{int} hosts and engines of the versions {string}", async (count: number, text: string) => {
+    clock = createManualClock(0);
+    members = new Map();
+    hosts = new Map();
+    removalListeners = [];
+    engines = new Map(
+        text.split(" ").map((version, at) => {
+            const id = brandId<EngineId>(`i-${at}`);
+            return [id, { entry: { id, service: SERVICE.name, softwareVersion: version } } as unknown as KnownEngine];
+        }),
+    );
+    for (let number = 0; number < count; number += 1) {
+        await startHost(number);
+    }
+});
+
+Given("no host has a record of the stream", () => undefined);
+
+Given(/^the stream began at version (\w+) at host (\d+)$/, (version: string, host: string) => {
+    hosts.get(toHost(host))?.record({
+        requestId: STREAM,
+        service: SERVICE.name,
+        softwareVersion: brandId(version),
+    });
+});
+
+Given("nothing happens", () => undefined);
+
+Given(/^hosts? ([\d, and]+?) (?:is|are) killed(?: and (\d+) joins)?$/, async (text: string, joining: string | null) => {
+    [...text.matchAll(/\d+/g)].forEach(([number]) => killHost(number));
+    if (joining !== null) {
+        await startHost(Number(joining));
+    }
+});
+
+Given(/^the engine of (\w+) leaves (\d+) s before$/, (version: string, seconds: string) => {
+    for (const [id, { entry }] of engines) {
+        if (entry.softwareVersion === version) {
+            engines.delete(id);
+            removalListeners.forEach(listener => listener(entry));
+        }
+    }
+    clock.advance(Number(seconds) * 1000);
+});
+
+Given(/^(\d+) s pass$/, (seconds: string) => clock.advance(Number(seconds) * 1000));
+
+When(/^the client resumes the stream at (host 0|every other host)$/, async (where: string) => {
+    const asked = [...hosts].filter(([host]) => (host === toHost(0)) === (where === "host 0"));
+    versions = await Promise.all(asked.map(async ([, host]) => (await host.find(STREAM, SERVICE))?.softwareVersion));
+});
+
+When("the client resumes a stream without naming its first request", async () => {
+    versions = [(await hosts.get(toHost(0))?.find(undefined, SERVICE))?.softwareVersion];
+});
+
+Then("the stream began at {string}", (expected: string) => {
+    deepStrictEqual([...new Set(versions)], [expected === "unknown" ? undefined : expected]);
+});
--- /dev/null
+++ b/packages/front/src/createStreamOrigins.ts
@@ -0,0 +1,157 @@
+import type { Service } from "@fulmarcleat/directory";
+import { toServeError } from "@fulmarcleat/errors";
+import { rankByRendezvous } from "@fulmarcleat/hashing";
+import type { RequestId, ServiceName, SoftwareVersion } from "@fulmarcleat/ids";
+import type { PeerClient, StreamOrigin, StreamOriginReply, StreamRecord } from "@fulmarcleat/wire";
+import type { ClusterView } from "./createClusterView.js";
+import type { FrontContext } from "./frontContext.js";
+import type { Member } from "./hostKeys.js";
+
+/** Remembers where streams began, for clients that resume them at any host. */
+export interface StreamOrigins {
+    /** Records where a stream began, at this host and at the peers that other hosts ask first. */
+    record(record: StreamRecord): void;
+    /**
+     * Finds where a stream began; undefined if it can't be known.
+     * `requestId` is the request that brought its first event; undefined if the client names none.
+     */
+    find(requestId: RequestId | undefined, service: Service): Promise<StreamOrigin | undefined>;
+    /** Keeps another host's record. */
+    keep(record: StreamRecord): void;
+    /** Answers another host's question from the records that this host keeps. */
+    answer(requestId: RequestId): StreamOriginReply;
+}
+
+/** A kept record. */
+interface KeptOrigin {
+    readonly origin: StreamOrigin;
+    readonly keptUntilMs: number;
+}
+
+/** Longest time after its first event for which a stream may be resumed, in milliseconds. */
+const RECORD_TTL_MS = 30_000;
+/** Most records that a host keeps; the oldest is dropped first. */
+const MAX_RECORDS = 50_000;
+/** Number of peers that keep a copy of a record. */
+const COPIES = 2;
+/** Number of peers that are asked; more than keep copies, since hosts join and leave meanwhile. */
+const ASKED_PEERS = 6;
+/** Longest wait for a peer, in milliseconds. */
+const PEER_TIMEOUT_MS = 200;
+
+/**
+ * Creates the records of where streams began. They are kept in memory, at the host that served the first event and at
+ * the first peers in rendezvous order of the request's id.
+ *
+ * @param context - Clock, hash, metrics and this host's name
+ * @param clusterView - Live hosts and engines
+ * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
+ * @returns the records, empty
+ *
+ * @example
+ * const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
+ */
+export function createStreamOrigins(
+    context: Pick<FrontContext, "clock" | "deployment" | "hash" | "metrics">,
+    clusterView: Pick<ClusterView, "engines" | "members" | "onEngineRemoved">,
+    readPeers: () => Pick<PeerClient, "request"> | undefined,
+): StreamOrigins {
+    const { clock, deployment, hash, metrics } = context;
+    const kept = new Map<RequestId, KeptOrigin>();
+    let formerVersions: { readonly origin: StreamOrigin; readonly removedAtMs: number }[] = [];
+
+    const keep = ({ requestId, service, softwareVersion }: StreamRecord): void => {
+        const atMs = clock.nowMs();
+        kept.delete(requestId);
+        kept.set(requestId, { origin: { service, softwareVersion }, keptUntilMs: atMs + RECORD_TTL_MS });
+        for (const [id, { keptUntilMs }] of kept) {
+            if (keptUntilMs > atMs && kept.size <= MAX_RECORDS) {
+                break;
+            }
+            kept.delete(id);
+        }
+    };
+    const answer = (requestId: RequestId): StreamOriginReply => {
+        const found = kept.get(requestId);
+        return found === undefined || found.keptUntilMs <= clock.nowMs()
+            ? { kind: "unknown" }
+            : { kind: "known", ...found.origin };
+    };
+    const rankPeers = (requestId: RequestId, isCandidate: (member: Member) => boolean): readonly Member[] => {
+        const others = [...clusterView.members.values()].filter(member =>
+            member.host !== deployment.host && isCandidate(member)
+        );
+        return rankByRendezvous(hash, requestId, others.map(member => member.host))
+            .map(host => clusterView.members.get(host))
+            .filter(member => member !== undefined);
+    };
+    const tell = async (member: Member, record: StreamRecord): Promise<void> => {
+        try {
+            await readPeers()?.request(toAddress(member), "streamStart", record, PEER_TIMEOUT_MS);
+        }
+        catch (err) {
+            // The other copy and this host's own remain.
+            metrics.count("peer_failures_total", { step: toServeError(err, INTERNAL).step });
+        }
+    };
+    /** Asks one peer; rejects if it doesn't know the stream, so that the first known origin wins. */
+    const ask = async (member: Member, requestId: RequestId): Promise<StreamOrigin> => {
+        const reply = await readPeers()?.request(toAddress(member), "streamOrigin", { requestId }, PEER_TIMEOUT_MS);
+        if (reply?.kind !== "known") {
+            throw new Error(`${member.host} does not know where the stream began`);
+        }
+        return { service: reply.service, softwareVersion: reply.softwareVersion };
+    };
+    const askPeers = async (requestId: RequestId): Promise<StreamOrigin | undefined> => {
+        const asked = rankPeers(requestId, () => true).slice(0, ASKED_PEERS);
+        try {
+            return await Promise.any(asked.map(member => ask(member, requestId)));
+        }
+        catch {
+            // No peer knows; the caller counts the result.
+            return undefined;
+        }
+    };
+    /** Returns the only software version that a service has had for as long as a stream may be resumed. */
+    const findOnlyVersion = (service: ServiceName): StreamOrigin | undefined => {
+        const sinceMs = clock.nowMs() - RECORD_TTL_MS;
+        formerVersions = formerVersions.filter(former => former.removedAtMs >= sinceMs);
+        const origins = [
+            ...[...clusterView.engines.values()].map(({ entry }) => entry),
+            ...formerVersions.map(former => former.origin),
+        ].filter(origin => origin.service === service);
+        const versions = new Set<SoftwareVersion | undefined>(origins.map(origin => origin.softwareVersion));
+        const [softwareVersion] = versions;
+        return versions.size === 1 ? { service, softwareVersion } : undefined;
+    };
+    clusterView.onEngineRemoved(({ service, softwareVersion }) =>
+        void formerVersions.push({ origin: { service, softwareVersion }, removedAtMs: clock.nowMs() })
+    );
+    return {
+        keep,
+        answer,
+        record(record) {
+            keep(record);
+            rankPeers(record.requestId, member => !member.isLeaving).slice(0, COPIES)
+                .forEach(member => void tell(member, record));
+        },
+        async find(requestId, service) {
+            const own = requestId === undefined ? undefined : answer(requestId);
+            if (own?.kind === "known") {
+                metrics.count("stream_origins_total", { found: "own" });
+                return { service: own.service, softwareVersion: own.softwareVersion };
+            }
+            const told = requestId === undefined ? undefined : await askPeers(requestId);
+            const found = told ?? findOnlyVersion(service.name);
+            const source = told !== undefined ? "peer" : found !== undefined ? "only_version" : "none";
+            metrics.count("stream_origins_total", { found: source });
+            return found;
+        },
+    };
+}
+
+function toAddress({ host, ip, port }: Member): Parameters<PeerClient["request"]>[0] {
+    return { host, address: ip, port };
+}
+
+const INTERNAL = { code: "internal", step: "record stream", peer: "self", outcome: "unknown" } as const;
--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -41,6 +41,8 @@
     readonly signal: AbortSignal;
     /** Longest time without a byte from the engine, in milliseconds; undefined for no limit. */
     readonly silenceMs: number | undefined;
+    /** Called once when the first bytes of the whole answer are sent to the client, in this exchange or none. */
+    readonly onStart: () => void;
     /** Called whenever bytes arrive from the engine. */
     readonly onBytes: () => void;
     /** Called once with the answer's head. */
@@ -59,7 +61,7 @@
  * @returns how the exchange ended
  *
  * @example
- * const result = await runExchange(req, { transport, clock, relay, signal, silenceMs, onBytes, onHead });
+ * const result = await runExchange(req, { transport, clock, relay, signal, silenceMs, onStart, onBytes, onHead });
  */
 export function runExchange(req: EngineRequest, options: ExchangeOptions): Promise<ExchangeResult> {
     return new Promise(resolve => {
@@ -115,7 +117,11 @@
                 options.onBytes();
                 restartSilenceTimer();
                 if (isRelayed && relay !== undefined) {
+                    const hadStarted = relay.hasStarted;
                     const canTakeMore = relay.write(bytes);
+                    if (!hadStarted && relay.hasStarted) {
+                        options.onStart();
+                    }
                     if (!canTakeMore) {
                         relay.onDrain(() => exchange.resume());
                     }
--- /dev/null
+++ b/packages/front/src/runRequest.feature
@@ -0,0 +1,19 @@
+Feature: A stream goes on only at engines of the software version that began it
+
+    # Guards against a stream that holds events of engines of two software versions.
+    Scenario Outline: <case>
+        Given engines of the versions "<engines>" that <behaviour>
+        And a stream that <origin>
+        When a client's request for the stream runs 20 times
+        Then each run is sent to versions "<sent>" and ends as "<end>"
+
+        Examples:
+            | case                                     | engines     | behaviour                       | origin                      | sent        | end                            |
+            | a new stream                             | v1 v1 v2 v2 | send the whole stream           | is new                      | v1/v2       | relayed                        |
+            | a break after an event                   | v1 v2 v1 v2 | break off after the first event | is new                      | v1,v1/v2,v2 | relayed                        |
+            | a break before an event                  | v1 v2       | break off before an event       | is new                      | v1,v2/v2,v1 | relayed                        |
+            | a break after an event, no other left    | v1 v2       | break off after the first event | is new                      | v1/v2       | gave_up unknown no_room        |
+            | a resumption by the client               | v1 v2 v1 v2 | send the whole stream           | began at v2 in models       | v2          | relayed                        |
+            | a resumption whose version is gone       | v1 v1       | send the whole stream           | began at v2 in models       |             | gave_up not_run version_gone   |
+            | a resumption of another service's stream | v1 v1       | send the whole stream           | began at v1 in other-models |             | gave_up not_run version_gone   |
+            | a resumption whose origin is not known   | v1 v2       | send the whole stream           | began nobody knows where    |             | gave_up not_run unknown_origin |
--- /dev/null
+++ b/packages/front/src/runRequest.steps.ts
@@ -0,0 +1,169 @@
+import type {
+    AnswerSink,
+    EngineAnswerHead,
+    EngineRequest,
+    EngineTransport,
+    KnownEngine,
+    Service,
+} from "@fulmarcleat/directory";
+import { createMetrics } from "@fulmarcleat/events";
+import { createHasher } from "@fulmarcleat/hashing";
+import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
+import type { EngineId, RequestId, ServiceName, SoftwareVersion } from "@fulmarcleat/ids";
+import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import type { StreamOrigin } from "@fulmarcleat/wire";
+import type { ServerResponse } from "node:http";
+import type { RequestEnd } from "./applyAttempt.js";
+import type { ClientRequest } from "./clientRequest.js";
+import type { ClusterView } from "./createClusterView.js";
+import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
+import type { FrontContext } from "./frontContext.js";
+import { createAnswerRelay } from "./relayAnswer.js";
+import { createRequestRunner } from "./runRequest.js";
+import type { AdapterTracker } from "./startAdapterTracker.js";
+
+const SERVICE: Service = { name: brandId<ServiceName>("models"), maxConnections: 10, engine: undefined };
+const EVENTS = ["id: 1\n\n", "id: 2\n\n"];
+/** Number of whole events after which the first engine of a run breaks off; undefined if it sends the whole stream. */
+const EVENTS_BEFORE_BREAK: Readonly<Record<string, number | undefined>> = {
+    "send the whole stream": undefined,
+    "break off after the first event": 1,
+    "break off before an event": 0,
+};
+
+let engines: Map<EngineId, KnownEngine>;
+let eventsBeforeBreak: number | undefined;
+let isResumed = false;
+let origin: StreamOrigin | undefined;
+let results: { readonly sent: string; readonly end: string }[] = [];
+
+Given(/^engines of the versions "(.*)" that (.*)$/, (versions: string, behaviour: string) => {
+    ok(behaviour in EVENTS_BEFORE_BREAK);
+    eventsBeforeBreak = EVENTS_BEFORE_BREAK[behaviour];
+    engines = new Map(
+        versions.split(" ").map((version, at) => {
+            const id = brandId<EngineId>(`i-${at}`);
+            const entry = {
+                id,
+                service: SERVICE.name,
+                softwareVersion: version,
+                address: { ip: "127.0.0.1", port: at },
+            };
+            return [id, { entry, isUsable: true } as unknown as KnownEngine];
+        }),
+    );
+});
+
+Given("a stream that is new", () => {
+    isResumed = false;
+    origin = undefined;
+});
+
+Given("a stream that began nobody knows where", () => {
+    isResumed = true;
+    origin = undefined;
+});
+
+Given(/^a stream that began at (v\d+) in (\S+)$/, (version: string, service: string) => {
+    isResumed = true;
+    origin = { service: brandId(service), softwareVersion: brandId<SoftwareVersion>(version) };
+});
+
+When("a client's request for the stream runs {int} times", async (count: number) => {
+    results = [];
+    for (let seed = 0; seed < count; seed += 1) {
+        results.push(await runOnce(seed));
+    }
+});
+
+Then("each run is sent to versions {string} and ends as {string}", (sent: string, end: string) => {
+    const allowed = sent.split("/");
+    results.forEach(result => {
+        ok(allowed.includes(result.sent), `sent to ${result.sent}`);
+        strictEqual(result.end, end);
+    });
+});
+
+async function runOnce(seed: number): Promise<{ readonly sent: string; readonly end: string }> {
+    const clock = createManualClock(0);
+    const sent: string[] = [];
+    const transport = {
+        send(req: EngineRequest, sink: AnswerSink) {
+            sent.push(engines.get(req.target.id)?.entry.softwareVersion ?? "");
+            queueMicrotask(() => answer(req, sink, sent.length === 1 ? eventsBeforeBreak : undefined));
+            return { cancel: () => undefined, resume: () => undefined };
+        },
+    } as unknown as EngineTransport;
+    const context = {
+        clock,
+        transport,
+        random: createRandom(seed),
+        hash: await createHasher(),
+        metrics: createMetrics(),
+        log: { write: () => undefined },
+        deployment: { domain: "a" },
+        readBounds: () => ({ retryRatio: 1, retryReserve: 10, retryWindowMs: 1000 }),
+    } as unknown as FrontContext;
+    const clusterView = { engines, members: new Map() } as unknown as ClusterView;
+    const adapters = {
+        startRequest: () => undefined,
+        finishRequest: () => undefined,
+    } as unknown as AdapterTracker;
+    const streamOrigins = {
+        record: () => undefined,
+        keep: () => undefined,
+        answer: () => ({ kind: "unknown" }) as const,
+        find: () => Promise.resolve(origin),
+    };
+    const runner = createRequestRunner(context, clusterView, createEngineLoadTracker(clock), adapters, streamOrigins);
+    const end = await runner.run(createRequest());
+    return { sent: sent.join(","), end: formatEnd(end) };
+}
+
+/** Answers like an engine; breaks off after so many whole events if that is given. */
+function answer(req: EngineRequest, sink: AnswerSink, breakAfter: number | undefined): void {
+    const head: EngineAnswerHead = {
+        status: 200,
+        framing: "chunks",
+        headers: [],
+        requestId: req.requestId,
+        isNotRun: false,
+        load: undefined,
+        instance: undefined,
+    };
+    sink.head(head);
+    EVENTS.slice(Number(req.lastEventId ?? 0), breakAfter).forEach(event => sink.piece(Buffer.from(event)));
+    if (breakAfter === undefined) {
+        sink.end();
+    }
+    else {
+        sink.fail({ kind: "broken", reason: "ECONNRESET" });
+    }
+}
+
+function createRequest(): ClientRequest {
+    const res = { writeHead: () => undefined, write: () => true, end: () => undefined } as unknown as ServerResponse;
+    return {
+        req: { method: "GET", url: "/" },
+        res,
+        requestId: brandId<RequestId>("r2"),
+        head: {
+            forwarded: [],
+            lastEventId: isResumed ? "1" : undefined,
+            resumedRequestId: isResumed ? brandId<RequestId>("r1") : undefined,
+        },
+        route: { kind: "streaming", isResumable: true, maxEngines: 2, goalMs: 100, priority: 0 },
+        service: SERVICE,
+        requestedAdapter: undefined,
+        body: Buffer.alloc(0),
+        startedMs: 0,
+        deadlineAtMs: 1000,
+        signal: new AbortController().signal,
+        times: { sentMs: undefined, firstByteMs: undefined },
+        relay: createAnswerRelay(res, { sendsCompleteEvents: true, isClosing: () => false }),
+    } as unknown as ClientRequest;
+}
+
+function formatEnd(end: RequestEnd): string {
+    return end.kind === "gave_up" ? `gave_up ${end.outcome} ${end.reason}` : end.kind;
+}
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,15 +1,17 @@
 import { MISDIRECTED } from "@fulmarcleat/directory";
-import type { EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
+import type { EngineEntry, EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
 import { createRetryWindow, shouldShed } from "@fulmarcleat/dispatch";
 import type { RetryWindow, ShedTerms } from "@fulmarcleat/dispatch";
 import { sleep } from "@fulmarcleat/ids";
 import type { EngineId, ServiceName } from "@fulmarcleat/ids";
+import type { StreamOrigin } from "@fulmarcleat/wire";
 import { applyAttempt, NO_ATTEMPTS } from "./applyAttempt.js";
 import type { BufferedAnswer, RequestEnd, RequestProgress } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import { createEngineChooser } from "./createEngineChooser.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
+import type { StreamOrigins } from "./createStreamOrigins.js";
 import type { FrontContext } from "./frontContext.js";
 import { giveUp } from "./giveUp.js";
 import { runExchange } from "./runExchange.js";
@@ -26,6 +28,11 @@
 /** Whether an engine has the requested adapter, or why it can't get it. */
 type AdapterReadiness = "ready" | "no_room" | "no_owner";
 
+/** Where the stream of a request began; undefined until its first event has been sent. */
+interface StreamState {
+    origin: StreamOrigin | undefined;
+}
+
 /** Sends client requests to engines. */
 export interface RequestRunner {
     /** Runs one request, with retries if its route allows them. */
@@ -48,6 +55,8 @@
 const FIRST_SERVER_ERROR = 500;
 /** Expected time until an engine is available if none was found, in milliseconds; basis of the Retry-After. */
 const NO_ENGINE_RETRY_MS = 400;
+/** Expected time until another host may know where a stream began, in milliseconds; basis of the Retry-After. */
+const UNKNOWN_ORIGIN_RETRY_MS = 30;
 /** Expected time until engines that refused a request accept one, in milliseconds; basis of the Retry-After. */
 const REFUSED_RETRY_MS = 120;
 
@@ -58,16 +67,18 @@
  * @param clusterView - Engines and hosts
  * @param loadTracker - Load and health of engines as this host observes them
  * @param adapters - Adapters on engines and requests to load them
+ * @param streamOrigins - Where streams began that clients resume
  * @returns the runner
  *
  * @example
- * const end = await createRequestRunner(context, clusterView, loadTracker, adapters).run(request);
+ * const end = await createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins).run(request);
  */
 export function createRequestRunner(
     context: FrontContext,
     clusterView: ClusterView,
     loadTracker: EngineLoadTracker,
     adapters: AdapterTracker,
+    streamOrigins: StreamOrigins,
 ): RequestRunner {
     const { clock, log, metrics } = context;
     const chooser = createEngineChooser(context, clusterView, loadTracker, adapters);
@@ -120,7 +131,11 @@
         }
         return "ready";
     };
-    const send = async (request: ClientRequest, { entry }: KnownEngine): Promise<ExchangeResult> => {
+    const send = async (
+        request: ClientRequest,
+        { entry }: KnownEngine,
+        onStart: () => void,
+    ): Promise<ExchangeResult> => {
         const sentMs = clock.nowMs();
         const { id } = entry;
         const adapter = request.requestedAdapter?.adapter;
@@ -158,6 +173,7 @@
             relay: request.relay,
             signal: request.signal,
             silenceMs: request.route.isResumable ? RESUME_SILENCE_MS : undefined,
+            onStart,
             onBytes() {
                 loadTracker.recordBytes(id);
                 if (firstByteMs === undefined) {
@@ -214,9 +230,14 @@
         request: ClientRequest,
         progress: RequestProgress,
         unownedEngines: Set<EngineId>,
+        origin: StreamOrigin | undefined,
     ): Promise<PreparedEngine> => {
         const isEngineLimitReached = progress.tried.size >= request.route.maxEngines;
-        const allowed = chooser.list(request.service).filter(({ entry: { id } }) =>
+        const engines = chooser.list(request.service).filter(({ entry }) => mayContinue(entry, origin));
+        if (engines.length === 0 && origin !== undefined) {
+            return { kind: "over", end: giveUp(progress, "version_gone", NO_ENGINE_RETRY_MS) };
+        }
+        const allowed = engines.filter(({ entry: { id } }) =>
             !progress.excluded.has(id) && !unownedEngines.has(id) && (!isEngineLimitReached || progress.tried.has(id))
         );
         const chosen = await chooser.choose(request, allowed);
@@ -261,7 +282,23 @@
                 return;
         }
     };
+    /** Records where a stream begins when its first event has been sent to the client. */
+    const startStream = ({ requestId, route }: ClientRequest, { entry }: KnownEngine, stream: StreamState): void => {
+        const { service, softwareVersion } = entry;
+        stream.origin ??= { service, softwareVersion };
+        if (route.isResumable) {
+            streamOrigins.record({ requestId, service, softwareVersion });
+        }
+    };
     const run = async (request: ClientRequest): Promise<RequestEnd> => {
+        const { lastEventId, resumedRequestId } = request.head;
+        const isResumed = lastEventId !== undefined;
+        const stream: StreamState = {
+            origin: isResumed ? await streamOrigins.find(resumedRequestId, request.service) : undefined,
+        };
+        if (isResumed && stream.origin === undefined) {
+            return giveUp(NO_ATTEMPTS, "unknown_origin", UNKNOWN_ORIGIN_RETRY_MS);
+        }
         const budget = getRetryBudget(request.service);
         const unownedEngines = new Set<EngineId>();
         let progress = NO_ATTEMPTS;
@@ -270,7 +307,7 @@
             if (request.signal.aborted || request.deadlineAtMs - clock.nowMs() < MIN_REMAINING_MS) {
                 return giveUp(progress, "ended", NO_ENGINE_RETRY_MS);
             }
-            const prepared = await prepareEngine(request, progress, unownedEngines);
+            const prepared = await prepareEngine(request, progress, unownedEngines, stream.origin);
             if (prepared.kind === "over") {
                 return prepared.end;
             }
@@ -285,7 +322,7 @@
                 return giveUp(progress, "no_retry_left", REFUSED_RETRY_MS);
             }
             const { known } = prepared;
-            const result = await send(request, known);
+            const result = await send(request, known, () => startStream(request, known, stream));
             metrics.count("exchanges_total", { result: result.kind });
             logRetry(request, known, result, progress.sends + 1);
             if (result.kind === "not_run" && result.isReplaced) {
@@ -318,6 +355,11 @@
 /** Smallest number of hosts that the retry budget is divided among, even if fewer hosts are known. */
 const MIN_HOSTS = 6;
 
+/** Whether an engine may send the next part of a stream; what two software versions write doesn't fit together. */
+function mayContinue({ service, softwareVersion }: EngineEntry, origin: StreamOrigin | undefined): boolean {
+    return origin === undefined || origin.service === service && origin.softwareVersion === softwareVersion;
+}
+
 function mayRetry(request: ClientRequest): boolean {
     switch (request.route.kind) {
         case "safe":
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -21,6 +21,7 @@
 import { createClusterView } from "./createClusterView.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createLoadRequestOutbox } from "./createLoadRequestOutbox.js";
+import { createStreamOrigins } from "./createStreamOrigins.js";
 import { detectPauses } from "./detectPauses.js";
 import type { FrontContext } from "./frontContext.js";
 import { createRequestRunner } from "./runRequest.js";
@@ -84,7 +85,8 @@
     const outbox = createLoadRequestOutbox(context, () => session.lease);
     let peers: PeerClient | undefined;
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
-    const runner = createRequestRunner(context, clusterView, loadTracker, adapters);
+    const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
+    const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins);
     clusterView.onEngineRemoved(entry => transport.forget({ id: entry.id, address: entry.address }));
     detectPauses(clock, pausedMs => {
         log.write("warn", 106, { pausedMs: Math.round(pausedMs) });
@@ -123,6 +125,11 @@
             listen: { host: deployment.ip, port: deployment.peerPort },
             handlers: {
                 adapterLoad: loadRequest => adapters.handleLoadRequest(loadRequest),
+                streamStart(record) {
+                    streamOrigins.keep(record);
+                    return Promise.resolve({ done: true });
+                },
+                streamOrigin: ({ requestId }) => Promise.resolve(streamOrigins.answer(requestId)),
                 engineUse: usageReport => adapters.handleUsageReport(usageReport),
             },
         });
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -8,3 +8,4 @@
 export type { Frame } from "./frame.js";
 export type * from "./messages.js";
 export type * from "./residencyMessages.js";
+export type * from "./streamMessages.js";
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -13,6 +13,7 @@
 } from "@fulmarcleat/ids";
 import type { ConfigChange, Priority, Resource } from "@fulmarcleat/resources";
 import type { AdapterLoadReply, AdapterLoadRequest, HostUsageReply, HostUsageReport } from "./residencyMessages.js";
+import type { StreamOriginReply, StreamOriginRequest, StreamRecord } from "./streamMessages.js";
 
 /** Requests a place, a slot in an engine's batch with an adapter loaded, from the engine's owner. */
 export interface PlaceRequest {
@@ -252,6 +253,8 @@
     readonly explain: { readonly request: ExplainRequest; readonly reply: ExplainReply };
     readonly hello: { readonly request: PeerHello; readonly reply: PeerHello };
     readonly adapterLoad: { readonly request: AdapterLoadRequest; readonly reply: AdapterLoadReply };
+    readonly streamStart: { readonly request: StreamRecord; readonly reply: Acknowledgement };
+    readonly streamOrigin: { readonly request: StreamOriginRequest; readonly reply: StreamOriginReply };
     readonly engineUse: { readonly request: HostUsageReport; readonly reply: HostUsageReply };
 }
 
