--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -1,9 +1,6 @@
-import type { ServingConfig } from "@fulmarcleat/directory";
-import { canFinishBeforeStop, chooseRetryAfter, matchRoute, pickTarget } from "@fulmarcleat/dispatch";
+import { canFinishBeforeStop, chooseRetryAfter } from "@fulmarcleat/dispatch";
 import { toErrorStatus, toServeError } from "@fulmarcleat/errors";
-import type { ErrorCode } from "@fulmarcleat/errors";
 import { readBody } from "@fulmarcleat/http";
-import type { RequestId } from "@fulmarcleat/ids";
 import { parseClientHead, promisesNotRun } from "@fulmarcleat/platform";
 import type { ClientHead } from "@fulmarcleat/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -11,6 +8,7 @@
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import type { FrontContext } from "./frontContext.js";
+import { planRequest } from "./planRequest.js";
 import { createAnswerRelay, writeAnswerHead } from "./relayAnswer.js";
 import type { RequestRunner } from "./runRequest.js";
 
@@ -27,8 +25,6 @@
 const MS_PER_S = 1000;
 /** Longest time to receive a request's body, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000;
-/** Retry-After of a host that has no configuration yet, in milliseconds. */
-const NO_CONFIG_RETRY_MS = 300;
 /** Retry-After of a stopping host, in milliseconds; another host can serve the request at once. */
 const STOPPING_RETRY_MS = 30;
 const SERVER_ERROR_STATUS = { badGateway: 502, gatewayTimeout: 504 } as const;
@@ -71,7 +67,7 @@
         const startedMs = clock.nowMs();
         const head = parseClientHead(req.rawHeaders);
         const id = head.requestId ?? "none";
-        const plan = planRequest(head, req, clusterView, context);
+        const plan = planRequest(head, req.url ?? "/", clusterView.config, context.hash);
         if (plan.kind === "refused") {
             req.resume();
             refuse(res, id, { ...plan, outcome: "not_run", heldMs: 0 });
@@ -270,46 +266,6 @@
     readonly retryAfterMs: number | undefined;
 }
 
-/** The route and service of a request, or why it is refused. */
-type RequestPlan =
-    | {
-        readonly kind: "refused";
-        readonly status: number;
-        readonly reason: ErrorCode;
-        readonly retryAfterMs: number | undefined;
-    }
-    | ({ readonly kind: "planned"; readonly requestId: RequestId } & Pick<ClientRequest, "route" | "service"> & {
-        readonly config: ServingConfig;
-    });
-
-function planRequest(
-    head: ClientHead,
-    req: IncomingMessage,
-    clusterView: ClusterView,
-    { hash }: FrontContext,
-): RequestPlan {
-    const refused = (code: ErrorCode, retryAfterMs?: number): RequestPlan => ({
-        kind: "refused",
-        status: toErrorStatus(code),
-        reason: code,
-        retryAfterMs,
-    });
-    const { config } = clusterView;
-    if (config === undefined) {
-        return refused("not_ready", NO_CONFIG_RETRY_MS);
-    }
-    if (head.requestId === undefined) {
-        return refused("bad_request");
-    }
-    const route = matchRoute(config.routes, head.hostName, req.url ?? "/");
-    const target = route === undefined ? undefined : pickTarget(hash, route.targets, head.requestId);
-    const service = target === undefined ? undefined : config.services.get(target);
-    if (route === undefined || service === undefined) {
-        return refused("not_found");
-    }
-    return { kind: "planned", requestId: head.requestId, config, route, service };
-}
-
 function findRequestedAdapter(head: ClientHead, clusterView: ClusterView): ClientRequest["requestedAdapter"] {
     const { adapter, model } = head;
     return adapter === undefined || model === undefined
--- /dev/null
+++ b/packages/front/src/planRequest.feature
@@ -0,0 +1,13 @@
+Feature: A request gets a route and a service, or a reason for its refusal
+
+    Scenario Outline: <case>
+        Given a configuration that splits the route "/answers/" evenly between the services "a" and "b"
+        When a request <request> is planned
+        Then the plan is "<plan>"
+
+        Examples:
+            | case             | request                 | plan            |
+            | a request        | with an id              | planned         |
+            | no id            | without an id           | 400 bad_request |
+            | no route         | for another path        | 404 not_found   |
+            | no configuration | without a configuration | 503 not_ready   |
