Resume a stream at the service that began it

The choice now goes by the request that began the stream.

Evidence: 'A client that resumes a stream reaches the service that began it' failed before.

--- a/packages/front/src/planRequest.feature
+++ b/packages/front/src/planRequest.feature
@@ -11,3 +11,9 @@
             | no id            | without an id           | 400 bad_request |
             | no route         | for another path        | 404 not_found   |
             | no configuration | without a configuration | 503 not_ready   |
+
+    # Guards against a resumed stream that goes to another service of a split route than the one that began it.
+    Scenario: A client that resumes a stream reaches the service that began it
+        Given a configuration that splits the route "/answers/" evenly between the services "a" and "b"
+        When 100 streams are begun and resumed by their clients
+        Then each stream is resumed at the service that began it
--- a/packages/front/src/planRequest.steps.ts
+++ b/packages/front/src/planRequest.steps.ts
@@ -3,7 +3,7 @@
 import { brandId } from "@fulmarcleat/ids";
 import type { RequestId, ServiceName } from "@fulmarcleat/ids";
 import type { ClientHead } from "@fulmarcleat/platform";
-import { Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { deepStrictEqual, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { planRequest } from "./planRequest.js";
 import type { RequestPlan } from "./planRequest.js";
 
@@ -11,6 +11,8 @@
 
 let config: ServingConfig;
 let plan: RequestPlan;
+let begunAt: readonly string[] = [];
+let resumedAt: readonly string[] = [];
 
 Given(
     "a configuration that splits the route {string} evenly between the services {string} and {string}",
@@ -31,6 +33,22 @@
     plan = planRequest(head, path, request === "without a configuration" ? undefined : config, await createHasher());
 });
 
+When("{int} streams are begun and resumed by their clients", async (count: number) => {
+    const hash = await createHasher();
+    const find = (head: ClientHead): string => {
+        const found = planRequest(head, "/answers/1", config, hash);
+        return found.kind === "planned" ? found.service.name : found.reason;
+    };
+    const ids = Array.from({ length: count }, (value, at) => brandId<RequestId>(`r${at}`));
+    begunAt = ids.map(requestId => find({ ...HEAD, requestId }));
+    resumedAt = ids.map(id => find({ ...HEAD, requestId: brandId(`${id}+`), resumedRequestId: id, lastEventId: "1" }));
+});
+
 Then("the plan is {string}", (expected: string) => {
     strictEqual(plan.kind === "planned" ? plan.kind : `${plan.status} ${plan.reason}`, expected);
 });
+
+Then("each stream is resumed at the service that began it", () => {
+    strictEqual(new Set(begunAt).size, 2);
+    deepStrictEqual(resumedAt, begunAt);
+});
--- a/packages/front/src/planRequest.ts
+++ b/packages/front/src/planRequest.ts
@@ -51,7 +51,9 @@
         return refuse("bad_request");
     }
     const route = matchRoute(config.routes, head.hostName, path);
-    const target = route === undefined ? undefined : pickTarget(hash, route.targets, requestId);
+    // A resumed stream goes where the request that began it went.
+    const key = head.resumedRequestId ?? requestId;
+    const target = route === undefined ? undefined : pickTarget(hash, route.targets, key);
     const service = target === undefined ? undefined : config.services.get(target);
     if (route === undefined || service === undefined) {
         return refuse("not_found");
