Spread the records of streams over a bounded set of hosts

A host that copies each record to the first hosts in rendezvous order of the request's id keeps connections to every other host: with 40 hosts, 500 streams reach 39 of them. Copies go now to two of sixteen hosts, which all hosts rank alike. With up to seventeen hosts nothing changes.

Evidence: 'The hosts of a large deployment tell few peers'; the cases with 40 hosts.

--- a/packages/front/src/createStreamOrigins.steps.ts
+++ b/packages/front/src/createStreamOrigins.steps.ts
@@ -3,7 +3,7 @@
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock } from "@fulmarcleat/ids";
 import type { EngineId, HostId, Incarnation, ManualClock, RequestId, ServiceName } from "@fulmarcleat/ids";
-import { deepStrictEqual, Given, Then, When } from "@fulmarcleat/testing";
+import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import type { PeerClient, StreamOriginRequest, StreamRecord } from "@fulmarcleat/wire";
 import { createStreamOrigins } from "./createStreamOrigins.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
@@ -18,6 +18,7 @@
 let engines: Map<EngineId, KnownEngine>;
 let hosts: Map<HostId, StreamOrigins>;
 let removalListeners: ((entry: EngineEntry) => void)[];
+let told: HostId[] = [];
 let versions: readonly (string | undefined)[] = [];
 
 const toHost = (number: number | string): HostId => brandId<HostId>(`host-${number}`);
@@ -30,6 +31,7 @@
             return Promise.reject(new Error("connection refused"));
         }
         if (name === "streamStart") {
+            told.push(to.host);
             host.keep(body as StreamRecord);
             return Promise.resolve({ done: true });
         }
@@ -56,6 +58,7 @@
 
 Given("{int} hosts and engines of the versions {string}", async (count: number, text: string) => {
     clock = createManualClock(0);
+    told = [];
     members = new Map();
     hosts = new Map();
     removalListeners = [];
@@ -106,6 +109,18 @@
     versions = await Promise.all(asked.map(async ([, host]) => (await host.find(STREAM, SERVICE))?.softwareVersion));
 });
 
+When("{int} streams begin at host 0", (count: number) => {
+    for (let stream = 0; stream < count; stream += 1) {
+        const requestId = brandId<RequestId>(`r${stream}`);
+        hosts.get(toHost(0))?.record({ requestId, service: SERVICE.name, softwareVersion: undefined });
+    }
+    strictEqual(told.length, 2 * count);
+});
+
+Then("their records were sent to at most {int} hosts, two each", (most: number) => {
+    ok(new Set(told).size <= most, `${new Set(told).size} hosts`);
+});
+
 When("the client resumes a stream without naming its first request", async () => {
     versions = [(await hosts.get(toHost(0))?.find(undefined, SERVICE))?.softwareVersion];
 });
--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -32,6 +32,10 @@
 const RECORD_TTL_MS = 30_000;
 /** Most records that a host keeps; the oldest is dropped first. */
 const MAX_RECORDS = 50_000;
+/** Most hosts that copies are spread over, so that no host keeps connections to all others. */
+const MAX_KEEPERS = 16;
+/** Key by which all hosts rank those that keep copies. */
+const KEEPERS_KEY = "stream origins";
 /** Number of peers that keep a copy of a record. */
 const COPIES = 2;
 /** Number of peers that are asked; more than keep copies, since hosts join and leave meanwhile. */
@@ -41,7 +45,7 @@
 
 /**
  * Creates the records of where streams began. They are kept in memory, at the host that served the first event and at
- * the first peers in rendezvous order of the request's id.
+ * two peers that rendezvous hashing of the request's id picks from a bounded set.
  *
  * @param context - Clock, hash, metrics and this host's name
  * @param clusterView - Live hosts and engines
@@ -81,7 +85,8 @@
         const others = [...clusterView.members.values()].filter(member =>
             member.host !== deployment.host && isCandidate(member)
         );
-        return rankByRendezvous(hash, requestId, others.map(member => member.host))
+        const keepers = rankByRendezvous(hash, KEEPERS_KEY, others.map(member => member.host)).slice(0, MAX_KEEPERS);
+        return rankByRendezvous(hash, requestId, keepers)
             .map(host => clusterView.members.get(host))
             .filter(member => member !== undefined);
     };
