Keep four bytes of an event that is relayed as it arrives

The relay of a stream that can't be resumed kept the whole of an unfinished event only to know at the end whether it was inside one. The last four bytes tell that too.

--- a/packages/front/src/relayAnswer.ts
+++ b/packages/front/src/relayAnswer.ts
@@ -32,6 +32,8 @@
     readonly isClosing: () => boolean;
 }
 
+/** Length of the longest text and line ends that the next byte may turn into the end of an event: `a\r\n\r`. */
+const MAX_OPEN_END_BYTES = 4;
 const LINE_ENDS: ReadonlySet<number> = new Set(Buffer.from("\r\n"));
 const ID_LINES = /^id:[ ]?(.*)$/gm;
 
@@ -81,6 +83,7 @@
             const complete = all.subarray(0, findEventsEnd(all));
             partial = all.subarray(complete.length);
             if (!options.sendsCompleteEvents) {
+                partial = partial.subarray(-MAX_OPEN_END_BYTES);
                 return write(bytes);
             }
             if (complete.length === 0) {
--- a/packages/front/src/runExchange.feature
+++ b/packages/front/src/runExchange.feature
@@ -8,17 +8,18 @@
         And the client has received "<received>" as <completeness> response
 
         Examples:
-            | case                                  | body                               | framing        | how             | exchange | received                           | completeness  |
-            | inside an event, by connection end    | id: 1\\ndata: a\\n\\nid: 2\\ndata: | connection_end | by whole events | broken   | id: 1\\ndata: a\\n\\n              | an incomplete |
-            | inside an event, as bytes arrive      | id: 1\\ndata: a\\n\\nid: 2\\ndata: | connection_end | as bytes arrive | broken   | id: 1\\ndata: a\\n\\nid: 2\\ndata: | an incomplete |
-            | inside an event, after its last chunk | id: 1\\ndata: a\\n\\nid: 2\\ndata: | chunks         | by whole events | broken   | id: 1\\ndata: a\\n\\n              | an incomplete |
-            | inside an event, at its length        | id: 1\\ndata: a\\n\\nid: 2\\ndata: | length         | by whole events | broken   | id: 1\\ndata: a\\n\\n              | an incomplete |
-            | inside its first event                | id: 1\\nda                         | connection_end | by whole events | broken   |                                    | an incomplete |
-            | after its id line                     | id: 1\\ndata: a\\n\\nid: 2\\n      | connection_end | by whole events | broken   | id: 1\\ndata: a\\n\\n              | an incomplete |
-            | after an event, by connection end     | id: 1\\ndata: a\\n\\n              | connection_end | by whole events | relayed  | id: 1\\ndata: a\\n\\n              | a complete    |
-            | after an event, as bytes arrive       | id: 1\\ndata: a\\n\\n              | connection_end | as bytes arrive | relayed  | id: 1\\ndata: a\\n\\n              | a complete    |
-            | after an event, after its last chunk  | id: 1\\ndata: a\\n\\n              | chunks         | by whole events | relayed  | id: 1\\ndata: a\\n\\n              | a complete    |
-            | after an event and an empty line      | id: 1\\ndata: a\\n\\n\\n           | connection_end | by whole events | relayed  | id: 1\\ndata: a\\n\\n\\n           | a complete    |
-            | after an event with CRLF line ends    | id: 1\\r\\ndata: a\\r\\n\\r\\n     | connection_end | by whole events | relayed  | id: 1\\r\\ndata: a\\r\\n\\r\\n     | a complete    |
-            | inside an event with CRLF line ends   | id: 1\\r\\n\\r\\nid: 2\\r\\n       | connection_end | by whole events | broken   | id: 1\\r\\n\\r\\n                  | an incomplete |
-            | a stream without events               |                                    | connection_end | by whole events | relayed  |                                    | a complete    |
+            | case                                  | body                                     | framing        | how             | exchange | received                                 | completeness  |
+            | inside an event, by connection end    | id: 1\\ndata: a\\n\\nid: 2\\ndata:       | connection_end | by whole events | broken   | id: 1\\ndata: a\\n\\n                    | an incomplete |
+            | inside an event, as bytes arrive      | id: 1\\ndata: a\\n\\nid: 2\\ndata:       | connection_end | as bytes arrive | broken   | id: 1\\ndata: a\\n\\nid: 2\\ndata:       | an incomplete |
+            | inside an event, after its last chunk | id: 1\\ndata: a\\n\\nid: 2\\ndata:       | chunks         | by whole events | broken   | id: 1\\ndata: a\\n\\n                    | an incomplete |
+            | inside an event, at its length        | id: 1\\ndata: a\\n\\nid: 2\\ndata:       | length         | by whole events | broken   | id: 1\\ndata: a\\n\\n                    | an incomplete |
+            | inside its first event                | id: 1\\nda                               | connection_end | by whole events | broken   |                                          | an incomplete |
+            | after its id line                     | id: 1\\ndata: a\\n\\nid: 2\\n            | connection_end | by whole events | broken   | id: 1\\ndata: a\\n\\n                    | an incomplete |
+            | after an event, by connection end     | id: 1\\ndata: a\\n\\n                    | connection_end | by whole events | relayed  | id: 1\\ndata: a\\n\\n                    | a complete    |
+            | after an event, as bytes arrive       | id: 1\\ndata: a\\n\\n                    | connection_end | as bytes arrive | relayed  | id: 1\\ndata: a\\n\\n                    | a complete    |
+            | after an event, after its last chunk  | id: 1\\ndata: a\\n\\n                    | chunks         | by whole events | relayed  | id: 1\\ndata: a\\n\\n                    | a complete    |
+            | after a long event, as bytes arrive   | id: 1\\ndata: aaaaaaaaaaaaaaaaaaaa\\n\\n | connection_end | as bytes arrive | relayed  | id: 1\\ndata: aaaaaaaaaaaaaaaaaaaa\\n\\n | a complete    |
+            | after an event and an empty line      | id: 1\\ndata: a\\n\\n\\n                 | connection_end | by whole events | relayed  | id: 1\\ndata: a\\n\\n\\n                 | a complete    |
+            | after an event with CRLF line ends    | id: 1\\r\\ndata: a\\r\\n\\r\\n           | connection_end | by whole events | relayed  | id: 1\\r\\ndata: a\\r\\n\\r\\n           | a complete    |
+            | inside an event with CRLF line ends   | id: 1\\r\\n\\r\\nid: 2\\r\\n             | connection_end | by whole events | broken   | id: 1\\r\\n\\r\\n                        | an incomplete |
+            | a stream without events               |                                          | connection_end | by whole events | relayed  |                                          | a complete    |
--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -41,7 +41,7 @@
     readonly signal: AbortSignal;
     /** Longest time without a byte from the engine, in milliseconds; undefined for no limit. */
     readonly silenceMs: number | undefined;
-    /** Called once when the first bytes of the whole answer are sent to the client, in this exchange or none. */
+    /** Called when the client gets the first bytes of its answer; not called if an earlier exchange has sent some. */
     readonly onStart: () => void;
     /** Called whenever bytes arrive from the engine. */
     readonly onBytes: () => void;
