--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -2,7 +2,7 @@
 import { toServeError } from "@fulmarcleat/errors";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import type { RequestId, ServiceName, SoftwareVersion } from "@fulmarcleat/ids";
-import type { PeerClient, StreamOrigin, StreamOriginReply, StreamRecord } from "@fulmarcleat/wire";
+import type { PeerClient, ReplyOf, RequestOf, StreamOrigin, StreamOriginReply, StreamRecord } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
@@ -90,32 +90,30 @@
             .map(host => clusterView.members.get(host))
             .filter(member => member !== undefined);
     };
-    const tell = async (member: Member, record: StreamRecord): Promise<void> => {
+    const sendTo = async <Name extends "streamStart" | "streamOrigin">(
+        { host, ip, port }: Member,
+        name: Name,
+        body: RequestOf<Name>,
+    ): Promise<ReplyOf<Name> | undefined> => {
         try {
-            await readPeers()?.request(toAddress(member), "streamStart", record, PEER_TIMEOUT_MS);
+            return await readPeers()?.request({ host, address: ip, port }, name, body, PEER_TIMEOUT_MS);
         }
         catch (err) {
-            // The other copy and this host's own remain.
+            // The other copies remain.
             metrics.count("peer_failures_total", { step: toServeError(err, INTERNAL).step });
+            return undefined;
         }
     };
-    /** Asks one peer; rejects if it doesn't know the stream, so that the first known origin wins. */
-    const ask = async (member: Member, requestId: RequestId): Promise<StreamOrigin> => {
-        const reply = await readPeers()?.request(toAddress(member), "streamOrigin", { requestId }, PEER_TIMEOUT_MS);
-        if (reply?.kind !== "known") {
-            throw new Error(`${member.host} does not know where the stream began`);
-        }
-        return { service: reply.service, softwareVersion: reply.softwareVersion };
-    };
+    /** Asks peers for a stream's origin; the first one that knows it wins. */
     const askPeers = async (requestId: RequestId): Promise<StreamOrigin | undefined> => {
         const asked = rankPeers(requestId, () => true).slice(0, ASKED_PEERS);
-        try {
-            return await Promise.any(asked.map(member => ask(member, requestId)));
-        }
-        catch {
-            // No peer knows; the caller counts the result.
-            return undefined;
-        }
+        const replies = asked.map(async member => {
+            const reply = await sendTo(member, "streamOrigin", { requestId });
+            return reply?.kind === "known" ? reply : Promise.reject(new Error(`${member.host} keeps no record`));
+        });
+        // It rejects only if no peer keeps a record.
+        const known = await Promise.any(replies).catch(() => undefined);
+        return known === undefined ? undefined : { service: known.service, softwareVersion: known.softwareVersion };
     };
     /** Returns the only software version that a service has had for as long as a stream may be resumed. */
     const findOnlyVersion = (service: ServiceName): StreamOrigin | undefined => {
@@ -138,7 +136,7 @@
         record(record) {
             keep(record);
             rankPeers(record.requestId, member => !member.isLeaving).slice(0, COPIES)
-                .forEach(member => void tell(member, record));
+                .forEach(member => void sendTo(member, "streamStart", record));
         },
         async find(requestId, service) {
             const own = requestId === undefined ? undefined : answer(requestId);
@@ -155,8 +153,4 @@
     };
 }
 
-function toAddress({ host, ip, port }: Member): Parameters<PeerClient["request"]>[0] {
-    return { host, address: ip, port };
-}
-
-const INTERNAL = { code: "internal", step: "record stream", peer: "self", outcome: "unknown" } as const;
+const INTERNAL = { code: "internal", step: "exchange stream origins", peer: "self", outcome: "unknown" } as const;
