Forget the versions of engines that left long ago

The list of removed engines was shortened only when a stream of unknown origin was resumed, so it grew as long as none was. It is shortened at each removal now.

--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -62,7 +62,7 @@
 ): StreamOrigins {
     const { clock, deployment, hash, metrics } = context;
     const kept = new Map<RequestId, KeptOrigin>();
-    let formerVersions: { readonly origin: StreamOrigin; readonly removedAtMs: number }[] = [];
+    let formerVersions: readonly { readonly origin: StreamOrigin; readonly removedAtMs: number }[] = [];
 
     const keep = ({ requestId, service, softwareVersion }: StreamRecord): void => {
         const atMs = clock.nowMs();
@@ -115,21 +115,27 @@
         const known = await Promise.any(replies).catch(() => undefined);
         return known === undefined ? undefined : { service: known.service, softwareVersion: known.softwareVersion };
     };
+    /** Lists the engines that were removed within the time for which a stream may be resumed. */
+    const listFormerVersions = (): typeof formerVersions => {
+        const sinceMs = clock.nowMs() - RECORD_TTL_MS;
+        return formerVersions.filter(former => former.removedAtMs >= sinceMs);
+    };
     /** Returns the only software version that a service has had for as long as a stream may be resumed. */
     const findOnlyVersion = (service: ServiceName): StreamOrigin | undefined => {
-        const sinceMs = clock.nowMs() - RECORD_TTL_MS;
-        formerVersions = formerVersions.filter(former => former.removedAtMs >= sinceMs);
         const origins = [
             ...[...clusterView.engines.values()].map(({ entry }) => entry),
-            ...formerVersions.map(former => former.origin),
+            ...listFormerVersions().map(former => former.origin),
         ].filter(origin => origin.service === service);
         const versions = new Set<SoftwareVersion | undefined>(origins.map(origin => origin.softwareVersion));
         const [softwareVersion] = versions;
         return versions.size === 1 ? { service, softwareVersion } : undefined;
     };
-    clusterView.onEngineRemoved(({ service, softwareVersion }) =>
-        void formerVersions.push({ origin: { service, softwareVersion }, removedAtMs: clock.nowMs() })
-    );
+    clusterView.onEngineRemoved(({ service, softwareVersion }) => {
+        formerVersions = [...listFormerVersions(), {
+            origin: { service, softwareVersion },
+            removedAtMs: clock.nowMs(),
+        }];
+    });
     return {
         keep,
         answer,
