Log and measure how old a host's view of the store is

A failed watch was logged as an ambiguous write (602) and compacted history as an incomplete configuration (501); no line said on what a 404 or the choice of an engine rests. 603 and 604 take their place for reads; 400 (no route), 405 and store_view_age_ms carry the time since the store last confirmed that part of the view.

--- a/packages/events/src/eventCatalogue.ts
+++ b/packages/events/src/eventCatalogue.ts
@@ -48,6 +48,8 @@
     600: "KV unavailable",
     601: "KV available",
     602: "KV write ambiguous",
+    603: "KV read failed",
+    604: "KV history compacted",
     700: "operator request refused",
     900: "stand-in fault set",
 } as const satisfies Readonly<Record<number, string>>;
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -60,6 +60,7 @@
             retryAfterMs: refusal.retryAfterMs,
             heldMs: refusal.heldMs,
             expectedWaitMs: refusal.expectedWaitMs,
+            ...refusal.basis,
         });
         writeRefusal(res, refusal, isStopping());
     };
@@ -70,7 +71,8 @@
         const plan = planRequest(head, req.url ?? "/", clusterView.config, context.hash);
         if (plan.kind === "refused") {
             req.resume();
-            refuse(res, id, { ...plan, outcome: "not_run", heldMs: 0 });
+            const basis = { configVersion: clusterView.config?.version, viewAgeMs: clusterView.readAgeMs("config") };
+            refuse(res, id, { ...plan, outcome: "not_run", heldMs: 0, basis });
             return;
         }
         const { config, route, service, requestId } = plan;
@@ -264,6 +266,8 @@
     /** Expected wait that led to the refusal, in milliseconds. */
     readonly expectedWaitMs?: number;
     readonly retryAfterMs: number | undefined;
+    /** What the refusal rests on: configuration version, and time since the store confirmed it, in milliseconds. */
+    readonly basis?: { readonly configVersion: number | undefined; readonly viewAgeMs: number | undefined };
 }
 
 function findRequestedAdapter(head: ClientHead, clusterView: ClusterView): ClientRequest["requestedAdapter"] {
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -46,6 +46,8 @@
     readonly claims: ReadonlyMap<EngineId, OwnerClaim>;
     /** Clock reading since which each unowned engine has had no owner, in milliseconds. */
     readonly unownedSince: ReadonlyMap<EngineId, number>;
+    /** Time since the store last confirmed a part of this view, in milliseconds; undefined before it first did. */
+    readAgeMs(part: ViewPart): number | undefined;
     /** Whether the system's keys have been listed at least once since the start. */
     readonly hasReadHostKeys: boolean;
     /** Returns the newest declared version of an adapter; undefined if none was declared. */
@@ -62,6 +64,9 @@
     stop(): void;
 }
 
+/** Part of the view that has a watch of its own. */
+export type ViewPart = "config" | "engines" | "hosts";
+
 /** Shortest time between two watch calls for the configuration, in milliseconds. */
 const CONFIG_WATCH_INTERVAL_MS = 60;
 /** Base interval between two watch calls for engines' entries, which change often, in milliseconds. */
@@ -86,7 +91,7 @@
  * const clusterView = createClusterView(context, health);
  */
 export function createClusterView(context: FrontContext, health: StoreHealth): ClusterView {
-    const { clock, log } = context;
+    const { clock, log, metrics } = context;
     let config: ServingConfig | undefined;
     let directory: DirectoryState = { engines: new Map(), graceUntilMs: 0 };
     let hasReadHostKeys = false;
@@ -239,23 +244,33 @@
     health.onRecovery(() => applyDirectory({ kind: "store_returned", atMs: clock.nowMs() }));
     const watchPrefix = (prefix: string, listener: StoreListener, readIntervalMs: () => number): StoreWatch =>
         startStoreWatch(context, health, { prefix, readIntervalMs }, listener);
-    const watches = [
-        watchPrefix(OPERATOR_PREFIX, operatorKeys, () => CONFIG_WATCH_INTERVAL_MS),
-        watchPrefix(
+    const watches: Readonly<Record<ViewPart, StoreWatch>> = {
+        config: watchPrefix(OPERATOR_PREFIX, operatorKeys, () => CONFIG_WATCH_INTERVAL_MS),
+        engines: watchPrefix(
             ENGINE_PREFIX,
             engineKeys,
             () => chooseWatchInterval(members.size, ENGINE_WATCH_INTERVAL_MS, ENGINE_WATCH_INTERVAL_PER_HOST_MS),
         ),
-        watchPrefix(
+        hosts: watchPrefix(
             SYSTEM_PREFIX,
             hostKeys,
             () => chooseWatchInterval(members.size, HOST_WATCH_INTERVAL_MS, HOST_WATCH_INTERVAL_PER_HOST_MS),
         ),
-    ];
+    };
+    const readAgeMs = (part: ViewPart): number | undefined => {
+        const { confirmedAtMs } = watches[part];
+        return confirmedAtMs === undefined ? undefined : Math.round(clock.nowMs() - confirmedAtMs);
+    };
+    const exposeAges = (): void => {
+        for (const part of ["config", "engines", "hosts"] as const) {
+            metrics.set("store_view_age_ms", readAgeMs(part) ?? NaN, { part });
+        }
+    };
     let isStopped = false;
     const tick = (): void => {
         if (!isStopped) {
             applyDirectory({ kind: "tick", atMs: clock.nowMs() });
+            exposeAges();
             clock.setTimer(EXPIRY_CHECK_INTERVAL_MS, tick);
         }
     };
@@ -270,6 +285,7 @@
         members,
         claims,
         unownedSince,
+        readAgeMs,
         get hasReadHostKeys() {
             return hasReadHostKeys;
         },
@@ -283,7 +299,7 @@
         onEngineRemoved: listener => void removalListeners.push(listener),
         stop() {
             isStopped = true;
-            watches.forEach(watch => watch.stop());
+            Object.values(watches).forEach(watch => watch.stop());
         },
     };
 }
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -104,7 +104,7 @@
         deployment: { domain: "a" },
         readBounds: () => ({ retryRatio: 1, retryReserve: 10, retryWindowMs: 1000 }),
     } as unknown as FrontContext;
-    const clusterView = { engines, members: new Map() } as unknown as ClusterView;
+    const clusterView = { engines, members: new Map(), readAgeMs: () => 0 } as unknown as ClusterView;
     const adapters = {
         startRequest: () => undefined,
         finishRequest: () => undefined,
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -160,6 +160,7 @@
             adapter,
             version: request.requestedAdapter?.version,
             softwareVersion: entry.softwareVersion,
+            viewAgeMs: clusterView.readAgeMs("engines"),
             afterEvent: req.lastEventId,
             resumes: request.head.resumedRequestId,
         });
--- a/packages/front/src/startStoreWatch.ts
+++ b/packages/front/src/startStoreWatch.ts
@@ -21,6 +21,8 @@
 
 /** A running watch. */
 export interface StoreWatch {
+    /** Clock reading when the store last confirmed what the listener received, in milliseconds; undefined before. */
+    readonly confirmedAtMs: number | undefined;
     stop(): void;
 }
 
@@ -51,21 +53,26 @@
 ): StoreWatch {
     let isStopped = false;
     let revision: number | undefined;
+    let confirmedAtMs: number | undefined;
     const read = async (): Promise<void> => {
         if (revision === undefined) {
+            const sentAtMs = context.clock.nowMs();
             const { items, revision: listedAt } = await context.store.list(options.prefix);
             health.recordCall(true, "list keys");
             revision = listedAt;
+            // The pages of a list are read one after the other; only what was there before the first is certain.
+            confirmedAtMs = sentAtMs;
             listener.listed(items);
             return;
         }
         const reply = await context.store.watch(options.prefix, revision, MAX_WATCH_WAIT_MS);
         health.recordCall(true, "watch keys");
         if (reply.kind === "compacted") {
-            context.log.write("warn", 501, { prefix: options.prefix, reason: "history is no longer kept" });
+            context.log.write("warn", 604, { prefix: options.prefix, afterRevision: revision });
             revision = undefined;
             return;
         }
+        confirmedAtMs = context.clock.nowMs();
         revision = Math.max(revision, reply.revision);
         if (reply.events.length > 0) {
             listener.changed(reply.events);
@@ -74,6 +81,7 @@
     const run = async (): Promise<void> => {
         let pauseMs = INITIAL_RETRY_DELAY_MS;
         while (!isStopped) {
+            const calledAtMs = context.clock.nowMs();
             try {
                 await read();
                 pauseMs = INITIAL_RETRY_DELAY_MS;
@@ -82,7 +90,14 @@
             catch (err) {
                 const { step, message } = toServeError(err, INTERNAL);
                 context.metrics.count("store_failures_total", { step });
-                context.log.write("warn", 602, { step, prefix: options.prefix, reason: message });
+                const atMs = context.clock.nowMs();
+                context.log.write("warn", 603, {
+                    step,
+                    prefix: options.prefix,
+                    reason: message,
+                    waitedMs: Math.round(atMs - calledAtMs),
+                    viewAgeMs: confirmedAtMs === undefined ? undefined : Math.round(atMs - confirmedAtMs),
+                });
                 health.recordCall(false, step);
                 await sleep(context.clock, pauseMs * (0.5 + context.random.next()));
                 pauseMs = Math.min(MAX_RETRY_DELAY_MS, pauseMs * 2);
@@ -90,7 +105,12 @@
         }
     };
     void run();
-    return { stop: () => void (isStopped = true) };
+    return {
+        get confirmedAtMs() {
+            return confirmedAtMs;
+        },
+        stop: () => void (isStopped = true),
+    };
 }
 
 const INTERNAL = { code: "internal", step: "follow keys", peer: "self", outcome: "not_run" } as const;
