--- a/packages/directory/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -3,7 +3,7 @@
 export type * from "./engineControl.js";
 export type * from "./engineEntry.js";
 export * from "./engineTransport.js";
-export type * from "./metadataStore.js";
+export * from "./metadataStore.js";
 export { reduceDirectory } from "./reduceDirectory.js";
 export type { DirectoryMessage, DirectoryState, KnownEngine } from "./reduceDirectory.js";
 export type * from "./servingConfig.js";
--- a/packages/directory/src/metadataStore.ts
+++ b/packages/directory/src/metadataStore.ts
@@ -1,3 +1,6 @@
+/** Longest wait for a reply of the store, in milliseconds; a watch adds the time that it asks the store to wait. */
+export const STORE_REPLY_TIMEOUT_MS = 900;
+
 /** Key of the store with its value and metadata. */
 export interface StoreItem {
     readonly key: string;
--- /dev/null
+++ b/packages/front/src/createClusterView.feature
@@ -0,0 +1,24 @@
+Feature: A host's view of the store follows the store within the platform's bounds
+
+    # Guards against a host that serves an old configuration, or sends to engines that leave, since an open watch hears nothing.
+    Scenario Outline: A watch that hears nothing doesn't keep the view of one of <hosts> hosts old: <fault>
+        Given a host among <hosts> hosts that follows the store
+        When the store <fault>
+        And 1000 ms later a configuration is accepted and an engine announces that it leaves
+        Then both are in force 2000 ms later
+
+        Examples:
+            | hosts | fault                                     |
+            | 8     | silences every open connection            |
+            | 8     | answers nothing for 600 ms                |
+            | 8     | answers nothing for 2500 ms               |
+            | 8     | answers nothing for 10000 ms              |
+            | 8     | rejects calls for 5000 ms                 |
+            | 8     | answers nothing for 2500 ms and compacts  |
+            | 86    | silences every open connection            |
+            | 86    | answers nothing for 2500 ms               |
+            | 300   | silences every open connection            |
+            | 300   | answers nothing for 10000 ms              |
+
+    Scenario: No random sequence of faults keeps the view older than the bounds allow
+        Then in 60 random sequences of such faults the view of 8 or 86 hosts is never older than the bounds allow
--- /dev/null
+++ b/packages/front/src/createClusterView.steps.ts
@@ -0,0 +1,263 @@
+import { STORE_REPLY_TIMEOUT_MS } from "@fulmarcleat/directory";
+import type { MetadataStore, StoreEvent, StoreItem, WatchReply } from "@fulmarcleat/directory";
+import { createMetrics } from "@fulmarcleat/events";
+import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
+import type { EngineId, Incarnation, ManualClock } from "@fulmarcleat/ids";
+import { CONFIG_KEY, ENGINE_PREFIX } from "@fulmarcleat/platform";
+import { deepStrictEqual, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { setImmediate } from "node:timers/promises";
+import { createClusterView } from "./createClusterView.js";
+import type { ClusterView } from "./createClusterView.js";
+import type { FrontContext } from "./frontContext.js";
+import { formatMember, formatMemberKey } from "./hostKeys.js";
+import { createStoreHealth } from "./storeHealth.js";
+
+/** A store in memory whose connections can go silent. */
+interface FakeStore extends MetadataStore {
+    put(key: string, value: Buffer): void;
+    /** Sets how calls are treated from now on. */
+    setMode(mode: "serving" | "silent" | "rejecting"): void;
+    /** Lets every call that waits hear nothing for good. */
+    silenceOpenCalls(): void;
+    compact(): void;
+}
+
+/** A watch that waits at the store. */
+interface OpenWatch {
+    readonly prefix: string;
+    readonly after: number;
+    readonly answer: (reply: WatchReply) => void;
+}
+
+/** Time for a reply of the store, in milliseconds, as the deployments state it. */
+const REPLY_MS = 4;
+/** The platform's bounds, in milliseconds. */
+const BOUNDS = { contactMs: 3000, applyMs: 2000 } as const;
+/** Step of the manual clock between two turns of the event loop, in milliseconds. */
+const STEP_MS = 10;
+const ENGINE = brandId<EngineId>("i-1");
+
+function createFakeStore(clock: ManualClock): FakeStore {
+    const items = new Map<string, StoreItem>();
+    let history: StoreItem[] = [];
+    let watches: OpenWatch[] = [];
+    let revision = 1;
+    let oldestRevision = 1;
+    let mode: "serving" | "silent" | "rejecting" = "serving";
+    const find = (prefix: string, after: number): readonly StoreEvent[] =>
+        history.filter(item => item.key.startsWith(prefix) && item.revision > after).map(item => ({
+            kind: "put",
+            item,
+        }));
+    const answerWatches = (): void => {
+        watches = watches.filter(({ prefix, after, answer }) => {
+            const events = find(prefix, after);
+            if (events.length > 0) {
+                answer({ kind: "events", events, revision });
+            }
+            return events.length === 0;
+        });
+    };
+    /** Answers after the usual time, rejects at once, or fails when the client's timeout expires. */
+    const call = <T>(waitMs: number, run: (answer: (reply: T) => void) => void): Promise<T> =>
+        new Promise((resolve, reject) => {
+            clock.setTimer(waitMs + STORE_REPLY_TIMEOUT_MS, () => reject(new Error("the store did not reply")));
+            clock.setTimer(REPLY_MS, () => {
+                if (mode === "rejecting") {
+                    reject(new Error("the store rejected the call"));
+                }
+                else if (mode === "serving") {
+                    run(resolve);
+                }
+            });
+        });
+    return {
+        list: prefix =>
+            call(
+                0,
+                answer => answer({ items: [...items.values()].filter(item => item.key.startsWith(prefix)), revision }),
+            ),
+        watch: (prefix, after, waitMs) =>
+            call<WatchReply>(waitMs, answer => {
+                if (after < oldestRevision) {
+                    answer({ kind: "compacted" });
+                    return;
+                }
+                const watch = { prefix, after, answer };
+                watches.push(watch);
+                clock.setTimer(waitMs, () => {
+                    if (watches.includes(watch)) {
+                        watches = watches.filter(other => other !== watch);
+                        answer({ kind: "events", events: [], revision });
+                    }
+                });
+                answerWatches();
+            }),
+        put(key, value) {
+            revision += 1;
+            const item = { key, value, revision, lease: 0 };
+            items.set(key, item);
+            history.push(item);
+            answerWatches();
+        },
+        setMode(next) {
+            mode = next;
+            if (next !== "serving") {
+                watches = [];
+            }
+        },
+        silenceOpenCalls: () => void (watches = []),
+        compact() {
+            oldestRevision = revision;
+            history = [];
+        },
+        change: () => Promise.reject(new Error("not used")),
+        openLease: () => Promise.reject(new Error("not used")),
+        renewLease: () => Promise.reject(new Error("not used")),
+        endLease: () => Promise.reject(new Error("not used")),
+        close: () => undefined,
+    };
+}
+
+function putConfig(store: FakeStore, version: number): void {
+    const limits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 20_000 };
+    store.put(CONFIG_KEY, Buffer.from(JSON.stringify({ version, routes: [], services: [], limits })));
+}
+
+function putEngine(store: FakeStore, id: EngineId, state: "ready" | "draining"): void {
+    const entry = { service: "models", address: "127.0.0.1:1", zone: "a", slots: 4, state, born: 1 };
+    store.put(ENGINE_PREFIX + id, Buffer.from(JSON.stringify(entry)));
+}
+
+/** A host that follows a store under faults. */
+interface Follower {
+    readonly clock: ManualClock;
+    readonly store: FakeStore;
+    readonly view: ClusterView;
+    readonly advance: (ms: number) => Promise<void>;
+}
+
+async function follow(hosts: number, seed: number): Promise<Follower> {
+    const clock = createManualClock(0);
+    const store = createFakeStore(clock);
+    const log = { write: () => undefined };
+    const context = {
+        clock,
+        store,
+        log,
+        random: createRandom(seed),
+        metrics: createMetrics(),
+        readBounds: () => BOUNDS,
+    } as unknown as FrontContext;
+    putConfig(store, 1);
+    putEngine(store, ENGINE, "ready");
+    for (let number = 0; number < hosts; number += 1) {
+        const member = { incarnation: brandId<Incarnation>("1"), ip: "127.0.0.1", port: 1, isLeaving: false };
+        store.put(formatMemberKey(brandId(`host-${number}`)), formatMember(member));
+    }
+    const view = createClusterView(context, createStoreHealth(clock, log));
+    const advance = async (ms: number): Promise<void> => {
+        for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+            clock.advance(STEP_MS);
+            await setImmediate();
+        }
+    };
+    await advance(5000);
+    strictEqual(view.members.size, hosts);
+    return { clock, store, view, advance };
+}
+
+/** Plays one fault as a row of the table names it. */
+async function playFault({ store, advance }: Follower, fault: string): Promise<void> {
+    const [, how = "", forMs = "0", isCompacted] = /^(\w+) .*?(?:for (\d+) ms)?( and compacts)?$/.exec(fault) ?? [];
+    switch (how) {
+        case "silences":
+            store.silenceOpenCalls();
+            return;
+        case "answers":
+        case "rejects":
+            store.setMode(how === "rejects" ? "rejecting" : "silent");
+            await advance(Number(forMs));
+            if (isCompacted !== undefined) {
+                store.compact();
+            }
+            store.setMode("serving");
+            return;
+        default:
+            throw new Error(`unknown fault: ${fault}`);
+    }
+}
+
+let follower: Follower;
+
+Given("a host among {int} hosts that follows the store", async (hosts: number) => {
+    follower = await follow(hosts, hosts);
+});
+
+When(/^the store (silences .*|answers nothing .*|rejects .*)$/, (fault: string) => playFault(follower, fault));
+
+When("{int} ms later a configuration is accepted and an engine announces that it leaves", async (ms: number) => {
+    await follower.advance(ms);
+    putConfig(follower.store, 2);
+    putEngine(follower.store, ENGINE, "draining");
+});
+
+Then("both are in force {int} ms later", async (ms: number) => {
+    await follower.advance(ms);
+    const { view } = follower;
+    deepStrictEqual([view.config?.version, view.engines.get(ENGINE)?.isUsable], [2, false]);
+});
+
+/** Faults of one random sequence. */
+const FAULTS_PER_SEQUENCE = 6;
+/** Longest time without a fault beyond the time after which hosts count as in touch again, in milliseconds. */
+const MAX_EXTRA_CALM_MS = 2000;
+/** Most steps of the clock between two changes. */
+const MAX_STEPS_BETWEEN_CHANGES = 60;
+const FAULTS = [
+    "silences every open connection",
+    "answers nothing for 300 ms",
+    "answers nothing for 1500 ms",
+    "answers nothing for 4000 ms",
+    "rejects calls for 2000 ms",
+    "answers nothing for 900 ms and compacts",
+] as const;
+
+Then(
+    "in {int} random sequences of such faults the view of {int} or {int} hosts is never older than the bounds allow",
+    async (seeds: number, few: number, many: number) => {
+        for (let seed = 1; seed <= seeds; seed += 1) {
+            deepStrictEqual(await playSequence(seed, seed % 2 === 0 ? few : many), [], `seed ${seed}`);
+        }
+    },
+);
+
+/** Plays faults and changes, and lists the changes that were not in force in time after the store had been calm. */
+async function playSequence(seed: number, hosts: number): Promise<readonly string[]> {
+    const random = createRandom(seed);
+    const played = await follow(hosts, seed);
+    const { clock, store, view, advance } = played;
+    const late: string[] = [];
+    let version = 1;
+    let calmSinceMs: number | undefined;
+    for (let fault = 0; fault < FAULTS_PER_SEQUENCE; fault += 1) {
+        calmSinceMs = undefined;
+        await playFault(played, FAULTS[Math.floor(random.next() * FAULTS.length)] ?? FAULTS[0]);
+        const calmFromMs = clock.nowMs();
+        calmSinceMs = calmFromMs;
+        const nextFaultMs = calmFromMs + BOUNDS.contactMs + MAX_EXTRA_CALM_MS * random.next();
+        while (clock.nowMs() < nextFaultMs) {
+            version += 1;
+            putConfig(store, version);
+            const accepted = version;
+            const dueMs = Math.max(clock.nowMs() + BOUNDS.applyMs, calmFromMs + BOUNDS.contactMs);
+            clock.setTimer(dueMs - clock.nowMs(), () => {
+                if (calmSinceMs === calmFromMs && (view.config?.version ?? 0) < accepted) {
+                    late.push(`version ${accepted} is not in force at ${dueMs}`);
+                }
+            });
+            await advance(STEP_MS * Math.ceil(MAX_STEPS_BETWEEN_CHANGES * random.next()));
+        }
+    }
+    return late;
+}
