Bound the age of what a host knows of the store by the platform's contact time

Callers saw 404 for a route added more than two seconds before, and runs at an engine that had said that it leaves, at hosts that had been cut from the store, or after the store had been away.

Cause: a watch call waited 12 s at the store and timed out 0.9 s later. If its connection went silent (the call or its reply was lost in an outage, or packets wait for TCP's backoff) the host learned nothing under that prefix for up to 12.9 s, while lease renewals on another connection succeeded and counted as the store's health. Class: liveness of a subscription is inferred from the success of something else.

Change: the wait of a watch follows from the stated bound. contactMs (read from the settings) is the time from which a host counts as in touch after a fault; wait = contactMs - interval - reply timeout - 0.5 s for the next call. After a failed call the next one doesn't wait at the store: otherwise a retry sent just before the store returns holds the view back.

Price, while nothing changes (a call each contactMs - 1.4 s = 1.6 s a prefix, formerly each 12 s): 1.9 reads a second a host instead of 0.25; 15 a second at 8 hosts (the store allows 2,000), 161 at 86 (6,000), 563 at 300 (16,000).

--- a/packages/directory/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -1,5 +1,6 @@
 export type { AdapterRelease } from "./adapterRelease.js";
 export { chooseWatchInterval } from "./chooseWatchInterval.js";
+export { chooseWatchWait } from "./chooseWatchWait.js";
 export type * from "./engineControl.js";
 export type * from "./engineEntry.js";
 export * from "./engineTransport.js";
--- a/packages/front/src/createClusterView.feature
+++ b/packages/front/src/createClusterView.feature
@@ -20,5 +20,14 @@
             | 300   | silences every open connection            |
             | 300   | answers nothing for 10000 ms              |
 
+    # Guards against retries of a watch that are still waiting for the store when it has long returned.
+    Scenario Outline: No length of an outage keeps the view of one of <hosts> hosts old
+        Then after outages of 100 to 6000 ms the view of one of <hosts> hosts is never older than the bounds allow
+
+        Examples:
+            | hosts |
+            | 8     |
+            | 86    |
+
     Scenario: No random sequence of faults keeps the view older than the bounds allow
         Then in 60 random sequences of such faults the view of 8 or 86 hosts is never older than the bounds allow
--- a/packages/front/src/createClusterView.steps.ts
+++ b/packages/front/src/createClusterView.steps.ts
@@ -208,6 +208,23 @@
     deepStrictEqual([view.config?.version, view.engines.get(ENGINE)?.isUsable], [2, false]);
 });
 
+Then(
+    "after outages of {int} to {int} ms the view of one of {int} hosts is never older than the bounds allow",
+    async (fromMs: number, toMs: number, hosts: number) => {
+        for (let lengthMs = fromMs; lengthMs <= toMs; lengthMs += OUTAGE_STEP_MS) {
+            const played = await follow(hosts, lengthMs);
+            await playFault(played, `answers nothing for ${lengthMs} ms`);
+            putConfig(played.store, 2);
+            putEngine(played.store, ENGINE, "draining");
+            await played.advance(BOUNDS.contactMs);
+            const { config, engines } = played.view;
+            deepStrictEqual([config?.version, engines.get(ENGINE)?.isUsable], [2, false], `${lengthMs} ms`);
+        }
+    },
+);
+
+/** Step between the lengths of outages, in milliseconds. */
+const OUTAGE_STEP_MS = 100;
 /** Faults of one random sequence. */
 const FAULTS_PER_SEQUENCE = 6;
 /** Longest time without a fault beyond the time after which hosts count as in touch again, in milliseconds. */
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -242,8 +242,9 @@
             events.forEach(event => event.kind === "put" ? applyHostItem(event.item) : removeHostKey(event.key)),
     };
     health.onRecovery(() => applyDirectory({ kind: "store_returned", atMs: clock.nowMs() }));
+    const maxAgeMs = (): number => context.readBounds().contactMs;
     const watchPrefix = (prefix: string, listener: StoreListener, readIntervalMs: () => number): StoreWatch =>
-        startStoreWatch(context, health, { prefix, readIntervalMs }, listener);
+        startStoreWatch(context, health, { prefix, readIntervalMs, maxAgeMs }, listener);
     const watches: Readonly<Record<ViewPart, StoreWatch>> = {
         config: watchPrefix(OPERATOR_PREFIX, operatorKeys, () => CONFIG_WATCH_INTERVAL_MS),
         engines: watchPrefix(
--- a/packages/front/src/startStoreWatch.ts
+++ b/packages/front/src/startStoreWatch.ts
@@ -1,3 +1,4 @@
+import { chooseWatchWait } from "@fulmarcleat/directory";
 import type { StoreEvent, StoreItem } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
 import { sleep } from "@fulmarcleat/ids";
@@ -17,6 +18,8 @@
     readonly prefix: string;
     /** Returns the shortest time between two calls, in milliseconds; changes in between arrive together. */
     readonly readIntervalMs: () => number;
+    /** Returns the longest time for which a change may go unnoticed, in milliseconds. */
+    readonly maxAgeMs: () => number;
 }
 
 /** A running watch. */
@@ -26,8 +29,6 @@
     stop(): void;
 }
 
-/** Longest wait of one watch call, in milliseconds; lease renewals detect an unresponsive connection sooner. */
-const MAX_WATCH_WAIT_MS = 12_000;
 /** Delay after the first failed watch call, in milliseconds; doubles with each further failure. */
 const INITIAL_RETRY_DELAY_MS = 150;
 /** Longest delay after failed watch calls, in milliseconds. */
@@ -43,7 +44,8 @@
  * @returns the running watch
  *
  * @example
- * startStoreWatch(context, health, { prefix: "op/", readIntervalMs: () => 100 }, listener);
+ * const options = { prefix: "op/", readIntervalMs: () => 100, maxAgeMs: () => 3000 };
+ * startStoreWatch(context, health, options, listener);
  */
 export function startStoreWatch(
     context: FrontContext,
@@ -54,7 +56,7 @@
     let isStopped = false;
     let revision: number | undefined;
     let confirmedAtMs: number | undefined;
-    const read = async (): Promise<void> => {
+    const read = async (isRetry: boolean): Promise<void> => {
         if (revision === undefined) {
             const sentAtMs = context.clock.nowMs();
             const { items, revision: listedAt } = await context.store.list(options.prefix);
@@ -65,7 +67,9 @@
             listener.listed(items);
             return;
         }
-        const reply = await context.store.watch(options.prefix, revision, MAX_WATCH_WAIT_MS);
+        // A call that waits would tell only at the end of its wait that the store still doesn't answer.
+        const waitMs = isRetry ? 0 : chooseWatchWait(options.readIntervalMs(), options.maxAgeMs());
+        const reply = await context.store.watch(options.prefix, revision, waitMs);
         health.recordCall(true, "watch keys");
         if (reply.kind === "compacted") {
             context.log.write("warn", 604, { prefix: options.prefix, afterRevision: revision });
@@ -80,10 +84,12 @@
     };
     const run = async (): Promise<void> => {
         let pauseMs = INITIAL_RETRY_DELAY_MS;
+        let isRetry = false;
         while (!isStopped) {
             const calledAtMs = context.clock.nowMs();
             try {
-                await read();
+                await read(isRetry);
+                isRetry = false;
                 pauseMs = INITIAL_RETRY_DELAY_MS;
                 await sleep(context.clock, options.readIntervalMs());
             }
@@ -99,6 +105,7 @@
                     viewAgeMs: confirmedAtMs === undefined ? undefined : Math.round(atMs - confirmedAtMs),
                 });
                 health.recordCall(false, step);
+                isRetry = true;
                 await sleep(context.clock, pauseMs * (0.5 + context.random.next()));
                 pauseMs = Math.min(MAX_RETRY_DELAY_MS, pauseMs * 2);
             }
