End a watch of the operator API that hears nothing

Change: a watch without a line for 30 s fails, and is resumed after the last change received, as after any interruption.

Evidence: against an API that sends one bookmark and then nothing the new scenario didn't end within 60 s before; it passes now.

--- a/packages/ctl/src/createApiClient.ts
+++ b/packages/ctl/src/createApiClient.ts
@@ -37,18 +37,24 @@
 
 /** Timeout of a request other than a watch, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 15_000;
+/** Longest time without a line on a watch, in milliseconds; the API sends bookmarks every five seconds by default. */
+const WATCH_SILENCE_MS = 30_000;
 
 /**
  * Creates a client of the operator API.
  *
  * @param settings - Address of the API and the operator's token
+ * @param options - Longest silence on a watch, in milliseconds
  * @returns the client; close it to end its connections
  *
  * @example
  * const { body } = await client.send({ method: "GET", path: "Offer" });
  */
-export function createApiClient(settings: CtlSettings): ApiClient {
-    const client = new Client(settings.server, { bodyTimeout: 0 });
+export function createApiClient(
+    settings: CtlSettings,
+    { watchSilenceMs = WATCH_SILENCE_MS }: { readonly watchSilenceMs?: number } = {},
+): ApiClient {
+    const client = new Client(settings.server, { bodyTimeout: watchSilenceMs });
     const authorization = `Bearer ${settings.token}`;
     return {
         async send(request) {
