--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -158,6 +158,7 @@
             id: request.requestId,
             engine: id,
             adapter,
+            sharedParts: request.head.sharedParts?.join(","),
             version: request.requestedAdapter?.version,
             softwareVersion: entry.softwareVersion,
             viewAgeMs: clusterView.readAgeMs("engines"),
--- a/packages/ids/src/brandId.ts
+++ b/packages/ids/src/brandId.ts
@@ -29,6 +29,8 @@
 export type FailureDomain = Branded<"FailureDomain">;
 /** Id of a caller's request. */
 export type RequestId = Branded<"RequestId">;
+/** Id of one part of a prompt, which requests may share. */
+export type PromptPart = Branded<"PromptPart">;
 /** Id of a granted place, which is a batch slot of an engine. */
 export type PlaceId = Branded<"PlaceId">;
 /** Name of a loaded adapter on an engine; made of adapter, version and fence. */
