--- a/packages/front/src/createClusterView.steps.ts
+++ b/packages/front/src/createClusterView.steps.ts
@@ -1,5 +1,3 @@
-import { STORE_REPLY_TIMEOUT_MS } from "@fulmarcleat/directory";
-import type { MetadataStore, StoreEvent, StoreItem, WatchReply } from "@fulmarcleat/directory";
 import { createMetrics } from "@fulmarcleat/events";
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
 import type { EngineId, Incarnation, ManualClock } from "@fulmarcleat/ids";
@@ -8,123 +6,24 @@
 import { setImmediate } from "node:timers/promises";
 import { createClusterView } from "./createClusterView.js";
 import type { ClusterView } from "./createClusterView.js";
+import { createStoreFake } from "./createStoreFake.steps.js";
+import type { StoreFake } from "./createStoreFake.steps.js";
 import type { FrontContext } from "./frontContext.js";
 import { formatMember, formatMemberKey } from "./hostKeys.js";
 import { createStoreHealth } from "./storeHealth.js";
 
-/** A store in memory whose connections can go silent. */
-interface FakeStore extends MetadataStore {
-    put(key: string, value: Buffer): void;
-    /** Sets how calls are treated from now on. */
-    setMode(mode: "serving" | "silent" | "rejecting"): void;
-    /** Lets every call that waits hear nothing for good. */
-    silenceOpenCalls(): void;
-    compact(): void;
-}
-
-/** A watch that waits at the store. */
-interface OpenWatch {
-    readonly prefix: string;
-    readonly after: number;
-    readonly answer: (reply: WatchReply) => void;
-}
-
-/** Time for a reply of the store, in milliseconds, as the deployments state it. */
-const REPLY_MS = 4;
 /** The platform's bounds, in milliseconds. */
 const BOUNDS = { contactMs: 3000, applyMs: 2000 } as const;
 /** Step of the manual clock between two turns of the event loop, in milliseconds. */
 const STEP_MS = 10;
 const ENGINE = brandId<EngineId>("i-1");
 
-function createFakeStore(clock: ManualClock): FakeStore {
-    const items = new Map<string, StoreItem>();
-    let history: StoreItem[] = [];
-    let watches: OpenWatch[] = [];
-    let revision = 1;
-    let oldestRevision = 1;
-    let mode: "serving" | "silent" | "rejecting" = "serving";
-    const find = (prefix: string, after: number): readonly StoreEvent[] =>
-        history.filter(item => item.key.startsWith(prefix) && item.revision > after).map(item => ({
-            kind: "put",
-            item,
-        }));
-    const answerWatches = (): void => {
-        watches = watches.filter(({ prefix, after, answer }) => {
-            const events = find(prefix, after);
-            if (events.length > 0) {
-                answer({ kind: "events", events, revision });
-            }
-            return events.length === 0;
-        });
-    };
-    /** Answers after the usual time, rejects at once, or fails when the client's timeout expires. */
-    const call = <T>(waitMs: number, run: (answer: (reply: T) => void) => void): Promise<T> =>
-        new Promise((resolve, reject) => {
-            clock.setTimer(waitMs + STORE_REPLY_TIMEOUT_MS, () => reject(new Error("the store did not reply")));
-            clock.setTimer(REPLY_MS, () => {
-                if (mode === "rejecting") {
-                    reject(new Error("the store rejected the call"));
-                }
-                else if (mode === "serving") {
-                    run(resolve);
-                }
-            });
-        });
-    return {
-        list: prefix =>
-            call(
-                0,
-                answer => answer({ items: [...items.values()].filter(item => item.key.startsWith(prefix)), revision }),
-            ),
-        watch: (prefix, after, waitMs) =>
-            call<WatchReply>(waitMs, answer => {
-                if (after < oldestRevision) {
-                    answer({ kind: "compacted" });
-                    return;
-                }
-                const watch = { prefix, after, answer };
-                watches.push(watch);
-                clock.setTimer(waitMs, () => {
-                    if (watches.includes(watch)) {
-                        watches = watches.filter(other => other !== watch);
-                        answer({ kind: "events", events: [], revision });
-                    }
-                });
-                answerWatches();
-            }),
-        put(key, value) {
-            revision += 1;
-            const item = { key, value, revision, lease: 0 };
-            items.set(key, item);
-            history.push(item);
-            answerWatches();
-        },
-        setMode(next) {
-            mode = next;
-            if (next !== "serving") {
-                watches = [];
-            }
-        },
-        silenceOpenCalls: () => void (watches = []),
-        compact() {
-            oldestRevision = revision;
-            history = [];
-        },
-        change: () => Promise.reject(new Error("not used")),
-        openLease: () => Promise.reject(new Error("not used")),
-        renewLease: () => Promise.reject(new Error("not used")),
-        endLease: () => Promise.reject(new Error("not used")),
-        close: () => undefined,
-    };
-}
-
-function putConfig(store: FakeStore, version: number): void {
+function putConfig(store: StoreFake, version: number): void {
     const limits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 20_000 };
     store.put(CONFIG_KEY, Buffer.from(JSON.stringify({ version, routes: [], services: [], limits })));
 }
 
-function putEngine(store: FakeStore, id: EngineId, state: "ready" | "draining"): void {
+function putEngine(store: StoreFake, id: EngineId, state: "ready" | "draining"): void {
     const entry = { service: "models", address: "127.0.0.1:1", zone: "a", slots: 4, state, born: 1 };
     store.put(ENGINE_PREFIX + id, Buffer.from(JSON.stringify(entry)));
 }
@@ -132,14 +31,14 @@
 /** A host that follows a store under faults. */
 interface Follower {
     readonly clock: ManualClock;
-    readonly store: FakeStore;
+    readonly store: StoreFake;
     readonly view: ClusterView;
     readonly advance: (ms: number) => Promise<void>;
 }
 
 async function follow(hosts: number, seed: number): Promise<Follower> {
     const clock = createManualClock(0);
-    const store = createFakeStore(clock);
+    const store = createStoreFake(clock);
     const log = { write: () => undefined };
     const context = {
         clock,
