--- /dev/null
+++ b/packages/front/src/createPoisonFleet.steps.ts
@@ -0,0 +1,324 @@
+import type { AnswerSink, EngineRequest, EngineTarget, EngineTransport, Service } from "@fulmarcleat/directory";
+import { createMetrics } from "@fulmarcleat/events";
+import { createHasher } from "@fulmarcleat/hashing";
+import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
+import type { EngineId, HostId, Incarnation, ManualClock, PromptPart, RequestId, ServiceName } from "@fulmarcleat/ids";
+import { ENGINE_PREFIX } from "@fulmarcleat/platform";
+import type { ServerResponse } from "node:http";
+import { setImmediate } from "node:timers/promises";
+import type { ClientRequest } from "./clientRequest.js";
+import { createClusterView } from "./createClusterView.js";
+import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
+import { createStoreFake } from "./createStoreFake.steps.js";
+import type { StoreFake } from "./createStoreFake.steps.js";
+import type { FrontContext } from "./frontContext.js";
+import { formatMember, formatMemberKey } from "./hostKeys.js";
+import { createAnswerRelay } from "./relayAnswer.js";
+import { createRequestRunner } from "./runRequest.js";
+import type { RequestRunner } from "./runRequest.js";
+import type { AdapterTracker } from "./startAdapterTracker.js";
+import { createStoreHealth } from "./storeHealth.js";
+
+/** Size, seed and faults of a fleet in memory. */
+export interface PoisonFleetOptions {
+    readonly hosts: number;
+    readonly seed: number;
+    /** Share of the messages between hosts that are lost. */
+    readonly lostShare: number;
+    /** Longest delay of a message between hosts, in milliseconds. */
+    readonly maxDelayMs: number;
+    /** Whether engines start again under their former ids, so that hosts know them without the store. */
+    readonly keepsIds: boolean;
+    /** Interval at which one engine crashes for a reason of its own, in milliseconds; undefined for never. */
+    readonly crashIntervalMs: number | undefined;
+}
+
+/** One request of the run and what became of it. */
+export interface FleetRequest {
+    readonly isPoison: boolean;
+    readonly sentMs: number;
+    /** Clock readings at which it reached an engine, in milliseconds. */
+    readonly reachedMs: readonly number[];
+    /** Whether an engine began to answer it. */
+    readonly hasBegun: boolean;
+    /** Reason of the host's refusal; undefined if it was not refused. */
+    readonly refusal: string | undefined;
+}
+
+/** Hosts and engines in memory, of which requests with one part in their prompts crash each engine. */
+export interface PoisonFleet {
+    readonly clock: ManualClock;
+    readonly store: StoreFake;
+    readonly requests: readonly FleetRequest[];
+    /** Clock readings of the engines' crashes under such requests, in milliseconds. */
+    readonly poisonCrashesMs: readonly number[];
+    /** Sends requests for a time; `poisonShare` of them crash engines. */
+    play(lengthMs: number, poisonShare: number): Promise<void>;
+    /** Crashes every engine at once, as a loss of power does. */
+    crashAll(): void;
+    /** Adds a host that knows nothing. */
+    addHost(): Promise<void>;
+}
+
+interface SimulatedEngine {
+    readonly id: EngineId;
+    readonly exchanges: Set<AnswerSink>;
+    isUp: boolean;
+}
+
+type MutableRequest = { -readonly [Key in keyof FleetRequest]: FleetRequest[Key] } & { reachedMs: number[] };
+
+const SERVICE: Service = { name: brandId<ServiceName>("models"), maxConnections: 100, engine: undefined };
+/** Number of engines, as the deployments have them. */
+const ENGINES = 6;
+/** Step of the clock between two turns of the event loop, in milliseconds. */
+const STEP_MS = 10;
+/** Requests a second over all hosts. */
+const REQUESTS_PER_S = 25;
+/** Time from a request's arrival to the first event, in milliseconds. */
+const FIRST_EVENT_MS = 120;
+/** Interval between events, in milliseconds. */
+const EVENT_MS = 60;
+const EVENTS = 5;
+/** Time from the first event to the crash, in milliseconds. */
+const CRASH_AFTER_MS = 60;
+/** Time after a crash until an engine starts at another id, in milliseconds. */
+const RESTART_MS = 2500;
+/** Time after a crash until the engine's entry is removed, in milliseconds. */
+const ENTRY_TTL_MS = 3600;
+/** Time until a connection to a stopped engine is refused, in milliseconds. */
+const REFUSED_MS = 2;
+/** Deadline of each request, in milliseconds. */
+const DEADLINE_MS = 5000;
+const MS_PER_S = 1000;
+/** Parts that sound requests share: one first part, some groups below it, and sessions below these. */
+const FIRST_PART = "f0";
+const GROUPS = 4;
+const SESSIONS = 40;
+/** The part that crashes engines; it follows parts that sound requests share. */
+const POISON_PART = "bad";
+
+/**
+ * Starts a fleet in memory; its clock is at a time when all hosts know each other and all engines.
+ *
+ * @param options - Size, seed and faults
+ * @returns the fleet, without any traffic yet
+ *
+ * @example
+ * const faults = { lostShare: 0, maxDelayMs: 5, keepsIds: false, crashIntervalMs: undefined };
+ * const fleet = await createPoisonFleet({ hosts: 8, seed: 1, ...faults });
+ */
+export async function createPoisonFleet(options: PoisonFleetOptions): Promise<PoisonFleet> {
+    const clock = createManualClock(0);
+    const store = createStoreFake(clock);
+    const random = createRandom(options.seed);
+    const hash = await createHasher();
+    const engines = new Map<EngineId, SimulatedEngine>();
+    const runners: RequestRunner[] = [];
+    const requests: MutableRequest[] = [];
+    const requestsById = new Map<RequestId, MutableRequest>();
+    const poisonCrashesMs: number[] = [];
+    let startedEngines = 0;
+
+    const startEngine = (formerId?: EngineId): void => {
+        startedEngines += 1;
+        const id = formerId ?? brandId<EngineId>(`i-${startedEngines}`);
+        engines.set(id, { id, exchanges: new Set(), isUp: true });
+        const born = clock.nowMs();
+        const entry = { service: SERVICE.name, address: "127.0.0.1:1", zone: "a", slots: 64, state: "ready", born };
+        store.put(ENGINE_PREFIX + id, Buffer.from(JSON.stringify(entry)));
+    };
+    const crash = (engine: SimulatedEngine): void => {
+        if (!engine.isUp) {
+            return;
+        }
+        engine.isUp = false;
+        [...engine.exchanges].forEach(sink => sink.fail({ kind: "broken", reason: "UND_ERR_SOCKET" }));
+        engine.exchanges.clear();
+        clock.setTimer(RESTART_MS, () => startEngine(options.keepsIds ? engine.id : undefined));
+        clock.setTimer(ENTRY_TTL_MS, () => {
+            if (engines.get(engine.id) === engine) {
+                store.remove(ENGINE_PREFIX + engine.id);
+            }
+        });
+    };
+    const answer = (req: EngineRequest, sink: AnswerSink, engine: SimulatedEngine): void => {
+        const request = requestsById.get(req.requestId);
+        const isInFlight = (): boolean => engine.exchanges.has(sink);
+        const sendEvent = (event: number): void => {
+            if (!isInFlight()) {
+                return;
+            }
+            if (event > EVENTS) {
+                engine.exchanges.delete(sink);
+                sink.end();
+                return;
+            }
+            sink.piece(Buffer.from(`id: ${event}\n\n`));
+            clock.setTimer(EVENT_MS, () => sendEvent(event + 1));
+        };
+        clock.setTimer(FIRST_EVENT_MS, () => {
+            if (request === undefined || !isInFlight()) {
+                return;
+            }
+            request.hasBegun = true;
+            sink.head({
+                status: 200,
+                framing: "chunks",
+                headers: [],
+                requestId: req.requestId,
+                isNotRun: false,
+                load: undefined,
+                instance: undefined,
+            });
+            if (request.isPoison) {
+                sink.piece(Buffer.from("id: "));
+                clock.setTimer(CRASH_AFTER_MS, () => {
+                    if (isInFlight()) {
+                        poisonCrashesMs.push(clock.nowMs());
+                        crash(engine);
+                    }
+                });
+                return;
+            }
+            sendEvent(Number(req.lastEventId ?? 0) + 1);
+        });
+    };
+    const transport: EngineTransport = {
+        send(req, sink) {
+            const engine = engines.get(req.target.id);
+            if (engine?.isUp !== true) {
+                clock.setTimer(REFUSED_MS, () => sink.fail({ kind: "unsent", reason: "ECONNREFUSED" }));
+                return { cancel: () => undefined, resume: () => undefined };
+            }
+            requestsById.get(req.requestId)?.reachedMs.push(clock.nowMs());
+            engine.exchanges.add(sink);
+            answer(req, sink, engine);
+            return { cancel: () => void engine.exchanges.delete(sink), resume: () => undefined };
+        },
+        forget: () => undefined,
+        close: () => undefined,
+    };
+    const report = ({ id }: EngineTarget): Promise<unknown> =>
+        new Promise((resolve, reject) => {
+            const isUp = engines.get(id)?.isUp === true;
+            clock.setTimer(REFUSED_MS, () => isUp ? resolve({}) : reject(new Error("ECONNREFUSED")));
+        });
+    const startHost = (number: number): void => {
+        const host = brandId<HostId>(`host-${number}`);
+        const log = { write: () => undefined };
+        const context = {
+            clock,
+            store,
+            transport,
+            hash,
+            log,
+            control: { report },
+            random: createRandom(options.seed * 1000 + number),
+            metrics: createMetrics(),
+            deployment: { host, domain: "a" },
+            readBounds: () => ({ contactMs: 3000, retryRatio: 0.2, retryReserve: 56, retryWindowMs: 10_000 }),
+        } as unknown as FrontContext;
+        const member = { incarnation: brandId<Incarnation>("1"), ip: "127.0.0.1", port: 1, isLeaving: false };
+        store.put(formatMemberKey(host), formatMember(member));
+        const view = createClusterView(context, createStoreHealth(clock, log));
+        const adapters = { startRequest: () => undefined, finishRequest: () => undefined } as unknown as AdapterTracker;
+        const streamOrigins = {
+            record: () => undefined,
+            keep: () => undefined,
+            answer: () => ({ kind: "unknown" }) as const,
+            find: () => Promise.resolve(undefined),
+        };
+        runners.push(createRequestRunner(context, view, createEngineLoadTracker(clock), adapters, streamOrigins));
+    };
+    const drawParts = (isPoison: boolean): readonly PromptPart[] => {
+        const session = Math.floor(SESSIONS * random.next());
+        const parts = isPoison
+            ? [FIRST_PART, "g1", POISON_PART]
+            : [FIRST_PART, `g${session % GROUPS}`, `s${session}`];
+        return parts.map(part => brandId<PromptPart>(part));
+    };
+    const sendRequest = (isPoison: boolean): void => {
+        const runner = runners[Math.floor(runners.length * random.next())];
+        const requestId = brandId<RequestId>(`r${requests.length}`);
+        const request: MutableRequest = {
+            isPoison,
+            sentMs: clock.nowMs(),
+            reachedMs: [],
+            hasBegun: false,
+            refusal: undefined,
+        };
+        requests.push(request);
+        requestsById.set(requestId, request);
+        void runner?.run(createRequest(requestId, drawParts(isPoison), clock.nowMs())).then(end => {
+            request.refusal = end.kind === "gave_up" ? end.reason : undefined;
+        });
+    };
+    const advance = async (ms: number): Promise<void> => {
+        for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+            clock.advance(STEP_MS);
+            await setImmediate();
+        }
+    };
+    const crashOne = (): void => {
+        const running = [...engines.values()].filter(engine => engine.isUp);
+        const engine = running[Math.floor(running.length * random.next())];
+        if (engine !== undefined) {
+            crash(engine);
+        }
+        clock.setTimer(options.crashIntervalMs ?? Infinity, crashOne);
+    };
+    for (let engine = 0; engine < ENGINES; engine += 1) {
+        startEngine();
+    }
+    for (let host = 0; host < options.hosts; host += 1) {
+        startHost(host);
+    }
+    await advance(3000);
+    if (options.crashIntervalMs !== undefined) {
+        clock.setTimer(options.crashIntervalMs, crashOne);
+    }
+    return {
+        clock,
+        store,
+        requests,
+        poisonCrashesMs,
+        async play(lengthMs, poisonShare) {
+            for (let passedMs = 0; passedMs < lengthMs; passedMs += STEP_MS) {
+                if (random.next() < REQUESTS_PER_S * STEP_MS / MS_PER_S) {
+                    sendRequest(random.next() < poisonShare);
+                }
+                await advance(STEP_MS);
+            }
+        },
+        crashAll: () => [...engines.values()].forEach(crash),
+        async addHost() {
+            startHost(runners.length);
+            await advance(MS_PER_S);
+        },
+    };
+}
+
+function createRequest(requestId: RequestId, sharedParts: readonly PromptPart[], startedMs: number): ClientRequest {
+    const res = {
+        writeHead: () => undefined,
+        write: () => true,
+        end: () => undefined,
+        destroy: () => undefined,
+    } as unknown as ServerResponse;
+    return {
+        req: { method: "POST", url: "/" },
+        res,
+        requestId,
+        head: { forwarded: [], sharedParts },
+        route: { kind: "streaming", isResumable: true, maxEngines: 3, goalMs: 1000, priority: 0 },
+        service: SERVICE,
+        requestedAdapter: undefined,
+        body: Buffer.alloc(0),
+        startedMs,
+        deadlineAtMs: startedMs + DEADLINE_MS,
+        signal: new AbortController().signal,
+        times: { sentMs: undefined, firstByteMs: undefined },
+        relay: createAnswerRelay(res, { sendsCompleteEvents: true, isClosing: () => false }),
+    } as unknown as ClientRequest;
+}
--- /dev/null
+++ b/packages/front/src/createPromptQuarantine.steps.ts
@@ -0,0 +1,73 @@
+import { Given, ok, Then, When } from "@fulmarcleat/testing";
+import { createPoisonFleet } from "./createPoisonFleet.steps.js";
+import type { FleetRequest, PoisonFleet, PoisonFleetOptions } from "./createPoisonFleet.steps.js";
+
+/** Seeds that each row of the table is played with. */
+const SEEDS = 3;
+
+let fleets: PoisonFleet[] = [];
+let isStoreSilent = false;
+
+Given(/^a fleet of (\d+) hosts whose (.*)$/, async (hosts: string, faults: string) => {
+    isStoreSilent = faults === "store falls silent";
+    fleets = [];
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+        fleets.push(await createPoisonFleet({ hosts: Number(hosts), seed, ...parseFaults(faults) }));
+    }
+});
+
+function parseFaults(text: string): Omit<PoisonFleetOptions, "hosts" | "seed"> {
+    const read = (pattern: RegExp): number | undefined => {
+        const found = pattern.exec(text)?.[1];
+        return found === undefined ? undefined : Number(found);
+    };
+    return {
+        lostShare: (read(/lost, (\d+) in 100/) ?? 0) / 100,
+        maxDelayMs: read(/late by up to (\d+) ms/) ?? 5,
+        keepsIds: text === "store falls silent",
+        crashIntervalMs: read(/other reasons, each (\d+) ms/),
+    };
+}
+
+When(
+    "clients send requests for {int} s, and for {int} s more with {int} in 100 that crash engines",
+    async (soundS: number, poisonS: number, percent: number) => {
+        for (const fleet of fleets) {
+            await fleet.play(soundS * 1000, 0);
+            if (isStoreSilent) {
+                fleet.store.setMode("silent");
+            }
+            await fleet.play(poisonS * 1000, percent / 100);
+        }
+    },
+);
+
+Then(
+    "at most {int} of these reach engines later than {int} ms after the fifth crash",
+    (most: number, afterMs: number) => {
+        for (const { requests, poisonCrashesMs } of fleets) {
+            const fromMs = (poisonCrashesMs[4] ?? Infinity) + afterMs;
+            const late = requests.filter(({ isPoison }) => isPoison).flatMap(({ reachedMs }) => reachedMs)
+                .filter(atMs => atMs > fromMs);
+            ok(late.length <= most, `${late.length} reach engines later, ${poisonCrashesMs.length} crashes in all`);
+        }
+    },
+);
+
+Then(
+    "from {int} ms after the fifth crash on sound requests begin at least half as often as before",
+    (afterMs: number) => {
+        for (const { requests, poisonCrashesMs } of fleets) {
+            const firstMs = poisonCrashesMs[0] ?? Infinity;
+            const fromMs = (poisonCrashesMs[4] ?? poisonCrashesMs.at(-1) ?? Infinity) + afterMs;
+            const sound = requests.filter(({ isPoison }) => !isPoison);
+            const before = countBegunShare(sound.filter(({ sentMs }) => sentMs < firstMs));
+            const after = countBegunShare(sound.filter(({ sentMs }) => sentMs > fromMs));
+            ok(after >= before / 2, `${before.toFixed(2)} began before, ${after.toFixed(2)} after`);
+        }
+    },
+);
+
+function countBegunShare(requests: readonly FleetRequest[]): number {
+    return requests.filter(({ hasBegun }) => hasBegun).length / requests.length;
+}
