Quarantine prompt parts that crash engines, at all hosts

Callers saw 502, streams closed in their middle and 503 for want of an engine, for all requests of the model service, while requests with one part in their prompts crashed one engine after the other.

Cause: a crash while an answer begins was evidence against the engine only. The request went to the next engine, and the next request of the kind was accepted, at whichever host it came; no host knew what another had seen. Class: a failure that follows the request is treated as one of the place where it showed (query of death, poison request).

A host whose requests break while their answers begin asks the engine for its report; one that refuses has crashed, one that answers has not. It tells the parts of those prompts to at most eight hosts that all rank alike. Each judges by itself: a part is found if it was there at four crashes, two of them not explained by another part, and no request with it was answered in the last minute there or at the other judges; of several, the one with most crashes and last in the prompt. The finding is written to the store under a lease of ten minutes, from which all hosts, also later ones, learn it; while the store is away the judge tells them. Requests with the part are refused as not run (quarantined_prompt), also before a retry or the resumption of a stream. A host that has answered such a request lifts the quarantine. After five minutes one host lets one request through to see.

With engines that fail for other reasons, alone or all at once, no prompt is held back.

Ruled out: one host's own evidence (at 8 hosts each sees half a crash), the retry alone (new requests crash engines too), telling all hosts of each crash (at 300 hosts 19,000 messages a crash; now at most 8 for each host with a request there, so at most 8 x 64).

Price: nothing while no engine crashes but a look into an empty map; a probe of the engine and at most 8 messages a crash and host; one write and one lease a finding; 20,000 answered parts and 256 crashes in memory, bounded.

--- /dev/null
+++ b/packages/dispatch/src/createCrashEvidence.feature
@@ -0,0 +1,28 @@
+Feature: A part of prompts is found to crash engines only if nothing else explains the crashes
+
+    Scenario Outline: <case>
+        Then after <events> the parts found are "<found>"
+
+        Examples:
+            | case                                           | events                                                                            | found |
+            | three crashes                                  | 1:a/x, 2:a/x, 3:a/x                                                               |       |
+            | four crashes with a part                       | 1:x, 2:x, 3:x, 4:x                                                                | x     |
+            | four reports of one crash                      | 1:x, 1:x, 1:x, 1:x                                                                |       |
+            | a shared first part that is answered           | +a/b, 1:a/x, 2:a/x, 3:a/x, 4:a/x                                                  | x     |
+            | a first part that nothing is known of          | 1:a/x, 2:a/x, 3:a/x, 4:a/x                                                        | x     |
+            | a first part that crashes engines              | 1:a/x, 2:a/y, 3:a/z, 4:a/v                                                        | a     |
+            | a part that was there at fewer crashes         | 1:a/x, 1:a/s, 2:a/x, 2:a/s, 3:a/x, 4:a/s, 4:a/x, 5:a/s                            | x     |
+            | engines that lose power together               | 1:x, 2@0:x, 3@0:x, 4@0:x, 5@0:x, 6@0:x                                            |       |
+            | an answer after the crashes                    | 1:x, 2:x, 3:x, +x, 4:x, 5:x                                                       |       |
+            | an answer long before the crashes              | +x, 1@70000:x, 2:x, 3:x, 4:x                                                      | x     |
+            | crashes over a long time                       | 1:x, 2@100000:x, 3@100000:x, 4@100000:x                                           | x     |
+            | crashes that are forgotten                     | 1:x, 2@250000:x, 3@250000:x, 4@250000:x                                           |       |
+            | late reports of former crashes                 | +a/b, 1:a/s, 2:a/s, 3:a/s, 4:a/x, 1:a/x, 2:a/x, 3:a/x                             | x     |
+            | a part that was only there by chance           | 1:a/x, 1:a/s, 2:a/x, 2:a/s, 3:a/x, 3:a/s, 4:a/s, 4:a/x, 5:a/x, 6:a/x, 7:a/x       | x     |
+            | a crash for another reason after a finding     | 1:a/x, 2:a/x, 3:a/x, 4:a/x, 5:a/s                                                 | x     |
+            | two parts that crash engines                   | +a/b, 1:a/x, 2:a/y, 3:a/x, 4:a/y, 5:a/x, 6:a/y, 7:a/x, 8:a/y                     | x y   |
+            | a part that is cleared                         | 1:x, 2:x, 3:x, 4:x, -x, 5:x                                                       |       |
+
+    # Guards against a shared part that is held for crashes of engines that fail for reasons of their own.
+    Scenario: Crashes for other reasons hold no part that is answered now and then
+        Then in 200 random runs of 300 crashes with 60 shared parts, each answered every 20 s, no part is found
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -5,6 +5,8 @@
 export type { PlainEngineOptions } from "./choosePlainEngine.js";
 export { chooseRetryAfter } from "./chooseRetryAfter.js";
 export type { RetryAfterTerms } from "./chooseRetryAfter.js";
+export { createCrashEvidence } from "./createCrashEvidence.js";
+export type { CrashEvidence, CrashFinding, SharedParts } from "./createCrashEvidence.js";
 export type { ModelEngineOptions } from "./createModelCost.js";
 export { createRetryWindow } from "./createRetryWindow.js";
 export type { RetryBudgetTerms, RetryWindow } from "./createRetryWindow.js";
--- a/packages/front/src/applyAttempt.ts
+++ b/packages/front/src/applyAttempt.ts
@@ -32,6 +32,8 @@
     | "broken"
     | "no_retry_left"
     | "ended"
+    /** A part of its prompt crashes engines. */
+    | "quarantined_prompt"
     /** No engine of the software version that began the stream is left. */
     | "version_gone"
     /** It is not known which software version began the stream. */
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -9,7 +9,7 @@
     StoreItem,
 } from "@fulmarcleat/directory";
 import { brandId } from "@fulmarcleat/ids";
-import type { AdapterName, BaseModel, EngineId, HostId } from "@fulmarcleat/ids";
+import type { AdapterName, BaseModel, EngineId, HostId, PromptPart } from "@fulmarcleat/ids";
 import {
     CONFIG_KEY,
     ENGINE_PREFIX,
@@ -25,6 +25,7 @@
 import {
     formatMemberKey,
     formatOwnerKey,
+    formatQuarantineKey,
     parseHostKey,
     parseLoadRequests,
     parseMember,
@@ -46,6 +47,10 @@
     readonly claims: ReadonlyMap<EngineId, OwnerClaim>;
     /** Clock reading since which each unowned engine has had no owner, in milliseconds. */
     readonly unownedSince: ReadonlyMap<EngineId, number>;
+    /** Prompt parts that are quarantined in the store. */
+    readonly quarantined: ReadonlyMap<PromptPart, StoredQuarantine>;
+    /** Calls a listener when a prompt part's quarantine is set, renewed or lifted in the store. */
+    onQuarantine(listener: (part: PromptPart, isSet: boolean) => void): void;
     /** Time since the store last confirmed a part of this view, in milliseconds; undefined before it first did. */
     readAgeMs(part: ViewPart): number | undefined;
     /** Whether the system's keys have been listed at least once since the start. */
@@ -64,6 +69,14 @@
     stop(): void;
 }
 
+/** A prompt part's quarantine as the store holds it. */
+export interface StoredQuarantine {
+    /** Revision of its key. */
+    readonly revision: number;
+    /** Clock reading when this host learned of it, in milliseconds. */
+    readonly sinceMs: number;
+}
+
 /** Part of the view that has a watch of its own. */
 export type ViewPart = "config" | "engines" | "hosts";
 
@@ -99,6 +112,8 @@
     const members = new Map<HostId, Member>();
     const claims = new Map<EngineId, OwnerClaim>();
     const unownedSince = new Map<EngineId, number>();
+    const quarantined = new Map<PromptPart, StoredQuarantine>();
+    const quarantineListeners: ((part: PromptPart, isSet: boolean) => void)[] = [];
     const releaseListeners: ((release: AdapterRelease) => void)[] = [];
     const removalListeners: ((entry: EngineEntry) => void)[] = [];
     const loadRequestListeners: ((loadRequests: readonly AdapterLoadRequest[]) => void)[] = [];
@@ -184,6 +199,12 @@
                 }
                 return;
             }
+            case "quarantine":
+                if (quarantined.get(key.part)?.revision !== item.revision) {
+                    quarantined.set(key.part, { revision: item.revision, sinceMs: clock.nowMs() });
+                    quarantineListeners.forEach(listener => listener(key.part, true));
+                }
+                return;
             case "wants":
                 loadRequestListeners.forEach(listener => listener(parseLoadRequests(item.value)));
                 return;
@@ -201,6 +222,11 @@
                 claims.delete(key.engine);
                 unownedSince.set(key.engine, clock.nowMs());
                 return;
+            case "quarantine":
+                if (quarantined.delete(key.part)) {
+                    quarantineListeners.forEach(listener => listener(key.part, false));
+                }
+                return;
             case "wants":
             case "other":
                 return;
@@ -234,7 +260,9 @@
             const present = new Set(items.map(item => item.key));
             [...members.keys()].filter(host => !present.has(formatMemberKey(host)))
                 .forEach(host => members.delete(host));
-            [...claims.keys()].map(formatOwnerKey).filter(key => !present.has(key)).forEach(removeHostKey);
+            [...[...claims.keys()].map(formatOwnerKey), ...[...quarantined.keys()].map(formatQuarantineKey)]
+                .filter(key => !present.has(key))
+                .forEach(removeHostKey);
             items.filter(item => parseHostKey(item.key).kind !== "wants").forEach(applyHostItem);
             hasReadHostKeys = true;
         },
@@ -286,6 +314,8 @@
         members,
         claims,
         unownedSince,
+        quarantined,
+        onQuarantine: listener => void quarantineListeners.push(listener),
         readAgeMs,
         get hasReadHostKeys() {
             return hasReadHostKeys;
--- a/packages/front/src/createPoisonFleet.steps.ts
+++ b/packages/front/src/createPoisonFleet.steps.ts
@@ -4,11 +4,14 @@
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
 import type { EngineId, HostId, Incarnation, ManualClock, PromptPart, RequestId, ServiceName } from "@fulmarcleat/ids";
 import { ENGINE_PREFIX } from "@fulmarcleat/platform";
+import type { CrashReport, PeerClient, PromptAnsweredRequest, QuarantineNotice } from "@fulmarcleat/wire";
 import type { ServerResponse } from "node:http";
 import { setImmediate } from "node:timers/promises";
 import type { ClientRequest } from "./clientRequest.js";
 import { createClusterView } from "./createClusterView.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
+import { createPromptQuarantine } from "./createPromptQuarantine.js";
+import type { PromptQuarantine } from "./createPromptQuarantine.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
 import type { StoreFake } from "./createStoreFake.steps.js";
 import type { FrontContext } from "./frontContext.js";
@@ -54,6 +57,10 @@
     readonly poisonCrashesMs: readonly number[];
     /** Sends requests for a time; `poisonShare` of them crash engines. */
     play(lengthMs: number, poisonShare: number): Promise<void>;
+    /** Lets a time pass without requests. */
+    wait(lengthMs: number): Promise<void>;
+    /** Sets whether requests with the part crash engines. */
+    setPoisonous(isPoisonous: boolean): void;
     /** Crashes every engine at once, as a loss of power does. */
     crashAll(): void;
     /** Adds a host that knows nothing. */
@@ -88,6 +95,8 @@
 const ENTRY_TTL_MS = 3600;
 /** Time until a connection to a stopped engine is refused, in milliseconds. */
 const REFUSED_MS = 2;
+/** Time until a lost message between hosts counts as failed, in milliseconds. */
+const PEER_TIMEOUT_MS = 500;
 /** Deadline of each request, in milliseconds. */
 const DEADLINE_MS = 5000;
 const MS_PER_S = 1000;
@@ -115,10 +124,12 @@
     const hash = await createHasher();
     const engines = new Map<EngineId, SimulatedEngine>();
     const runners: RequestRunner[] = [];
+    const quarantines = new Map<HostId, PromptQuarantine>();
     const requests: MutableRequest[] = [];
     const requestsById = new Map<RequestId, MutableRequest>();
     const poisonCrashesMs: number[] = [];
     let startedEngines = 0;
+    let isPoisonous = true;
 
     const startEngine = (formerId?: EngineId): void => {
         startedEngines += 1;
@@ -171,7 +182,7 @@
                 load: undefined,
                 instance: undefined,
             });
-            if (request.isPoison) {
+            if (request.isPoison && isPoisonous) {
                 sink.piece(Buffer.from("id: "));
                 clock.setTimer(CRASH_AFTER_MS, () => {
                     if (isInFlight()) {
@@ -204,6 +215,29 @@
             const isUp = engines.get(id)?.isUp === true;
             clock.setTimer(REFUSED_MS, () => isUp ? resolve({}) : reject(new Error("ECONNREFUSED")));
         });
+    const peers = {
+        request(to: { readonly host: HostId }, name: string, body: unknown) {
+            const isLost = random.next() < options.lostShare;
+            const delayMs = options.maxDelayMs * random.next();
+            return new Promise((resolve, reject) => {
+                clock.setTimer(PEER_TIMEOUT_MS, () => reject(new Error("no reply")));
+                clock.setTimer(isLost ? Infinity : delayMs, () => {
+                    const quarantine = quarantines.get(to.host);
+                    switch (name) {
+                        case "engineCrash":
+                            resolve(quarantine?.handleCrash(body as CrashReport));
+                            return;
+                        case "promptAnswered":
+                            resolve(quarantine?.handleQuestion(body as PromptAnsweredRequest));
+                            return;
+                        default:
+                            quarantine?.handleNotice(body as QuarantineNotice);
+                            resolve({ done: true });
+                    }
+                });
+            });
+        },
+    } as unknown as PeerClient;
     const startHost = (number: number): void => {
         const host = brandId<HostId>(`host-${number}`);
         const log = { write: () => undefined };
@@ -229,7 +263,10 @@
             answer: () => ({ kind: "unknown" }) as const,
             find: () => Promise.resolve(undefined),
         };
-        runners.push(createRequestRunner(context, view, createEngineLoadTracker(clock), adapters, streamOrigins));
+        const quarantine = createPromptQuarantine(context, view, () => peers);
+        quarantines.set(host, quarantine);
+        const loadTracker = createEngineLoadTracker(clock);
+        runners.push(createRequestRunner(context, view, loadTracker, adapters, streamOrigins, quarantine));
     };
     const drawParts = (isPoison: boolean): readonly PromptPart[] => {
         const session = Math.floor(SESSIONS * random.next());
@@ -291,6 +328,8 @@
                 await advance(STEP_MS);
             }
         },
+        wait: advance,
+        setPoisonous: next => void (isPoisonous = next),
         crashAll: () => [...engines.values()].forEach(crash),
         async addHost() {
             startHost(runners.length);
--- a/packages/front/src/createPromptQuarantine.feature
+++ b/packages/front/src/createPromptQuarantine.feature
@@ -6,6 +6,7 @@
         When clients send requests for 10 s, and for 30 s more with 15 in 100 that crash engines
         Then at most 3 of these reach engines later than 3000 ms after the fifth crash
         And from 6000 ms after the fifth crash on sound requests begin at least half as often as before
+        And from 6000 ms after the fifth crash on no sound request is refused for its prompt
 
         Examples:
             | hosts | faults                                             |
@@ -17,3 +18,33 @@
             | 40    | messages all arrive                                |
             | 40    | messages are lost, 30 in 100                       |
             | 40    | store falls silent                                 |
+
+    # Guards against sound requests that are refused since their engines failed for other reasons.
+    Scenario Outline: Engines that crash for other reasons hold no prompt back: <faults>
+        Given a fleet of 8 hosts whose <faults>
+        When all engines lose power 5 times while clients send sound requests for 40 s
+        Then no request is refused for its prompt
+
+        Examples:
+            | faults                                             |
+            | messages all arrive                                |
+            | engines also crash for other reasons, each 1000 ms |
+
+    Scenario: A host that joins later refuses such requests as well
+        Given a fleet of 8 hosts whose messages all arrive
+        When clients send requests for 10 s, and for 10 s more with 15 in 100 that crash engines
+        And another host joins, and clients send requests for 10 s with 50 in 100 that crash engines
+        Then at most 0 of these reach engines later than 3000 ms after the fifth crash
+
+    # Guards against a part that is refused for good, and against engines that are crashed by every host to find out.
+    Scenario Outline: After a time one request shows whether the part <still> crashes engines
+        Given a fleet of 8 hosts whose messages all arrive
+        When clients send requests for 10 s, and for 10 s more with 15 in 100 that crash engines
+        And 300 s pass, and these requests crash engines <still>
+        And clients send requests for 10 s more with 15 in 100 of that kind
+        Then they crash <crashes> engines more, and the last of them is <end>
+
+        Examples:
+            | still   | crashes | end      |
+            | still   | 1       | refused  |
+            | no-more | 0       | answered |
--- a/packages/front/src/createPromptQuarantine.steps.ts
+++ b/packages/front/src/createPromptQuarantine.steps.ts
@@ -1,4 +1,4 @@
-import { Given, ok, Then, When } from "@fulmarcleat/testing";
+import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { createPoisonFleet } from "./createPoisonFleet.steps.js";
 import type { FleetRequest, PoisonFleet, PoisonFleetOptions } from "./createPoisonFleet.steps.js";
 
@@ -7,6 +7,7 @@
 
 let fleets: PoisonFleet[] = [];
 let isStoreSilent = false;
+let crashesBefore = 0;
 
 Given(/^a fleet of (\d+) hosts whose (.*)$/, async (hosts: string, faults: string) => {
     isStoreSilent = faults === "store falls silent";
@@ -68,6 +69,68 @@
     },
 );
 
+Then(
+    "from {int} ms after the fifth crash on no sound request is refused for its prompt",
+    (afterMs: number) => {
+        for (const { requests, poisonCrashesMs } of fleets) {
+            const fromMs = (poisonCrashesMs[4] ?? poisonCrashesMs.at(-1) ?? Infinity) + afterMs;
+            strictEqual(countRefused(requests.filter(({ isPoison, sentMs }) => !isPoison && sentMs > fromMs)), 0);
+        }
+    },
+);
+
+When("all engines lose power {int} times while clients send sound requests for {int} s", async (times, seconds) => {
+    for (const fleet of fleets) {
+        for (let time = 0; time < times; time += 1) {
+            await fleet.play(seconds * 1000 / times, 0);
+            fleet.crashAll();
+        }
+    }
+});
+
+Then("no request is refused for its prompt", () => {
+    fleets.forEach(({ requests }) => strictEqual(countRefused(requests), 0));
+});
+
+When(
+    "another host joins, and clients send requests for {int} s with {int} in 100 that crash engines",
+    async (seconds, percent) => {
+        for (const fleet of fleets) {
+            await fleet.addHost();
+            await fleet.play(seconds * 1000, percent / 100);
+        }
+    },
+);
+
+When("{int} s pass, and these requests crash engines {word}", async (seconds: number, word: "still" | "no-more") => {
+    for (const fleet of fleets) {
+        fleet.setPoisonous(word === "still");
+        await fleet.wait(seconds * 1000);
+        crashesBefore = fleet.poisonCrashesMs.length;
+    }
+});
+
+When("clients send requests for {int} s more with {int} in 100 of that kind", async (seconds, percent) => {
+    for (const fleet of fleets) {
+        await fleet.play(seconds * 1000, percent / 100);
+    }
+});
+
+Then(
+    "they crash {int} engine(s) more, and the last of them is {word}",
+    (crashes: number, end: "refused" | "answered") => {
+        for (const { requests, poisonCrashesMs } of fleets) {
+            strictEqual(poisonCrashesMs.length - crashesBefore, crashes);
+            const last = requests.filter(({ isPoison }) => isPoison).at(-1);
+            strictEqual(last?.refusal === undefined ? "answered" : "refused", end);
+        }
+    },
+);
+
+function countRefused(requests: readonly FleetRequest[]): number {
+    return requests.filter(({ refusal }) => refusal === "quarantined_prompt").length;
+}
+
 function countBegunShare(requests: readonly FleetRequest[]): number {
     return requests.filter(({ hasBegun }) => hasBegun).length / requests.length;
 }
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -1,5 +1,5 @@
 import { parseJson } from "@fulmarcleat/http";
-import type { EngineId, HostId, Incarnation } from "@fulmarcleat/ids";
+import type { EngineId, HostId, Incarnation, PromptPart } from "@fulmarcleat/ids";
 import { brandId } from "@fulmarcleat/ids";
 import type { AdapterLoadRequest } from "@fulmarcleat/wire";
 import * as z from "zod";
@@ -8,6 +8,7 @@
 export const SYSTEM_PREFIX = "fulmarcleat/";
 const MEMBER_PREFIX = `${SYSTEM_PREFIX}member/`;
 const LOAD_REQUEST_PREFIX = `${SYSTEM_PREFIX}want/`;
+const QUARANTINE_PREFIX = `${SYSTEM_PREFIX}quarantine/`;
 const OWNER_PREFIX = `${SYSTEM_PREFIX}owner/`;
 /** Key of the secret with which hosts authenticate to each other. */
 export const PEER_SECRET_KEY = `${SYSTEM_PREFIX}peer-secret`;
@@ -52,6 +53,7 @@
     | { readonly kind: "member"; readonly host: HostId }
     | { readonly kind: "owner"; readonly engine: EngineId }
     | { readonly kind: "wants"; readonly host: HostId }
+    | { readonly kind: "quarantine"; readonly part: PromptPart }
     | { readonly kind: "other" };
 
 /**
@@ -73,6 +75,9 @@
     if (key.startsWith(LOAD_REQUEST_PREFIX)) {
         return { kind: "wants", host: brandId(key.slice(LOAD_REQUEST_PREFIX.length)) };
     }
+    if (key.startsWith(QUARANTINE_PREFIX)) {
+        return { kind: "quarantine", part: brandId(key.slice(QUARANTINE_PREFIX.length)) };
+    }
     return { kind: "other" };
 }
 
@@ -102,6 +107,19 @@
     return OWNER_PREFIX + engine;
 }
 
+/**
+ * Formats the key that marks a prompt part as quarantined.
+ *
+ * @param part - Id of the prompt part
+ * @returns the full key
+ *
+ * @example
+ * formatQuarantineKey(brandId("91bd3f06")); // "fulmarcleat/quarantine/91bd3f06"
+ */
+export function formatQuarantineKey(part: PromptPart): string {
+    return QUARANTINE_PREFIX + part;
+}
+
 /**
  * Serializes a host's entry.
  *
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -17,6 +17,7 @@
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
+import type { PromptQuarantine } from "./createPromptQuarantine.js";
 import type { FrontContext } from "./frontContext.js";
 import { createAnswerRelay } from "./relayAnswer.js";
 import { createRequestRunner } from "./runRequest.js";
@@ -115,11 +116,29 @@
         answer: () => ({ kind: "unknown" }) as const,
         find: () => Promise.resolve(origin),
     };
-    const runner = createRequestRunner(context, clusterView, createEngineLoadTracker(clock), adapters, streamOrigins);
+    const runner = createRequestRunner(
+        context,
+        clusterView,
+        createEngineLoadTracker(clock),
+        adapters,
+        streamOrigins,
+        NO_QUARANTINE,
+    );
     const end = await runner.run(createRequest());
     return { sent: sent.join(","), end: formatEnd(end) };
 }
 
+/** A quarantine that holds nothing. */
+const NO_QUARANTINE: PromptQuarantine = {
+    refuses: () => false,
+    refusesSend: () => false,
+    recordAnswer: () => undefined,
+    recordBreak: () => undefined,
+    handleCrash: () => ({ quarantined: [] }),
+    handleQuestion: () => ({ wasAnswered: false }),
+    handleNotice: () => undefined,
+};
+
 /** Answers like an engine; breaks off after so many whole events if that is given. */
 function answer(req: EngineRequest, sink: AnswerSink, breakAfter: number | undefined): void {
     const head: EngineAnswerHead = {
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,7 +1,7 @@
 import { MISDIRECTED } from "@fulmarcleat/directory";
 import type { EngineEntry, EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
 import { createRetryWindow, shouldShed } from "@fulmarcleat/dispatch";
-import type { RetryWindow, ShedTerms } from "@fulmarcleat/dispatch";
+import type { RetryWindow, SharedParts, ShedTerms } from "@fulmarcleat/dispatch";
 import { sleep } from "@fulmarcleat/ids";
 import type { EngineId, ServiceName } from "@fulmarcleat/ids";
 import type { StreamOrigin } from "@fulmarcleat/wire";
@@ -11,6 +11,7 @@
 import type { ClusterView } from "./createClusterView.js";
 import { createEngineChooser } from "./createEngineChooser.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
+import type { PromptQuarantine } from "./createPromptQuarantine.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
 import type { FrontContext } from "./frontContext.js";
 import { giveUp } from "./giveUp.js";
@@ -57,6 +58,13 @@
 const NO_ENGINE_RETRY_MS = 400;
 /** Expected time until another host may know where a stream began, in milliseconds; basis of the Retry-After. */
 const UNKNOWN_ORIGIN_RETRY_MS = 30;
+/** Expected time until a quarantined prompt is let through again, in milliseconds; basis of the Retry-After. */
+const QUARANTINED_RETRY_MS = 60_000;
+/**
+ * Time after an answer's first byte from which it speaks for its prompt, in milliseconds; poison requests crash an
+ * engine sooner.
+ */
+const BEGINNING_MS = 500;
 /** Expected time until engines that refused a request accept one, in milliseconds; basis of the Retry-After. */
 const REFUSED_RETRY_MS = 120;
 
@@ -68,10 +76,12 @@
  * @param loadTracker - Load and health of engines as this host observes them
  * @param adapters - Adapters on engines and requests to load them
  * @param streamOrigins - Where streams began that clients resume
+ * @param quarantine - Prompt parts that crash engines
  * @returns the runner
  *
  * @example
- * const end = await createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins).run(request);
+ * const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, quarantine);
+ * const end = await runner.run(request);
  */
 export function createRequestRunner(
     context: FrontContext,
@@ -79,6 +89,7 @@
     loadTracker: EngineLoadTracker,
     adapters: AdapterTracker,
     streamOrigins: StreamOrigins,
+    quarantine: PromptQuarantine,
 ): RequestRunner {
     const { clock, log, metrics } = context;
     const chooser = createEngineChooser(context, clusterView, loadTracker, adapters);
@@ -196,8 +207,42 @@
         loadTracker.finishRequest(id);
         adapters.finishRequest(id, adapter);
         recordResult(id, result, firstByteMs ?? clock.nowMs() - sentMs);
+        const answeredForMs = firstByteMs === undefined ? 0 : clock.nowMs() - sentMs - firstByteMs;
+        recordPrompt(entry, request.head.sharedParts ?? [], result, answeredForMs);
         return result;
     };
+    /** Records whether a prompt was answered, or whether the connection broke while its answer was beginning. */
+    const recordPrompt = (
+        entry: EngineEntry,
+        parts: SharedParts,
+        result: ExchangeResult,
+        answeredForMs: number,
+    ): void => {
+        if (parts.length === 0) {
+            return;
+        }
+        switch (result.kind) {
+            case "relayed":
+                // An answer that ends with its connection doesn't prove that the engine still runs.
+                if (result.framing !== "connection_end" || answeredForMs >= BEGINNING_MS) {
+                    quarantine.recordAnswer(parts);
+                }
+                return;
+            case "broken":
+                if (answeredForMs >= BEGINNING_MS) {
+                    quarantine.recordAnswer(parts);
+                }
+                else if (result.reason !== "silent") {
+                    quarantine.recordBreak(entry, parts);
+                }
+                return;
+            case "answer":
+            case "not_run":
+            case "unsent":
+            case "cancelled":
+                return;
+        }
+    };
     const recordResult = (id: EngineId, result: ExchangeResult, firstByteMs: number): void => {
         const atMs = clock.nowMs();
         switch (result.kind) {
@@ -301,6 +346,10 @@
         if (isResumed && stream.origin === undefined) {
             return giveUp(NO_ATTEMPTS, "unknown_origin", UNKNOWN_ORIGIN_RETRY_MS);
         }
+        const parts = request.head.sharedParts ?? [];
+        if (quarantine.refuses(parts)) {
+            return giveUp(NO_ATTEMPTS, "quarantined_prompt", QUARANTINED_RETRY_MS);
+        }
         const budget = getRetryBudget(request.service);
         const unownedEngines = new Set<EngineId>();
         let progress = NO_ATTEMPTS;
@@ -323,6 +372,9 @@
                 metrics.count("retries_refused_total", { service: request.service.name });
                 return giveUp(progress, "no_retry_left", REFUSED_RETRY_MS);
             }
+            if (quarantine.refusesSend(parts)) {
+                return giveUp(progress, "quarantined_prompt", QUARANTINED_RETRY_MS);
+            }
             const { known } = prepared;
             const result = await send(request, known, () => startStream(request, known, stream));
             metrics.count("exchanges_total", { result: result.kind });
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -21,6 +21,7 @@
 import { createClusterView } from "./createClusterView.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createLoadRequestOutbox } from "./createLoadRequestOutbox.js";
+import { createPromptQuarantine } from "./createPromptQuarantine.js";
 import { createStreamOrigins } from "./createStreamOrigins.js";
 import { detectPauses } from "./detectPauses.js";
 import type { FrontContext } from "./frontContext.js";
@@ -86,7 +87,8 @@
     let peers: PeerClient | undefined;
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
-    const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins);
+    const quarantine = createPromptQuarantine(context, clusterView, () => peers);
+    const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, quarantine);
     clusterView.onEngineRemoved(entry => transport.forget({ id: entry.id, address: entry.address }));
     detectPauses(clock, pausedMs => {
         log.write("warn", 106, { pausedMs: Math.round(pausedMs) });
@@ -130,6 +132,12 @@
                     return Promise.resolve({ done: true });
                 },
                 streamOrigin: ({ requestId }) => Promise.resolve(streamOrigins.answer(requestId)),
+                engineCrash: report => Promise.resolve(quarantine.handleCrash(report)),
+                promptAnswered: question => Promise.resolve(quarantine.handleQuestion(question)),
+                quarantine(notice) {
+                    quarantine.handleNotice(notice);
+                    return Promise.resolve({ done: true });
+                },
                 engineUse: usageReport => adapters.handleUsageReport(usageReport),
             },
         });
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,3 +1,4 @@
+export type * from "./crashMessages.js";
 export { createFrameReader } from "./createFrameReader.js";
 export type { FrameReader, FrameReaderOptions } from "./createFrameReader.js";
 export { createPeerClient } from "./createPeerClient.js";
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -12,6 +12,13 @@
     RequestId,
 } from "@fulmarcleat/ids";
 import type { ConfigChange, Priority, Resource } from "@fulmarcleat/resources";
+import type {
+    CrashReply,
+    CrashReport,
+    PromptAnsweredReply,
+    PromptAnsweredRequest,
+    QuarantineNotice,
+} from "./crashMessages.js";
 import type { AdapterLoadReply, AdapterLoadRequest, HostUsageReply, HostUsageReport } from "./residencyMessages.js";
 import type { StreamOriginReply, StreamOriginRequest, StreamRecord } from "./streamMessages.js";
 
@@ -255,6 +262,9 @@
     readonly adapterLoad: { readonly request: AdapterLoadRequest; readonly reply: AdapterLoadReply };
     readonly streamStart: { readonly request: StreamRecord; readonly reply: Acknowledgement };
     readonly streamOrigin: { readonly request: StreamOriginRequest; readonly reply: StreamOriginReply };
+    readonly engineCrash: { readonly request: CrashReport; readonly reply: CrashReply };
+    readonly promptAnswered: { readonly request: PromptAnsweredRequest; readonly reply: PromptAnsweredReply };
+    readonly quarantine: { readonly request: QuarantineNotice; readonly reply: Acknowledgement };
     readonly engineUse: { readonly request: HostUsageReport; readonly reply: HostUsageReply };
 }
 
