Count only crashes since a prompt part was last answered

A part that had been answered and then began to crash engines could stay undetected for good: a judge that asked the others took 'answered in the last minute' for an answer of this moment, and passed that on when it was asked itself.

Change: the reply says how long ago, crashes count from the last known answer on, and a part is accepted only after the others were asked.

The table has two rows for a rare part that is answered between crashes.

--- a/packages/dispatch/src/createCrashEvidence.feature
+++ b/packages/dispatch/src/createCrashEvidence.feature
@@ -15,6 +15,8 @@
             | engines that lose power together               | 1:x, 2@0:x, 3@0:x, 4@0:x, 5@0:x, 6@0:x                                            |       |
             | an answer after the crashes                    | 1:x, 2:x, 3:x, +x, 4:x, 5:x                                                       |       |
             | an answer long before the crashes              | +x, 1@70000:x, 2:x, 3:x, 4:x                                                      | x     |
+            | a rare answer among the crashes                | 1:x, 2:x, 3:x, +x, 4@70000:x, 5:x, 6:x                                            |       |
+            | four crashes after a rare answer               | 1:x, 2:x, 3:x, +x, 4@70000:x, 5:x, 6:x, 7:x                                       | x     |
             | crashes over a long time                       | 1:x, 2@100000:x, 3@100000:x, 4@100000:x                                           | x     |
             | crashes that are forgotten                     | 1:x, 2@250000:x, 3@250000:x, 4@250000:x                                           |       |
             | late reports of former crashes                 | +a/b, 1:a/s, 2:a/s, 3:a/s, 4:a/x, 1:a/x, 2:a/x, 3:a/x                             | x     |
--- a/packages/dispatch/src/createCrashEvidence.ts
+++ b/packages/dispatch/src/createCrashEvidence.ts
@@ -28,6 +28,8 @@
     judgeCrash(engine: string, atMs: number): CrashFinding;
     /** Whether a request with the part was answered recently. */
     wasAnswered(part: PromptPart, atMs: number): boolean;
+    /** Returns the clock reading at which a request with the part was last answered, in milliseconds. */
+    readAnsweredMs(part: PromptPart): number | undefined;
     /** Accepts that a part crashes engines. */
     accept(part: PromptPart): void;
     /** Drops a part, with the evidence against it. */
@@ -62,7 +64,7 @@
  * to answer them.
  *
  * A part is found if it was there at several crashes, some of which no other found part explains, and no request with
- * it was answered recently. Of several such parts, the one with most crashes is found, and of equal ones the last in
+ * it was answered since the first of them, nor recently. Of several such parts, the one with most crashes is found, and of equal ones the last in
  * the prompt, which fewest requests share; if that was wrong, the next crashes without it find the other.
  *
  * @returns the evidence, empty
@@ -91,7 +93,8 @@
         [...crash.parts]
             .filter(([part]) => !wasAnswered(part, atMs))
             .map(([part, position]) => {
-                const withPart = [...crashes.values()].filter(({ parts }) => parts.has(part));
+                const sinceMs = answeredMs.get(part) ?? -Infinity;
+                const withPart = [...crashes.values()].filter(other => other.parts.has(part) && other.atMs > sinceMs);
                 const unexplained = withPart.filter(other => !isExplained(other));
                 return { part, position, all: countAccidents(withPart), unexplained: countAccidents(unexplained) };
             })
@@ -112,11 +115,13 @@
     };
     return {
         wasAnswered,
+        readAnsweredMs: part => answeredMs.get(part),
         clear,
         recordAnswer(parts, atMs) {
             for (const part of parts) {
+                const newestMs = Math.max(atMs, answeredMs.get(part) ?? -Infinity);
                 answeredMs.delete(part);
-                answeredMs.set(part, atMs);
+                answeredMs.set(part, newestMs);
             }
             for (const oldest of answeredMs.keys()) {
                 if (answeredMs.size <= MAX_ANSWERED_PARTS) {
--- a/packages/front/src/createPromptQuarantine.feature
+++ b/packages/front/src/createPromptQuarantine.feature
@@ -48,3 +48,10 @@
             | still   | crashes | end      |
             | still   | 1       | refused  |
             | no-more | 0       | answered |
+
+    # Guards against hosts that take each other's word for an answer as a new one, so that the part is never found.
+    Scenario: A part that was answered before and now crashes engines is found after a minute
+        Given a fleet of 8 hosts whose messages all arrive
+        When clients send requests for 10 s with 15 in 100 of a kind that crashes no engine yet
+        And clients send requests for 75 s more with 10 in 100 of that kind
+        Then none of these reaches an engine in the last 10 s
--- a/packages/front/src/createPromptQuarantine.steps.ts
+++ b/packages/front/src/createPromptQuarantine.steps.ts
@@ -1,4 +1,4 @@
-import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { createPoisonFleet } from "./createPoisonFleet.steps.js";
 import type { FleetRequest, PoisonFleet, PoisonFleetOptions } from "./createPoisonFleet.steps.js";
 
@@ -127,6 +127,25 @@
     },
 );
 
+When(
+    "clients send requests for {int} s with {int} in 100 of a kind that crashes no engine yet",
+    async (seconds: number, percent: number) => {
+        for (const fleet of fleets) {
+            fleet.setPoisonous(false);
+            await fleet.play(seconds * 1000, percent / 100);
+            fleet.setPoisonous(true);
+        }
+    },
+);
+
+Then("none of these reaches an engine in the last {int} s", (seconds: number) => {
+    for (const { clock, requests } of fleets) {
+        const fromMs = clock.nowMs() - seconds * 1000;
+        const reachedMs = requests.filter(({ isPoison }) => isPoison).flatMap(request => request.reachedMs);
+        deepStrictEqual(reachedMs.filter(atMs => atMs >= fromMs), []);
+    }
+});
+
 function countRefused(requests: readonly FleetRequest[]): number {
     return requests.filter(({ refusal }) => refusal === "quarantined_prompt").length;
 }
--- a/packages/front/src/createPromptQuarantine.ts
+++ b/packages/front/src/createPromptQuarantine.ts
@@ -32,7 +32,7 @@
     recordBreak(entry: EngineEntry, parts: SharedParts): void;
     /** Handles another host's report of a crash. */
     handleCrash(report: CrashReport): CrashReply;
-    /** Tells another host whether requests with a part were answered here recently. */
+    /** Tells another host when requests with a part were last answered here. */
     handleQuestion(question: PromptAnsweredRequest): PromptAnsweredReply;
     /** Handles another host's finding. */
     handleNotice(notice: QuarantineNotice): void;
@@ -196,16 +196,18 @@
         listJudges().filter(host => host !== deployment.host)
             .map(host => clusterView.members.get(host))
             .filter(member => member !== undefined);
-    /** Asks the other judges whether one of them has answered requests with the part. */
-    const wasAnsweredElsewhere = (part: PromptPart): Promise<boolean> => {
+    /** Asks the other judges when they answered requests with the part. */
+    const collectAnswers = async (part: PromptPart): Promise<void> => {
         const replies = listOtherJudges().map(async member => {
             const reply = await sendTo(member, "promptAnswered", { part });
-            return reply?.wasAnswered === true || Promise.reject(new Error(`${member.host} has not answered any`));
+            if (reply?.answeredAgoMs !== undefined) {
+                evidence.recordAnswer([part], clock.nowMs() - reply.answeredAgoMs);
+            }
         });
-        // It rejects only if no judge has answered any.
-        return Promise.any(replies).catch(() => false);
+        await Promise.all(replies);
     };
-    const judge = async (engine: string): Promise<void> => {
+    /** Judges a crash; a part is accepted only after the other judges were asked about it. */
+    const judge = async (engine: string, asked: ReadonlySet<PromptPart> = new Set()): Promise<void> => {
         const finding = evidence.judgeCrash(engine, clock.nowMs());
         switch (finding.kind) {
             case "unclear":
@@ -214,13 +216,11 @@
                 renew(finding.part);
                 return;
             case "found":
-                if (await wasAnsweredElsewhere(finding.part)) {
-                    evidence.clear(finding.part);
-                    evidence.recordAnswer([finding.part], clock.nowMs());
-                    await judge(engine);
-                    return;
+                if (!asked.has(finding.part)) {
+                    await collectAnswers(finding.part);
+                    await judge(engine, new Set(asked).add(finding.part));
                 }
-                if (readSinceMs(finding.part) === undefined) {
+                else if (readSinceMs(finding.part) === undefined) {
                     finding.explains.forEach(part => void release(part, "explained"));
                     accept(finding.part, "crashes");
                     void publish(finding.part);
@@ -285,7 +285,10 @@
         refuses,
         handleCrash,
         handleNotice,
-        handleQuestion: ({ part }) => ({ wasAnswered: evidence.wasAnswered(part, clock.nowMs()) }),
+        handleQuestion({ part }) {
+            const answeredMs = evidence.readAnsweredMs(part);
+            return { answeredAgoMs: answeredMs === undefined ? undefined : clock.nowMs() - answeredMs };
+        },
         refusesSend(parts) {
             if (refuses(parts)) {
                 return true;
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -135,7 +135,7 @@
     recordAnswer: () => undefined,
     recordBreak: () => undefined,
     handleCrash: () => ({ quarantined: [] }),
-    handleQuestion: () => ({ wasAnswered: false }),
+    handleQuestion: () => ({ answeredAgoMs: undefined }),
     handleNotice: () => undefined,
 };
 
--- a/packages/wire/src/crashMessages.ts
+++ b/packages/wire/src/crashMessages.ts
@@ -27,6 +27,6 @@
 
 /** A host's reply about a prompt part. */
 export interface PromptAnsweredReply {
-    /** Whether a request with the part was answered recently. */
-    readonly wasAnswered: boolean;
+    /** Time since a request with the part was last answered, in milliseconds; undefined if none is known of. */
+    readonly answeredAgoMs: number | undefined;
 }
