--- a/packages/soak/src/createLoopbackProxy.ts
+++ b/packages/soak/src/createLoopbackProxy.ts
@@ -19,6 +19,8 @@
 export interface LoopbackProxy {
     readonly port: number;
     setMode(mode: LinkMode): void;
+    /** Silences every open connection for good, without closing it; new ones work. */
+    silence(): void;
     /** Resets every open connection. */
     reset(): void;
     close(): void;
@@ -41,6 +43,7 @@
 export async function createLoopbackProxy(targetPort: number): Promise<LoopbackProxy> {
     let mode: LinkMode = "open";
     const sockets = new Set<Socket>();
+    const silentSockets = new WeakSet<Socket>();
     const track = (socket: Socket): void => {
         sockets.add(socket);
         socket.on("close", () => sockets.delete(socket));
@@ -48,6 +51,9 @@
     const forward = (from: Socket, to: Socket, isResponse: boolean): void => {
         let lastWrite = Promise.resolve();
         from.on("data", chunk => {
+            if (silentSockets.has(from)) {
+                return;
+            }
             lastWrite = lastWrite.then(() => waitForMode(isResponse)).then(() =>
                 void (to.destroyed || to.write(chunk))
             );
@@ -80,6 +86,7 @@
     return {
         port,
         setMode: next => void (mode = next),
+        silence: () => sockets.forEach(socket => silentSockets.add(socket)),
         reset: () => sockets.forEach(socket => socket.resetAndDestroy()),
         close() {
             server.close();
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -113,6 +113,7 @@
             ...fleet.fronts.flatMap(front => front.unexpectedExits),
         );
         violations.push(...await checkConfig(fleet, agent));
+        violations.push(...await checkSilentLinks(fleet, agent));
         return {
             seed: options.seed,
             plan,
@@ -261,6 +262,19 @@
 /** Time that a draining engine keeps serving, in milliseconds; the platform states 2 and 3 s. */
 const ENGINE_DRAIN_MS = 3000;
 
+/** Time for every host to open its watches anew after a change, in milliseconds. */
+const WATCH_START_MS = 1000;
+
+/** Checks that a change takes effect although every connection to the store has gone silent without being closed. */
+async function checkSilentLinks(fleet: SoakFleet, agent: Agent): Promise<readonly string[]> {
+    fleet.publishNewConfig();
+    await wait(WATCH_START_MS);
+    fleet.storeLinks.forEach(link => link.silence());
+    fleet.publishNewConfig();
+    await wait(VERSION_TIMEOUT_MS);
+    return checkConfig(fleet, agent);
+}
+
 /** Checks that every host serves the route that only the newest configuration has, but not that of its predecessor. */
 async function checkConfig(fleet: SoakFleet, agent: Agent): Promise<readonly string[]> {
     const violations: string[] = [];
