Send requests whose failure is only counted to peers by one function; take no notice against an answer

The quarantine and the records of streams each had the same function. A host that has answered requests with a part no longer accepts a peer's notice about it, and forgets a finding that the store never held.

--- a/packages/front/src/createPoisonFleet.steps.ts
+++ b/packages/front/src/createPoisonFleet.steps.ts
@@ -96,7 +96,7 @@
 /** Time until a connection to a stopped engine is refused, in milliseconds. */
 const REFUSED_MS = 2;
 /** Time until a lost message between hosts counts as failed, in milliseconds. */
-const PEER_TIMEOUT_MS = 500;
+const PEER_TIMEOUT_MS = 200;
 /** Deadline of each request, in milliseconds. */
 const DEADLINE_MS = 5000;
 const MS_PER_S = 1000;
--- a/packages/front/src/createPromptQuarantine.ts
+++ b/packages/front/src/createPromptQuarantine.ts
@@ -12,13 +12,12 @@
     PromptAnsweredReply,
     PromptAnsweredRequest,
     QuarantineNotice,
-    ReplyOf,
-    RequestOf,
 } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
 import type { FrontContext } from "./frontContext.js";
 import { formatQuarantineKey } from "./hostKeys.js";
 import type { Member } from "./hostKeys.js";
+import { sendToPeer } from "./sendToPeer.js";
 
 /** Keeps requests whose prompts crash engines (poison requests) from engines, at all hosts. */
 export interface PromptQuarantine {
@@ -40,6 +39,7 @@
 
 /** Requests that broke at one engine and are not reported yet. */
 interface PendingCrash {
+    /** Shared parts of their prompts. */
     readonly prompts: SharedParts[];
 }
 
@@ -53,8 +53,6 @@
 const WRITE_DELAY_PER_RANK_MS = 60;
 /** Delay after a finding could not be written to the store, in milliseconds. */
 const WRITE_RETRY_MS = 1000;
-/** Longest wait for a peer, in milliseconds. */
-const PEER_TIMEOUT_MS = 500;
 /** Time after which one request with a quarantined part is let through to see whether it still crashes, in milliseconds. */
 const PROBE_AFTER_MS = 300_000;
 /** Time between two such requests, in milliseconds. */
@@ -80,6 +78,7 @@
     readPeers: () => Pick<PeerClient, "request"> | undefined,
 ): PromptQuarantine {
     const { clock, control, deployment, hash, log, metrics, store } = context;
+    const peerContext = { metrics, readPeers };
     const evidence = createCrashEvidence();
     /** Findings that the store doesn't hold yet, with the clock reading at which they were made. */
     const unstored = new Map<PromptPart, number>();
@@ -91,11 +90,13 @@
         const hosts = [...clusterView.members.values()].filter(({ isLeaving }) => !isLeaving).map(({ host }) => host);
         return rankByRendezvous(hash, JUDGES_KEY, hosts).slice(0, JUDGES);
     };
+    /** Returns the clock reading since which a part is quarantined; undefined if it isn't. */
     const readSinceMs = (part: PromptPart): number | undefined => {
         const stored = clusterView.quarantined.get(part)?.sinceMs;
         const foundMs = unstored.get(part);
         if (foundMs !== undefined && clock.nowMs() - foundMs >= QUARANTINE_TTL_MS) {
             unstored.delete(part);
+            evidence.clear(part);
             return stored;
         }
         return stored ?? foundMs;
@@ -113,20 +114,6 @@
             : parts.filter(part => readSinceMs(part) !== undefined);
     const refuses = (parts: SharedParts): boolean =>
         listQuarantined(parts).some(part => !mayProbe(part, readSinceMs(part) ?? 0));
-    const sendTo = async <Name extends "engineCrash" | "promptAnswered" | "quarantine">(
-        { host, ip, port }: Member,
-        name: Name,
-        body: RequestOf<Name>,
-    ): Promise<ReplyOf<Name> | undefined> => {
-        try {
-            return await readPeers()?.request({ host, address: ip, port }, name, body, PEER_TIMEOUT_MS);
-        }
-        catch (err) {
-            // The other judges have it, or the store.
-            metrics.count("peer_failures_total", { step: toServeError(err, INTERNAL).step });
-            return undefined;
-        }
-    };
     const accept = (part: PromptPart, source: "crashes" | "peer" | "store"): void => {
         if (source !== "store" && readSinceMs(part) === undefined) {
             unstored.set(part, clock.nowMs());
@@ -161,13 +148,15 @@
             await store.endLease(lease);
         }
     };
+    /** Tells every host of a finding, for the time when they can't learn it from the store. */
     const tellAll = (part: PromptPart): void => {
         for (const member of clusterView.members.values()) {
             if (member.host !== deployment.host) {
-                void sendTo(member, "quarantine", { part });
+                void sendToPeer(peerContext, member, "quarantine", { part });
             }
         }
     };
+    /** Writes a finding to the store, unless a judge ranked before this one has done so. */
     const publish = async (part: PromptPart): Promise<void> => {
         const rank = listJudges().indexOf(deployment.host);
         await sleep(clock, WRITE_DELAY_PER_RANK_MS * (rank < 0 ? JUDGES : rank));
@@ -185,6 +174,7 @@
             }
         }
     };
+    /** Starts a quarantine anew after a request that was let through crashed an engine again. */
     const renew = (part: PromptPart): void => {
         const sinceMs = readSinceMs(part);
         if (sinceMs !== undefined && clock.nowMs() - sinceMs >= PROBE_AFTER_MS) {
@@ -199,7 +189,7 @@
     /** Asks the other judges when they answered requests with the part. */
     const collectAnswers = async (part: PromptPart): Promise<void> => {
         const replies = listOtherJudges().map(async member => {
-            const reply = await sendTo(member, "promptAnswered", { part });
+            const reply = await sendToPeer(peerContext, member, "promptAnswered", { part });
             if (reply?.answeredAgoMs !== undefined) {
                 evidence.recordAnswer([part], clock.nowMs() - reply.answeredAgoMs);
             }
@@ -241,7 +231,7 @@
         return { quarantined: listQuarantined([...new Set(prompts.flat())]) };
     };
     const handleNotice = ({ part }: QuarantineNotice): void => {
-        if (readSinceMs(part) === undefined) {
+        if (readSinceMs(part) === undefined && !evidence.wasAnswered(part, clock.nowMs())) {
             accept(part, "peer");
         }
     };
@@ -254,7 +244,7 @@
         handleCrash(report);
         await Promise.all(
             listOtherJudges().map(async member => {
-                const reply = await sendTo(member, "engineCrash", report);
+                const reply = await sendToPeer(peerContext, member, "engineCrash", report);
                 reply?.quarantined.forEach(part => handleNotice({ part }));
             }),
         );
--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -1,11 +1,11 @@
 import type { Service } from "@fulmarcleat/directory";
-import { toServeError } from "@fulmarcleat/errors";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import type { RequestId, ServiceName, SoftwareVersion } from "@fulmarcleat/ids";
-import type { PeerClient, ReplyOf, RequestOf, StreamOrigin, StreamOriginReply, StreamRecord } from "@fulmarcleat/wire";
+import type { PeerClient, StreamOrigin, StreamOriginReply, StreamRecord } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
+import { sendToPeer } from "./sendToPeer.js";
 
 /** Remembers where streams began, for clients that resume them at any host. */
 export interface StreamOrigins {
@@ -40,8 +40,6 @@
 const COPIES = 2;
 /** Number of peers that are asked; more than keep copies, since hosts join and leave meanwhile. */
 const ASKED_PEERS = 6;
-/** Longest wait for a peer, in milliseconds. */
-const PEER_TIMEOUT_MS = 200;
 
 /**
  * Creates the records of where streams began. They are kept in memory, at the host that served the first event and at
@@ -62,6 +60,7 @@
 ): StreamOrigins {
     const { clock, deployment, hash, metrics } = context;
     const kept = new Map<RequestId, KeptOrigin>();
+    const peerContext = { metrics, readPeers };
     let formerVersions: readonly { readonly origin: StreamOrigin; readonly removedAtMs: number }[] = [];
 
     const keep = ({ requestId, service, softwareVersion }: StreamRecord): void => {
@@ -90,25 +89,11 @@
             .map(host => clusterView.members.get(host))
             .filter(member => member !== undefined);
     };
-    const sendTo = async <Name extends "streamStart" | "streamOrigin">(
-        { host, ip, port }: Member,
-        name: Name,
-        body: RequestOf<Name>,
-    ): Promise<ReplyOf<Name> | undefined> => {
-        try {
-            return await readPeers()?.request({ host, address: ip, port }, name, body, PEER_TIMEOUT_MS);
-        }
-        catch (err) {
-            // The other copies remain.
-            metrics.count("peer_failures_total", { step: toServeError(err, INTERNAL).step });
-            return undefined;
-        }
-    };
     /** Asks peers for a stream's origin; the first one that knows it wins. */
     const askPeers = async (requestId: RequestId): Promise<StreamOrigin | undefined> => {
         const asked = rankPeers(requestId, () => true).slice(0, ASKED_PEERS);
         const replies = asked.map(async member => {
-            const reply = await sendTo(member, "streamOrigin", { requestId });
+            const reply = await sendToPeer(peerContext, member, "streamOrigin", { requestId });
             return reply?.kind === "known" ? reply : Promise.reject(new Error(`${member.host} keeps no record`));
         });
         // It rejects only if no peer keeps a record.
@@ -142,7 +127,7 @@
         record(record) {
             keep(record);
             rankPeers(record.requestId, member => !member.isLeaving).slice(0, COPIES)
-                .forEach(member => void sendTo(member, "streamStart", record));
+                .forEach(member => void sendToPeer(peerContext, member, "streamStart", record));
         },
         async find(requestId, service) {
             const own = requestId === undefined ? undefined : answer(requestId);
@@ -158,5 +143,3 @@
         },
     };
 }
-
-const INTERNAL = { code: "internal", step: "exchange stream origins", peer: "self", outcome: "unknown" } as const;
