--- a/packages/dispatch/src/createCrashEvidence.ts
+++ b/packages/dispatch/src/createCrashEvidence.ts
@@ -64,8 +64,9 @@
  * to answer them.
  *
  * A part is found if it was there at several crashes, some of which no other found part explains, and no request with
- * it was answered since the first of them, nor recently. Of several such parts, the one with most crashes is found, and of equal ones the last in
- * the prompt, which fewest requests share; if that was wrong, the next crashes without it find the other.
+ * it was answered since the first of them, nor recently. Of several such parts, the one with most crashes is found, and
+ * of equal ones the last in the prompt, which fewest requests share; if that was wrong, the next crashes without it
+ * find the other.
  *
  * @returns the evidence, empty
  *
