--- a/packages/directory/src/engineTransport.ts
+++ b/packages/directory/src/engineTransport.ts
@@ -28,6 +28,14 @@
     readonly slots: number;
 }
 
+/** What an engine's answer says of the rate of requests that it takes from all hosts together. */
+export type NamedLimit =
+    | { readonly kind: "none" }
+    /** Requests a second; may be 0 and may have a fraction. */
+    | { readonly kind: "rate"; readonly perSecond: number }
+    /** A limit that can't be read, as received. */
+    | { readonly kind: "unreadable"; readonly text: string };
+
 /** Status of an engine's refusal of a request for another engine, or for an adapter that it does not hold. */
 export const MISDIRECTED = 421;
 
@@ -45,6 +53,7 @@
     /** Whether the engine states that the request did not run and never will. */
     readonly isNotRun: boolean;
     readonly load: EngineLoad | undefined;
+    readonly limit: NamedLimit;
     /** Id of the engine that answers, if it states one. */
     readonly instance: EngineId | undefined;
 }
--- a/packages/events/src/eventCatalogue.ts
+++ b/packages/events/src/eventCatalogue.ts
@@ -44,6 +44,8 @@
     408: "prompt part quarantined",
     409: "prompt part released",
     410: "engine crashed",
+    411: "engine limit changed",
+    412: "engine limit unreadable",
     500: "configuration in force",
     501: "configuration incomplete",
     502: "change accepted",
--- a/packages/front/src/createPoisonFleet.steps.ts
+++ b/packages/front/src/createPoisonFleet.steps.ts
@@ -9,6 +9,7 @@
 import { setImmediate } from "node:timers/promises";
 import type { ClientRequest } from "./clientRequest.js";
 import { createClusterView } from "./createClusterView.js";
+import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createPromptQuarantine } from "./createPromptQuarantine.js";
 import type { PromptQuarantine } from "./createPromptQuarantine.js";
@@ -180,6 +181,7 @@
                 requestId: req.requestId,
                 isNotRun: false,
                 load: undefined,
+                limit: { kind: "none" },
                 instance: undefined,
             });
             if (request.isPoison && isPoisonous) {
@@ -266,7 +268,17 @@
         const quarantine = createPromptQuarantine(context, view, () => peers);
         quarantines.set(host, quarantine);
         const loadTracker = createEngineLoadTracker(clock);
-        runners.push(createRequestRunner(context, view, loadTracker, adapters, streamOrigins, quarantine));
+        runners.push(
+            createRequestRunner(
+                context,
+                view,
+                loadTracker,
+                adapters,
+                streamOrigins,
+                quarantine,
+                createEngineLimits(context),
+            ),
+        );
     };
     const drawParts = (isPoison: boolean): readonly PromptPart[] => {
         const session = Math.floor(SESSIONS * random.next());
--- a/packages/front/src/relayAnswer.steps.ts
+++ b/packages/front/src/relayAnswer.steps.ts
@@ -16,6 +16,7 @@
     requestId: undefined,
     isNotRun: false,
     load: undefined,
+    limit: { kind: "none" },
     instance: undefined,
 } satisfies EngineAnswerHead;
 
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -16,6 +16,7 @@
 import type { RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
+import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { PromptQuarantine } from "./createPromptQuarantine.js";
 import type { FrontContext } from "./frontContext.js";
@@ -123,6 +124,7 @@
         adapters,
         streamOrigins,
         NO_QUARANTINE,
+        createEngineLimits(context),
     );
     const end = await runner.run(createRequest());
     return { sent: sent.join(","), end: formatEnd(end) };
@@ -148,6 +150,7 @@
         requestId: req.requestId,
         isNotRun: false,
         load: undefined,
+        limit: { kind: "none" },
         instance: undefined,
     };
     sink.head(head);
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -10,6 +10,7 @@
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import { createEngineChooser } from "./createEngineChooser.js";
+import type { EngineLimits } from "./createEngineLimits.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { PromptQuarantine } from "./createPromptQuarantine.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
@@ -77,10 +78,11 @@
  * @param adapters - Adapters on engines and requests to load them
  * @param streamOrigins - Where streams began that clients resume
  * @param quarantine - Prompt parts that crash engines
+ * @param limits - Limits that engines name
  * @returns the runner
  *
  * @example
- * const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, quarantine);
+ * const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, quarantine, limits);
  * const end = await runner.run(request);
  */
 export function createRequestRunner(
@@ -90,6 +92,7 @@
     adapters: AdapterTracker,
     streamOrigins: StreamOrigins,
     quarantine: PromptQuarantine,
+    limits: EngineLimits,
 ): RequestRunner {
     const { clock, log, metrics } = context;
     const chooser = createEngineChooser(context, clusterView, loadTracker, adapters);
@@ -196,6 +199,7 @@
                 }
             },
             onHead(head) {
+                limits.recordAnswer(entry, head);
                 if (head.load !== undefined) {
                     loadTracker.recordLoad(id, head.load);
                 }
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -19,6 +19,7 @@
 import type { Server } from "node:http";
 import { createClientHandler } from "./createClientHandler.js";
 import { createClusterView } from "./createClusterView.js";
+import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createLoadRequestOutbox } from "./createLoadRequestOutbox.js";
 import { createPromptQuarantine } from "./createPromptQuarantine.js";
@@ -88,7 +89,8 @@
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
     const quarantine = createPromptQuarantine(context, clusterView, () => peers);
-    const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, quarantine);
+    const limits = createEngineLimits(context);
+    const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, quarantine, limits);
     clusterView.onEngineRemoved(entry => transport.forget({ id: entry.id, address: entry.address }));
     detectPauses(clock, pausedMs => {
         log.write("warn", 106, { pausedMs: Math.round(pausedMs) });
