--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,4 +1,3 @@
-import { MISDIRECTED } from "@fulmarcleat/directory";
 import type { EngineEntry, EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
 import { createRetryWindow, shouldShed } from "@fulmarcleat/dispatch";
 import type { RetryWindow, SharedParts, ShedTerms } from "@fulmarcleat/dispatch";
@@ -14,6 +13,7 @@
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { PromptQuarantine } from "./createPromptQuarantine.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
+import { describeHealth, FIRST_SERVER_ERROR } from "./describeHealth.js";
 import type { FrontContext } from "./frontContext.js";
 import { giveUp } from "./giveUp.js";
 import { runExchange } from "./runExchange.js";
@@ -53,8 +53,6 @@
 const MIN_REMAINING_MS = 40;
 /** Urgency rank of the least urgent requests that engines accept. */
 const LEAST_URGENT_RANK = 9;
-/** Lowest status that counts as an engine's own failure. */
-const FIRST_SERVER_ERROR = 500;
 /** Expected time until an engine is available if none was found, in milliseconds; basis of the Retry-After. */
 const NO_ENGINE_RETRY_MS = 400;
 /** Expected time until another host may know where a stream began, in milliseconds; basis of the Retry-After. */
@@ -210,7 +208,10 @@
         }
         loadTracker.finishRequest(id);
         adapters.finishRequest(id, adapter);
-        recordResult(id, result, firstByteMs ?? clock.nowMs() - sentMs);
+        const health = describeHealth(result, firstByteMs ?? clock.nowMs() - sentMs, clock.nowMs());
+        if (health !== undefined) {
+            loadTracker.recordHealth(id, health);
+        }
         const answeredForMs = firstByteMs === undefined ? 0 : clock.nowMs() - sentMs - firstByteMs;
         recordPrompt(entry, request.head.sharedParts ?? [], result, answeredForMs);
         return result;
@@ -247,35 +248,6 @@
                 return;
         }
     };
-    const recordResult = (id: EngineId, result: ExchangeResult, firstByteMs: number): void => {
-        const atMs = clock.nowMs();
-        switch (result.kind) {
-            case "relayed":
-                loadTracker.recordHealth(id, { kind: "answered", firstByteMs, atMs });
-                return;
-            case "answer":
-                loadTracker.recordHealth(
-                    id,
-                    result.head.status >= FIRST_SERVER_ERROR
-                        ? { kind: "failed", atMs }
-                        : { kind: "answered", firstByteMs, atMs },
-                );
-                return;
-            case "broken":
-                loadTracker.recordHealth(id, { kind: "failed", atMs });
-                return;
-            case "unsent":
-                loadTracker.recordHealth(id, { kind: "unreachable", atMs });
-                return;
-            case "not_run":
-                if (result.status !== MISDIRECTED) {
-                    loadTracker.recordHealth(id, { kind: "shed", atMs });
-                }
-                return;
-            case "cancelled":
-                return;
-        }
-    };
     /** Chooses the next engine and makes the adapter available there, or returns why that failed. */
     const prepareEngine = async (
         request: ClientRequest,
