--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -1,4 +1,11 @@
-import type { AnswerSink, EngineRequest, EngineTarget, EngineTransport, Service } from "@fulmarcleat/directory";
+import type {
+    AnswerSink,
+    EngineRequest,
+    EngineTarget,
+    EngineTransport,
+    NamedLimit,
+    Service,
+} from "@fulmarcleat/directory";
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
@@ -12,7 +19,6 @@
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createPromptQuarantine } from "./createPromptQuarantine.js";
-import type { PromptQuarantine } from "./createPromptQuarantine.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
 import type { StoreFake } from "./createStoreFake.steps.js";
 import type { FrontContext } from "./frontContext.js";
@@ -24,7 +30,7 @@
 import { createStoreHealth } from "./storeHealth.js";
 
 /** Size, seed and faults of a fleet in memory. */
-export interface PoisonFleetOptions {
+export interface FrontFleetOptions {
     readonly hosts: number;
     readonly seed: number;
     /** Share of the messages between hosts that are lost. */
@@ -35,11 +41,28 @@
     readonly keepsIds: boolean;
     /** Interval at which one engine crashes for a reason of its own, in milliseconds; undefined for never. */
     readonly crashIntervalMs: number | undefined;
+    /** Requests a second over all hosts; 25 if it is left out. */
+    readonly requestsPerS?: number;
+}
+
+/** The rate of requests that some engines name in their answers. */
+export interface FleetLimit {
+    /** Number of engines that name it. */
+    readonly engines: number;
+    readonly perSecond: number;
+}
+
+/** A request's arrival at an engine. */
+export interface FleetArrival {
+    readonly engine: EngineId;
+    readonly atMs: number;
 }
 
 /** One request of the run and what became of it. */
 export interface FleetRequest {
     readonly isPoison: boolean;
+    /** 0 is the most urgent. */
+    readonly priority: number;
     readonly sentMs: number;
     /** Clock readings at which it reached an engine, in milliseconds. */
     readonly reachedMs: readonly number[];
@@ -47,10 +70,12 @@
     readonly hasBegun: boolean;
     /** Reason of the host's refusal; undefined if it was not refused. */
     readonly refusal: string | undefined;
+    /** Expected time until the request could be served, as the host that refused it states it, in milliseconds. */
+    readonly readyInMs: number | undefined;
 }
 
-/** Hosts and engines in memory, of which requests with one part in their prompts crash each engine. */
-export interface PoisonFleet {
+/** Hosts and engines in memory; requests with one part in their prompts crash engines, and engines may name limits. */
+export interface FrontFleet {
     readonly clock: ManualClock;
     readonly store: StoreFake;
     readonly requests: readonly FleetRequest[];
@@ -62,6 +87,13 @@
     wait(lengthMs: number): Promise<void>;
     /** Sets whether requests with the part crash engines. */
     setPoisonous(isPoisonous: boolean): void;
+    readonly arrivals: readonly FleetArrival[];
+    readonly engineIds: readonly EngineId[];
+    /** Sets the limit that the first engines name in their answers from now on; undefined for none. */
+    setLimit(limit: FleetLimit | undefined): void;
+    /** Stops a host: it answers no message, gets no request, and its entry is removed some seconds later. */
+    stopHost(host: HostId): void;
+    readonly hosts: readonly HostId[];
     /** Crashes every engine at once, as a loss of power does. */
     crashAll(): void;
     /** Adds a host that knows nothing. */
@@ -83,6 +115,8 @@
 const STEP_MS = 10;
 /** Requests a second over all hosts. */
 const REQUESTS_PER_S = 25;
+/** Time after a host's end until its entry is removed, in milliseconds; the lease of its session. */
+const MEMBER_TTL_MS = 6000;
 /** Time from a request's arrival to the first event, in milliseconds. */
 const FIRST_EVENT_MS = 120;
 /** Interval between events, in milliseconds. */
@@ -101,6 +135,8 @@
 /** Deadline of each request, in milliseconds. */
 const DEADLINE_MS = 5000;
 const MS_PER_S = 1000;
+/** Number of priorities, of which each request has one. */
+const PRIORITIES = 2;
 /** Parts that sound requests share: one first part, some groups below it, and sessions below these. */
 const FIRST_PART = "f0";
 const GROUPS = 4;
@@ -116,16 +152,18 @@
  *
  * @example
  * const faults = { lostShare: 0, maxDelayMs: 5, keepsIds: false, crashIntervalMs: undefined };
- * const fleet = await createPoisonFleet({ hosts: 8, seed: 1, ...faults });
+ * const fleet = await createFrontFleet({ hosts: 8, seed: 1, ...faults });
  */
-export async function createPoisonFleet(options: PoisonFleetOptions): Promise<PoisonFleet> {
+export async function createFrontFleet(options: FrontFleetOptions): Promise<FrontFleet> {
     const clock = createManualClock(0);
     const store = createStoreFake(clock);
     const random = createRandom(options.seed);
     const hash = await createHasher();
     const engines = new Map<EngineId, SimulatedEngine>();
-    const runners: RequestRunner[] = [];
-    const quarantines = new Map<HostId, PromptQuarantine>();
+    const runners = new Map<HostId, RequestRunner>();
+    const handlersByHost = new Map<HostId, Readonly<Record<string, (body: never) => unknown>>>();
+    const arrivals: FleetArrival[] = [];
+    let limit: FleetLimit | undefined;
     const requests: MutableRequest[] = [];
     const requestsById = new Map<RequestId, MutableRequest>();
     const poisonCrashesMs: number[] = [];
@@ -154,6 +192,10 @@
             }
         });
     };
+    const nameLimit = (id: EngineId): NamedLimit =>
+        limit !== undefined && [...engines.keys()].indexOf(id) < limit.engines
+            ? { kind: "rate", perSecond: limit.perSecond }
+            : { kind: "none" };
     const answer = (req: EngineRequest, sink: AnswerSink, engine: SimulatedEngine): void => {
         const request = requestsById.get(req.requestId);
         const isInFlight = (): boolean => engine.exchanges.has(sink);
@@ -181,7 +223,7 @@
                 requestId: req.requestId,
                 isNotRun: false,
                 load: undefined,
-                limit: { kind: "none" },
+                limit: nameLimit(engine.id),
                 instance: undefined,
             });
             if (request.isPoison && isPoisonous) {
@@ -205,6 +247,7 @@
                 return { cancel: () => undefined, resume: () => undefined };
             }
             requestsById.get(req.requestId)?.reachedMs.push(clock.nowMs());
+            arrivals.push({ engine: engine.id, atMs: clock.nowMs() });
             engine.exchanges.add(sink);
             answer(req, sink, engine);
             return { cancel: () => void engine.exchanges.delete(sink), resume: () => undefined };
@@ -224,17 +267,9 @@
             return new Promise((resolve, reject) => {
                 clock.setTimer(PEER_TIMEOUT_MS, () => reject(new Error("no reply")));
                 clock.setTimer(isLost ? Infinity : delayMs, () => {
-                    const quarantine = quarantines.get(to.host);
-                    switch (name) {
-                        case "engineCrash":
-                            resolve(quarantine?.handleCrash(body as CrashReport));
-                            return;
-                        case "promptAnswered":
-                            resolve(quarantine?.handleQuestion(body as PromptAnsweredRequest));
-                            return;
-                        default:
-                            quarantine?.handleNotice(body as QuarantineNotice);
-                            resolve({ done: true });
+                    const handle = handlersByHost.get(to.host)?.[name];
+                    if (handle !== undefined) {
+                        resolve(handle(body as never));
                     }
                 });
             });
@@ -266,19 +301,18 @@
             find: () => Promise.resolve(undefined),
         };
         const quarantine = createPromptQuarantine(context, view, () => peers);
-        quarantines.set(host, quarantine);
+        const limits = createEngineLimits(context);
+        handlersByHost.set(host, {
+            engineCrash: (report: CrashReport) => quarantine.handleCrash(report),
+            promptAnswered: (question: PromptAnsweredRequest) => quarantine.handleQuestion(question),
+            quarantine(notice: QuarantineNotice) {
+                quarantine.handleNotice(notice);
+                return { done: true };
+            },
+        });
         const loadTracker = createEngineLoadTracker(clock);
-        runners.push(
-            createRequestRunner(
-                context,
-                view,
-                loadTracker,
-                adapters,
-                streamOrigins,
-                quarantine,
-                createEngineLimits(context),
-            ),
-        );
+        const runner = createRequestRunner(context, view, loadTracker, adapters, streamOrigins, quarantine, limits);
+        runners.set(host, runner);
     };
     const drawParts = (isPoison: boolean): readonly PromptPart[] => {
         const session = Math.floor(SESSIONS * random.next());
@@ -288,19 +322,25 @@
         return parts.map(part => brandId<PromptPart>(part));
     };
     const sendRequest = (isPoison: boolean): void => {
-        const runner = runners[Math.floor(runners.length * random.next())];
+        const runner = [...runners.values()][Math.floor(runners.size * random.next())];
         const requestId = brandId<RequestId>(`r${requests.length}`);
         const request: MutableRequest = {
             isPoison,
+            priority: Math.floor(PRIORITIES * random.next()),
             sentMs: clock.nowMs(),
             reachedMs: [],
             hasBegun: false,
             refusal: undefined,
+            readyInMs: undefined,
         };
         requests.push(request);
         requestsById.set(requestId, request);
-        void runner?.run(createRequest(requestId, drawParts(isPoison), clock.nowMs())).then(end => {
-            request.refusal = end.kind === "gave_up" ? end.reason : undefined;
+        const { priority } = request;
+        void runner?.run(createRequest(requestId, drawParts(isPoison), priority, clock.nowMs())).then(end => {
+            if (end.kind === "gave_up") {
+                request.refusal = end.reason;
+                request.readyInMs = end.readyInMs;
+            }
         });
     };
     const advance = async (ms: number): Promise<void> => {
@@ -332,9 +372,22 @@
         store,
         requests,
         poisonCrashesMs,
+        arrivals,
+        get engineIds() {
+            return [...engines.keys()];
+        },
+        get hosts() {
+            return [...runners.keys()];
+        },
+        setLimit: next => void (limit = next),
+        stopHost(host) {
+            runners.delete(host);
+            handlersByHost.delete(host);
+            clock.setTimer(MEMBER_TTL_MS, () => store.remove(formatMemberKey(host)));
+        },
         async play(lengthMs, poisonShare) {
             for (let passedMs = 0; passedMs < lengthMs; passedMs += STEP_MS) {
-                if (random.next() < REQUESTS_PER_S * STEP_MS / MS_PER_S) {
+                if (random.next() < (options.requestsPerS ?? REQUESTS_PER_S) * STEP_MS / MS_PER_S) {
                     sendRequest(random.next() < poisonShare);
                 }
                 await advance(STEP_MS);
@@ -344,13 +397,18 @@
         setPoisonous: next => void (isPoisonous = next),
         crashAll: () => [...engines.values()].forEach(crash),
         async addHost() {
-            startHost(runners.length);
+            startHost(runners.size);
             await advance(MS_PER_S);
         },
     };
 }
 
-function createRequest(requestId: RequestId, sharedParts: readonly PromptPart[], startedMs: number): ClientRequest {
+function createRequest(
+    requestId: RequestId,
+    sharedParts: readonly PromptPart[],
+    priority: number,
+    startedMs: number,
+): ClientRequest {
     const res = {
         writeHead: () => undefined,
         write: () => true,
@@ -362,7 +420,7 @@
         res,
         requestId,
         head: { forwarded: [], sharedParts },
-        route: { kind: "streaming", isResumable: true, maxEngines: 3, goalMs: 1000, priority: 0 },
+        route: { kind: "streaming", isResumable: true, maxEngines: 3, goalMs: 1000, priority },
         service: SERVICE,
         requestedAdapter: undefined,
         body: Buffer.alloc(0),
--- a/packages/front/src/createPromptQuarantine.steps.ts
+++ b/packages/front/src/createPromptQuarantine.steps.ts
@@ -1,11 +1,12 @@
 import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
-import { createPoisonFleet } from "./createPoisonFleet.steps.js";
-import type { FleetRequest, PoisonFleet, PoisonFleetOptions } from "./createPoisonFleet.steps.js";
+import { createFrontFleet } from "./createFrontFleet.steps.js";
+import type { FleetRequest, FrontFleet } from "./createFrontFleet.steps.js";
+import { parseFleetFaults } from "./parseFleetFaults.steps.js";
 
 /** Seeds that each row of the table is played with. */
 const SEEDS = 3;
 
-let fleets: PoisonFleet[] = [];
+let fleets: FrontFleet[] = [];
 let isStoreSilent = false;
 let crashesBefore = 0;
 
@@ -13,23 +14,10 @@
     isStoreSilent = faults === "store falls silent";
     fleets = [];
     for (let seed = 1; seed <= SEEDS; seed += 1) {
-        fleets.push(await createPoisonFleet({ hosts: Number(hosts), seed, ...parseFaults(faults) }));
+        fleets.push(await createFrontFleet({ hosts: Number(hosts), seed, ...parseFleetFaults(faults) }));
     }
 });
 
-function parseFaults(text: string): Omit<PoisonFleetOptions, "hosts" | "seed"> {
-    const read = (pattern: RegExp): number | undefined => {
-        const found = pattern.exec(text)?.[1];
-        return found === undefined ? undefined : Number(found);
-    };
-    return {
-        lostShare: (read(/lost, (\d+) in 100/) ?? 0) / 100,
-        maxDelayMs: read(/late by up to (\d+) ms/) ?? 5,
-        keepsIds: text === "store falls silent",
-        crashIntervalMs: read(/other reasons, each (\d+) ms/),
-    };
-}
-
 When(
     "clients send requests for {int} s, and for {int} s more with {int} in 100 that crash engines",
     async (soundS: number, poisonS: number, percent: number) => {
