--- /dev/null
+++ b/packages/front/src/createEnginePreparer.ts
@@ -0,0 +1,155 @@
+import type { EngineEntry, KnownEngine } from "@fulmarcleat/directory";
+import { shouldShed } from "@fulmarcleat/dispatch";
+import type { ShedTerms } from "@fulmarcleat/dispatch";
+import { sleep } from "@fulmarcleat/ids";
+import type { EngineId } from "@fulmarcleat/ids";
+import type { StreamOrigin } from "@fulmarcleat/wire";
+import type { RequestEnd, RequestProgress } from "./applyAttempt.js";
+import type { ClientRequest } from "./clientRequest.js";
+import type { EngineChooser } from "./createEngineChooser.js";
+import type { FrontContext } from "./frontContext.js";
+import { giveUp } from "./giveUp.js";
+import type { AdapterTracker } from "./startAdapterTracker.js";
+
+/** Result of choosing an engine and making the adapter available there. */
+export type PreparedEngine =
+    | { readonly kind: "chosen"; readonly known: KnownEngine }
+    | { readonly kind: "over"; readonly end: RequestEnd }
+    /** This attempt failed, but another engine or a later attempt may succeed. */
+    | { readonly kind: "again" };
+
+/** Whether an engine has the requested adapter, or why it can't get it. */
+type AdapterReadiness = "ready" | "no_room" | "no_owner";
+
+/** Chooses the engines of requests and makes their adapters available there. */
+export interface EnginePreparer {
+    /** Chooses the next engine and makes the adapter available there, or returns why that failed. */
+    prepare(
+        request: ClientRequest,
+        progress: RequestProgress,
+        unownedEngines: Set<EngineId>,
+        origin: StreamOrigin | undefined,
+    ): Promise<PreparedEngine>;
+}
+
+/** Longest wait for an adapter at one engine, in milliseconds. */
+const MAX_ADAPTER_WAIT_MS = 350;
+/** Delay before engines whose owners did not answer are tried again, in milliseconds. */
+const NO_OWNER_RETRY_DELAY_MS = 80;
+/** Time that must be left before the deadline for a request to be sent, in milliseconds. */
+export const MIN_REMAINING_MS = 40;
+/** Expected time until an engine is available if none was found, in milliseconds; basis of the Retry-After. */
+export const NO_ENGINE_RETRY_MS = 400;
+
+/**
+ * Creates the step before a send.
+ *
+ * @param context - Clock, metrics and log
+ * @param chooser - Chooses among engines
+ * @param adapters - Adapters on engines and requests to load them
+ * @returns the step
+ *
+ * @example
+ * const preparer = createEnginePreparer(context, chooser, adapters);
+ * const prepared = await preparer.prepare(request, progress, new Set(), undefined);
+ */
+export function createEnginePreparer(
+    context: Pick<FrontContext, "clock" | "log" | "metrics">,
+    chooser: EngineChooser,
+    adapters: AdapterTracker,
+): EnginePreparer {
+    const { clock, log, metrics } = context;
+    const ensureAdapter = async (
+        request: ClientRequest,
+        known: KnownEngine,
+        isMissing: boolean,
+    ): Promise<AdapterReadiness> => {
+        const { requestedAdapter } = request;
+        if (requestedAdapter === undefined) {
+            return "ready";
+        }
+        const presence = adapters.find(known.entry, requestedAdapter);
+        if (presence.kind === "present" && !isMissing) {
+            return "ready";
+        }
+        if (presence.kind === "coming" && !isMissing) {
+            await sleep(clock, presence.readyInMs);
+            return "ready";
+        }
+        const nowMs = clock.nowMs();
+        const wait = {
+            waitMs: Math.min(request.deadlineAtMs - nowMs - MIN_REMAINING_MS, MAX_ADAPTER_WAIT_MS),
+            dueInMs: request.startedMs + request.route.goalMs - nowMs,
+        };
+        const reply = await adapters.requestLoad(known.entry, requestedAdapter, wait, isMissing);
+        metrics.count("adapter_waits_total", { reply: reply.kind });
+        if (reply.kind === "refused") {
+            log.write("warn", 304, { id: request.requestId, engine: known.entry.id, reason: reply.reason });
+            return reply.reason === "no_room" ? "no_room" : "no_owner";
+        }
+        if (reply.inMs > 0) {
+            await sleep(clock, reply.inMs);
+        }
+        return "ready";
+    };
+    /** Chooses the next engine and makes the adapter available there, or returns why that failed. */
+    const prepare = async (
+        request: ClientRequest,
+        progress: RequestProgress,
+        unownedEngines: Set<EngineId>,
+        origin: StreamOrigin | undefined,
+    ): Promise<PreparedEngine> => {
+        const isEngineLimitReached = progress.tried.size >= request.route.maxEngines;
+        const engines = chooser.list(request.service).filter(({ entry }) => mayContinue(entry, origin));
+        if (engines.length === 0 && origin !== undefined) {
+            return { kind: "over", end: giveUp(progress, "version_gone", NO_ENGINE_RETRY_MS) };
+        }
+        const allowed = engines.filter(({ entry: { id } }) =>
+            !progress.excluded.has(id) && !unownedEngines.has(id) && (!isEngineLimitReached || progress.tried.has(id))
+        );
+        const chosen = await chooser.choose(request, allowed);
+        if (chosen === undefined && unownedEngines.size > 0) {
+            unownedEngines.clear();
+            await sleep(clock, NO_OWNER_RETRY_DELAY_MS);
+            return { kind: "again" };
+        }
+        if (chosen === undefined) {
+            const reason = progress.excluded.size > 0 ? "no_room" : "no_engine";
+            return { kind: "over", end: giveUp(progress, reason, NO_ENGINE_RETRY_MS) };
+        }
+        const { known, expectedMs } = chosen;
+        if (mayShed(request) && shouldShed(describeShedTerms(request, expectedMs, clock.nowMs()))) {
+            return { kind: "over", end: giveUp(progress, "overloaded", expectedMs - request.route.goalMs) };
+        }
+        switch (await ensureAdapter(request, known, progress.isMissing)) {
+            case "ready":
+                return { kind: "chosen", known };
+            case "no_room":
+                return { kind: "again" };
+            case "no_owner":
+                unownedEngines.add(known.entry.id);
+                return { kind: "again" };
+        }
+    };
+    return { prepare };
+}
+
+/** Whether an engine may send the next part of a stream; what two software versions write doesn't fit together. */
+function mayContinue({ service, softwareVersion }: EngineEntry, origin: StreamOrigin | undefined): boolean {
+    return origin === undefined || origin.service === service && origin.softwareVersion === softwareVersion;
+}
+
+/** Whether a request may be refused under overload; a stream that has started is never refused. */
+function mayShed(request: ClientRequest): boolean {
+    return request.service.engine !== undefined && request.relay?.hasStarted !== true;
+}
+
+function describeShedTerms(request: ClientRequest, expectedMs: number, nowMs: number): ShedTerms {
+    return {
+        expectedMs,
+        waitedMs: nowMs - request.startedMs,
+        goalMs: request.route.goalMs,
+        priority: request.route.priority,
+        leftMs: request.deadlineAtMs - nowMs,
+    };
+}
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,16 +1,17 @@
 import type { EngineEntry, EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
-import { createRetryWindow, shouldShed } from "@fulmarcleat/dispatch";
-import type { RetryWindow, SharedParts, ShedTerms } from "@fulmarcleat/dispatch";
+import { createRetryWindow } from "@fulmarcleat/dispatch";
+import type { RetryWindow, SharedParts } from "@fulmarcleat/dispatch";
 import { sleep } from "@fulmarcleat/ids";
 import type { EngineId, ServiceName } from "@fulmarcleat/ids";
 import type { StreamOrigin } from "@fulmarcleat/wire";
 import { applyAttempt, NO_ATTEMPTS } from "./applyAttempt.js";
-import type { BufferedAnswer, RequestEnd, RequestProgress } from "./applyAttempt.js";
+import type { BufferedAnswer, RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import { createEngineChooser } from "./createEngineChooser.js";
 import type { EngineLimits } from "./createEngineLimits.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
+import { createEnginePreparer, MIN_REMAINING_MS, NO_ENGINE_RETRY_MS } from "./createEnginePreparer.js";
 import type { PromptQuarantine } from "./createPromptQuarantine.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
 import { describeHealth, FIRST_SERVER_ERROR } from "./describeHealth.js";
@@ -20,16 +21,6 @@
 import type { ExchangeResult } from "./runExchange.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
 
-/** Result of choosing an engine and making the adapter available there. */
-type PreparedEngine =
-    | { readonly kind: "chosen"; readonly known: KnownEngine }
-    | { readonly kind: "over"; readonly end: RequestEnd }
-    /** This attempt failed, but another engine or a later attempt may succeed. */
-    | { readonly kind: "again" };
-
-/** Whether an engine has the requested adapter, or why it can't get it. */
-type AdapterReadiness = "ready" | "no_room" | "no_owner";
-
 /** Where the stream of a request began; undefined until its first event has been sent. */
 interface StreamState {
     origin: StreamOrigin | undefined;
@@ -45,16 +36,8 @@
 const RESUME_SILENCE_MS = 1100;
 /** Most times that one request is sent to engines, refused attempts included. */
 const MAX_SENDS = 8;
-/** Longest wait for an adapter at one engine, in milliseconds. */
-const MAX_ADAPTER_WAIT_MS = 350;
-/** Delay before engines whose owners did not answer are tried again, in milliseconds. */
-const NO_OWNER_RETRY_DELAY_MS = 80;
-/** Time that must be left before the deadline for a request to be sent, in milliseconds. */
-const MIN_REMAINING_MS = 40;
 /** Urgency rank of the least urgent requests that engines accept. */
 const LEAST_URGENT_RANK = 9;
-/** Expected time until an engine is available if none was found, in milliseconds; basis of the Retry-After. */
-const NO_ENGINE_RETRY_MS = 400;
 /** Expected time until another host may know where a stream began, in milliseconds; basis of the Retry-After. */
 const UNKNOWN_ORIGIN_RETRY_MS = 30;
 /** Expected time until a quarantined prompt is let through again, in milliseconds; basis of the Retry-After. */
@@ -94,6 +77,7 @@
 ): RequestRunner {
     const { clock, log, metrics } = context;
     const chooser = createEngineChooser(context, clusterView, loadTracker, adapters);
+    const preparer = createEnginePreparer(context, chooser, adapters);
     const budgets = new Map<ServiceName, RetryWindow>();
     const getRetryBudget = ({ name }: Service): RetryWindow => {
         const existing = budgets.get(name);
@@ -110,39 +94,6 @@
         budgets.set(name, budget);
         return budget;
     };
-    const ensureAdapter = async (
-        request: ClientRequest,
-        known: KnownEngine,
-        isMissing: boolean,
-    ): Promise<AdapterReadiness> => {
-        const { requestedAdapter } = request;
-        if (requestedAdapter === undefined) {
-            return "ready";
-        }
-        const presence = adapters.find(known.entry, requestedAdapter);
-        if (presence.kind === "present" && !isMissing) {
-            return "ready";
-        }
-        if (presence.kind === "coming" && !isMissing) {
-            await sleep(clock, presence.readyInMs);
-            return "ready";
-        }
-        const nowMs = clock.nowMs();
-        const wait = {
-            waitMs: Math.min(request.deadlineAtMs - nowMs - MIN_REMAINING_MS, MAX_ADAPTER_WAIT_MS),
-            dueInMs: request.startedMs + request.route.goalMs - nowMs,
-        };
-        const reply = await adapters.requestLoad(known.entry, requestedAdapter, wait, isMissing);
-        metrics.count("adapter_waits_total", { reply: reply.kind });
-        if (reply.kind === "refused") {
-            log.write("warn", 304, { id: request.requestId, engine: known.entry.id, reason: reply.reason });
-            return reply.reason === "no_room" ? "no_room" : "no_owner";
-        }
-        if (reply.inMs > 0) {
-            await sleep(clock, reply.inMs);
-        }
-        return "ready";
-    };
     const send = async (
         request: ClientRequest,
         { entry }: KnownEngine,
@@ -248,45 +199,6 @@
                 return;
         }
     };
-    /** Chooses the next engine and makes the adapter available there, or returns why that failed. */
-    const prepareEngine = async (
-        request: ClientRequest,
-        progress: RequestProgress,
-        unownedEngines: Set<EngineId>,
-        origin: StreamOrigin | undefined,
-    ): Promise<PreparedEngine> => {
-        const isEngineLimitReached = progress.tried.size >= request.route.maxEngines;
-        const engines = chooser.list(request.service).filter(({ entry }) => mayContinue(entry, origin));
-        if (engines.length === 0 && origin !== undefined) {
-            return { kind: "over", end: giveUp(progress, "version_gone", NO_ENGINE_RETRY_MS) };
-        }
-        const allowed = engines.filter(({ entry: { id } }) =>
-            !progress.excluded.has(id) && !unownedEngines.has(id) && (!isEngineLimitReached || progress.tried.has(id))
-        );
-        const chosen = await chooser.choose(request, allowed);
-        if (chosen === undefined && unownedEngines.size > 0) {
-            unownedEngines.clear();
-            await sleep(clock, NO_OWNER_RETRY_DELAY_MS);
-            return { kind: "again" };
-        }
-        if (chosen === undefined) {
-            const reason = progress.excluded.size > 0 ? "no_room" : "no_engine";
-            return { kind: "over", end: giveUp(progress, reason, NO_ENGINE_RETRY_MS) };
-        }
-        const { known, expectedMs } = chosen;
-        if (mayShed(request) && shouldShed(describeShedTerms(request, expectedMs, clock.nowMs()))) {
-            return { kind: "over", end: giveUp(progress, "overloaded", expectedMs - request.route.goalMs) };
-        }
-        switch (await ensureAdapter(request, known, progress.isMissing)) {
-            case "ready":
-                return { kind: "chosen", known };
-            case "no_room":
-                return { kind: "again" };
-            case "no_owner":
-                unownedEngines.add(known.entry.id);
-                return { kind: "again" };
-        }
-    };
     const logRetry = (request: ClientRequest, known: KnownEngine, result: ExchangeResult, sends: number): void => {
         const details = { id: request.requestId, engine: known.entry.id, sends };
         switch (result.kind) {
@@ -334,7 +246,7 @@
             if (request.signal.aborted || request.deadlineAtMs - clock.nowMs() < MIN_REMAINING_MS) {
                 return giveUp(progress, "ended", NO_ENGINE_RETRY_MS);
             }
-            const prepared = await prepareEngine(request, progress, unownedEngines, stream.origin);
+            const prepared = await preparer.prepare(request, progress, unownedEngines, stream.origin);
             if (prepared.kind === "over") {
                 return prepared.end;
             }
@@ -385,11 +297,6 @@
 /** Smallest number of hosts that the retry budget is divided among, even if fewer hosts are known. */
 const MIN_HOSTS = 6;
 
-/** Whether an engine may send the next part of a stream; what two software versions write doesn't fit together. */
-function mayContinue({ service, softwareVersion }: EngineEntry, origin: StreamOrigin | undefined): boolean {
-    return origin === undefined || origin.service === service && origin.softwareVersion === softwareVersion;
-}
-
 function mayRetry(request: ClientRequest): boolean {
     switch (request.route.kind) {
         case "safe":
@@ -413,18 +320,3 @@
     return request.route.kind === "safe" && head.status >= FIRST_SERVER_ERROR && used.size < request.route.maxEngines
         && engines.some(other => !used.has(other.entry.id));
 }
-
-/** Whether a request may be refused under overload; a stream that has started is never refused. */
-function mayShed(request: ClientRequest): boolean {
-    return request.service.engine !== undefined && request.relay?.hasStarted !== true;
-}
-
-function describeShedTerms(request: ClientRequest, expectedMs: number, nowMs: number): ShedTerms {
-    return {
-        expectedMs,
-        waitedMs: nowMs - request.startedMs,
-        goalMs: request.route.goalMs,
-        priority: request.route.priority,
-        leftMs: request.deadlineAtMs - nowMs,
-    };
-}
