--- a/packages/front/src/applyAttempt.ts
+++ b/packages/front/src/applyAttempt.ts
@@ -27,6 +27,8 @@
 export type GiveUpReason =
     | "no_engine"
     | "no_room"
+    /** All engines have reached the limits that they name. */
+    | "limited"
     | "overloaded"
     | "refused"
     | "broken"
--- a/packages/front/src/createEngineLimits.steps.ts
+++ b/packages/front/src/createEngineLimits.steps.ts
@@ -1,3 +1,5 @@
+import { createHasher, rankByRendezvous } from "@fulmarcleat/hashing";
+import type { EngineId } from "@fulmarcleat/ids";
 import { Given, ok, Then, When } from "@fulmarcleat/testing";
 import { createFrontFleet } from "./createFrontFleet.steps.js";
 import type { FrontFleet } from "./createFrontFleet.steps.js";
@@ -38,7 +40,7 @@
 );
 
 When(
-    "{int} engine(s) name a limit of {float} requests a second, and clients send requests for {int} s",
+    "{int} engine(s) name(s) a limit of {float} requests a second, and clients send requests for {int} s",
     async (engines: number, perSecond: number, seconds: number) => {
         for (const run of runs) {
             await run.fleet.play(LEAD_MS, 0);
@@ -68,6 +70,92 @@
     },
 );
 
+Then("from {int} ms on they get at least {int} in 100 of it", (fromMs: number, percent: number) => {
+    for (const { fleet, namedMs, limited, perSecond } of runs) {
+        const lengthMs = fleet.clock.nowMs() - namedMs - fromMs;
+        const expected = perSecond * lengthMs / MS_PER_S;
+        for (const engine of fleet.engineIds.slice(0, limited)) {
+            const count = countArrivals(fleet, engine, namedMs + fromMs);
+            ok(count * 100 >= expected * percent, `${engine} got ${count} requests of ${expected}`);
+        }
+    }
+});
+
+When(
+    "the {int} first host(s) that grant for each of these engines stop, and clients send requests for {int} s",
+    async (count: number, seconds: number) => {
+        const hash = await createHasher();
+        for (const { fleet, limited } of runs) {
+            const { hosts } = fleet;
+            fleet.engineIds.slice(0, limited).flatMap(engine => rankByRendezvous(hash, engine, hosts).slice(0, count))
+                .forEach(host => fleet.stopHost(host));
+            await fleet.play(seconds * MS_PER_S, 0);
+        }
+    },
+);
+
+When("no engine names a limit any more, and clients send requests for {int} s", async (seconds: number) => {
+    for (const { fleet } of runs) {
+        fleet.setLimit(undefined);
+        await fleet.play(seconds * MS_PER_S, 0);
+    }
+});
+
+When(
+    "all engines start again under their ids and name no limit, and clients send requests for {int} s",
+    async (seconds: number) => {
+        for (const { fleet } of runs) {
+            fleet.setLimit(undefined);
+            fleet.store.setMode("serving");
+            fleet.crashAll();
+            await fleet.play(seconds * MS_PER_S, 0);
+        }
+    },
+);
+
+Then(
+    "the engine gets at least {int} in 100 of an equal share of the requests in the last {int} s",
+    (percent: number, seconds: number) => {
+        for (const { fleet } of runs) {
+            const fromMs = fleet.clock.nowMs() - seconds * MS_PER_S;
+            const counts = fleet.engineIds.map(engine => countArrivals(fleet, engine, fromMs));
+            const share = counts.reduce((sum, count) => sum + count, 0) / counts.length;
+            ok((counts[0] ?? 0) * 100 >= share * percent, `${counts[0]} requests, an equal share is ${share}`);
+        }
+    },
+);
+
+Then(
+    "requests are refused as limited within {int} ms, and are told to return after {int} to {int} ms",
+    (withinMs: number, leastMs: number, mostMs: number) => {
+        for (const { fleet } of runs) {
+            const refused = fleet.requests.filter(({ refusal }) => refusal === "limited");
+            ok(refused.length > 0);
+            for (const { heldMs = Infinity, readyInMs = Infinity } of refused) {
+                ok(heldMs <= withinMs, `refused after ${heldMs} ms`);
+                ok(readyInMs >= leastMs && readyInMs <= mostMs, `told to return after ${readyInMs} ms`);
+            }
+        }
+    },
+);
+
+Then(
+    "a request of priority {int} is served at least {float} times as often as one of priority {int}",
+    (urgent: number, factor: number, other: number) => {
+        for (const { fleet, namedMs } of runs) {
+            const [urgentShare, otherShare] = [urgent, other].map(priority => {
+                const sent = fleet.requests.filter(({ priority: own, sentMs }) => own === priority && sentMs > namedMs);
+                return sent.filter(({ hasBegun }) => hasBegun).length / sent.length;
+            });
+            ok((urgentShare ?? 0) >= (otherShare ?? 0) * factor, `${urgentShare} and ${otherShare}`);
+        }
+    },
+);
+
+function countArrivals({ arrivals }: FrontFleet, engine: EngineId, fromMs: number): number {
+    return arrivals.filter(arrival => arrival.engine === engine && arrival.atMs > fromMs).length;
+}
+
 /** Returns the largest number of times within a window that ends at or after `fromMs`. */
 function countMostIn(times: readonly number[], windowMs: number, fromMs: number): number {
     const ends = [fromMs, ...times.filter(atMs => atMs > fromMs)];
--- a/packages/front/src/createEnginePreparer.ts
+++ b/packages/front/src/createEnginePreparer.ts
@@ -7,13 +7,14 @@
 import type { RequestEnd, RequestProgress } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { EngineChooser } from "./createEngineChooser.js";
+import type { EngineLimits, SendPermit } from "./createEngineLimits.js";
 import type { FrontContext } from "./frontContext.js";
 import { giveUp } from "./giveUp.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
 
 /** Result of choosing an engine and making the adapter available there. */
 export type PreparedEngine =
-    | { readonly kind: "chosen"; readonly known: KnownEngine }
+    | { readonly kind: "chosen"; readonly known: KnownEngine; readonly permit: SendPermit }
     | { readonly kind: "over"; readonly end: RequestEnd }
     /** This attempt failed, but another engine or a later attempt may succeed. */
     | { readonly kind: "again" };
@@ -21,13 +22,21 @@
 /** Whether an engine has the requested adapter, or why it can't get it. */
 type AdapterReadiness = "ready" | "no_room" | "no_owner";
 
+/** State of one request over its preparations. */
+export interface PreparationState {
+    /** Engines whose owners did not answer. */
+    readonly unownedEngines: Set<EngineId>;
+    /** Number of grants that were refused. */
+    refusedGrants: number;
+}
+
 /** Chooses the engines of requests and makes their adapters available there. */
 export interface EnginePreparer {
     /** Chooses the next engine and makes the adapter available there, or returns why that failed. */
     prepare(
         request: ClientRequest,
         progress: RequestProgress,
-        unownedEngines: Set<EngineId>,
+        state: PreparationState,
         origin: StreamOrigin | undefined,
     ): Promise<PreparedEngine>;
 }
@@ -36,6 +45,10 @@
 const MAX_ADAPTER_WAIT_MS = 350;
 /** Delay before engines whose owners did not answer are tried again, in milliseconds. */
 const NO_OWNER_RETRY_DELAY_MS = 80;
+/** Refused grants after which a request goes only to engines that name no limit. */
+const MAX_REFUSED_GRANTS = 3;
+/** Delay before a stream that has begun asks again for an engine with room in its limit, in milliseconds. */
+const LIMITED_STREAM_DELAY_MS = 50;
 /** Time that must be left before the deadline for a request to be sent, in milliseconds. */
 export const MIN_REMAINING_MS = 40;
 /** Expected time until an engine is available if none was found, in milliseconds; basis of the Retry-After. */
@@ -47,16 +60,18 @@
  * @param context - Clock, metrics and log
  * @param chooser - Chooses among engines
  * @param adapters - Adapters on engines and requests to load them
+ * @param limits - Limits that engines name
  * @returns the step
  *
  * @example
- * const preparer = createEnginePreparer(context, chooser, adapters);
- * const prepared = await preparer.prepare(request, progress, new Set(), undefined);
+ * const preparer = createEnginePreparer(context, chooser, adapters, limits);
+ * const prepared = await preparer.prepare(request, progress, { unownedEngines: new Set(), refusedGrants: 0 }, undefined);
  */
 export function createEnginePreparer(
     context: Pick<FrontContext, "clock" | "log" | "metrics">,
     chooser: EngineChooser,
     adapters: AdapterTracker,
+    limits: EngineLimits,
 ): EnginePreparer {
     const { clock, log, metrics } = context;
     const ensureAdapter = async (
@@ -92,13 +107,28 @@
         }
         return "ready";
     };
+    /** Refuses a request whose engines have all reached their limits; a stream that has begun waits. */
+    const waitForLimit = async (
+        request: ClientRequest,
+        progress: RequestProgress,
+        engines: readonly KnownEngine[],
+    ): Promise<PreparedEngine> => {
+        if (request.relay?.hasStarted === true) {
+            await sleep(clock, LIMITED_STREAM_DELAY_MS);
+            return { kind: "again" };
+        }
+        const readyInMs = limits.bookReturn(engines.map(({ entry }) => entry));
+        return { kind: "over", end: giveUp(progress, "limited", readyInMs) };
+    };
     /** Chooses the next engine and makes the adapter available there, or returns why that failed. */
     const prepare = async (
         request: ClientRequest,
         progress: RequestProgress,
-        unownedEngines: Set<EngineId>,
+        state: PreparationState,
         origin: StreamOrigin | undefined,
     ): Promise<PreparedEngine> => {
+        const { priority } = request.route;
+        const { unownedEngines } = state;
         const isEngineLimitReached = progress.tried.size >= request.route.maxEngines;
         const engines = chooser.list(request.service).filter(({ entry }) => mayContinue(entry, origin));
         if (engines.length === 0 && origin !== undefined) {
@@ -107,7 +137,15 @@
         const allowed = engines.filter(({ entry: { id } }) =>
             !progress.excluded.has(id) && !unownedEngines.has(id) && (!isEngineLimitReached || progress.tried.has(id))
         );
-        const chosen = await chooser.choose(request, allowed);
+        const mayAsk = state.refusedGrants < MAX_REFUSED_GRANTS;
+        const open = allowed.filter(({ entry }) =>
+            limits.readHoldMs(entry, priority) === 0 && (mayAsk || !limits.isLimited(entry))
+        );
+        if (open.length === 0 && allowed.length > 0) {
+            state.refusedGrants = 0;
+            return waitForLimit(request, progress, allowed);
+        }
+        const chosen = await chooser.choose(request, open);
         if (chosen === undefined && unownedEngines.size > 0) {
             unownedEngines.clear();
             await sleep(clock, NO_OWNER_RETRY_DELAY_MS);
@@ -121,9 +159,15 @@
         if (mayShed(request) && shouldShed(describeShedTerms(request, expectedMs, clock.nowMs()))) {
             return { kind: "over", end: giveUp(progress, "overloaded", expectedMs - request.route.goalMs) };
         }
+        // Asked before the adapter is loaded: a load for a request that can't be sent is one more burden.
+        const permit = await limits.acquire(known.entry, priority);
+        if (permit.kind === "refused") {
+            state.refusedGrants += 1;
+            return { kind: "again" };
+        }
         switch (await ensureAdapter(request, known, progress.isMissing)) {
             case "ready":
-                return { kind: "chosen", known };
+                return { kind: "chosen", known, permit };
             case "no_room":
                 return { kind: "again" };
             case "no_owner":
--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -11,7 +11,14 @@
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
 import type { EngineId, HostId, Incarnation, ManualClock, PromptPart, RequestId, ServiceName } from "@fulmarcleat/ids";
 import { ENGINE_PREFIX } from "@fulmarcleat/platform";
-import type { CrashReport, PeerClient, PromptAnsweredRequest, QuarantineNotice } from "@fulmarcleat/wire";
+import type {
+    CrashReport,
+    LimitNotice,
+    PeerClient,
+    PromptAnsweredRequest,
+    QuarantineNotice,
+    SendGrantRequest,
+} from "@fulmarcleat/wire";
 import type { ServerResponse } from "node:http";
 import { setImmediate } from "node:timers/promises";
 import type { ClientRequest } from "./clientRequest.js";
@@ -72,6 +79,8 @@
     readonly refusal: string | undefined;
     /** Expected time until the request could be served, as the host that refused it states it, in milliseconds. */
     readonly readyInMs: number | undefined;
+    /** Time until the host ended it, in milliseconds; undefined while it is in flight. */
+    readonly heldMs: number | undefined;
 }
 
 /** Hosts and engines in memory; requests with one part in their prompts crash engines, and engines may name limits. */
@@ -161,7 +170,7 @@
     const hash = await createHasher();
     const engines = new Map<EngineId, SimulatedEngine>();
     const runners = new Map<HostId, RequestRunner>();
-    const handlersByHost = new Map<HostId, Readonly<Record<string, (body: never) => unknown>>>();
+    const handlersByHost = new Map<HostId, Readonly<Record<string, (body: never, from: HostId) => unknown>>>();
     const arrivals: FleetArrival[] = [];
     let limit: FleetLimit | undefined;
     const requests: MutableRequest[] = [];
@@ -260,21 +269,22 @@
             const isUp = engines.get(id)?.isUp === true;
             clock.setTimer(REFUSED_MS, () => isUp ? resolve({}) : reject(new Error("ECONNREFUSED")));
         });
-    const peers = {
-        request(to: { readonly host: HostId }, name: string, body: unknown) {
-            const isLost = random.next() < options.lostShare;
-            const delayMs = options.maxDelayMs * random.next();
-            return new Promise((resolve, reject) => {
-                clock.setTimer(PEER_TIMEOUT_MS, () => reject(new Error("no reply")));
-                clock.setTimer(isLost ? Infinity : delayMs, () => {
-                    const handle = handlersByHost.get(to.host)?.[name];
-                    if (handle !== undefined) {
-                        resolve(handle(body as never));
-                    }
+    const connect = (from: HostId): PeerClient =>
+        ({
+            request(to: { readonly host: HostId }, name: string, body: unknown) {
+                const isLost = random.next() < options.lostShare;
+                const delayMs = options.maxDelayMs * random.next();
+                return new Promise((resolve, reject) => {
+                    clock.setTimer(PEER_TIMEOUT_MS, () => reject(new Error("no reply")));
+                    clock.setTimer(isLost ? Infinity : delayMs, () => {
+                        const handle = handlersByHost.get(to.host)?.[name];
+                        if (handle !== undefined) {
+                            resolve(handle(body as never, from));
+                        }
+                    });
                 });
-            });
-        },
-    } as unknown as PeerClient;
+            },
+        }) as unknown as PeerClient;
     const startHost = (number: number): void => {
         const host = brandId<HostId>(`host-${number}`);
         const log = { write: () => undefined };
@@ -300,8 +310,9 @@
             answer: () => ({ kind: "unknown" }) as const,
             find: () => Promise.resolve(undefined),
         };
+        const peers = connect(host);
         const quarantine = createPromptQuarantine(context, view, () => peers);
-        const limits = createEngineLimits(context);
+        const limits = createEngineLimits(context, view, () => peers);
         handlersByHost.set(host, {
             engineCrash: (report: CrashReport) => quarantine.handleCrash(report),
             promptAnswered: (question: PromptAnsweredRequest) => quarantine.handleQuestion(question),
@@ -309,6 +320,8 @@
                 quarantine.handleNotice(notice);
                 return { done: true };
             },
+            engineLimit: (notice: LimitNotice, from: HostId) => limits.handleNotice(notice, from),
+            sendGrant: (request: SendGrantRequest, from: HostId) => limits.handleRequest(request, from),
         });
         const loadTracker = createEngineLoadTracker(clock);
         const runner = createRequestRunner(context, view, loadTracker, adapters, streamOrigins, quarantine, limits);
@@ -332,11 +345,13 @@
             hasBegun: false,
             refusal: undefined,
             readyInMs: undefined,
+            heldMs: undefined,
         };
         requests.push(request);
         requestsById.set(requestId, request);
         const { priority } = request;
         void runner?.run(createRequest(requestId, drawParts(isPoison), priority, clock.nowMs())).then(end => {
+            request.heldMs = clock.nowMs() - request.sentMs;
             if (end.kind === "gave_up") {
                 request.refusal = end.reason;
                 request.readyInMs = end.readyInMs;
--- a/packages/front/src/createPromptQuarantine.ts
+++ b/packages/front/src/createPromptQuarantine.ts
@@ -4,7 +4,7 @@
 import { toServeError } from "@fulmarcleat/errors";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import { sleep } from "@fulmarcleat/ids";
-import type { EngineId, HostId, PromptPart } from "@fulmarcleat/ids";
+import type { HostId, PromptPart } from "@fulmarcleat/ids";
 import type {
     CrashReply,
     CrashReport,
@@ -14,6 +14,7 @@
     QuarantineNotice,
 } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
+import { formatEngineRun } from "./formatEngineRun.js";
 import type { FrontContext } from "./frontContext.js";
 import { formatQuarantineKey } from "./hostKeys.js";
 import type { Member } from "./hostKeys.js";
@@ -305,8 +306,3 @@
 }
 
 const INTERNAL = { code: "internal", step: "exchange crash reports", peer: "self", outcome: "unknown" } as const;
-
-/** Formats the name of one run of an engine, which may start again under its id. */
-function formatEngineRun(engine: EngineId, bornMs: number | undefined): string {
-    return `${engine}/${bornMs ?? ""}`;
-}
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -106,7 +106,12 @@
         deployment: { domain: "a" },
         readBounds: () => ({ retryRatio: 1, retryReserve: 10, retryWindowMs: 1000 }),
     } as unknown as FrontContext;
-    const clusterView = { engines, members: new Map(), readAgeMs: () => 0 } as unknown as ClusterView;
+    const clusterView = {
+        engines,
+        members: new Map(),
+        readAgeMs: () => 0,
+        onEngineRemoved: () => undefined,
+    } as unknown as ClusterView;
     const adapters = {
         startRequest: () => undefined,
         finishRequest: () => undefined,
@@ -124,7 +129,7 @@
         adapters,
         streamOrigins,
         NO_QUARANTINE,
-        createEngineLimits(context),
+        createEngineLimits(context, clusterView, () => undefined),
     );
     const end = await runner.run(createRequest());
     return { sent: sent.join(","), end: formatEnd(end) };
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -9,9 +9,10 @@
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import { createEngineChooser } from "./createEngineChooser.js";
-import type { EngineLimits } from "./createEngineLimits.js";
+import type { EngineLimits, SendPermit } from "./createEngineLimits.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createEnginePreparer, MIN_REMAINING_MS, NO_ENGINE_RETRY_MS } from "./createEnginePreparer.js";
+import type { PreparationState } from "./createEnginePreparer.js";
 import type { PromptQuarantine } from "./createPromptQuarantine.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
 import { describeHealth, FIRST_SERVER_ERROR } from "./describeHealth.js";
@@ -77,7 +78,7 @@
 ): RequestRunner {
     const { clock, log, metrics } = context;
     const chooser = createEngineChooser(context, clusterView, loadTracker, adapters);
-    const preparer = createEnginePreparer(context, chooser, adapters);
+    const preparer = createEnginePreparer(context, chooser, adapters, limits);
     const budgets = new Map<ServiceName, RetryWindow>();
     const getRetryBudget = ({ name }: Service): RetryWindow => {
         const existing = budgets.get(name);
@@ -97,6 +98,7 @@
     const send = async (
         request: ClientRequest,
         { entry }: KnownEngine,
+        permit: SendPermit,
         onStart: () => void,
     ): Promise<ExchangeResult> => {
         const sentMs = clock.nowMs();
@@ -132,6 +134,7 @@
         loadTracker.addQueuedTokens(id, promptTokens);
         loadTracker.startRequest(id);
         adapters.startRequest(id, adapter);
+        limits.recordSend(entry, permit);
         const result = await runExchange(req, {
             transport: context.transport,
             clock,
@@ -148,7 +151,7 @@
                 }
             },
             onHead(head) {
-                limits.recordAnswer(entry, head);
+                limits.recordAnswer(entry, head, sentMs);
                 if (head.load !== undefined) {
                     loadTracker.recordLoad(id, head.load);
                 }
@@ -239,20 +242,26 @@
             return giveUp(NO_ATTEMPTS, "quarantined_prompt", QUARANTINED_RETRY_MS);
         }
         const budget = getRetryBudget(request.service);
-        const unownedEngines = new Set<EngineId>();
+        const state: PreparationState = { unownedEngines: new Set(), refusedGrants: 0 };
         let progress = NO_ATTEMPTS;
         budget.addRequest(clock.nowMs());
         while (progress.sends < MAX_SENDS) {
             if (request.signal.aborted || request.deadlineAtMs - clock.nowMs() < MIN_REMAINING_MS) {
                 return giveUp(progress, "ended", NO_ENGINE_RETRY_MS);
             }
-            const prepared = await preparer.prepare(request, progress, unownedEngines, stream.origin);
+            const prepared = await preparer.prepare(request, progress, state, stream.origin);
             if (prepared.kind === "over") {
                 return prepared.end;
             }
             if (prepared.kind === "again") {
                 continue;
             }
+            const { known } = prepared;
+            const permit = await limits.acquire(known.entry, request.route.priority, prepared.permit);
+            if (permit.kind === "refused") {
+                state.refusedGrants += 1;
+                continue;
+            }
             if (request.signal.aborted) {
                 return giveUp(progress, "ended", NO_ENGINE_RETRY_MS);
             }
@@ -263,8 +272,7 @@
             if (quarantine.refusesSend(parts)) {
                 return giveUp(progress, "quarantined_prompt", QUARANTINED_RETRY_MS);
             }
-            const { known } = prepared;
-            const result = await send(request, known, () => startStream(request, known, stream));
+            const result = await send(request, known, permit, () => startStream(request, known, stream));
             metrics.count("exchanges_total", { result: result.kind });
             logRetry(request, known, result, progress.sends + 1);
             if (result.kind === "not_run" && result.isReplaced) {
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -89,7 +89,7 @@
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
     const quarantine = createPromptQuarantine(context, clusterView, () => peers);
-    const limits = createEngineLimits(context);
+    const limits = createEngineLimits(context, clusterView, () => peers);
     const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, quarantine, limits);
     clusterView.onEngineRemoved(entry => transport.forget({ id: entry.id, address: entry.address }));
     detectPauses(clock, pausedMs => {
@@ -140,6 +140,8 @@
                     quarantine.handleNotice(notice);
                     return Promise.resolve({ done: true });
                 },
+                engineLimit: (notice, from) => Promise.resolve(limits.handleNotice(notice, from)),
+                sendGrant: (request, from) => Promise.resolve(limits.handleRequest(request, from)),
                 engineUse: usageReport => adapters.handleUsageReport(usageReport),
             },
         });
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -7,6 +7,7 @@
 export type { PeerHandlers, PeerServer, PeerServerOptions } from "./createPeerServer.js";
 export { encodeFrame } from "./encodeFrame.js";
 export type { Frame } from "./frame.js";
+export type * from "./limitMessages.js";
 export type * from "./messages.js";
 export type * from "./residencyMessages.js";
 export type * from "./streamMessages.js";
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -19,6 +19,7 @@
     PromptAnsweredRequest,
     QuarantineNotice,
 } from "./crashMessages.js";
+import type { LimitNotice, LimitNoticeReply, SendGrantReply, SendGrantRequest } from "./limitMessages.js";
 import type { AdapterLoadReply, AdapterLoadRequest, HostUsageReply, HostUsageReport } from "./residencyMessages.js";
 import type { StreamOriginReply, StreamOriginRequest, StreamRecord } from "./streamMessages.js";
 
@@ -265,6 +266,8 @@
     readonly engineCrash: { readonly request: CrashReport; readonly reply: CrashReply };
     readonly promptAnswered: { readonly request: PromptAnsweredRequest; readonly reply: PromptAnsweredReply };
     readonly quarantine: { readonly request: QuarantineNotice; readonly reply: Acknowledgement };
+    readonly engineLimit: { readonly request: LimitNotice; readonly reply: LimitNoticeReply };
+    readonly sendGrant: { readonly request: SendGrantRequest; readonly reply: SendGrantReply };
     readonly engineUse: { readonly request: HostUsageReport; readonly reply: HostUsageReply };
 }
 
