--- a/packages/front/src/clientRequest.ts
+++ b/packages/front/src/clientRequest.ts
@@ -1,5 +1,5 @@
 import type { Route, Service } from "@fulmarcleat/directory";
-import type { RequestId } from "@fulmarcleat/ids";
+import type { RequestDigest, RequestId } from "@fulmarcleat/ids";
 import type { ClientHead } from "@fulmarcleat/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AnswerRelay } from "./relayAnswer.js";
@@ -16,6 +16,8 @@
     /** The adapter that the request needs; undefined if it names none or its service runs no model. */
     readonly requestedAdapter: RequestedAdapter | undefined;
     readonly body: Buffer;
+    /** Tells whether two requests are the same; undefined while the hosts' shared key is not known. */
+    readonly digest: RequestDigest | undefined;
     /** Clock reading when the request arrived, in milliseconds. */
     readonly startedMs: number;
     /** Clock reading at the request's deadline, in milliseconds. */
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -7,6 +7,7 @@
 import type { RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
+import type { RequestDigester } from "./createRequestDigester.js";
 import type { FrontContext } from "./frontContext.js";
 import { planRequest } from "./planRequest.js";
 import { createAnswerRelay, writeAnswerHead } from "./relayAnswer.js";
@@ -36,16 +37,18 @@
  * @param clusterView - Source of the configuration in effect and of adapter versions
  * @param runner - Sends requests to engines
  * @param readStopMs - Returns the clock reading at which the process exits; undefined while no stop has begun
+ * @param digestRequest - Computes the digests of requests
  * @returns the handler and the number of requests in flight
  *
  * @example
- * createServer(createClientHandler(context, clusterView, runner, () => undefined).handle);
+ * createServer(createClientHandler(context, clusterView, runner, () => undefined, digestRequest).handle);
  */
 export function createClientHandler(
     context: FrontContext,
     clusterView: ClusterView,
     runner: RequestRunner,
     readStopMs: () => number | undefined,
+    digestRequest: RequestDigester,
 ): ClientHandler {
     const isStopping = (): boolean => readStopMs() !== undefined;
     const { clock, log, metrics, random } = context;
@@ -123,6 +126,12 @@
                 service,
                 requestedAdapter: service.engine === undefined ? undefined : requestedAdapter,
                 body,
+                digest: digestRequest({
+                    method: req.method ?? "GET",
+                    hostName: head.hostName,
+                    path: req.url ?? "/",
+                    body,
+                }),
                 startedMs,
                 deadlineAtMs,
                 signal: abortController.signal,
--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -439,6 +439,7 @@
         service: SERVICE,
         requestedAdapter: undefined,
         body: Buffer.alloc(0),
+        digest: undefined,
         startedMs,
         deadlineAtMs: startedMs + DEADLINE_MS,
         signal: new AbortController().signal,
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -183,6 +183,7 @@
         service: SERVICE,
         requestedAdapter: undefined,
         body: Buffer.alloc(0),
+        digest: undefined,
         startedMs: 0,
         deadlineAtMs: 1000,
         signal: new AbortController().signal,
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -124,6 +124,7 @@
             engine: id,
             adapter,
             sharedParts: request.head.sharedParts?.join(","),
+            digest: request.digest,
             version: request.requestedAdapter?.version,
             softwareVersion: entry.softwareVersion,
             viewAgeMs: clusterView.readAgeMs("engines"),
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -23,6 +23,7 @@
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createLoadRequestOutbox } from "./createLoadRequestOutbox.js";
 import { createPromptQuarantine } from "./createPromptQuarantine.js";
+import { createRequestDigester } from "./createRequestDigester.js";
 import { createStreamOrigins } from "./createStreamOrigins.js";
 import { detectPauses } from "./detectPauses.js";
 import type { FrontContext } from "./frontContext.js";
@@ -100,7 +101,9 @@
     let isStopping = false;
     const isReady = (): boolean => !isStopping && clusterView.config !== undefined && clusterView.engines.size > 0;
     let stopsAtMs: number | undefined;
-    const handler = createClientHandler(context, clusterView, runner, () => stopsAtMs);
+    let sharedKey: string | undefined;
+    const digestRequest = createRequestDigester(() => sharedKey);
+    const handler = createClientHandler(context, clusterView, runner, () => stopsAtMs, digestRequest);
     const clients = createServer({
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
@@ -122,6 +125,7 @@
     ]);
     refreshLimits(context, clients, () => clusterView.config);
     void session.peerSecret.then(async peerKey => {
+        sharedKey = peerKey;
         const shared = { host: deployment.host, peerKey, clock, metrics, log, silenceMs: PEER_IDLE_MS };
         await createPeerServer({
             ...shared,
--- a/packages/ids/src/brandId.ts
+++ b/packages/ids/src/brandId.ts
@@ -31,6 +31,8 @@
 export type RequestId = Branded<"RequestId">;
 /** Id of one part of a prompt, which requests may share. */
 export type PromptPart = Branded<"PromptPart">;
+/** Keyed hash of what makes two requests the same: method, host name, path, query and body. */
+export type RequestDigest = Branded<"RequestDigest">;
 /** Id of a granted place, which is a batch slot of an engine. */
 export type PlaceId = Branded<"PlaceId">;
 /** Name of a loaded adapter on an engine; made of adapter, version and fence. */
