--- a/packages/front/src/createEngineLimits.steps.ts
+++ b/packages/front/src/createEngineLimits.steps.ts
@@ -2,7 +2,7 @@
 import type { EngineId } from "@fulmarcleat/ids";
 import { Given, ok, Then, When } from "@fulmarcleat/testing";
 import { createFrontFleet } from "./createFrontFleet.steps.js";
-import type { FrontFleet } from "./createFrontFleet.steps.js";
+import type { FrontFleet } from "./frontFleet.steps.js";
 import { parseFleetFaults } from "./parseFleetFaults.steps.js";
 
 /** Seeds that each row of the table is played with. */
--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -1,15 +1,16 @@
 import type {
+    AnswerFraming,
     AnswerSink,
+    EngineAnswerHead,
     EngineRequest,
     EngineTarget,
     EngineTransport,
     NamedLimit,
-    Service,
 } from "@fulmarcleat/directory";
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
-import type { EngineId, HostId, Incarnation, ManualClock, PromptPart, RequestId, ServiceName } from "@fulmarcleat/ids";
+import type { EngineId, HostId, Incarnation, PromptPart, RequestId } from "@fulmarcleat/ids";
 import { ENGINE_PREFIX } from "@fulmarcleat/platform";
 import type {
     CrashReport,
@@ -19,96 +20,29 @@
     QuarantineNotice,
     SendGrantRequest,
 } from "@fulmarcleat/wire";
-import type { ServerResponse } from "node:http";
 import { setImmediate } from "node:timers/promises";
-import type { ClientRequest } from "./clientRequest.js";
 import { createClusterView } from "./createClusterView.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
+import { createPlainRequest, createStreamRequest, SERVICE } from "./createFleetRequest.steps.js";
 import { createPromptQuarantine } from "./createPromptQuarantine.js";
+import { createRequestDigester } from "./createRequestDigester.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
-import type { StoreFake } from "./createStoreFake.steps.js";
 import type { FrontContext } from "./frontContext.js";
+import type {
+    FleetArrival,
+    FleetCrash,
+    FleetLimit,
+    FleetRequest,
+    FrontFleet,
+    FrontFleetOptions,
+} from "./frontFleet.steps.js";
 import { formatMember, formatMemberKey } from "./hostKeys.js";
-import { createAnswerRelay } from "./relayAnswer.js";
 import { createRequestRunner } from "./runRequest.js";
 import type { RequestRunner } from "./runRequest.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
 import { createStoreHealth } from "./storeHealth.js";
 
-/** Size, seed and faults of a fleet in memory. */
-export interface FrontFleetOptions {
-    readonly hosts: number;
-    readonly seed: number;
-    /** Share of the messages between hosts that are lost. */
-    readonly lostShare: number;
-    /** Longest delay of a message between hosts, in milliseconds. */
-    readonly maxDelayMs: number;
-    /** Whether engines start again under their former ids, so that hosts know them without the store. */
-    readonly keepsIds: boolean;
-    /** Interval at which one engine crashes for a reason of its own, in milliseconds; undefined for never. */
-    readonly crashIntervalMs: number | undefined;
-    /** Requests a second over all hosts; 25 if it is left out. */
-    readonly requestsPerS?: number;
-}
-
-/** The rate of requests that some engines name in their answers. */
-export interface FleetLimit {
-    /** Number of engines that name it. */
-    readonly engines: number;
-    readonly perSecond: number;
-}
-
-/** A request's arrival at an engine. */
-export interface FleetArrival {
-    readonly engine: EngineId;
-    readonly atMs: number;
-}
-
-/** One request of the run and what became of it. */
-export interface FleetRequest {
-    readonly isPoison: boolean;
-    /** 0 is the most urgent. */
-    readonly priority: number;
-    readonly sentMs: number;
-    /** Clock readings at which it reached an engine, in milliseconds. */
-    readonly reachedMs: readonly number[];
-    /** Whether an engine began to answer it. */
-    readonly hasBegun: boolean;
-    /** Reason of the host's refusal; undefined if it was not refused. */
-    readonly refusal: string | undefined;
-    /** Expected time until the request could be served, as the host that refused it states it, in milliseconds. */
-    readonly readyInMs: number | undefined;
-    /** Time until the host ended it, in milliseconds; undefined while it is in flight. */
-    readonly heldMs: number | undefined;
-}
-
-/** Hosts and engines in memory; requests with one part in their prompts crash engines, and engines may name limits. */
-export interface FrontFleet {
-    readonly clock: ManualClock;
-    readonly store: StoreFake;
-    readonly requests: readonly FleetRequest[];
-    /** Clock readings of the engines' crashes under such requests, in milliseconds. */
-    readonly poisonCrashesMs: readonly number[];
-    /** Sends requests for a time; `poisonShare` of them crash engines. */
-    play(lengthMs: number, poisonShare: number): Promise<void>;
-    /** Lets a time pass without requests. */
-    wait(lengthMs: number): Promise<void>;
-    /** Sets whether requests with the part crash engines. */
-    setPoisonous(isPoisonous: boolean): void;
-    readonly arrivals: readonly FleetArrival[];
-    readonly engineIds: readonly EngineId[];
-    /** Sets the limit that the first engines name in their answers from now on; undefined for none. */
-    setLimit(limit: FleetLimit | undefined): void;
-    /** Stops a host: it answers no message, gets no request, and its entry is removed some seconds later. */
-    stopHost(host: HostId): void;
-    readonly hosts: readonly HostId[];
-    /** Crashes every engine at once, as a loss of power does. */
-    crashAll(): void;
-    /** Adds a host that knows nothing. */
-    addHost(): Promise<void>;
-}
-
 interface SimulatedEngine {
     readonly id: EngineId;
     readonly exchanges: Set<AnswerSink>;
@@ -117,7 +51,6 @@
 
 type MutableRequest = { -readonly [Key in keyof FleetRequest]: FleetRequest[Key] } & { reachedMs: number[] };
 
-const SERVICE: Service = { name: brandId<ServiceName>("models"), maxConnections: 100, engine: undefined };
 /** Number of engines, as the deployments have them. */
 const ENGINES = 6;
 /** Step of the clock between two turns of the event loop, in milliseconds. */
@@ -131,7 +64,7 @@
 /** Interval between events, in milliseconds. */
 const EVENT_MS = 60;
 const EVENTS = 5;
-/** Time from the first event to the crash, in milliseconds. */
+/** Time from the first event, or from the arrival at a plain service, to the crash, in milliseconds. */
 const CRASH_AFTER_MS = 60;
 /** Time after a crash until an engine starts at another id, in milliseconds. */
 const RESTART_MS = 2500;
@@ -141,8 +74,10 @@
 const REFUSED_MS = 2;
 /** Time until a lost message between hosts counts as failed, in milliseconds. */
 const PEER_TIMEOUT_MS = 200;
-/** Deadline of each request, in milliseconds. */
-const DEADLINE_MS = 5000;
+/** Time in which a plain service answers, in milliseconds. */
+const PLAIN_MS = 20;
+/** Share of the sound requests of a plain service that are all the same. */
+const FREQUENT_SHARE = 0.2;
 const MS_PER_S = 1000;
 /** Number of priorities, of which each request has one. */
 const PRIORITIES = 2;
@@ -176,6 +111,8 @@
     const requests: MutableRequest[] = [];
     const requestsById = new Map<RequestId, MutableRequest>();
     const poisonCrashesMs: number[] = [];
+    const poisonCrashes: FleetCrash[] = [];
+    const digestRequest = createRequestDigester(() => "key");
     let startedEngines = 0;
     let isPoisonous = true;
 
@@ -220,29 +157,48 @@
             sink.piece(Buffer.from(`id: ${event}\n\n`));
             clock.setTimer(EVENT_MS, () => sendEvent(event + 1));
         };
+        const crashAfter = (crashing: FleetRequest): void =>
+            void clock.setTimer(CRASH_AFTER_MS, () => {
+                if (isInFlight()) {
+                    poisonCrashesMs.push(clock.nowMs());
+                    poisonCrashes.push({ name: crashing.name, atMs: clock.nowMs() });
+                    crash(engine);
+                }
+            });
+        const headFor = (framing: AnswerFraming): EngineAnswerHead => ({
+            status: 200,
+            framing,
+            headers: [],
+            requestId: req.requestId,
+            isNotRun: false,
+            load: undefined,
+            limit: nameLimit(engine.id),
+            instance: undefined,
+        });
+        if (options.plain !== undefined && request !== undefined) {
+            if (request.isPoison && isPoisonous) {
+                crashAfter(request);
+                return;
+            }
+            clock.setTimer(PLAIN_MS, () => {
+                if (isInFlight()) {
+                    engine.exchanges.delete(sink);
+                    request.hasBegun = true;
+                    sink.head(headFor("length"));
+                    sink.end();
+                }
+            });
+            return;
+        }
         clock.setTimer(FIRST_EVENT_MS, () => {
             if (request === undefined || !isInFlight()) {
                 return;
             }
             request.hasBegun = true;
-            sink.head({
-                status: 200,
-                framing: "chunks",
-                headers: [],
-                requestId: req.requestId,
-                isNotRun: false,
-                load: undefined,
-                limit: nameLimit(engine.id),
-                instance: undefined,
-            });
+            sink.head(headFor("chunks"));
             if (request.isPoison && isPoisonous) {
                 sink.piece(Buffer.from("id: "));
-                clock.setTimer(CRASH_AFTER_MS, () => {
-                    if (isInFlight()) {
-                        poisonCrashesMs.push(clock.nowMs());
-                        crash(engine);
-                    }
-                });
+                crashAfter(request);
                 return;
             }
             sendEvent(Number(req.lastEventId ?? 0) + 1);
@@ -334,10 +290,17 @@
             : [FIRST_PART, `g${session % GROUPS}`, `s${session}`];
         return parts.map(part => brandId<PromptPart>(part));
     };
-    const sendRequest = (isPoison: boolean): void => {
+    const drawName = (isPoison: boolean): string => {
+        if (options.plain !== undefined && isPoison) {
+            return `poison-${Math.floor(options.plain.poisonKinds * random.next())}`;
+        }
+        return options.plain !== undefined && random.next() < FREQUENT_SHARE ? "frequent" : `r${requests.length}`;
+    };
+    const sendRequest = (isPoison: boolean, name: string): void => {
         const runner = [...runners.values()][Math.floor(runners.size * random.next())];
         const requestId = brandId<RequestId>(`r${requests.length}`);
         const request: MutableRequest = {
+            name,
             isPoison,
             priority: Math.floor(PRIORITIES * random.next()),
             sentMs: clock.nowMs(),
@@ -349,8 +312,12 @@
         };
         requests.push(request);
         requestsById.set(requestId, request);
-        const { priority } = request;
-        void runner?.run(createRequest(requestId, drawParts(isPoison), priority, clock.nowMs())).then(end => {
+        const content = { method: "GET", hostName: "a.example", path: `/${name}`, body: Buffer.alloc(0) };
+        const digest = digestRequest(content);
+        const clientRequest = options.plain === undefined
+            ? createStreamRequest(request, requestId, digest, drawParts(isPoison))
+            : createPlainRequest(request, requestId, digest);
+        void runner?.run(clientRequest).then(end => {
             request.heldMs = clock.nowMs() - request.sentMs;
             if (end.kind === "gave_up") {
                 request.refusal = end.reason;
@@ -358,6 +325,12 @@
             }
         });
     };
+    const sendRequests = (isPoison: boolean): void => {
+        const name = drawName(isPoison);
+        for (let copy = 0; copy < (isPoison ? options.plain?.copies ?? 1 : 1); copy += 1) {
+            sendRequest(isPoison, name);
+        }
+    };
     const advance = async (ms: number): Promise<void> => {
         for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
             clock.advance(STEP_MS);
@@ -387,6 +360,7 @@
         store,
         requests,
         poisonCrashesMs,
+        poisonCrashes,
         arrivals,
         get engineIds() {
             return [...engines.keys()];
@@ -403,7 +377,7 @@
         async play(lengthMs, poisonShare) {
             for (let passedMs = 0; passedMs < lengthMs; passedMs += STEP_MS) {
                 if (random.next() < (options.requestsPerS ?? REQUESTS_PER_S) * STEP_MS / MS_PER_S) {
-                    sendRequest(random.next() < poisonShare);
+                    sendRequests(random.next() < poisonShare);
                 }
                 await advance(STEP_MS);
             }
@@ -417,33 +391,3 @@
         },
     };
 }
-
-function createRequest(
-    requestId: RequestId,
-    sharedParts: readonly PromptPart[],
-    priority: number,
-    startedMs: number,
-): ClientRequest {
-    const res = {
-        writeHead: () => undefined,
-        write: () => true,
-        end: () => undefined,
-        destroy: () => undefined,
-    } as unknown as ServerResponse;
-    return {
-        req: { method: "POST", url: "/" },
-        res,
-        requestId,
-        head: { forwarded: [], sharedParts },
-        route: { kind: "streaming", isResumable: true, maxEngines: 3, goalMs: 1000, priority },
-        service: SERVICE,
-        requestedAdapter: undefined,
-        body: Buffer.alloc(0),
-        digest: undefined,
-        startedMs,
-        deadlineAtMs: startedMs + DEADLINE_MS,
-        signal: new AbortController().signal,
-        times: { sentMs: undefined, firstByteMs: undefined },
-        relay: createAnswerRelay(res, { sendsCompleteEvents: true, isClosing: () => false }),
-    } as unknown as ClientRequest;
-}
--- a/packages/front/src/createPromptQuarantine.feature
+++ b/packages/front/src/createPromptQuarantine.feature
@@ -55,3 +55,34 @@
         When clients send requests for 10 s with 15 in 100 of a kind that crashes no engine yet
         And clients send requests for 75 s more with 10 in 100 of that kind
         Then none of these reaches an engine in the last 10 s
+
+    # Guards against one request that crashes engine after engine, as often as it comes and at whichever host.
+    Scenario Outline: A request that crashes engines, <copies> at a time, <kinds> of that kind; <hosts> hosts, <faults>
+        Given a fleet of <hosts> hosts before a plain service, <kinds> of whose requests crash engines, <copies> at a time, and whose <faults>
+        When clients send requests for 10 s, and for 30 s more with 15 in 100 that crash engines
+        Then at most 3 of each of these reach engines later than 3000 ms after its third crash
+        And no sound request is refused as one that crashes engines
+
+        Examples:
+            | hosts | kinds | copies | faults                                             |
+            | 8     | 1     | 1      | messages all arrive                                |
+            | 8     | 2     | 1      | messages all arrive                                |
+            | 8     | 1     | 6      | messages all arrive                                |
+            | 8     | 1     | 2      | messages are lost, 30 in 100                       |
+            | 8     | 1     | 1      | messages are late by up to 800 ms                  |
+            | 8     | 1     | 1      | store falls silent                                 |
+            | 8     | 1     | 1      | engines also crash for other reasons, each 2000 ms |
+            | 40    | 1     | 1      | messages all arrive                                |
+            | 40    | 2     | 4      | messages are lost, 30 in 100                       |
+            | 40    | 1     | 1      | store falls silent                                 |
+
+    # Guards against sound requests that are refused since their engines failed for other reasons.
+    Scenario Outline: Engines of a plain service that crash for other reasons hold no request back: <faults>
+        Given a fleet of 8 hosts before a plain service, 0 of whose requests crash engines, 1 at a time, and whose <faults>
+        When all engines lose power 5 times while clients send sound requests for 40 s
+        Then no sound request is refused as one that crashes engines
+
+        Examples:
+            | faults                                             |
+            | messages all arrive                                |
+            | engines also crash for other reasons, each 1000 ms |
--- a/packages/front/src/createPromptQuarantine.steps.ts
+++ b/packages/front/src/createPromptQuarantine.steps.ts
@@ -1,6 +1,6 @@
 import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { createFrontFleet } from "./createFrontFleet.steps.js";
-import type { FleetRequest, FrontFleet } from "./createFrontFleet.steps.js";
+import type { FleetRequest, FrontFleet, FrontFleetOptions } from "./frontFleet.steps.js";
 import { parseFleetFaults } from "./parseFleetFaults.steps.js";
 
 /** Seeds that each row of the table is played with. */
@@ -10,13 +10,26 @@
 let isStoreSilent = false;
 let crashesBefore = 0;
 
-Given(/^a fleet of (\d+) hosts whose (.*)$/, async (hosts: string, faults: string) => {
+Given(
+    /^a fleet of (\d+) hosts whose (.*)$/,
+    (hosts: string, faults: string) => startFleets({ hosts: Number(hosts) }, faults),
+);
+
+async function startFleets(size: Pick<FrontFleetOptions, "hosts" | "plain">, faults: string): Promise<void> {
     isStoreSilent = faults === "store falls silent";
     fleets = [];
     for (let seed = 1; seed <= SEEDS; seed += 1) {
-        fleets.push(await createFrontFleet({ hosts: Number(hosts), seed, ...parseFleetFaults(faults) }));
+        fleets.push(await createFrontFleet({ ...size, seed, ...parseFleetFaults(faults) }));
     }
-});
+}
+
+Given(
+    /^a fleet of (\d+) hosts before a plain service, (\d+) of whose requests crash engines, (\d+) at a time, and whose (.*)$/,
+    async (hosts: string, poisonKinds: string, copies: string, faults: string) => {
+        const plain = { poisonKinds: Number(poisonKinds), copies: Number(copies) };
+        await startFleets({ hosts: Number(hosts), plain }, faults);
+    },
+);
 
 When(
     "clients send requests for {int} s, and for {int} s more with {int} in 100 that crash engines",
@@ -57,6 +70,28 @@
     },
 );
 
+Then(
+    "at most {int} of each of these reach engines later than {int} ms after its third crash",
+    (most: number, afterMs: number) => {
+        for (const { requests, poisonCrashes } of fleets) {
+            for (const name of new Set(poisonCrashes.map(crash => crash.name))) {
+                const crashesMs = poisonCrashes.filter(crash => crash.name === name).map(({ atMs }) => atMs);
+                const fromMs = (crashesMs[2] ?? Infinity) + afterMs;
+                const late = requests.filter(request => request.name === name).flatMap(({ reachedMs }) => reachedMs)
+                    .filter(atMs => atMs > fromMs);
+                ok(late.length <= most, `${name}: ${late.length} reach engines later, ${crashesMs.length} crashes`);
+            }
+        }
+    },
+);
+
+Then("no sound request is refused as one that crashes engines", () => {
+    for (const { requests } of fleets) {
+        const refused = requests.filter(({ isPoison, refusal }) => !isPoison && refusal?.startsWith("quarantined"));
+        deepStrictEqual(refused, []);
+    }
+});
+
 Then("no sound request is refused for its prompt", () => {
     fleets.forEach(({ requests }) => strictEqual(countRefused(requests.filter(({ isPoison }) => !isPoison)), 0));
 });
--- /dev/null
+++ b/packages/front/src/frontFleet.steps.ts
@@ -0,0 +1,91 @@
+import type { EngineId, HostId, ManualClock } from "@fulmarcleat/ids";
+import type { StoreFake } from "./createStoreFake.steps.js";
+
+/** Size, seed and faults of a fleet in memory. */
+export interface FrontFleetOptions {
+    readonly hosts: number;
+    readonly seed: number;
+    /** Share of the messages between hosts that are lost. */
+    readonly lostShare: number;
+    /** Longest delay of a message between hosts, in milliseconds. */
+    readonly maxDelayMs: number;
+    /** Whether engines start again under their former ids, so that hosts know them without the store. */
+    readonly keepsIds: boolean;
+    /** Interval at which one engine crashes for a reason of its own, in milliseconds; undefined for never. */
+    readonly crashIntervalMs: number | undefined;
+    /** Requests a second over all hosts; 25 if it is left out. */
+    readonly requestsPerS?: number;
+    /** Requests of a plain service that crash engines; if it is left out, requests are streams of a model service. */
+    readonly plain?: {
+        /** Number of different requests that crash each engine that runs them. */
+        readonly poisonKinds: number;
+        /** How often such a request comes at the same moment, each time at another host. */
+        readonly copies: number;
+    };
+}
+
+/** The rate of requests that some engines name in their answers. */
+export interface FleetLimit {
+    /** Number of engines that name it. */
+    readonly engines: number;
+    readonly perSecond: number;
+}
+
+/** A request's arrival at an engine. */
+export interface FleetArrival {
+    readonly engine: EngineId;
+    readonly atMs: number;
+}
+
+/** An engine's crash under a request. */
+export interface FleetCrash {
+    readonly name: string;
+    readonly atMs: number;
+}
+
+/** One request of the run and what became of it. */
+export interface FleetRequest {
+    /** The same for requests with the same content. */
+    readonly name: string;
+    readonly isPoison: boolean;
+    /** 0 is the most urgent. */
+    readonly priority: number;
+    readonly sentMs: number;
+    /** Clock readings at which it reached an engine, in milliseconds. */
+    readonly reachedMs: readonly number[];
+    /** Whether an engine began to answer it. */
+    readonly hasBegun: boolean;
+    /** Reason of the host's refusal; undefined if it was not refused. */
+    readonly refusal: string | undefined;
+    /** Expected time until the request could be served, as the host that refused it states it, in milliseconds. */
+    readonly readyInMs: number | undefined;
+    /** Time until the host ended it, in milliseconds; undefined while it is in flight. */
+    readonly heldMs: number | undefined;
+}
+
+/** Hosts and engines in memory; requests with one part in their prompts crash engines, and engines may name limits. */
+export interface FrontFleet {
+    readonly clock: ManualClock;
+    readonly store: StoreFake;
+    readonly requests: readonly FleetRequest[];
+    /** Clock readings of the engines' crashes under such requests, in milliseconds. */
+    readonly poisonCrashesMs: readonly number[];
+    readonly poisonCrashes: readonly FleetCrash[];
+    /** Sends requests for a time; `poisonShare` of them crash engines. */
+    play(lengthMs: number, poisonShare: number): Promise<void>;
+    /** Lets a time pass without requests. */
+    wait(lengthMs: number): Promise<void>;
+    /** Sets whether requests with the part crash engines. */
+    setPoisonous(isPoisonous: boolean): void;
+    readonly arrivals: readonly FleetArrival[];
+    readonly engineIds: readonly EngineId[];
+    /** Sets the limit that the first engines name in their answers from now on; undefined for none. */
+    setLimit(limit: FleetLimit | undefined): void;
+    /** Stops a host: it answers no message, gets no request, and its entry is removed some seconds later. */
+    stopHost(host: HostId): void;
+    readonly hosts: readonly HostId[];
+    /** Crashes every engine at once, as a loss of power does. */
+    crashAll(): void;
+    /** Adds a host that knows nothing. */
+    addHost(): Promise<void>;
+}
--- a/packages/front/src/parseFleetFaults.steps.ts
+++ b/packages/front/src/parseFleetFaults.steps.ts
@@ -1,4 +1,4 @@
-import type { FrontFleetOptions } from "./createFrontFleet.steps.js";
+import type { FrontFleetOptions } from "./frontFleet.steps.js";
 
 /**
  * Parses the faults of a fleet in memory, as a table of cases names them.
