--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -25,7 +25,7 @@
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createPlainRequest, createStreamRequest, SERVICE } from "./createFleetRequest.steps.js";
-import { createPromptQuarantine } from "./createPromptQuarantine.js";
+import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
 import type { FrontContext } from "./frontContext.js";
@@ -267,7 +267,7 @@
             find: () => Promise.resolve(undefined),
         };
         const peers = connect(host);
-        const quarantine = createPromptQuarantine(context, view, () => peers);
+        const quarantine = createQuarantine(context, view, () => peers);
         const limits = createEngineLimits(context, view, () => peers);
         handlersByHost.set(host, {
             engineCrash: (report: CrashReport) => quarantine.handleCrash(report),
--- a/packages/front/src/createPromptQuarantine.ts
+++ b/packages/front/src/createQuarantine.ts
@@ -21,7 +21,7 @@
 import { sendToPeer } from "./sendToPeer.js";
 
 /** Keeps requests whose prompts crash engines (poison requests) from engines, at all hosts. */
-export interface PromptQuarantine {
+export interface Quarantine {
     /** Whether a request with these shared parts must not be sent to an engine. */
     refuses(parts: SharedParts): boolean;
     /** As `refuses`, just before a send; a request that is let through as a probe keeps others from being one. */
@@ -71,13 +71,13 @@
  * @returns the quarantine, empty
  *
  * @example
- * const quarantine = createPromptQuarantine(context, clusterView, () => peers);
+ * const quarantine = createQuarantine(context, clusterView, () => peers);
  */
-export function createPromptQuarantine(
+export function createQuarantine(
     context: Pick<FrontContext, "clock" | "control" | "deployment" | "hash" | "log" | "metrics" | "store">,
     clusterView: Pick<ClusterView, "members" | "onQuarantine" | "quarantined">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
-): PromptQuarantine {
+): Quarantine {
     const { clock, control, deployment, hash, log, metrics, store } = context;
     const peerContext = { metrics, readPeers };
     const evidence = createCrashEvidence();
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -18,7 +18,7 @@
 import type { ClusterView } from "./createClusterView.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
-import type { PromptQuarantine } from "./createPromptQuarantine.js";
+import type { Quarantine } from "./createQuarantine.js";
 import type { FrontContext } from "./frontContext.js";
 import { createAnswerRelay } from "./relayAnswer.js";
 import { createRequestRunner } from "./runRequest.js";
@@ -136,7 +136,7 @@
 }
 
 /** A quarantine that holds nothing. */
-const NO_QUARANTINE: PromptQuarantine = {
+const NO_QUARANTINE: Quarantine = {
     refuses: () => false,
     refusesSend: () => false,
     recordAnswer: () => undefined,
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -13,7 +13,7 @@
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createEnginePreparer, MIN_REMAINING_MS, NO_ENGINE_RETRY_MS } from "./createEnginePreparer.js";
 import type { PreparationState } from "./createEnginePreparer.js";
-import type { PromptQuarantine } from "./createPromptQuarantine.js";
+import type { Quarantine } from "./createQuarantine.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
 import { describeHealth, FIRST_SERVER_ERROR } from "./describeHealth.js";
 import type { FrontContext } from "./frontContext.js";
@@ -73,7 +73,7 @@
     loadTracker: EngineLoadTracker,
     adapters: AdapterTracker,
     streamOrigins: StreamOrigins,
-    quarantine: PromptQuarantine,
+    quarantine: Quarantine,
     limits: EngineLimits,
 ): RequestRunner {
     const { clock, log, metrics } = context;
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -22,7 +22,7 @@
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createLoadRequestOutbox } from "./createLoadRequestOutbox.js";
-import { createPromptQuarantine } from "./createPromptQuarantine.js";
+import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStreamOrigins } from "./createStreamOrigins.js";
 import { detectPauses } from "./detectPauses.js";
@@ -89,7 +89,7 @@
     let peers: PeerClient | undefined;
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
-    const quarantine = createPromptQuarantine(context, clusterView, () => peers);
+    const quarantine = createQuarantine(context, clusterView, () => peers);
     const limits = createEngineLimits(context, clusterView, () => peers);
     const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, quarantine, limits);
     clusterView.onEngineRemoved(entry => transport.forget({ id: entry.id, address: entry.address }));
