--- a/packages/directory/src/engineControl.ts
+++ b/packages/directory/src/engineControl.ts
@@ -52,9 +52,19 @@
     readonly waiting: number;
 }
 
+/** Whether an engine runs, as far as a call shows. */
+export type EngineProbe =
+    | "running"
+    /** Nothing listens at its address, or another engine does. */
+    | "gone"
+    /** It did not answer in time, or broke off. */
+    | "unclear";
+
 /** Calls that control model engines. */
 export interface EngineControl {
     order(target: EngineTarget, order: EngineOrder, terms: OrderTerms): Promise<OrderReply>;
     /** Reads the engine's report; throws ServeError `upstream_failed`. */
     report(target: EngineTarget): Promise<EngineReport>;
+    /** Finds out whether an engine of any service runs; any answer shows that it does. */
+    probe(target: EngineTarget): Promise<EngineProbe>;
 }
--- a/packages/dispatch/src/createCrashEvidence.feature
+++ b/packages/dispatch/src/createCrashEvidence.feature
@@ -24,6 +24,13 @@
             | a crash for another reason after a finding     | 1:a/x, 2:a/x, 3:a/x, 4:a/x, 5:a/s                                                 | x     |
             | two parts that crash engines                   | +a/b, 1:a/x, 2:a/y, 3:a/x, 4:a/y, 5:a/x, 6:a/y, 7:a/x, 8:a/y                     | x y   |
             | a part that is cleared                         | 1:x, 2:x, 3:x, 4:x, -x, 5:x                                                       |       |
+            | two crashes with a request | 1:request:p, 2:request:p | |
+            | three crashes with a request | 1:request:p, 2:request:p, 3:request:p | request:p |
+            | three crashes in one burst of a request | 1:request:p, 2@0:request:p, 3@0:request:p | request:p |
+            | a request that is answered | 1:request:p, 2:request:p, +request:p, 3:request:p, 4:request:p | |
+            | two requests at the same crashes | 1:request:p, 1:request:q, 2:request:p, 2:request:q, 3:request:p, 3:request:q | request:p request:q |
+            | a request beside one that is found | 1:request:p, 2:request:p, 3:request:p, 4:request:p, 4:request:q, 5:request:p, 5:request:q, 6:request:p, 6:request:q | request:p |
+            | a request with a part that crashes engines | 1:x/request:p, 2:x/request:p, 3:x/request:p, 4:x/request:q | x |
 
     # Guards against a shared part that is held for crashes of engines that fail for reasons of their own.
     Scenario: Crashes for other reasons hold no part that is answered now and then
--- a/packages/dispatch/src/createCrashEvidence.steps.ts
+++ b/packages/dispatch/src/createCrashEvidence.steps.ts
@@ -1,8 +1,8 @@
 import { brandId, createRandom } from "@fulmarcleat/ids";
-import type { PromptPart } from "@fulmarcleat/ids";
+import type { Suspect } from "@fulmarcleat/ids";
 import { deepStrictEqual, strictEqual, Then } from "@fulmarcleat/testing";
 import { createCrashEvidence } from "./createCrashEvidence.js";
-import type { SharedParts } from "./createCrashEvidence.js";
+import type { Suspects } from "./createCrashEvidence.js";
 
 /** Time between two events, in milliseconds, unless the event states another. */
 const EVENT_INTERVAL_MS = 400;
@@ -10,13 +10,13 @@
 /** An event: `+PARTS` is an answer, `-PART` clears a part, and ENGINE:PARTS or ENGINE@INTERVAL:PARTS reports a crash. */
 const EVENT = /^(?:(?<sign>[+-])|(?<engine>\d+)(?:@(?<afterMs>\d+))?:)(?<parts>.*)$/;
 
-function parseParts(text: string): SharedParts {
-    return text.split("/").map(part => brandId<PromptPart>(part));
+function parseParts(text: string): Suspects {
+    return text.split("/").map(part => brandId<Suspect>(part));
 }
 
 Then(/^after (.*) the parts found are "(.*)"$/, (events: string, expected: string) => {
     const evidence = createCrashEvidence();
-    const found = new Set<PromptPart>();
+    const found = new Set<Suspect>();
     let atMs = 0;
     const all = events.split(", ").map(event => EVENT.exec(event)?.groups ?? {});
     for (const [at, { sign, engine = "", afterMs, parts: text = "" }] of all.entries()) {
@@ -35,8 +35,10 @@
             evidence.recordCrash(engine, [parts], atMs);
             const finding = all[at + 1]?.["engine"] === engine ? undefined : evidence.judgeCrash(engine, atMs);
             if (finding?.kind === "found") {
-                evidence.accept(finding.part);
-                found.add(finding.part);
+                for (const suspect of finding.suspects) {
+                    evidence.accept(suspect);
+                    found.add(suspect);
+                }
                 for (const part of finding.explains) {
                     evidence.clear(part);
                     found.delete(part);
@@ -57,11 +59,11 @@
 );
 
 /** Plays crashes at which requests with random parts were there, and lists the parts found. */
-function playAccidents(seed: number, count: number, parts: number, answerIntervalMs: number): readonly PromptPart[] {
+function playAccidents(seed: number, count: number, parts: number, answerIntervalMs: number): readonly Suspect[] {
     const random = createRandom(seed);
     const evidence = createCrashEvidence();
-    const found: PromptPart[] = [];
-    const drawPrompt = (): SharedParts => parseParts(`a/p${Math.floor(parts * random.next())}`);
+    const found: Suspect[] = [];
+    const drawPrompt = (): Suspects => parseParts(`a/p${Math.floor(parts * random.next())}`);
     const nextAnswerMs = Array.from({ length: parts }, () => answerIntervalMs * random.next());
     let atMs = answerIntervalMs;
     for (let engine = 0; engine < count; engine += 1) {
@@ -76,7 +78,7 @@
         evidence.recordCrash(String(engine), prompts, atMs);
         const finding = evidence.judgeCrash(String(engine), atMs);
         if (finding.kind === "found") {
-            found.push(finding.part);
+            found.push(...finding.suspects);
         }
     }
     return found;
--- a/packages/dispatch/src/createCrashEvidence.ts
+++ b/packages/dispatch/src/createCrashEvidence.ts
@@ -1,72 +1,94 @@
-import type { PromptPart } from "@fulmarcleat/ids";
+import type { Suspect } from "@fulmarcleat/ids";
+import { readSuspectKind } from "./readSuspectKind.js";
+import type { SuspectKind } from "./readSuspectKind.js";
 
-/** Parts of a prompt that other requests may share, first part first. */
-export type SharedParts = readonly PromptPart[];
+/** What of one request may crash engines: the parts of its prompt that others may share, first part first, and itself. */
+export type Suspects = readonly Suspect[];
 
 /** What a report of a crash shows. */
 export type CrashFinding =
     /** Not enough is known yet. */
     | { readonly kind: "unclear" }
-    /** A part was there that is known to crash engines. */
-    | { readonly kind: "explained"; readonly part: PromptPart }
-    /** `part` is found to crash engines; it explains all crashes for which the accepted parts `explains` were held. */
-    | { readonly kind: "found"; readonly part: PromptPart; readonly explains: readonly PromptPart[] };
+    /** A suspect was there that is known to crash engines. */
+    | { readonly kind: "explained"; readonly suspect: Suspect }
+    /** `suspects` are found to crash engines; they explain all crashes for which the accepted `explains` were held. */
+    | { readonly kind: "found"; readonly suspects: Suspects; readonly explains: Suspects };
 
-/** Evidence of which parts of prompts crash engines: what was there at crashes, and what was answered. */
+/** Evidence of what crashes engines: which requests were there at crashes, and which were answered. */
 export interface CrashEvidence {
-    /** Records that a request with these parts was answered. */
-    recordAnswer(parts: SharedParts, atMs: number): void;
+    /** Records that a request with these suspects was answered. */
+    recordAnswer(suspects: Suspects, atMs: number): void;
     /**
-     * Records the prompts that an engine was beginning to answer when it crashed, as one host reports them. Reports of
+     * Records the requests that an engine was beginning to answer when it crashed, as one host reports them. Reports of
      * one crash may come from several hosts, late and more than once.
      */
-    recordCrash(engine: string, prompts: readonly SharedParts[], atMs: number): void;
+    recordCrash(engine: string, requests: readonly Suspects[], atMs: number): void;
     /**
-     * Looks for a part that crashes engines among those that were there at an engine's crash, once all have reported.
-     * It counts for later crashes only when it is accepted.
+     * Looks for what crashes engines among the suspects that were there at an engine's crash, once all have reported.
+     * They count for later crashes only when they are accepted.
      */
     judgeCrash(engine: string, atMs: number): CrashFinding;
-    /** Whether a request with the part was answered recently. */
-    wasAnswered(part: PromptPart, atMs: number): boolean;
-    /** Returns the clock reading at which a request with the part was last answered, in milliseconds. */
-    readAnsweredMs(part: PromptPart): number | undefined;
-    /** Accepts that a part crashes engines. */
-    accept(part: PromptPart): void;
-    /** Drops a part, with the evidence against it. */
-    clear(part: PromptPart): void;
+    /** Whether a request with the suspect was answered recently. */
+    wasAnswered(suspect: Suspect, atMs: number): boolean;
+    /** Returns the clock reading at which a request with the suspect was last answered, in milliseconds. */
+    readAnsweredMs(suspect: Suspect): number | undefined;
+    /** Accepts that a suspect crashes engines. */
+    accept(suspect: Suspect): void;
+    /** Drops a suspect, with the evidence against it. */
+    clear(suspect: Suspect): void;
 }
 
 interface Crash {
     readonly atMs: number;
-    /** Parts that were there, with their position in the prompt. */
-    readonly parts: Map<PromptPart, number>;
+    /** Suspects that were there, with their position in the request. */
+    readonly suspects: Map<Suspect, number>;
 }
 
-/** Number of crashes after which a part is found to crash engines. */
-const CRASHES_UNTIL_FOUND = 4;
-/** Number of these that no other found part explains. */
-const UNEXPLAINED_UNTIL_FOUND = 2;
-/** Engines that crash within this time of each other count once, in milliseconds; they may have lost power together. */
-const SAME_ACCIDENT_MS = 50;
-/** Time for which an answer speaks for the parts of its prompt, in milliseconds. */
+/** When a suspect of one kind is found. */
+interface FindingTerms {
+    /** Number of crashes at which it was there. */
+    readonly crashes: number;
+    /** Number of these that nothing else explains. */
+    readonly unexplained: number;
+    /** Engines that crash within this time of each other count once, in milliseconds; they may have lost power together. */
+    readonly sameAccidentMs: number;
+    /** Kinds of found suspects that explain a crash. */
+    readonly explainedBy: readonly SuspectKind[];
+    /** Most answered suspects that are remembered; the one answered longest ago is dropped first. */
+    readonly maxAnswered: number;
+}
+
+/**
+ * Parts are shared by many requests, so that several may be there by chance. A request is one and the same at each crash,
+ * and engines that lose power together hold different requests.
+ */
+const TERMS: Readonly<Record<SuspectKind, FindingTerms>> = {
+    part: { crashes: 4, unexplained: 2, sameAccidentMs: 50, explainedBy: ["part"], maxAnswered: 20_000 },
+    request: {
+        crashes: 3,
+        unexplained: 1,
+        sameAccidentMs: 0,
+        explainedBy: ["part", "request"],
+        maxAnswered: 4000,
+    },
+};
+/** Time for which an answer speaks for the suspects of its request, in milliseconds. */
 const ANSWER_MEMORY_MS = 60_000;
 /** Time for which a crash is remembered, in milliseconds. */
 const CRASH_MEMORY_MS = 600_000;
 /** Most crashes that are remembered; the oldest is dropped first. */
 const MAX_CRASHES = 256;
-/** Most parts that are remembered of one crash. */
-const MAX_PARTS_PER_CRASH = 256;
-/** Most answered parts that are remembered; the one answered longest ago is dropped first. */
-const MAX_ANSWERED_PARTS = 20_000;
+/** Most suspects that are remembered of one crash. */
+const MAX_SUSPECTS_PER_CRASH = 256;
 
 /**
- * Creates the evidence about poison requests, those with a part in their prompts that crashes each engine that begins
- * to answer them.
+ * Creates the evidence about poison requests: those with a part in their prompts that crashes each engine that begins to
+ * answer them, and those that do so by themselves, whenever they come.
  *
- * A part is found if it was there at several crashes, some of which no other found part explains, and no request with
- * it was answered since the first of them, nor recently. Of several such parts, the one with most crashes is found, and
- * of equal ones the last in the prompt, which fewest requests share; if that was wrong, the next crashes without it
- * find the other.
+ * A suspect is found if it was there at several crashes, some of which nothing else explains, and no request with it was
+ * answered since the first of them, nor recently. Of several parts, the one with most crashes is found, and of equal ones
+ * the last in the prompt, which fewest requests share; if that was wrong, the next crashes without it find the other.
+ * Requests that qualify are all found: a wrong finding keeps back that one request only.
  *
  * @returns the evidence, empty
  *
@@ -75,12 +97,13 @@
  * const finding = evidence.judgeCrash("i-1/17", clock.nowMs());
  */
 export function createCrashEvidence(): CrashEvidence {
-    const answeredMs = new Map<PromptPart, number>();
+    const answeredMs = { part: new Map<Suspect, number>(), request: new Map<Suspect, number>() };
     const crashes = new Map<string, Crash>();
-    const found = new Set<PromptPart>();
+    const found = new Set<Suspect>();
 
-    const wasAnswered = (part: PromptPart, atMs: number): boolean =>
-        atMs - (answeredMs.get(part) ?? -Infinity) < ANSWER_MEMORY_MS;
+    const readAnsweredMs = (suspect: Suspect): number | undefined => answeredMs[readSuspectKind(suspect)].get(suspect);
+    const wasAnswered = (suspect: Suspect, atMs: number): boolean =>
+        atMs - (readAnsweredMs(suspect) ?? -Infinity) < ANSWER_MEMORY_MS;
     const forgetCrashes = (atMs: number): void => {
         for (const [oldest, { atMs: crashedMs }] of crashes) {
             if (crashes.size <= MAX_CRASHES && atMs - crashedMs < CRASH_MEMORY_MS) {
@@ -89,52 +112,67 @@
             crashes.delete(oldest);
         }
     };
-    const isExplained = (crash: Crash): boolean => [...crash.parts.keys()].some(part => found.has(part));
-    const findPart = (crash: Crash, atMs: number): PromptPart | undefined =>
-        [...crash.parts]
-            .filter(([part]) => !wasAnswered(part, atMs))
-            .map(([part, position]) => {
-                const sinceMs = answeredMs.get(part) ?? -Infinity;
-                const withPart = [...crashes.values()].filter(other => other.parts.has(part) && other.atMs > sinceMs);
-                const unexplained = withPart.filter(other => !isExplained(other));
-                return { part, position, all: countAccidents(withPart), unexplained: countAccidents(unexplained) };
+    const isExplained = (crash: Crash, kinds: readonly SuspectKind[]): boolean =>
+        [...crash.suspects.keys()].some(suspect => found.has(suspect) && kinds.includes(readSuspectKind(suspect)));
+    /** Lists the suspects of one kind for which a crash and those before it suffice, the likeliest first. */
+    const listSuspicious = (crash: Crash, kind: SuspectKind, atMs: number): Suspects => {
+        const terms = TERMS[kind];
+        return [...crash.suspects]
+            .filter(([suspect]) => readSuspectKind(suspect) === kind && !wasAnswered(suspect, atMs))
+            .map(([suspect, position]) => {
+                const sinceMs = readAnsweredMs(suspect) ?? -Infinity;
+                const all = [...crashes.values()].filter(other => other.suspects.has(suspect) && other.atMs > sinceMs);
+                const unexplained = all.filter(other => !isExplained(other, terms.explainedBy));
+                return {
+                    suspect,
+                    position,
+                    all: countAccidents(all, terms.sameAccidentMs),
+                    unexplained: countAccidents(unexplained, terms.sameAccidentMs),
+                };
             })
-            .filter(({ all, unexplained }) => all >= CRASHES_UNTIL_FOUND && unexplained >= UNEXPLAINED_UNTIL_FOUND)
-            .sort((a, b) => b.all - a.all || b.position - a.position)[0]?.part;
-    const clear = (part: PromptPart): void => {
-        found.delete(part);
-        crashes.forEach(crash => crash.parts.delete(part));
+            .filter(({ all, unexplained }) => all >= terms.crashes && unexplained >= terms.unexplained)
+            .sort((a, b) => b.all - a.all || b.position - a.position)
+            .map(({ suspect }) => suspect);
     };
-    /** Lists the found parts that were there only at crashes that the part explains too, and at fewer. */
-    const listExplained = (part: PromptPart): readonly PromptPart[] => {
+    /** Finds the likeliest part, or else all suspicious requests. */
+    const findSuspects = (crash: Crash, atMs: number): Suspects => {
+        const parts = listSuspicious(crash, "part", atMs).slice(0, 1);
+        return parts.length > 0 ? parts : listSuspicious(crash, "request", atMs);
+    };
+    const clear = (suspect: Suspect): void => {
+        found.delete(suspect);
+        crashes.forEach(crash => crash.suspects.delete(suspect));
+    };
+    /** Lists the found suspects that were there only at crashes that the suspect explains too, and at fewer. */
+    const listExplained = (suspect: Suspect): Suspects => {
         const all = [...crashes.values()];
-        const explained = all.filter(crash => crash.parts.has(part)).length;
+        const explained = all.filter(crash => crash.suspects.has(suspect)).length;
         return [...found].filter(other => {
-            const others = all.filter(crash => crash.parts.has(other));
-            return others.length < explained && others.every(crash => crash.parts.has(part));
+            const others = all.filter(crash => crash.suspects.has(other));
+            return others.length < explained && others.every(crash => crash.suspects.has(suspect));
         });
     };
     return {
         wasAnswered,
-        readAnsweredMs: part => answeredMs.get(part),
+        readAnsweredMs,
         clear,
-        recordAnswer(parts, atMs) {
-            for (const part of parts) {
-                const newestMs = Math.max(atMs, answeredMs.get(part) ?? -Infinity);
-                answeredMs.delete(part);
-                answeredMs.set(part, newestMs);
-            }
-            for (const oldest of answeredMs.keys()) {
-                if (answeredMs.size <= MAX_ANSWERED_PARTS) {
-                    break;
+        recordAnswer(suspects, atMs) {
+            for (const suspect of suspects) {
+                const kind = readSuspectKind(suspect);
+                const answered = answeredMs[kind];
+                const newestMs = Math.max(atMs, answered.get(suspect) ?? -Infinity);
+                answered.delete(suspect);
+                answered.set(suspect, newestMs);
+                const oldest = answered.keys().next();
+                if (answered.size > TERMS[kind].maxAnswered && oldest.done !== true) {
+                    answered.delete(oldest.value);
                 }
-                answeredMs.delete(oldest);
             }
         },
-        recordCrash(engine, prompts, atMs) {
-            const crash = crashes.get(engine) ?? { atMs, parts: new Map<PromptPart, number>() };
+        recordCrash(engine, requests, atMs) {
+            const crash = crashes.get(engine) ?? { atMs, suspects: new Map<Suspect, number>() };
             crashes.set(engine, crash);
-            prompts.forEach(prompt => addParts(crash, prompt));
+            requests.forEach(suspects => addSuspects(crash, suspects));
             forgetCrashes(atMs);
         },
         judgeCrash(engine, atMs) {
@@ -142,26 +180,28 @@
             if (crash === undefined) {
                 return { kind: "unclear" };
             }
-            const known = [...crash.parts.keys()].find(part => found.has(part));
-            if (known !== undefined) {
-                return { kind: "explained", part: known };
+            const known = [...crash.suspects.keys()].filter(suspect => found.has(suspect));
+            const knownPart = known.find(suspect => readSuspectKind(suspect) === "part");
+            if (knownPart !== undefined) {
+                return { kind: "explained", suspect: knownPart };
             }
-            const part = findPart(crash, atMs);
-            if (part === undefined) {
-                return { kind: "unclear" };
+            const suspects = findSuspects(crash, atMs).filter(suspect => !found.has(suspect));
+            if (suspects.length > 0) {
+                return { kind: "found", suspects, explains: suspects.flatMap(listExplained) };
             }
-            return { kind: "found", part, explains: listExplained(part) };
+            const [knownRequest] = known;
+            return knownRequest === undefined ? { kind: "unclear" } : { kind: "explained", suspect: knownRequest };
         },
-        accept: part => void found.add(part),
+        accept: suspect => void found.add(suspect),
     };
 }
 
-/** Counts crashes; those that follow each other at once count as one. */
-function countAccidents(crashes: readonly Crash[]): number {
+/** Counts crashes; those that follow each other within a time count as one. */
+function countAccidents(crashes: readonly Crash[], sameAccidentMs: number): number {
     let count = 0;
     let lastMs = -Infinity;
     for (const { atMs } of crashes) {
-        if (atMs - lastMs >= SAME_ACCIDENT_MS) {
+        if (atMs - lastMs >= sameAccidentMs) {
             count += 1;
             lastMs = atMs;
         }
@@ -169,10 +209,10 @@
     return count;
 }
 
-function addParts(crash: Crash, prompt: SharedParts): void {
-    for (const [position, part] of prompt.entries()) {
-        if (crash.parts.size < MAX_PARTS_PER_CRASH || crash.parts.has(part)) {
-            crash.parts.set(part, Math.max(position, crash.parts.get(part) ?? 0));
+function addSuspects(crash: Crash, suspects: Suspects): void {
+    for (const [position, suspect] of suspects.entries()) {
+        if (crash.suspects.size < MAX_SUSPECTS_PER_CRASH || crash.suspects.has(suspect)) {
+            crash.suspects.set(suspect, Math.max(position, crash.suspects.get(suspect) ?? 0));
         }
     }
 }
--- a/packages/front/src/applyAttempt.ts
+++ b/packages/front/src/applyAttempt.ts
@@ -36,6 +36,8 @@
     | "ended"
     /** A part of its prompt crashes engines. */
     | "quarantined_prompt"
+    /** It crashes engines itself, whatever its prompt. */
+    | "quarantined_request"
     /** No engine of the software version that began the stream is left. */
     | "version_gone"
     /** It is not known which software version began the stream. */
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -9,7 +9,7 @@
     StoreItem,
 } from "@fulmarcleat/directory";
 import { brandId } from "@fulmarcleat/ids";
-import type { AdapterName, BaseModel, EngineId, HostId, PromptPart } from "@fulmarcleat/ids";
+import type { AdapterName, BaseModel, EngineId, HostId, Suspect } from "@fulmarcleat/ids";
 import {
     CONFIG_KEY,
     ENGINE_PREFIX,
@@ -47,10 +47,10 @@
     readonly claims: ReadonlyMap<EngineId, OwnerClaim>;
     /** Clock reading since which each unowned engine has had no owner, in milliseconds. */
     readonly unownedSince: ReadonlyMap<EngineId, number>;
-    /** Prompt parts that are quarantined in the store. */
-    readonly quarantined: ReadonlyMap<PromptPart, StoredQuarantine>;
-    /** Calls a listener when a prompt part's quarantine is set, renewed or lifted in the store. */
-    onQuarantine(listener: (part: PromptPart, isSet: boolean) => void): void;
+    /** Prompt parts and requests that are quarantined in the store. */
+    readonly quarantined: ReadonlyMap<Suspect, StoredQuarantine>;
+    /** Calls a listener when a quarantine is set, renewed or lifted in the store. */
+    onQuarantine(listener: (suspect: Suspect, isSet: boolean) => void): void;
     /** Time since the store last confirmed a part of this view, in milliseconds; undefined before it first did. */
     readAgeMs(part: ViewPart): number | undefined;
     /** Whether the system's keys have been listed at least once since the start. */
@@ -69,7 +69,7 @@
     stop(): void;
 }
 
-/** A prompt part's quarantine as the store holds it. */
+/** A quarantine as the store holds it. */
 export interface StoredQuarantine {
     /** Revision of its key. */
     readonly revision: number;
@@ -112,8 +112,8 @@
     const members = new Map<HostId, Member>();
     const claims = new Map<EngineId, OwnerClaim>();
     const unownedSince = new Map<EngineId, number>();
-    const quarantined = new Map<PromptPart, StoredQuarantine>();
-    const quarantineListeners: ((part: PromptPart, isSet: boolean) => void)[] = [];
+    const quarantined = new Map<Suspect, StoredQuarantine>();
+    const quarantineListeners: ((suspect: Suspect, isSet: boolean) => void)[] = [];
     const releaseListeners: ((release: AdapterRelease) => void)[] = [];
     const removalListeners: ((entry: EngineEntry) => void)[] = [];
     const loadRequestListeners: ((loadRequests: readonly AdapterLoadRequest[]) => void)[] = [];
@@ -200,9 +200,9 @@
                 return;
             }
             case "quarantine":
-                if (quarantined.get(key.part)?.revision !== item.revision) {
-                    quarantined.set(key.part, { revision: item.revision, sinceMs: clock.nowMs() });
-                    quarantineListeners.forEach(listener => listener(key.part, true));
+                if (quarantined.get(key.suspect)?.revision !== item.revision) {
+                    quarantined.set(key.suspect, { revision: item.revision, sinceMs: clock.nowMs() });
+                    quarantineListeners.forEach(listener => listener(key.suspect, true));
                 }
                 return;
             case "wants":
@@ -223,8 +223,8 @@
                 unownedSince.set(key.engine, clock.nowMs());
                 return;
             case "quarantine":
-                if (quarantined.delete(key.part)) {
-                    quarantineListeners.forEach(listener => listener(key.part, false));
+                if (quarantined.delete(key.suspect)) {
+                    quarantineListeners.forEach(listener => listener(key.suspect, false));
                 }
                 return;
             case "wants":
--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -2,6 +2,7 @@
     AnswerFraming,
     AnswerSink,
     EngineAnswerHead,
+    EngineProbe,
     EngineRequest,
     EngineTarget,
     EngineTransport,
@@ -220,10 +221,10 @@
         forget: () => undefined,
         close: () => undefined,
     };
-    const report = ({ id }: EngineTarget): Promise<unknown> =>
-        new Promise((resolve, reject) => {
+    const probe = ({ id }: EngineTarget): Promise<EngineProbe> =>
+        new Promise(resolve => {
             const isUp = engines.get(id)?.isUp === true;
-            clock.setTimer(REFUSED_MS, () => isUp ? resolve({}) : reject(new Error("ECONNREFUSED")));
+            clock.setTimer(REFUSED_MS, () => resolve(isUp ? "running" : "gone"));
         });
     const connect = (from: HostId): PeerClient =>
         ({
@@ -250,7 +251,7 @@
             transport,
             hash,
             log,
-            control: { report },
+            control: { probe },
             random: createRandom(options.seed * 1000 + number),
             metrics: createMetrics(),
             deployment: { host, domain: "a" },
--- a/packages/front/src/createQuarantine.ts
+++ b/packages/front/src/createQuarantine.ts
@@ -1,10 +1,10 @@
-import type { EngineEntry } from "@fulmarcleat/directory";
+import type { EngineEntry, EngineProbe, EngineTarget } from "@fulmarcleat/directory";
 import { createCrashEvidence } from "@fulmarcleat/dispatch";
-import type { SharedParts } from "@fulmarcleat/dispatch";
+import type { Suspects } from "@fulmarcleat/dispatch";
 import { toServeError } from "@fulmarcleat/errors";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import { sleep } from "@fulmarcleat/ids";
-import type { HostId, PromptPart } from "@fulmarcleat/ids";
+import type { HostId, Suspect } from "@fulmarcleat/ids";
 import type {
     CrashReply,
     CrashReport,
@@ -20,19 +20,19 @@
 import type { Member } from "./hostKeys.js";
 import { sendToPeer } from "./sendToPeer.js";
 
-/** Keeps requests whose prompts crash engines (poison requests) from engines, at all hosts. */
+/** Keeps requests that crash engines (poison requests), by a part of their prompts or by themselves, from engines. */
 export interface Quarantine {
-    /** Whether a request with these shared parts must not be sent to an engine. */
-    refuses(parts: SharedParts): boolean;
-    /** As `refuses`, just before a send; a request that is let through as a probe keeps others from being one. */
-    refusesSend(parts: SharedParts): boolean;
+    /** Returns the suspect for which a request must not be sent to an engine; undefined if there is none. */
+    find(suspects: Suspects): Suspect | undefined;
+    /** As `find`, just before a send; a request that is let through as a probe keeps others from being one. */
+    findAtSend(suspects: Suspects): Suspect | undefined;
     /** Records that a request was answered, or was being answered for a while. */
-    recordAnswer(parts: SharedParts): void;
+    recordAnswer(suspects: Suspects): void;
     /** Records that a request's connection broke while its answer was beginning. */
-    recordBreak(entry: EngineEntry, parts: SharedParts): void;
+    recordBreak(entry: EngineEntry, suspects: Suspects): void;
     /** Handles another host's report of a crash. */
     handleCrash(report: CrashReport): CrashReply;
-    /** Tells another host when requests with a part were last answered here. */
+    /** Tells another host when requests with a suspect were last answered here. */
     handleQuestion(question: PromptAnsweredRequest): PromptAnsweredReply;
     /** Handles another host's finding. */
     handleNotice(notice: QuarantineNotice): void;
@@ -40,8 +40,7 @@
 
 /** Requests that broke at one engine and are not reported yet. */
 interface PendingCrash {
-    /** Shared parts of their prompts. */
-    readonly prompts: SharedParts[];
+    readonly requests: Suspects[];
 }
 
 /** Number of hosts that crashes are reported to; each of them finds the cause by itself. */
@@ -50,19 +49,22 @@
 const JUDGES_KEY = "engine crashes";
 /** Time for reports of one crash to arrive before it is judged, in milliseconds. */
 const GATHER_MS = 120;
+/** Most calls by which a host finds out whether an engine has crashed, and the delay between two, in milliseconds. */
+const MAX_PROBES = 3;
+const PROBE_DELAY_MS = 50;
 /** Delay of each judge behind the one ranked before it when it writes a finding to the store, in milliseconds. */
 const WRITE_DELAY_PER_RANK_MS = 60;
 /** Delay after a finding could not be written to the store, in milliseconds. */
 const WRITE_RETRY_MS = 1000;
-/** Time after which one request with a quarantined part is let through to see whether it still crashes, in milliseconds. */
+/** Time after which one quarantined request is let through to see whether it still crashes engines, in milliseconds. */
 const PROBE_AFTER_MS = 300_000;
 /** Time between two such requests, in milliseconds. */
 const PROBE_INTERVAL_MS = 10_000;
-/** Time after which a quarantine ends if no request with the part comes, in milliseconds; the store's longest lease. */
+/** Time after which a quarantine ends if no such request comes, in milliseconds; the store's longest lease. */
 const QUARANTINE_TTL_MS = 600_000;
 
 /**
- * Creates the quarantine of prompt parts. Hosts report crashes to a few judges; a judge that finds the cause writes it
+ * Creates the quarantine of prompt parts and requests. Hosts report crashes to a few judges; a judge that finds the cause writes it
  * to the store, from which all hosts learn it, or tells the hosts itself while the store is away.
  *
  * @param context - Clock, hash, store, engines' control interface, metrics and log
@@ -82,8 +84,8 @@
     const peerContext = { metrics, readPeers };
     const evidence = createCrashEvidence();
     /** Findings that the store doesn't hold yet, with the clock reading at which they were made. */
-    const unstored = new Map<PromptPart, number>();
-    const probedMs = new Map<PromptPart, number>();
+    const unstored = new Map<Suspect, number>();
+    const probedMs = new Map<Suspect, number>();
     const pendingCrashes = new Map<string, PendingCrash>();
     const pendingJudgements = new Set<string>();
 
@@ -91,47 +93,47 @@
         const hosts = [...clusterView.members.values()].filter(({ isLeaving }) => !isLeaving).map(({ host }) => host);
         return rankByRendezvous(hash, JUDGES_KEY, hosts).slice(0, JUDGES);
     };
-    /** Returns the clock reading since which a part is quarantined; undefined if it isn't. */
-    const readSinceMs = (part: PromptPart): number | undefined => {
-        const stored = clusterView.quarantined.get(part)?.sinceMs;
-        const foundMs = unstored.get(part);
+    /** Returns the clock reading since which a suspect is quarantined; undefined if it isn't. */
+    const readSinceMs = (suspect: Suspect): number | undefined => {
+        const stored = clusterView.quarantined.get(suspect)?.sinceMs;
+        const foundMs = unstored.get(suspect);
         if (foundMs !== undefined && clock.nowMs() - foundMs >= QUARANTINE_TTL_MS) {
-            unstored.delete(part);
-            evidence.clear(part);
+            unstored.delete(suspect);
+            evidence.clear(suspect);
             return stored;
         }
         return stored ?? foundMs;
     };
-    /** Whether this host may send a request with a quarantined part, to see whether it still crashes engines. */
-    const mayProbe = (part: PromptPart, sinceMs: number): boolean => {
+    /** Whether this host may send a request with a quarantined suspect, to see whether it still crashes engines. */
+    const mayProbe = (suspect: Suspect, sinceMs: number): boolean => {
         const nowMs = clock.nowMs();
         return nowMs - sinceMs >= PROBE_AFTER_MS
-            && nowMs - (probedMs.get(part) ?? -Infinity) >= PROBE_INTERVAL_MS
-            && rankByRendezvous(hash, part, [...clusterView.members.keys()])[0] === deployment.host;
+            && nowMs - (probedMs.get(suspect) ?? -Infinity) >= PROBE_INTERVAL_MS
+            && rankByRendezvous(hash, suspect, [...clusterView.members.keys()])[0] === deployment.host;
     };
-    const listQuarantined = (parts: SharedParts): readonly PromptPart[] =>
+    const listQuarantined = (suspects: Suspects): readonly Suspect[] =>
         clusterView.quarantined.size + unstored.size === 0
             ? []
-            : parts.filter(part => readSinceMs(part) !== undefined);
-    const refuses = (parts: SharedParts): boolean =>
-        listQuarantined(parts).some(part => !mayProbe(part, readSinceMs(part) ?? 0));
-    const accept = (part: PromptPart, source: "crashes" | "peer" | "store"): void => {
-        if (source !== "store" && readSinceMs(part) === undefined) {
-            unstored.set(part, clock.nowMs());
+            : suspects.filter(suspect => readSinceMs(suspect) !== undefined);
+    const find = (suspects: Suspects): Suspect | undefined =>
+        listQuarantined(suspects).find(suspect => !mayProbe(suspect, readSinceMs(suspect) ?? 0));
+    const accept = (suspect: Suspect, source: "crashes" | "peer" | "store"): void => {
+        if (source !== "store" && readSinceMs(suspect) === undefined) {
+            unstored.set(suspect, clock.nowMs());
         }
-        evidence.accept(part);
+        evidence.accept(suspect);
         metrics.count("quarantines_total", { source });
-        log.write("warn", 408, { part, source });
+        log.write("warn", 408, { part: suspect, source });
     };
-    const release = async (part: PromptPart, reason: string): Promise<void> => {
-        evidence.clear(part);
-        unstored.delete(part);
-        probedMs.delete(part);
+    const release = async (suspect: Suspect, reason: string): Promise<void> => {
+        evidence.clear(suspect);
+        unstored.delete(suspect);
+        probedMs.delete(suspect);
         metrics.count("quarantine_ends_total", { reason });
-        log.write("info", 409, { part, reason });
-        const stored = clusterView.quarantined.get(part);
+        log.write("info", 409, { part: suspect, reason });
+        const stored = clusterView.quarantined.get(suspect);
         if (stored !== undefined) {
-            const key = formatQuarantineKey(part);
+            const key = formatQuarantineKey(suspect);
             await store.change({ expect: [{ key, revision: stored.revision }], puts: [], removes: [key] })
                 .catch(logFailure);
         }
@@ -139,9 +141,9 @@
     const logFailure = (err: unknown): void =>
         log.write("warn", 602, { step: toServeError(err, INTERNAL).step, reason: String(err) });
     /** Writes a finding to the store under a lease of its own, so that it ends by itself. */
-    const write = async (part: PromptPart): Promise<void> => {
-        const key = formatQuarantineKey(part);
-        const revision = clusterView.quarantined.get(part)?.revision ?? 0;
+    const write = async (suspect: Suspect): Promise<void> => {
+        const key = formatQuarantineKey(suspect);
+        const revision = clusterView.quarantined.get(suspect)?.revision ?? 0;
         const lease = await store.openLease(QUARANTINE_TTL_MS);
         const puts = [{ key, value: Buffer.from(deployment.host), lease }];
         const reply = await store.change({ expect: [{ key, revision }], puts, removes: [] });
@@ -150,73 +152,76 @@
         }
     };
     /** Tells every host of a finding, for the time when they can't learn it from the store. */
-    const tellAll = (part: PromptPart): void => {
+    const tellAll = (suspect: Suspect): void => {
         for (const member of clusterView.members.values()) {
             if (member.host !== deployment.host) {
-                void sendToPeer(peerContext, member, "quarantine", { part });
+                void sendToPeer(peerContext, member, "quarantine", { part: suspect });
             }
         }
     };
     /** Writes a finding to the store, unless a judge ranked before this one has done so. */
-    const publish = async (part: PromptPart): Promise<void> => {
+    const publish = async (suspect: Suspect): Promise<void> => {
         const rank = listJudges().indexOf(deployment.host);
         await sleep(clock, WRITE_DELAY_PER_RANK_MS * (rank < 0 ? JUDGES : rank));
-        for (let attempt = 0; unstored.has(part); attempt += 1) {
+        for (let attempt = 0; unstored.has(suspect); attempt += 1) {
             try {
-                await write(part);
+                await write(suspect);
                 return;
             }
             catch (err) {
                 logFailure(err);
                 if (attempt === 0) {
-                    tellAll(part);
+                    tellAll(suspect);
                 }
                 await sleep(clock, WRITE_RETRY_MS);
             }
         }
     };
     /** Starts a quarantine anew after a request that was let through crashed an engine again. */
-    const renew = (part: PromptPart): void => {
-        const sinceMs = readSinceMs(part);
+    const renew = (suspect: Suspect): void => {
+        const sinceMs = readSinceMs(suspect);
         if (sinceMs !== undefined && clock.nowMs() - sinceMs >= PROBE_AFTER_MS) {
-            unstored.set(part, clock.nowMs());
-            void publish(part);
+            unstored.set(suspect, clock.nowMs());
+            void publish(suspect);
         }
     };
     const listOtherJudges = (): readonly Member[] =>
         listJudges().filter(host => host !== deployment.host)
             .map(host => clusterView.members.get(host))
             .filter(member => member !== undefined);
-    /** Asks the other judges when they answered requests with the part. */
-    const collectAnswers = async (part: PromptPart): Promise<void> => {
+    /** Asks the other judges when they answered requests with the suspect. */
+    const collectAnswers = async (suspect: Suspect): Promise<void> => {
         const replies = listOtherJudges().map(async member => {
-            const reply = await sendToPeer(peerContext, member, "promptAnswered", { part });
+            const reply = await sendToPeer(peerContext, member, "promptAnswered", { part: suspect });
             if (reply?.answeredAgoMs !== undefined) {
-                evidence.recordAnswer([part], clock.nowMs() - reply.answeredAgoMs);
+                evidence.recordAnswer([suspect], clock.nowMs() - reply.answeredAgoMs);
             }
         });
         await Promise.all(replies);
     };
-    /** Judges a crash; a part is accepted only after the other judges were asked about it. */
-    const judge = async (engine: string, asked: ReadonlySet<PromptPart> = new Set()): Promise<void> => {
+    /** Judges a crash; suspects are accepted only after the other judges were asked about them. */
+    const judge = async (engine: string, asked: ReadonlySet<Suspect> = new Set()): Promise<void> => {
         const finding = evidence.judgeCrash(engine, clock.nowMs());
         switch (finding.kind) {
             case "unclear":
                 return;
             case "explained":
-                renew(finding.part);
+                renew(finding.suspect);
                 return;
-            case "found":
-                if (!asked.has(finding.part)) {
-                    await collectAnswers(finding.part);
-                    await judge(engine, new Set(asked).add(finding.part));
+            case "found": {
+                const { suspects, explains } = finding;
+                if (!suspects.every(suspect => asked.has(suspect))) {
+                    await Promise.all(suspects.filter(suspect => !asked.has(suspect)).map(collectAnswers));
+                    await judge(engine, new Set([...asked, ...suspects]));
+                    return;
                 }
-                else if (readSinceMs(finding.part) === undefined) {
-                    finding.explains.forEach(part => void release(part, "explained"));
-                    accept(finding.part, "crashes");
-                    void publish(finding.part);
+                explains.forEach(suspect => void release(suspect, "explained"));
+                for (const suspect of suspects.filter(other => readSinceMs(other) === undefined)) {
+                    accept(suspect, "crashes");
+                    void publish(suspect);
                 }
                 return;
+            }
         }
     };
     const handleCrash = ({ engine, bornMs, prompts }: CrashReport): CrashReply => {
@@ -231,74 +236,89 @@
         }
         return { quarantined: listQuarantined([...new Set(prompts.flat())]) };
     };
-    const handleNotice = ({ part }: QuarantineNotice): void => {
-        if (readSinceMs(part) === undefined && !evidence.wasAnswered(part, clock.nowMs())) {
-            accept(part, "peer");
+    const handleNotice = ({ part: suspect }: QuarantineNotice): void => {
+        if (readSinceMs(suspect) === undefined && !evidence.wasAnswered(suspect, clock.nowMs())) {
+            accept(suspect, "peer");
         }
     };
     const reportCrash = async (report: CrashReport): Promise<void> => {
         metrics.count("engine_crashes_total");
         log.write("warn", 410, {
             engine: report.engine,
-            prompts: report.prompts.map(parts => parts.join(",")).join(" "),
+            prompts: report.prompts.map(suspects => suspects.join(",")).join(" "),
         });
         handleCrash(report);
         await Promise.all(
             listOtherJudges().map(async member => {
                 const reply = await sendToPeer(peerContext, member, "engineCrash", report);
-                reply?.quarantined.forEach(part => handleNotice({ part }));
+                reply?.quarantined.forEach(suspect => handleNotice({ part: suspect }));
             }),
         );
     };
-    /** Reports a crash if the engine no longer answers; one that does has only broken off some answers. */
+    /** Finds out whether an engine has crashed; one that still runs has only broken off some answers. */
+    const probeEngine = async (target: EngineTarget): Promise<EngineProbe> => {
+        let probe = await control.probe(target);
+        for (let count = 1; count < MAX_PROBES && probe === "unclear"; count += 1) {
+            await sleep(clock, PROBE_DELAY_MS);
+            probe = await control.probe(target);
+        }
+        return probe;
+    };
     const confirmCrash = async ({ id, address, bornMs }: EngineEntry, pending: PendingCrash): Promise<void> => {
-        const hasAnswered = await control.report({ id, address }).then(() => true, () => false);
+        const probe = await probeEngine({ id, address });
         pendingCrashes.delete(formatEngineRun(id, bornMs));
-        if (!hasAnswered) {
-            await reportCrash({ engine: id, bornMs, prompts: pending.prompts });
+        switch (probe) {
+            case "gone":
+                await reportCrash({ engine: id, bornMs, prompts: pending.requests });
+                return;
+            case "running":
+            case "unclear":
+                metrics.count("engine_breaks_total", { probe });
+                log.write("info", 413, { engine: id, probe });
+                return;
         }
     };
-    clusterView.onQuarantine((part, isSet) => {
-        unstored.delete(part);
+    clusterView.onQuarantine((suspect, isSet) => {
+        unstored.delete(suspect);
         if (!isSet) {
-            evidence.clear(part);
-            probedMs.delete(part);
-            log.write("info", 409, { part, reason: "store" });
+            evidence.clear(suspect);
+            probedMs.delete(suspect);
+            log.write("info", 409, { part: suspect, reason: "store" });
         }
-        else if (evidence.wasAnswered(part, clock.nowMs())) {
-            void release(part, "answered");
+        else if (evidence.wasAnswered(suspect, clock.nowMs())) {
+            void release(suspect, "answered");
         }
         else {
-            accept(part, "store");
+            accept(suspect, "store");
         }
     });
     return {
-        refuses,
+        find,
         handleCrash,
         handleNotice,
-        handleQuestion({ part }) {
-            const answeredMs = evidence.readAnsweredMs(part);
+        handleQuestion({ part: suspect }) {
+            const answeredMs = evidence.readAnsweredMs(suspect);
             return { answeredAgoMs: answeredMs === undefined ? undefined : clock.nowMs() - answeredMs };
         },
-        refusesSend(parts) {
-            if (refuses(parts)) {
-                return true;
+        findAtSend(suspects) {
+            const refused = find(suspects);
+            if (refused === undefined) {
+                listQuarantined(suspects).forEach(suspect => probedMs.set(suspect, clock.nowMs()));
             }
-            listQuarantined(parts).forEach(part => probedMs.set(part, clock.nowMs()));
-            return false;
+            return refused;
         },
-        recordAnswer(parts) {
-            evidence.recordAnswer(parts, clock.nowMs());
-            listQuarantined(parts).forEach(part => void release(part, "answered"));
+        recordAnswer(suspects) {
+            evidence.recordAnswer(suspects, clock.nowMs());
+            listQuarantined(suspects).forEach(suspect => void release(suspect, "answered"));
         },
-        recordBreak(entry, parts) {
+        recordBreak(entry, suspects) {
             const key = formatEngineRun(entry.id, entry.bornMs);
             const pending = pendingCrashes.get(key);
             if (pending !== undefined) {
-                pending.prompts.push(parts);
+                pending.requests.push(suspects);
                 return;
             }
-            const first = { prompts: [parts] };
+            const first = { requests: [suspects] };
             pendingCrashes.set(key, first);
             void confirmCrash(entry, first);
         },
--- a/packages/front/src/createRequestDigester.ts
+++ b/packages/front/src/createRequestDigester.ts
@@ -1,3 +1,4 @@
+import { DIGEST_PREFIX } from "@fulmarcleat/dispatch";
 import { brandId } from "@fulmarcleat/ids";
 import type { RequestDigest } from "@fulmarcleat/ids";
 import { createHmac } from "node:crypto";
@@ -14,8 +15,6 @@
 /** Computes the digest of a request; undefined while the key is not known. */
 export type RequestDigester = (content: RequestContent) => RequestDigest | undefined;
 
-/** Prefix that tells digests from ids of prompt parts, which are hexadecimal. */
-export const DIGEST_PREFIX = "request:";
 /** Length of a digest, in hexadecimal digits. */
 const DIGEST_DIGITS = 16;
 
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -1,5 +1,5 @@
 import { parseJson } from "@fulmarcleat/http";
-import type { EngineId, HostId, Incarnation, PromptPart } from "@fulmarcleat/ids";
+import type { EngineId, HostId, Incarnation, Suspect } from "@fulmarcleat/ids";
 import { brandId } from "@fulmarcleat/ids";
 import type { AdapterLoadRequest } from "@fulmarcleat/wire";
 import * as z from "zod";
@@ -53,7 +53,7 @@
     | { readonly kind: "member"; readonly host: HostId }
     | { readonly kind: "owner"; readonly engine: EngineId }
     | { readonly kind: "wants"; readonly host: HostId }
-    | { readonly kind: "quarantine"; readonly part: PromptPart }
+    | { readonly kind: "quarantine"; readonly suspect: Suspect }
     | { readonly kind: "other" };
 
 /**
@@ -76,7 +76,7 @@
         return { kind: "wants", host: brandId(key.slice(LOAD_REQUEST_PREFIX.length)) };
     }
     if (key.startsWith(QUARANTINE_PREFIX)) {
-        return { kind: "quarantine", part: brandId(key.slice(QUARANTINE_PREFIX.length)) };
+        return { kind: "quarantine", suspect: brandId<Suspect>(key.slice(QUARANTINE_PREFIX.length)) };
     }
     return { kind: "other" };
 }
@@ -108,16 +108,16 @@
 }
 
 /**
- * Formats the key that marks a prompt part as quarantined.
+ * Formats the key that marks a prompt part or a request as quarantined.
  *
- * @param part - Id of the prompt part
+ * @param suspect - Id of the prompt part or digest of the request
  * @returns the full key
  *
  * @example
- * formatQuarantineKey(brandId("91bd3f06")); // "fulmarcleat/quarantine/91bd3f06"
+ * formatQuarantineKey(brandId<PromptPart>("91bd3f06")); // "fulmarcleat/quarantine/91bd3f06"
  */
-export function formatQuarantineKey(part: PromptPart): string {
-    return QUARANTINE_PREFIX + part;
+export function formatQuarantineKey(suspect: Suspect): string {
+    return QUARANTINE_PREFIX + suspect;
 }
 
 /**
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -137,8 +137,8 @@
 
 /** A quarantine that holds nothing. */
 const NO_QUARANTINE: Quarantine = {
-    refuses: () => false,
-    refusesSend: () => false,
+    find: () => undefined,
+    findAtSend: () => undefined,
     recordAnswer: () => undefined,
     recordBreak: () => undefined,
     handleCrash: () => ({ quarantined: [] }),
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,11 +1,11 @@
 import type { EngineEntry, EngineRequest, KnownEngine, Service } from "@fulmarcleat/directory";
-import { createRetryWindow } from "@fulmarcleat/dispatch";
-import type { RetryWindow, SharedParts } from "@fulmarcleat/dispatch";
+import { createRetryWindow, readSuspectKind } from "@fulmarcleat/dispatch";
+import type { RetryWindow, Suspects } from "@fulmarcleat/dispatch";
 import { sleep } from "@fulmarcleat/ids";
-import type { EngineId, ServiceName } from "@fulmarcleat/ids";
+import type { EngineId, ServiceName, Suspect } from "@fulmarcleat/ids";
 import type { StreamOrigin } from "@fulmarcleat/wire";
 import { applyAttempt, NO_ATTEMPTS } from "./applyAttempt.js";
-import type { BufferedAnswer, RequestEnd } from "./applyAttempt.js";
+import type { BufferedAnswer, GiveUpReason, RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import { createEngineChooser } from "./createEngineChooser.js";
@@ -41,10 +41,10 @@
 const LEAST_URGENT_RANK = 9;
 /** Expected time until another host may know where a stream began, in milliseconds; basis of the Retry-After. */
 const UNKNOWN_ORIGIN_RETRY_MS = 30;
-/** Expected time until a quarantined prompt is let through again, in milliseconds; basis of the Retry-After. */
+/** Expected time until a quarantined request is let through again, in milliseconds; basis of the Retry-After. */
 const QUARANTINED_RETRY_MS = 60_000;
 /**
- * Time after an answer's first byte from which it speaks for its prompt, in milliseconds; poison requests crash an
+ * Time after an answer's first byte from which it speaks for its request, in milliseconds; poison requests crash an
  * engine sooner.
  */
 const BEGINNING_MS = 500;
@@ -59,7 +59,7 @@
  * @param loadTracker - Load and health of engines as this host observes them
  * @param adapters - Adapters on engines and requests to load them
  * @param streamOrigins - Where streams began that clients resume
- * @param quarantine - Prompt parts that crash engines
+ * @param quarantine - Prompt parts and requests that crash engines
  * @param limits - Limits that engines name
  * @returns the runner
  *
@@ -168,35 +168,38 @@
             loadTracker.recordHealth(id, health);
         }
         const answeredForMs = firstByteMs === undefined ? 0 : clock.nowMs() - sentMs - firstByteMs;
-        recordPrompt(entry, request.head.sharedParts ?? [], result, answeredForMs);
+        recordSuspects(entry, request, result, answeredForMs);
         return result;
     };
-    /** Records whether a prompt was answered, or whether the connection broke while its answer was beginning. */
-    const recordPrompt = (
+    /** Records whether a request was answered, or whether the connection broke while its answer was beginning. */
+    const recordSuspects = (
         entry: EngineEntry,
-        parts: SharedParts,
+        request: ClientRequest,
         result: ExchangeResult,
         answeredForMs: number,
     ): void => {
-        if (parts.length === 0) {
-            return;
-        }
+        const suspects = listSuspects(request);
         switch (result.kind) {
             case "relayed":
                 // An answer that ends with its connection doesn't prove that the engine still runs.
                 if (result.framing !== "connection_end" || answeredForMs >= BEGINNING_MS) {
-                    quarantine.recordAnswer(parts);
+                    quarantine.recordAnswer(suspects);
+                }
+                return;
+            case "answer":
+                // A failed answer says nothing of a prompt, which may not have been read.
+                if (result.head.framing !== "connection_end") {
+                    quarantine.recordAnswer(suspects.filter(suspect => readSuspectKind(suspect) === "request"));
                 }
                 return;
             case "broken":
                 if (answeredForMs >= BEGINNING_MS) {
-                    quarantine.recordAnswer(parts);
+                    quarantine.recordAnswer(suspects);
                 }
                 else if (result.reason !== "silent") {
-                    quarantine.recordBreak(entry, parts);
+                    quarantine.recordBreak(entry, suspects);
                 }
                 return;
-            case "answer":
             case "not_run":
             case "unsent":
             case "cancelled":
@@ -238,9 +241,10 @@
         if (isResumed && stream.origin === undefined) {
             return giveUp(NO_ATTEMPTS, "unknown_origin", UNKNOWN_ORIGIN_RETRY_MS);
         }
-        const parts = request.head.sharedParts ?? [];
-        if (quarantine.refuses(parts)) {
-            return giveUp(NO_ATTEMPTS, "quarantined_prompt", QUARANTINED_RETRY_MS);
+        const suspects = listSuspects(request);
+        const quarantined = quarantine.find(suspects);
+        if (quarantined !== undefined) {
+            return giveUp(NO_ATTEMPTS, describeQuarantine(quarantined), QUARANTINED_RETRY_MS);
         }
         const budget = getRetryBudget(request.service);
         const state: PreparationState = { unownedEngines: new Set(), refusedGrants: 0 };
@@ -270,8 +274,9 @@
                 metrics.count("retries_refused_total", { service: request.service.name });
                 return giveUp(progress, "no_retry_left", REFUSED_RETRY_MS);
             }
-            if (quarantine.refusesSend(parts)) {
-                return giveUp(progress, "quarantined_prompt", QUARANTINED_RETRY_MS);
+            const quarantinedSince = quarantine.findAtSend(suspects);
+            if (quarantinedSince !== undefined) {
+                return giveUp(progress, describeQuarantine(quarantinedSince), QUARANTINED_RETRY_MS);
             }
             const result = await send(request, known, permit, () => startStream(request, known, stream));
             metrics.count("exchanges_total", { result: result.kind });
@@ -306,6 +311,21 @@
 /** Smallest number of hosts that the retry budget is divided among, even if fewer hosts are known. */
 const MIN_HOSTS = 6;
 
+/** Lists what of a request may crash engines. */
+function listSuspects({ head, digest }: ClientRequest): Suspects {
+    const parts = head.sharedParts ?? [];
+    return digest === undefined ? parts : [...parts, digest];
+}
+
+function describeQuarantine(suspect: Suspect): GiveUpReason {
+    switch (readSuspectKind(suspect)) {
+        case "part":
+            return "quarantined_prompt";
+        case "request":
+            return "quarantined_request";
+    }
+}
+
 function mayRetry(request: ClientRequest): boolean {
     switch (request.route.kind) {
         case "safe":
--- a/packages/ids/src/brandId.ts
+++ b/packages/ids/src/brandId.ts
@@ -33,6 +33,8 @@
 export type PromptPart = Branded<"PromptPart">;
 /** Keyed hash of what makes two requests the same: method, host name, path, query and body. */
 export type RequestDigest = Branded<"RequestDigest">;
+/** What may be found to crash engines: a part of prompts, or a request as a whole. */
+export type Suspect = PromptPart | RequestDigest;
 /** Id of a granted place, which is a batch slot of an engine. */
 export type PlaceId = Branded<"PlaceId">;
 /** Name of a loaded adapter on an engine; made of adapter, version and fence. */
