--- a/packages/dispatch/src/createCrashEvidence.feature
+++ b/packages/dispatch/src/createCrashEvidence.feature
@@ -31,6 +31,8 @@
             | two requests at the same crashes | 1:request:p, 1:request:q, 2:request:p, 2:request:q, 3:request:p, 3:request:q | request:p request:q |
             | a request beside one that is found | 1:request:p, 2:request:p, 3:request:p, 4:request:p, 4:request:q, 5:request:p, 5:request:q, 6:request:p, 6:request:q | request:p |
             | a request with a part that crashes engines | 1:x/request:p, 2:x/request:p, 3:x/request:p, 4:x/request:q | x |
+            | another host's finding, without its crashes | !x, 1:y, 2:y, 3:y, 4:y | x y |
+            | another host's finding, with some of its crashes | !x, 1:x/y, 2:x/y, 3:y, 4:y, 5:y, 6:y | x y |
 
     # Guards against a shared part that is held for crashes of engines that fail for reasons of their own.
     Scenario: Crashes for other reasons hold no part that is answered now and then
--- a/packages/dispatch/src/createCrashEvidence.steps.ts
+++ b/packages/dispatch/src/createCrashEvidence.steps.ts
@@ -7,8 +7,8 @@
 /** Time between two events, in milliseconds, unless the event states another. */
 const EVENT_INTERVAL_MS = 400;
 
-/** An event: `+PARTS` is an answer, `-PART` clears a part, and ENGINE:PARTS or ENGINE@INTERVAL:PARTS reports a crash. */
-const EVENT = /^(?:(?<sign>[+-])|(?<engine>\d+)(?:@(?<afterMs>\d+))?:)(?<parts>.*)$/;
+/** An event: `+PARTS` is an answer, `-PART` clears a part, `!PART` is another host's finding, and ENGINE:PARTS or ENGINE@INTERVAL:PARTS reports a crash. */
+const EVENT = /^(?:(?<sign>[+\-!])|(?<engine>\d+)(?:@(?<afterMs>\d+))?:)(?<parts>.*)$/;
 
 function parseParts(text: string): Suspects {
     return text.split("/").map(part => brandId<Suspect>(part));
@@ -25,6 +25,12 @@
         if (sign === "+") {
             evidence.recordAnswer(parts, atMs);
         }
+        else if (sign === "!") {
+            parts.forEach(part => {
+                evidence.accept(part);
+                found.add(part);
+            });
+        }
         else if (sign === "-") {
             parts.forEach(part => {
                 evidence.clear(part);
--- a/packages/dispatch/src/createCrashEvidence.ts
+++ b/packages/dispatch/src/createCrashEvidence.ts
@@ -143,13 +143,17 @@
         found.delete(suspect);
         crashes.forEach(crash => crash.suspects.delete(suspect));
     };
-    /** Lists the found suspects that were there only at crashes that the suspect explains too, and at fewer. */
+    /**
+     * Lists the found suspects that were there only at crashes that the suspect explains too, and at fewer. A finding of
+     * another host stays if this host doesn't know the crashes that it rests on.
+     */
     const listExplained = (suspect: Suspect): Suspects => {
         const all = [...crashes.values()];
         const explained = all.filter(crash => crash.suspects.has(suspect)).length;
         return [...found].filter(other => {
             const others = all.filter(crash => crash.suspects.has(other));
-            return others.length < explained && others.every(crash => crash.suspects.has(suspect));
+            return others.length >= TERMS[readSuspectKind(other)].crashes && others.length < explained
+                && others.every(crash => crash.suspects.has(suspect));
         });
     };
     return {
