--- a/packages/dispatch/src/createCrashEvidence.feature
+++ b/packages/dispatch/src/createCrashEvidence.feature
@@ -33,6 +33,9 @@
             | a request with a part that crashes engines | 1:x/request:p, 2:x/request:p, 3:x/request:p, 4:x/request:q | x |
             | another host's finding, without its crashes | !x, 1:y, 2:y, 3:y, 4:y | x y |
             | another host's finding, with some of its crashes | !x, 1:x/y, 2:x/y, 3:y, 4:y, 5:y, 6:y | x y |
+            | an engine that is back under its id, as the same run | 1:request:p, 1@2500:request:p, 1@2500:request:p | request:p |
+            | a part at such an engine | 1:x, 1@2500:x, 1@2500:x, 1@2500:x | x |
+            | late reports of one crash | 1:request:p, 1:request:p, 1:request:p, 1:request:p | |
 
     # Guards against a shared part that is held for crashes of engines that fail for reasons of their own.
     Scenario: Crashes for other reasons hold no part that is answered now and then
--- a/packages/dispatch/src/createCrashEvidence.ts
+++ b/packages/dispatch/src/createCrashEvidence.ts
@@ -39,6 +39,7 @@
 }
 
 interface Crash {
+    readonly engine: string;
     readonly atMs: number;
     /** Suspects that were there, with their position in the request. */
     readonly suspects: Map<Suspect, number>;
@@ -72,6 +73,11 @@
         maxAnswered: 4000,
     },
 };
+/**
+ * Time within which reports belong to one crash, in milliseconds. An engine may be back under its id after some seconds,
+ * and while the store is away, hosts don't know its new start time.
+ */
+const SAME_CRASH_MS = 2000;
 /** Time for which an answer speaks for the suspects of its request, in milliseconds. */
 const ANSWER_MEMORY_MS = 60_000;
 /** Time for which a crash is remembered, in milliseconds. */
@@ -98,18 +104,23 @@
  */
 export function createCrashEvidence(): CrashEvidence {
     const answeredMs = { part: new Map<Suspect, number>(), request: new Map<Suspect, number>() };
-    const crashes = new Map<string, Crash>();
+    const crashes = new Set<Crash>();
+    /** The last crash of each run of an engine. */
+    const lastCrashes = new Map<string, Crash>();
     const found = new Set<Suspect>();
 
     const readAnsweredMs = (suspect: Suspect): number | undefined => answeredMs[readSuspectKind(suspect)].get(suspect);
     const wasAnswered = (suspect: Suspect, atMs: number): boolean =>
         atMs - (readAnsweredMs(suspect) ?? -Infinity) < ANSWER_MEMORY_MS;
     const forgetCrashes = (atMs: number): void => {
-        for (const [oldest, { atMs: crashedMs }] of crashes) {
-            if (crashes.size <= MAX_CRASHES && atMs - crashedMs < CRASH_MEMORY_MS) {
+        for (const oldest of crashes) {
+            if (crashes.size <= MAX_CRASHES && atMs - oldest.atMs < CRASH_MEMORY_MS) {
                 break;
             }
             crashes.delete(oldest);
+            if (lastCrashes.get(oldest.engine) === oldest) {
+                lastCrashes.delete(oldest.engine);
+            }
         }
     };
     const isExplained = (crash: Crash, kinds: readonly SuspectKind[]): boolean =>
@@ -121,7 +132,7 @@
             .filter(([suspect]) => readSuspectKind(suspect) === kind && !wasAnswered(suspect, atMs))
             .map(([suspect, position]) => {
                 const sinceMs = readAnsweredMs(suspect) ?? -Infinity;
-                const all = [...crashes.values()].filter(other => other.suspects.has(suspect) && other.atMs > sinceMs);
+                const all = [...crashes].filter(other => other.suspects.has(suspect) && other.atMs > sinceMs);
                 const unexplained = all.filter(other => !isExplained(other, terms.explainedBy));
                 return {
                     suspect,
@@ -148,7 +159,7 @@
      * another host stays if this host doesn't know the crashes that it rests on.
      */
     const listExplained = (suspect: Suspect): Suspects => {
-        const all = [...crashes.values()];
+        const all = [...crashes];
         const explained = all.filter(crash => crash.suspects.has(suspect)).length;
         return [...found].filter(other => {
             const others = all.filter(crash => crash.suspects.has(other));
@@ -174,13 +185,17 @@
             }
         },
         recordCrash(engine, requests, atMs) {
-            const crash = crashes.get(engine) ?? { atMs, suspects: new Map<Suspect, number>() };
-            crashes.set(engine, crash);
+            const last = lastCrashes.get(engine);
+            const crash = last !== undefined && atMs - last.atMs < SAME_CRASH_MS
+                ? last
+                : { engine, atMs, suspects: new Map<Suspect, number>() };
+            crashes.add(crash);
+            lastCrashes.set(engine, crash);
             requests.forEach(suspects => addSuspects(crash, suspects));
             forgetCrashes(atMs);
         },
         judgeCrash(engine, atMs) {
-            const crash = crashes.get(engine);
+            const crash = lastCrashes.get(engine);
             if (crash === undefined) {
                 return { kind: "unclear" };
             }
--- a/packages/front/src/createQuarantine.feature
+++ b/packages/front/src/createQuarantine.feature
@@ -72,6 +72,7 @@
             | 8     | 1     | 1      | messages are late by up to 800 ms                  |
             | 8     | 1     | 1      | store falls silent                                 |
             | 8     | 1     | 1      | engines also crash for other reasons, each 2000 ms |
+            | 8     | 2     | 4      | store falls silent                                 |
             | 40    | 1     | 1      | messages all arrive                                |
             | 40    | 2     | 4      | messages are lost, 30 in 100                       |
             | 40    | 1     | 1      | store falls silent                                 |
