--- a/packages/dispatch/src/createCrashEvidence.feature
+++ b/packages/dispatch/src/createCrashEvidence.feature
@@ -36,6 +36,9 @@
             | an engine that is back under its id, as the same run | 1:request:p, 1@2500:request:p, 1@2500:request:p | request:p |
             | a part at such an engine | 1:x, 1@2500:x, 1@2500:x, 1@2500:x | x |
             | late reports of one crash | 1:request:p, 1:request:p, 1:request:p, 1:request:p | |
+            | a burst of requests with a part, and one more | 1:x, 2@0:x, 3@0:x, 4@0:x, 5@0:x, 6@0:x, 7@2500:x | x |
+            | a part at some of the engines that lose power | 1:x, 2@0:x, 3@0:x, 4@0:y, 5@2500:x, 6@0:x, 7@0:y | |
+            | a part at two engines that lose power together | 1:x, 2@0:x, 3@2500:x | |
 
     # Guards against a shared part that is held for crashes of engines that fail for reasons of their own.
     Scenario: Crashes for other reasons hold no part that is answered now and then
--- a/packages/dispatch/src/createCrashEvidence.ts
+++ b/packages/dispatch/src/createCrashEvidence.ts
@@ -51,8 +51,10 @@
     readonly crashes: number;
     /** Number of these that nothing else explains. */
     readonly unexplained: number;
-    /** Engines that crash within this time of each other count once, in milliseconds; they may have lost power together. */
+    /** Engines that crash within this time of each other, in milliseconds, may have lost power together. */
     readonly sameAccidentMs: number;
+    /** Most crashes that count of such an accident, if the suspect was there at each. */
+    readonly maxPerAccident: number;
     /** Kinds of found suspects that explain a crash. */
     readonly explainedBy: readonly SuspectKind[];
     /** Most answered suspects that are remembered; the one answered longest ago is dropped first. */
@@ -64,11 +66,19 @@
  * and engines that lose power together hold different requests.
  */
 const TERMS: Readonly<Record<SuspectKind, FindingTerms>> = {
-    part: { crashes: 4, unexplained: 2, sameAccidentMs: 50, explainedBy: ["part"], maxAnswered: 20_000 },
+    part: {
+        crashes: 4,
+        unexplained: 2,
+        sameAccidentMs: 50,
+        maxPerAccident: 3,
+        explainedBy: ["part"],
+        maxAnswered: 20_000,
+    },
     request: {
         crashes: 3,
         unexplained: 1,
         sameAccidentMs: 0,
+        maxPerAccident: 1,
         explainedBy: ["part", "request"],
         maxAnswered: 4000,
     },
@@ -128,6 +138,9 @@
     /** Lists the suspects of one kind for which a crash and those before it suffice, the likeliest first. */
     const listSuspicious = (crash: Crash, kind: SuspectKind, atMs: number): Suspects => {
         const terms = TERMS[kind];
+        const accidents = groupAccidents(crashes, terms.sameAccidentMs);
+        const count = (suspect: Suspect, counted: readonly Crash[]): number =>
+            countCrashes(suspect, accidents, new Set(counted), terms.maxPerAccident);
         return [...crash.suspects]
             .filter(([suspect]) => readSuspectKind(suspect) === kind && !wasAnswered(suspect, atMs))
             .map(([suspect, position]) => {
@@ -137,8 +150,8 @@
                 return {
                     suspect,
                     position,
-                    all: countAccidents(all, terms.sameAccidentMs),
-                    unexplained: countAccidents(unexplained, terms.sameAccidentMs),
+                    all: count(suspect, all),
+                    unexplained: count(suspect, unexplained),
                 };
             })
             .filter(({ all, unexplained }) => all >= terms.crashes && unexplained >= terms.unexplained)
@@ -215,17 +228,38 @@
     };
 }
 
-/** Counts crashes; those that follow each other within a time count as one. */
-function countAccidents(crashes: readonly Crash[], sameAccidentMs: number): number {
-    let count = 0;
-    let lastMs = -Infinity;
-    for (const { atMs } of crashes) {
-        if (atMs - lastMs >= sameAccidentMs) {
-            count += 1;
-            lastMs = atMs;
+/** Groups crashes that follow each other within a time. */
+function groupAccidents(crashes: Iterable<Crash>, sameAccidentMs: number): readonly (readonly Crash[])[] {
+    const groups: Crash[][] = [];
+    for (const crash of crashes) {
+        const last = groups.at(-1);
+        const [first] = last ?? [];
+        if (first !== undefined && crash.atMs - first.atMs < sameAccidentMs) {
+            last?.push(crash);
+        }
+        else {
+            groups.push([crash]);
         }
     }
-    return count;
+    return groups;
+}
+
+/**
+ * Counts crashes under a suspect. Of an accident, several count if the suspect was there at each of its crashes, as in a
+ * burst of requests with it; if engines without it went too, one counts.
+ */
+function countCrashes(
+    suspect: Suspect,
+    accidents: readonly (readonly Crash[])[],
+    counted: ReadonlySet<Crash>,
+    maxPerAccident: number,
+): number {
+    const counts = accidents.map(accident => {
+        const count = accident.filter(crash => counted.has(crash)).length;
+        const most = accident.every(crash => crash.suspects.has(suspect)) ? maxPerAccident : 1;
+        return Math.min(count, most);
+    });
+    return counts.reduce((sum, count) => sum + count, 0);
 }
 
 function addSuspects(crash: Crash, suspects: Suspects): void {
--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -328,7 +328,7 @@
     };
     const sendRequests = (isPoison: boolean): void => {
         const name = drawName(isPoison);
-        for (let copy = 0; copy < (isPoison ? options.plain?.copies ?? 1 : 1); copy += 1) {
+        for (let copy = 0; copy < (isPoison ? options.copies ?? 1 : 1); copy += 1) {
             sendRequest(isPoison, name);
         }
     };
--- a/packages/front/src/createQuarantine.feature
+++ b/packages/front/src/createQuarantine.feature
@@ -19,6 +19,21 @@
             | 40    | messages are lost, 30 in 100                       |
             | 40    | store falls silent                                 |
 
+    # Guards against bursts of such requests, which crash several engines at once, taken for a loss of power.
+    Scenario Outline: <copies> at a time, <hosts> hosts, <faults>
+        Given a fleet of <hosts> hosts that get requests that crash engines <copies> at a time, and whose <faults>
+        When clients send requests for 10 s, and for 30 s more with 15 in 100 that crash engines
+        Then at most 3 of these reach engines later than 3000 ms after the fifth crash
+        And no sound request is refused for its prompt
+
+        Examples:
+            | hosts | copies | faults                       |
+            | 8     | 6      | messages all arrive          |
+            | 8     | 12     | messages all arrive          |
+            | 8     | 6      | messages are lost, 30 in 100 |
+            | 8     | 6      | store falls silent           |
+            | 40    | 6      | messages all arrive          |
+
     # Guards against sound requests that are refused since their engines failed for other reasons.
     Scenario Outline: Engines that crash for other reasons hold no prompt back: <faults>
         Given a fleet of 8 hosts whose <faults>
--- a/packages/front/src/createQuarantine.steps.ts
+++ b/packages/front/src/createQuarantine.steps.ts
@@ -8,14 +8,14 @@
 
 let fleets: FrontFleet[] = [];
 let isStoreSilent = false;
-let crashesBefore = 0;
+const crashesBefore = new Map<FrontFleet, number>();
 
 Given(
     /^a fleet of (\d+) hosts whose (.*)$/,
     (hosts: string, faults: string) => startFleets({ hosts: Number(hosts) }, faults),
 );
 
-async function startFleets(size: Pick<FrontFleetOptions, "hosts" | "plain">, faults: string): Promise<void> {
+async function startFleets(size: Pick<FrontFleetOptions, "copies" | "hosts" | "plain">, faults: string): Promise<void> {
     isStoreSilent = faults === "store falls silent";
     fleets = [];
     for (let seed = 1; seed <= SEEDS; seed += 1) {
@@ -26,11 +26,17 @@
 Given(
     /^a fleet of (\d+) hosts before a plain service, (\d+) of whose requests crash engines, (\d+) at a time, and whose (.*)$/,
     async (hosts: string, poisonKinds: string, copies: string, faults: string) => {
-        const plain = { poisonKinds: Number(poisonKinds), copies: Number(copies) };
-        await startFleets({ hosts: Number(hosts), plain }, faults);
+        const plain = { poisonKinds: Number(poisonKinds) };
+        await startFleets({ hosts: Number(hosts), plain, copies: Number(copies) }, faults);
     },
 );
 
+Given(
+    /^a fleet of (\d+) hosts that get requests that crash engines (\d+) at a time, and whose (.*)$/,
+    (hosts: string, copies: string, faults: string) =>
+        startFleets({ hosts: Number(hosts), copies: Number(copies) }, faults),
+);
+
 When(
     "clients send requests for {int} s, and for {int} s more with {int} in 100 that crash engines",
     async (soundS: number, poisonS: number, percent: number) => {
@@ -123,7 +129,7 @@
     for (const fleet of fleets) {
         fleet.setPoisonous(word === "still");
         await fleet.wait(seconds * 1000);
-        crashesBefore = fleet.poisonCrashesMs.length;
+        crashesBefore.set(fleet, fleet.poisonCrashesMs.length);
     }
 });
 
@@ -136,8 +142,9 @@
 Then(
     "they crash {int} engine(s) more, and the last of them is {word}",
     (crashes: number, end: "refused" | "answered") => {
-        for (const { requests, poisonCrashesMs } of fleets) {
-            strictEqual(poisonCrashesMs.length - crashesBefore, crashes);
+        for (const fleet of fleets) {
+            const { requests, poisonCrashesMs } = fleet;
+            strictEqual(poisonCrashesMs.length - (crashesBefore.get(fleet) ?? 0), crashes);
             const last = requests.filter(({ isPoison }) => isPoison).at(-1);
             strictEqual(last?.refusal === undefined ? "answered" : "refused", end);
         }
--- a/packages/front/src/frontFleet.steps.ts
+++ b/packages/front/src/frontFleet.steps.ts
@@ -19,9 +19,9 @@
     readonly plain?: {
         /** Number of different requests that crash each engine that runs them. */
         readonly poisonKinds: number;
-        /** How often such a request comes at the same moment, each time at another host. */
-        readonly copies: number;
     };
+    /** How many requests that crash engines come at the same moment, at any hosts; 1 if it is left out. */
+    readonly copies?: number;
 }
 
 /** The rate of requests that some engines name in their answers. */
