--- a/packages/front/src/createEngineLimits.feature
+++ b/packages/front/src/createEngineLimits.feature
@@ -19,6 +19,7 @@
             | 8 | 3 | 4 | 50 | messages all arrive | 90 |
             | 40 | 1 | 1 | 25 | messages all arrive | 90 |
             | 40 | 6 | 1 | 25 | messages are lost, 30 in 100 | 60 |
+            | 86 | 1 | 1 | 25 | messages all arrive | 90 |
 
     # Guards against an engine that gets too much, or nothing, when the host that grants its requests is gone.
     Scenario Outline: The hosts that grant stop while <faults>
