--- a/packages/dispatch/src/createRateGrants.ts
+++ b/packages/dispatch/src/createRateGrants.ts
@@ -43,6 +43,7 @@
 const RETURN_MS = 2500;
 /** Longest time until which requests are spread over the rate, in milliseconds. */
 const MAX_READY_MS = 4000;
+/** Milliseconds in a second. */
 const MS_PER_S = 1000;
 
 /**
--- a/packages/front/src/createEngineLimits.ts
+++ b/packages/front/src/createEngineLimits.ts
@@ -71,7 +71,7 @@
     readonly engine: EngineId;
     readonly bornMs: number | undefined;
     limit: HeardLimit | undefined;
-    /** Grants of this host; undefined until it is asked for one. */
+    /** Grants that this host gives if it is the granter or its substitute; undefined until a limit is known. */
     grants: RateGrants | undefined;
     /** Clock readings of this host's sends without a grant, in milliseconds. */
     sendsMs: number[];
@@ -102,13 +102,14 @@
 const MAX_RETURN_MS = 4000;
 /** Rate at which clients are told to return at an engine that names a lower one, in requests a second. */
 const MIN_PER_S = 0.1;
+/** Milliseconds in a second. */
 const MS_PER_S = 1000;
 /** Most runs of engines that are remembered; the oldest is dropped first. */
 const MAX_RECORDS = 20_000;
 
 /**
  * Creates the limits of engines. For each engine that names one, a granter that all hosts rank alike grants the requests
- * of all hosts; the hosts ranked after it take its place at half the rate.
+ * of all hosts; the host ranked next takes its place at half the rate.
  *
  * @param context - Clock, hash, metrics and log
  * @param clusterView - Live hosts, and engines that are removed
@@ -176,14 +177,14 @@
         record.sendsMs = record.sendsMs.filter(sentMs => nowMs - sentMs < SENDS_MEMORY_MS);
         return record.sendsMs.map(sentMs => nowMs - sentMs);
     };
-    const state = ({ perSecond, sentMs, heardMs }: HeardLimit): LimitStatement => {
+    const toStatement = ({ perSecond, sentMs, heardMs }: HeardLimit): LimitStatement => {
         const nowMs = clock.nowMs();
         return { perSecond, sentAgoMs: nowMs - sentMs, heardAgoMs: nowMs - heardMs };
     };
     const createNotice = (record: EngineRecord, limit: HeardLimit): LimitNotice => ({
         engine: record.engine,
         bornMs: record.bornMs,
-        limit: state(limit),
+        limit: toStatement(limit),
         sendsAgoMs: listSendsAgoMs(record),
     });
     const recordSends = (record: EngineRecord, host: HostId, sendsAgoMs: readonly number[]): void => {
@@ -276,7 +277,7 @@
         const record = learnFromPeer(request, from);
         const { limit, grants } = record;
         if (limit?.perSecond === undefined || grants === undefined) {
-            return { kind: "unlimited", limit: limit === undefined ? request.limit : state(limit) };
+            return { kind: "unlimited", limit: limit === undefined ? request.limit : toStatement(limit) };
         }
         recordSends(record, deployment.host, listSendsAgoMs(record));
         const { priority, isSubstitute } = request;
--- a/packages/front/src/createQuarantine.ts
+++ b/packages/front/src/createQuarantine.ts
@@ -49,8 +49,9 @@
 const JUDGES_KEY = "engine crashes";
 /** Time for reports of one crash to arrive before it is judged, in milliseconds. */
 const GATHER_MS = 120;
-/** Most calls by which a host finds out whether an engine has crashed, and the delay between two, in milliseconds. */
+/** Most calls by which a host finds out whether an engine has crashed. */
 const MAX_PROBES = 3;
+/** Delay between two of these calls, in milliseconds. */
 const PROBE_DELAY_MS = 50;
 /** Delay of each judge behind the one ranked before it when it writes a finding to the store, in milliseconds. */
 const WRITE_DELAY_PER_RANK_MS = 60;
