--- /dev/null
+++ b/packages/dispatch/src/readSuspectKind.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { readSuspectKind } from "./readSuspectKind.js";
+
+registerTable("readSuspectKind", readSuspectKind);
--- a/packages/front/src/createEnginePreparer.ts
+++ b/packages/front/src/createEnginePreparer.ts
@@ -55,7 +55,7 @@
 export const NO_ENGINE_RETRY_MS = 400;
 
 /**
- * Creates the step before a send.
+ * Creates the step before a send: the choice of an engine, the right to send to it, and the adapter there.
  *
  * @param context - Clock, metrics and log
  * @param chooser - Chooses among engines
@@ -159,7 +159,7 @@
         if (mayShed(request) && shouldShed(describeShedTerms(request, expectedMs, clock.nowMs()))) {
             return { kind: "over", end: giveUp(progress, "overloaded", expectedMs - request.route.goalMs) };
         }
-        // Asked before the adapter is loaded: a load for a request that can't be sent is one more burden.
+        // Before the adapter is loaded, so that no load is ordered for a request that can't be sent.
         const permit = await limits.acquire(known.entry, priority);
         if (permit.kind === "refused") {
             state.refusedGrants += 1;
--- a/packages/front/src/createQuarantine.feature
+++ b/packages/front/src/createQuarantine.feature
@@ -1,4 +1,4 @@
-Feature: Requests with a part in their prompts that crashes engines stop reaching them
+Feature: Requests that crash engines, by a part of their prompts or by themselves, stop reaching them
 
     # Guards against requests of one kind that crash one engine after the other, at whichever host they come.
     Scenario Outline: <hosts> hosts, <faults>
--- /dev/null
+++ b/packages/front/src/describeHealth.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { describeHealth } from "./describeHealth.js";
+
+registerTable("describeHealth", describeHealth);
