--- a/packages/dispatch/src/createRateGrants.feature
+++ b/packages/dispatch/src/createRateGrants.feature
@@ -7,16 +7,16 @@
         And at least <used> in 100 of the limit is used
 
         Examples:
-            | rate | demand | before | substitute              | used |
-            | 1    | 25     | 0      | alone                   | 90   |
-            | 1.4  | 25     | 0      | and a substitute        | 90   |
-            | 1    | 100    | 8      | and a substitute        | 85   |
-            | 0.3  | 25     | 0      | and a substitute        | 90   |
-            | 0    | 25     | 5      | and a substitute        | 0    |
-            | 8    | 25     | 0      | alone                   | 90   |
-            | 20   | 100    | 30     | and a substitute        | 90   |
-            | 50   | 60     | 40     | alone                   | 90   |
-            | 5    | 2      | 0      | alone                   | 28   |
+            | rate | demand | before | substitute       | used |
+            | 1    | 25     | 0      | alone            | 90   |
+            | 1.4  | 25     | 0      | and a substitute | 90   |
+            | 1    | 100    | 8      | and a substitute | 85   |
+            | 0.3  | 25     | 0      | and a substitute | 90   |
+            | 0    | 25     | 5      | and a substitute | 0    |
+            | 8    | 25     | 0      | alone            | 90   |
+            | 20   | 100    | 30     | and a substitute | 90   |
+            | 50   | 60     | 40     | alone            | 90   |
+            | 5    | 2      | 0      | alone            | 28   |
 
     # Guards against urgent requests that wait while others take what there is.
     Scenario: More urgent requests go first, others get what these leave
--- a/packages/front/src/createEngineLimits.feature
+++ b/packages/front/src/createEngineLimits.feature
@@ -8,18 +8,18 @@
         And from 5000 ms on they get at least <used> in 100 of it
 
         Examples:
-            | hosts | engines | rate | demand | faults | used |
-            | 8 | 1 | 1.4 | 25 | messages all arrive | 90 |
-            | 8 | 2 | 1 | 25 | messages are lost, 30 in 100 | 60 |
-            | 8 | 2 | 1.2 | 25 | messages are late by up to 150 ms | 80 |
-            | 8 | 2 | 1.2 | 25 | store falls silent | 90 |
-            | 8 | 6 | 2 | 25 | messages all arrive | 90 |
-            | 8 | 6 | 0.5 | 12 | messages are lost, 30 in 100 | 60 |
-            | 8 | 1 | 0 | 12 | messages all arrive | 0 |
-            | 8 | 3 | 4 | 50 | messages all arrive | 90 |
-            | 40 | 1 | 1 | 25 | messages all arrive | 90 |
-            | 40 | 6 | 1 | 25 | messages are lost, 30 in 100 | 60 |
-            | 86 | 1 | 1 | 25 | messages all arrive | 90 |
+            | hosts | engines | rate | demand | faults                            | used |
+            | 8     | 1       | 1.4  | 25     | messages all arrive               | 90   |
+            | 8     | 2       | 1    | 25     | messages are lost, 30 in 100      | 60   |
+            | 8     | 2       | 1.2  | 25     | messages are late by up to 150 ms | 80   |
+            | 8     | 2       | 1.2  | 25     | store falls silent                | 90   |
+            | 8     | 6       | 2    | 25     | messages all arrive               | 90   |
+            | 8     | 6       | 0.5  | 12     | messages are lost, 30 in 100      | 60   |
+            | 8     | 1       | 0    | 12     | messages all arrive               | 0    |
+            | 8     | 3       | 4    | 50     | messages all arrive               | 90   |
+            | 40    | 1       | 1    | 25     | messages all arrive               | 90   |
+            | 40    | 6       | 1    | 25     | messages are lost, 30 in 100      | 60   |
+            | 86    | 1       | 1    | 25     | messages all arrive               | 90   |
 
     # Guards against an engine that gets too much, or nothing, when the host that grants its requests is gone.
     Scenario Outline: The hosts that grant stop while <faults>
