Count and log each client connection that the server closes by itself

Beside the users' line "neither an answer nor a refusal" the logs could tell a stream that this host cut (401, isCut) but not a connection that Node.js closed by its idle or head timer: that was logged as the client's leaving (407). client_closes_total{reason,serving} and event 415 tell them apart; what Node.js does in these cases is kept.

--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -32,6 +32,7 @@
 import { startOwnership } from "./startOwnership.js";
 import { startSession } from "./startSession.js";
 import { createStoreHealth } from "./storeHealth.js";
+import { watchClientConnections } from "./watchClientConnections.js";
 import { watchSettings } from "./watchSettings.js";
 
 /** Longest time to open a connection to an engine, in milliseconds. */
@@ -111,6 +112,7 @@
     });
     clients.on("request", (req, res) => handler.handle(req, res));
     clients.requestTimeout = 0;
+    watchClientConnections(clients, { log, metrics });
     const readiness = createServer((req, res) => {
         const isReadinessRequest = isReadinessCall(req.method, req.url);
         res.writeHead(!isReadinessRequest ? 404 : isReady() ? 200 : 503).end();
