--- a/packages/front/src/watchClientConnections.ts
+++ b/packages/front/src/watchClientConnections.ts
@@ -15,6 +15,7 @@
     HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
     ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
+/** Status of the response to any other request that can't be read. */
 const BAD_REQUEST = 400;
 /** Prefixes of the codes of errors for which this host closes a connection; others come from the connection itself. */
 const OWN_CODES = /^(HPE_|ERR_HTTP_)/;
