Don't count an engine as silent while its client takes nothing

A client that reads slowly pauses the exchange, and the host reads nothing more from the engine. The silence timer ran on, so a sound engine counted as failed and the stream was moved to another one.

--- a/packages/front/src/runExchange.feature
+++ b/packages/front/src/runExchange.feature
@@ -23,3 +23,11 @@
             | after an event with CRLF line ends    | id: 1\\r\\ndata: a\\r\\n\\r\\n           | connection_end | by whole events | relayed  | id: 1\\r\\ndata: a\\r\\n\\r\\n           | a complete    |
             | inside an event with CRLF line ends   | id: 1\\r\\n\\r\\nid: 2\\r\\n             | connection_end | by whole events | broken   | id: 1\\r\\n\\r\\n                        | an incomplete |
             | a stream without events               |                                          | connection_end | by whole events | relayed  |                                          | a complete    |
+
+    # Guards against a sound engine that counts as silent because the client takes no more bytes.
+    Scenario: An engine is not silent while the client takes nothing
+        Given an exchange whose engine may be silent for 1000 ms
+        When the client takes nothing for 5000 ms after the first event
+        Then the engine has counted as silent 0 times
+        When the client takes bytes again and the engine sends none for 2500 ms
+        Then the engine has counted as silent 2 times
--- a/packages/front/src/runExchange.steps.ts
+++ b/packages/front/src/runExchange.steps.ts
@@ -1,10 +1,11 @@
-import type { AnswerFraming, EngineRequest } from "@fulmarcleat/directory";
+import type { AnswerFraming, AnswerSink, EngineRequest } from "@fulmarcleat/directory";
 import { listen } from "@fulmarcleat/http";
-import { brandId, createSystemClock } from "@fulmarcleat/ids";
-import type { EngineId, RequestId } from "@fulmarcleat/ids";
+import { brandId, createManualClock, createSystemClock } from "@fulmarcleat/ids";
+import type { EngineId, ManualClock, RequestId } from "@fulmarcleat/ids";
 import { createEngineTransport } from "@fulmarcleat/platform";
 import { After, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { createServer as createHttpServer, get } from "node:http";
+import type { ServerResponse } from "node:http";
 import { createServer } from "node:net";
 import type { Server } from "node:net";
 import { createAnswerRelay } from "./relayAnswer.js";
@@ -16,6 +17,9 @@
 let exchange = "";
 let received = "";
 let isComplete = false;
+let clock: ManualClock;
+let silences = 0;
+let setTaking: (isTaking: boolean) => void = () => undefined;
 
 Given(
     /^an engine whose stream is "(.*)", its end stated by (\w+), before it closes the connection$/,
@@ -72,6 +76,69 @@
     },
 );
 
+Given("an exchange whose engine may be silent for {int} ms", (silenceMs: number) => {
+    clock = createManualClock(0);
+    silences = 0;
+    let isTaking = true;
+    let drain = (): void => undefined;
+    let sink: AnswerSink | undefined;
+    const res = {
+        writeHead: () => undefined,
+        write: () => isTaking,
+        once: (event: string, listener: () => void) => void (drain = listener),
+    } as unknown as ServerResponse;
+    void runExchange(createRequest(), {
+        transport: {
+            send(req, next) {
+                sink = next;
+                return { cancel: () => undefined, resume: () => undefined };
+            },
+            forget: () => undefined,
+            close: () => undefined,
+        },
+        clock,
+        relay: createAnswerRelay(res, { sendsCompleteEvents: true, isClosing: () => false }),
+        signal: new AbortController().signal,
+        silenceMs,
+        onSilent: () => void (silences += 1),
+        onAccept: () => undefined,
+        onStart: () => undefined,
+        onBytes: () => undefined,
+        onHead: () => undefined,
+    });
+    sink?.head({
+        status: 200,
+        framing: "chunks",
+        headers: [],
+        requestId: REQUEST_ID,
+        isNotRun: false,
+        load: undefined,
+        limit: { kind: "none" },
+        instance: undefined,
+    });
+    setTaking = next => {
+        isTaking = next;
+        if (isTaking) {
+            drain();
+        }
+        else {
+            sink?.piece(Buffer.from("id: 1\n\n"));
+        }
+    };
+});
+
+When("the client takes nothing for {int} ms after the first event", (ms: number) => {
+    setTaking(false);
+    clock.advance(ms);
+});
+
+When("the client takes bytes again and the engine sends none for {int} ms", (ms: number) => {
+    setTaking(true);
+    clock.advance(ms);
+});
+
+Then("the engine has counted as silent {int} times", (count: number) => strictEqual(silences, count));
+
 After(() => servers.splice(0).forEach(server => server.close()));
 
 /** Sends a request and records the text that arrives and whether HTTP calls the response complete. */
--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -128,7 +128,12 @@
                         options.onStart();
                     }
                     if (!canTakeMore) {
-                        relay.onDrain(() => exchange.resume());
+                        // The engine can't send while the client takes nothing.
+                        cancelSilenceTimer();
+                        relay.onDrain(() => {
+                            restartSilenceTimer();
+                            exchange.resume();
+                        });
                     }
                     return canTakeMore;
                 }
