--- a/packages/events/src/eventCatalogue.ts
+++ b/packages/events/src/eventCatalogue.ts
@@ -47,6 +47,7 @@
     411: "engine limit changed",
     412: "engine limit unreadable",
     413: "engine not crashed",
+    414: "forwarded request refused",
     500: "configuration in force",
     501: "configuration incomplete",
     502: "change accepted",
--- /dev/null
+++ b/packages/front/src/readHeader.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { readHeader } from "./readHeader.js";
+
+registerTable("readHeader", readHeader);
--- /dev/null
+++ b/packages/front/src/readRetryAfterMs.ts
@@ -0,0 +1,20 @@
+import { readHeader } from "./readHeader.js";
+
+/** Milliseconds in a second. */
+const MS_PER_S = 1000;
+/** Seconds as a decimal number without a sign. */
+const SECONDS = /^\d+(\.\d+)?$/;
+
+/**
+ * Reads after which time a refused request may be sent again.
+ *
+ * @param headers - Alternating header names and values of the answer
+ * @returns the time in milliseconds; undefined if the answer states none in seconds
+ *
+ * @example
+ * readRetryAfterMs(["Retry-After", "0.030"]); // 30
+ */
+export function readRetryAfterMs(headers: readonly string[]): number | undefined {
+    const text = readHeader(headers, "retry-after")?.trim() ?? "";
+    return SECONDS.test(text) ? Math.round(Number(text) * MS_PER_S) : undefined;
+}
--- /dev/null
+++ b/packages/front/src/removeHeaders.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { removeHeaders } from "./removeHeaders.js";
+
+registerTable("removeHeaders", removeHeaders);
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,3 +1,4 @@
+export { computeMac } from "./computeMac.js";
 export type * from "./crashMessages.js";
 export { createFrameReader } from "./createFrameReader.js";
 export type { FrameReader, FrameReaderOptions } from "./createFrameReader.js";
@@ -7,6 +8,7 @@
 export type { PeerHandlers, PeerServer, PeerServerOptions } from "./createPeerServer.js";
 export { encodeFrame } from "./encodeFrame.js";
 export type { Frame } from "./frame.js";
+export { isSameMac } from "./isSameMac.js";
 export type * from "./limitMessages.js";
 export type * from "./messages.js";
 export type * from "./residencyMessages.js";
