--- a/packages/front/src/applyAttempt.ts
+++ b/packages/front/src/applyAttempt.ts
@@ -27,6 +27,8 @@
 export type GiveUpReason =
     | "no_engine"
     | "no_room"
+    /** This host reaches no engine of the service, and no other host took the request. */
+    | "no_path"
     /** All engines have reached the limits that they name. */
     | "limited"
     | "overloaded"
--- a/packages/front/src/clientRequest.ts
+++ b/packages/front/src/clientRequest.ts
@@ -2,6 +2,7 @@
 import type { RequestDigest, RequestId } from "@fulmarcleat/ids";
 import type { ClientHead } from "@fulmarcleat/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ForwardMark } from "./forwardMark.js";
 import type { AnswerRelay } from "./relayAnswer.js";
 import type { RequestedAdapter } from "./startAdapterTracker.js";
 
@@ -26,6 +27,8 @@
     readonly signal: AbortSignal;
     /** Clock readings of the last send and of the answer's first byte, in milliseconds. */
     readonly times: { sentMs: number | undefined; firstByteMs: number | undefined };
+    /** What another host states that has handed the request to this one; undefined if a client sent it here. */
+    readonly mark: ForwardMark | undefined;
     /** Streams the answer to the client; undefined if the whole answer is buffered first. */
     readonly relay: AnswerRelay | undefined;
 }
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -1,13 +1,14 @@
 import { canFinishBeforeStop, chooseRetryAfter } from "@fulmarcleat/dispatch";
 import { toErrorStatus, toServeError } from "@fulmarcleat/errors";
 import { readBody } from "@fulmarcleat/http";
-import { parseClientHead, promisesNotRun } from "@fulmarcleat/platform";
+import { OUTCOME_HEADER, parseClientHead, promisesNotRun } from "@fulmarcleat/platform";
 import type { ClientHead } from "@fulmarcleat/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import type { RequestDigester } from "./createRequestDigester.js";
+import type { ForwardMark } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
 import { planRequest } from "./planRequest.js";
 import { createAnswerRelay, writeAnswerHead } from "./relayAnswer.js";
@@ -15,7 +16,8 @@
 
 /** Handles HTTP requests of clients. */
 export interface ClientHandler {
-    handle(req: IncomingMessage, res: ServerResponse): void;
+    /** Handles a request; `mark` is what another host states that has handed it to this one. */
+    handle(req: IncomingMessage, res: ServerResponse, mark?: ForwardMark): void;
     /** Number of requests in flight. */
     readonly running: number;
 }
@@ -53,6 +55,7 @@
     const isStopping = (): boolean => readStopMs() !== undefined;
     const { clock, log, metrics, random } = context;
     let running = 0;
+    const forwarded = new WeakSet<ServerResponse>();
     const refuse = (res: ServerResponse, requestId: string, refusal: Refusal): void => {
         metrics.count("refusals_total", { reason: refusal.reason });
         log.write(refusal.status === 404 ? "info" : "warn", refusal.outcome === "not_run" ? 400 : 401, {
@@ -65,9 +68,9 @@
             expectedWaitMs: refusal.expectedWaitMs,
             ...refusal.basis,
         });
-        writeRefusal(res, refusal, isStopping());
+        writeRefusal(res, refusal, { isClosing: isStopping(), isForwarded: forwarded.has(res) });
     };
-    const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const serve = async (req: IncomingMessage, res: ServerResponse, mark: ForwardMark | undefined): Promise<void> => {
         const startedMs = clock.nowMs();
         const head = parseClientHead(req.rawHeaders);
         const id = head.requestId ?? "none";
@@ -135,6 +138,7 @@
                 startedMs,
                 deadlineAtMs,
                 signal: abortController.signal,
+                mark,
                 relay,
                 times: { sentMs: undefined, firstByteMs: undefined },
             };
@@ -172,7 +176,10 @@
                     framing: end.result.head.framing,
                     ...describeTimes(request),
                 });
-                sendAnswer(request.res, end.result, isStopping());
+                sendAnswer(request.res, end.result, {
+                    isClosing: isStopping(),
+                    isForwarded: request.mark !== undefined,
+                });
                 return;
             case "gave_up":
                 refuseOrAbort(request, end, tookMs);
@@ -217,13 +224,16 @@
         get running() {
             return running;
         },
-        handle(req, res) {
+        handle(req, res, mark) {
             running += 1;
+            if (mark !== undefined) {
+                forwarded.add(res);
+            }
             res.on("close", () => {
                 running -= 1;
             });
             res.on("error", () => undefined);
-            serve(req, res).catch((err: unknown) => {
+            serve(req, res, mark).catch((err: unknown) => {
                 const failure = toServeError(err, INTERNAL);
                 if (res.headersSent) {
                     metrics.count("streams_cut_total", { reason: failure.code });
@@ -279,6 +289,14 @@
     readonly basis?: { readonly configVersion: number | undefined; readonly viewAgeMs: number | undefined };
 }
 
+/** How a response is sent. */
+interface ReplyState {
+    /** Whether the connection is closed after it. */
+    readonly isClosing: boolean;
+    /** Whether it goes to another host, which must tell this host's refusals from engines' answers. */
+    readonly isForwarded: boolean;
+}
+
 function findRequestedAdapter(head: ClientHead, clusterView: ClusterView): ClientRequest["requestedAdapter"] {
     const { adapter, model } = head;
     return adapter === undefined || model === undefined
@@ -293,7 +311,7 @@
 function sendAnswer(
     res: ServerResponse,
     { head, body }: Extract<RequestEnd, { kind: "answer" }>["result"],
-    isClosing: boolean,
+    reply: ReplyState,
 ): void {
     // These statuses guarantee that the request was not run, so they are forwarded only if the engine confirmed it.
     const isUnconfirmed = promisesNotRun(head.status) && !head.isNotRun;
@@ -302,15 +320,15 @@
         writeRefusal(
             res,
             { status, reason: "upstream_failed", outcome: "unknown", heldMs: 0, retryAfterMs: undefined },
-            isClosing,
+            reply,
         );
         return;
     }
-    writeAnswerHead(res, head, isClosing);
+    writeAnswerHead(res, head, reply.isClosing);
     res.end(body);
 }
 
-function writeRefusal(res: ServerResponse, refusal: Refusal, isClosing: boolean): void {
+function writeRefusal(res: ServerResponse, refusal: Refusal, { isClosing, isForwarded }: ReplyState): void {
     const text = JSON.stringify({ error: { code: refusal.reason, outcome: refusal.outcome } });
     const headers: Record<string, string> = {
         "content-type": "application/json",
@@ -322,6 +340,9 @@
     if (isClosing) {
         headers["connection"] = "close";
     }
+    if (isForwarded) {
+        headers[OUTCOME_HEADER] = refusal.outcome;
+    }
     res.writeHead(refusal.status, headers);
     res.end(text);
 }
--- a/packages/front/src/createEngineChooser.ts
+++ b/packages/front/src/createEngineChooser.ts
@@ -1,5 +1,5 @@
 import type { KnownEngine, Service } from "@fulmarcleat/directory";
-import { chooseModelEngine, choosePlainEngine, pickCandidates } from "@fulmarcleat/dispatch";
+import { chooseModelEngine, choosePlainEngine, chooseUnresponsiveLimit, pickCandidates } from "@fulmarcleat/dispatch";
 import type { ModelEngineOptions, ModelEngineView } from "@fulmarcleat/dispatch";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import type { ClientRequest } from "./clientRequest.js";
@@ -23,10 +23,6 @@
     choose(request: ClientRequest, allowed: readonly KnownEngine[]): Promise<ChosenEngine | undefined>;
 }
 
-/** Time without a byte after which an engine without a model counts as unresponsive, in milliseconds. */
-const PLAIN_UNRESPONSIVE_MS = 400;
-/** Time without a byte after which a model engine counts as unresponsive, in milliseconds; long prompts take time. */
-const MODEL_UNRESPONSIVE_MS = 900;
 /** Typical time to load an adapter, in milliseconds; the deployments state 250 to 288. */
 const TYPICAL_LOAD_MS = 260;
 
@@ -50,14 +46,14 @@
 ): EngineChooser {
     const { clock, hash, random } = context;
     const choosePlain = (allowed: readonly KnownEngine[]): ChosenEngine | undefined => {
-        const engines = allowed.map(known => loadTracker.describeEngine(known, PLAIN_UNRESPONSIVE_MS));
+        const engines = allowed.map(known => loadTracker.describeEngine(known, chooseUnresponsiveLimit(false)));
         const { domain } = context.deployment;
         const view = choosePlainEngine({ engines, ownDomain: domain, atMs: clock.nowMs(), draw: random.next() });
         const known = allowed.find(({ entry }) => entry.id === view?.id);
         return known === undefined ? undefined : { known, expectedMs: 0 };
     };
     const viewModelEngine = (known: KnownEngine, requestedAdapter: RequestedAdapter | undefined): ModelEngineView => {
-        const view = loadTracker.describeEngine(known, MODEL_UNRESPONSIVE_MS);
+        const view = loadTracker.describeEngine(known, chooseUnresponsiveLimit(true));
         const load = Math.max(view.load, adapters.countLoad(known.entry.id) ?? 0);
         const queuedTokens = Math.max(view.queuedTokens, adapters.countQueuedTokens(known.entry.id) ?? 0);
         return { ...view, load, queuedTokens, presence: adapters.find(known.entry, requestedAdapter) };
--- /dev/null
+++ b/packages/front/src/createEnginePaths.ts
@@ -0,0 +1,203 @@
+import type { EngineEntry } from "@fulmarcleat/directory";
+import { chooseUnresponsiveLimit, OPEN_PATH, readSuspectSince, reduceEnginePath } from "@fulmarcleat/dispatch";
+import type { EnginePath, EnginePathMessage } from "@fulmarcleat/dispatch";
+import type { EngineId, HostId, ServiceName } from "@fulmarcleat/ids";
+import type { EngineReachReply, EngineReachRequest, PeerClient } from "@fulmarcleat/wire";
+import type { ClusterView } from "./createClusterView.js";
+import { createReachSurvey } from "./createReachSurvey.js";
+import type { EnginePaths } from "./enginePaths.js";
+import type { FrontContext } from "./frontContext.js";
+import type { Member } from "./hostKeys.js";
+
+/** The paths of this host, and its answers to other hosts that ask for them. */
+export interface SurveyedPaths extends EnginePaths {
+    /** Answers another host that asks which engines of a service this host hears from. */
+    answer(request: EngineReachRequest): EngineReachReply;
+    /** Stops the checks. */
+    stop(): void;
+}
+
+interface PathRecord {
+    path: EnginePath;
+    inFlight: number;
+    heardMs: number;
+    probedMs: number;
+}
+
+/** Interval between two checks for paths on which nothing comes, in milliseconds. */
+const CHECK_INTERVAL_MS = 200;
+/** Time between two probes of one engine, in milliseconds. */
+const PROBE_INTERVAL_MS = 1000;
+/** Most probes of one check. */
+const MAX_PROBES = 16;
+/** Number of suspect paths from which this host probes its paths to all engines. */
+const MIN_SUSPECTS = 2;
+/** Time for which nothing has come on a path that counts as lost if others hear the engine, in milliseconds. */
+const LOST_AFTER_MS = 1000;
+/** Largest difference between the times at which hosts notice the same event at an engine, in milliseconds. */
+const NOTICE_SPREAD_MS = 100;
+/** Time since bytes came from an engine up to which other hosts are told of them, in milliseconds. */
+const TOLD_MS = 3000;
+
+/**
+ * Creates the record of this host's paths to engines. A path on which nothing comes is probed, and other hosts are
+ * asked whether they hear from the engine: only then is it the path that is lost, and not the engine.
+ *
+ * @param context - Clock, engines' control interface, log, metrics and random numbers
+ * @param clusterView - Engines, services and live hosts
+ * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
+ * @param readRunning - Returns the number of clients' requests in flight at this host
+ * @returns the paths, all open at first
+ *
+ * @example
+ * const paths = createEnginePaths(context, clusterView, () => peers, () => handler.running);
+ */
+export function createEnginePaths(
+    context: Pick<FrontContext, "clock" | "control" | "deployment" | "log" | "metrics" | "random">,
+    clusterView: Pick<ClusterView, "config" | "engines" | "members" | "onEngineRemoved">,
+    readPeers: () => Pick<PeerClient, "request"> | undefined,
+    readRunning: () => number,
+): SurveyedPaths {
+    const { clock, control, log, metrics } = context;
+    const survey = createReachSurvey(context, clusterView, readPeers);
+    const records = new Map<EngineId, PathRecord>();
+    const silentServices = new Set<ServiceName>();
+    let isStopped = false;
+
+    const open = (engine: EngineId): PathRecord => {
+        const existing = records.get(engine)
+            ?? { path: OPEN_PATH, inFlight: 0, heardMs: -Infinity, probedMs: -Infinity };
+        records.set(engine, existing);
+        return existing;
+    };
+    const update = (record: PathRecord, message: EnginePathMessage): void => {
+        record.path = reduceEnginePath(record.path, message);
+    };
+    const readSilentAfterMs = ({ service }: EngineEntry): number =>
+        chooseUnresponsiveLimit(clusterView.config?.services.get(service)?.engine !== undefined);
+    const readSince = (entry: EngineEntry): number | undefined => {
+        const record = records.get(entry.id);
+        return record && readSuspectSince(record.path, clock.nowMs(), readSilentAfterMs(entry));
+    };
+    const listUsable = (service?: ServiceName): readonly EngineEntry[] =>
+        [...clusterView.engines.values()]
+            .filter(known => known.isUsable && (service === undefined || known.entry.service === service))
+            .map(known => known.entry);
+    const isServiceSilent = (service: ServiceName): boolean => {
+        const engines = listUsable(service);
+        return engines.length > 0 && engines.every(entry => readSince(entry) !== undefined);
+    };
+    const recordHeard = (engine: EngineId): void => {
+        const record = open(engine);
+        record.heardMs = clock.nowMs();
+        update(record, { kind: "heard" });
+    };
+    const probe = async (entry: EngineEntry): Promise<void> => {
+        const record = open(entry.id);
+        record.probedMs = clock.nowMs();
+        const result = await control.probe({ id: entry.id, address: entry.address });
+        metrics.count("path_probes_total", { result });
+        if (result === "running") {
+            recordHeard(entry.id);
+        }
+        else if (clusterView.engines.has(entry.id)) {
+            update(record, { kind: "unreachable", atMs: clock.nowMs() });
+        }
+    };
+    const probeDue = (suspects: readonly EngineEntry[]): void => {
+        const atMs = clock.nowMs();
+        const all = suspects.length >= MIN_SUSPECTS ? listUsable() : suspects;
+        all.filter(({ id }) => {
+            const record = open(id);
+            return atMs - Math.max(record.probedMs, record.heardMs) >= PROBE_INTERVAL_MS;
+        }).slice(0, MAX_PROBES).forEach(entry => void probe(entry));
+    };
+    const logServices = (services: ReadonlySet<ServiceName>): void => {
+        for (const service of services) {
+            if (isServiceSilent(service) && !silentServices.has(service)) {
+                silentServices.add(service);
+                log.write("warn", 214, { service });
+            }
+        }
+        for (const service of silentServices) {
+            if (!isServiceSilent(service)) {
+                silentServices.delete(service);
+                log.write("info", 215, { service });
+            }
+        }
+    };
+    const check = (): void => {
+        if (isStopped) {
+            return;
+        }
+        const suspects = listUsable().filter(entry => readSince(entry) !== undefined);
+        const services = new Set(suspects.map(entry => entry.service));
+        probeDue(suspects);
+        logServices(services);
+        services.forEach(service => void survey.refresh(service));
+        clock.setTimer(CHECK_INTERVAL_MS, check);
+    };
+    check();
+    clusterView.onEngineRemoved(({ id }) => {
+        records.delete(id);
+        survey.forget(id);
+    });
+    return {
+        recordSend({ id }) {
+            const record = open(id);
+            record.inFlight += 1;
+            update(record, { kind: "sent", atMs: clock.nowMs() });
+        },
+        recordBytes: ({ id }) => recordHeard(id),
+        recordEnd(entry, wasReached) {
+            const record = records.get(entry.id);
+            const atMs = clock.nowMs();
+            if (record === undefined) {
+                return;
+            }
+            record.inFlight = Math.max(0, record.inFlight - 1);
+            if (!wasReached) {
+                update(record, { kind: "unreachable", atMs });
+            }
+            if (record.inFlight === 0) {
+                update(record, { kind: "withdrawn", atMs, silentAfterMs: readSilentAfterMs(entry) });
+            }
+        },
+        isPathLost(engine) {
+            const entry = clusterView.engines.get(engine)?.entry;
+            const sinceMs = entry && readSince(entry);
+            return sinceMs !== undefined && clock.nowMs() - sinceMs >= LOST_AFTER_MS
+                && (survey.readHeardMs(engine) ?? -Infinity) > sinceMs + NOTICE_SPREAD_MS;
+        },
+        hasSuspect: service => listUsable(service).some(entry => readSince(entry) !== undefined),
+        isServiceSilent,
+        async findHelper(service, excluded) {
+            const find = (): Member | undefined =>
+                survey.listHelpers(service).find(({ host }: { readonly host: HostId }) => !excluded.has(host));
+            const known = find();
+            const refreshed = survey.refresh(service);
+            if (known !== undefined) {
+                return known;
+            }
+            await refreshed;
+            return find();
+        },
+        async isReachedByOthers(engine, sinceMs) {
+            const service = clusterView.engines.get(engine)?.entry.service;
+            const isHeard = (): boolean => (survey.readHeardMs(engine) ?? -Infinity) > sinceMs + NOTICE_SPREAD_MS;
+            // A survey under way may have begun too early.
+            for (let asked = 0; asked < 2 && service !== undefined && !isHeard(); asked += 1) {
+                await survey.refresh(service, 0);
+            }
+            return isHeard();
+        },
+        answer({ service }) {
+            const atMs = clock.nowMs();
+            const heardAgoMs = listUsable(service)
+                .map(({ id }) => [id, Math.round(atMs - (records.get(id)?.heardMs ?? -Infinity))] as const)
+                .filter(([, agoMs]) => agoMs <= TOLD_MS);
+            return { heardAgoMs, running: readRunning() };
+        },
+        stop: () => void (isStopped = true),
+    };
+}
--- a/packages/front/src/createEngineSender.ts
+++ b/packages/front/src/createEngineSender.ts
@@ -1,20 +1,22 @@
-import type { EngineEntry, EngineRequest, KnownEngine } from "@fulmarcleat/directory";
-import { chooseSilenceLimit, readSuspectKind } from "@fulmarcleat/dispatch";
+import type { EngineEntry, KnownEngine } from "@fulmarcleat/directory";
+import { readSuspectKind } from "@fulmarcleat/dispatch";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import type { EngineLimits, SendPermit } from "./createEngineLimits.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { Quarantine } from "./createQuarantine.js";
 import { describeHealth } from "./describeHealth.js";
+import type { EnginePaths } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
 import { listSuspects } from "./listSuspects.js";
-import { runExchange } from "./runExchange.js";
 import type { ExchangeResult } from "./runExchange.js";
 import type { ExchangeEvents, RunningExchange } from "./runWithTakeover.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
+import { buildRequest, startExchange } from "./startExchange.js";
 
 /** An engine that a request may be sent to. */
-export interface SendTarget {
+export interface EngineSendTarget {
+    readonly kind: "engine";
     readonly known: KnownEngine;
     readonly permit: SendPermit;
 }
@@ -22,7 +24,12 @@
 /** Sends requests to engines and records what the exchanges show. */
 export interface EngineSender {
     /** Sends a request to an engine; `onStart` is called when the client gets the first bytes of its answer. */
-    send(request: ClientRequest, target: SendTarget, events: ExchangeEvents, onStart: () => void): RunningExchange;
+    send(
+        request: ClientRequest,
+        target: EngineSendTarget,
+        events: ExchangeEvents,
+        onStart: () => void,
+    ): RunningExchange;
 }
 
 /** Urgency rank of the least urgent requests that engines accept. */
@@ -42,11 +49,12 @@
  * @param adapters - Requests in flight for each adapter
  * @param quarantine - Prompt parts and requests that crash engines
  * @param limits - Limits that engines name
+ * @param paths - This host's paths to engines
  * @returns the sender
  *
  * @example
- * const sender = createEngineSender(context, clusterView, loadTracker, adapters, quarantine, limits);
- * const { result } = sender.send(request, { known, permit }, events, () => undefined);
+ * const sender = createEngineSender(context, clusterView, loadTracker, adapters, quarantine, limits, paths);
+ * const { result } = sender.send(request, { kind: "engine", known, permit }, events, () => undefined);
  */
 export function createEngineSender(
     context: FrontContext,
@@ -55,6 +63,7 @@
     adapters: AdapterTracker,
     quarantine: Quarantine,
     limits: EngineLimits,
+    paths: Pick<EnginePaths, "isPathLost" | "recordBytes" | "recordEnd" | "recordSend">,
 ): EngineSender {
     const { clock, log } = context;
     /** Records whether a request was answered, or whether the connection broke while its answer was beginning. */
@@ -94,7 +103,7 @@
     };
     const send = (
         request: ClientRequest,
-        { known, permit }: SendTarget,
+        { known, permit }: EngineSendTarget,
         events: ExchangeEvents,
         onStart: () => void,
     ): RunningExchange => {
@@ -105,17 +114,10 @@
         const isModel = request.service.engine !== undefined;
         let firstByteMs: number | undefined;
         request.times.sentMs = sentMs;
-        const req: EngineRequest = {
-            target: { id, address: entry.address },
-            requestId: request.requestId,
-            method: request.req.method ?? "GET",
-            path: request.req.url ?? "/",
-            headers: request.head.forwarded,
-            body: request.body,
-            deadlineMs: request.deadlineAtMs - sentMs,
+        const req = {
+            ...buildRequest(request, { id, address: entry.address }, sentMs),
             urgency: isModel ? Math.min(LEAST_URGENT_RANK, Math.max(0, request.route.priority)) : undefined,
             version: request.requestedAdapter?.version,
-            lastEventId: request.relay?.lastEventId ?? request.head.lastEventId,
         };
         log.write("info", 405, {
             id: request.requestId,
@@ -134,24 +136,31 @@
         loadTracker.startRequest(id);
         adapters.startRequest(id, adapter);
         limits.recordSend(entry, permit);
-        const controller = new AbortController();
-        const cancel = (): void => controller.abort();
-        request.signal.addEventListener("abort", cancel, { once: true });
-        if (request.signal.aborted) {
-            cancel();
-        }
-        const exchange = runExchange(req, {
+        paths.recordSend(entry);
+        const finish = (result: ExchangeResult): ExchangeResult => {
+            if (firstByteMs === undefined) {
+                loadTracker.addQueuedTokens(id, -promptTokens);
+            }
+            loadTracker.finishRequest(id);
+            adapters.finishRequest(id, adapter);
+            paths.recordEnd(entry, result.kind !== "unsent");
+            const health = describeHealth(result, firstByteMs ?? clock.nowMs() - sentMs, clock.nowMs());
+            // An engine that other hosts reach is not to blame for a lost path.
+            if (health !== undefined && (health.kind !== "failed" || !paths.isPathLost(id))) {
+                loadTracker.recordHealth(id, health);
+            }
+            const answeredForMs = firstByteMs === undefined ? 0 : clock.nowMs() - sentMs - firstByteMs;
+            recordSuspects(entry, request, result, answeredForMs);
+            return result;
+        };
+        return startExchange(request, req, {
             transport: context.transport,
             clock,
-            relay: request.relay,
-            signal: controller.signal,
-            silenceMs: request.route.isResumable ? chooseSilenceLimit(request.route.goalMs) : undefined,
-            onSilent: events.onSilent,
-            onAccept: events.onAccept,
+            events,
             onStart,
             onBytes() {
                 loadTracker.recordBytes(id);
-                events.onBytes();
+                paths.recordBytes(entry);
                 if (firstByteMs === undefined) {
                     firstByteMs = clock.nowMs() - sentMs;
                     request.times.firstByteMs ??= sentMs + firstByteMs;
@@ -164,23 +173,8 @@
                     loadTracker.recordLoad(id, head.load);
                 }
             },
+            finish,
         });
-        const finish = (result: ExchangeResult): ExchangeResult => {
-            request.signal.removeEventListener("abort", cancel);
-            if (firstByteMs === undefined) {
-                loadTracker.addQueuedTokens(id, -promptTokens);
-            }
-            loadTracker.finishRequest(id);
-            adapters.finishRequest(id, adapter);
-            const health = describeHealth(result, firstByteMs ?? clock.nowMs() - sentMs, clock.nowMs());
-            if (health !== undefined) {
-                loadTracker.recordHealth(id, health);
-            }
-            const answeredForMs = firstByteMs === undefined ? 0 : clock.nowMs() - sentMs - firstByteMs;
-            recordSuspects(entry, request, result, answeredForMs);
-            return result;
-        };
-        return { result: exchange.then(finish), cancel };
     };
     return { send };
 }
--- /dev/null
+++ b/packages/front/src/createForwarder.ts
@@ -0,0 +1,88 @@
+import { brandId } from "@fulmarcleat/ids";
+import type { EngineId } from "@fulmarcleat/ids";
+import type { StreamOrigin } from "@fulmarcleat/wire";
+import type { RequestProgress } from "./applyAttempt.js";
+import type { ClientRequest } from "./clientRequest.js";
+import type { ForwardTransport } from "./createForwardTransport.js";
+import type { FrontContext } from "./frontContext.js";
+import type { Member } from "./hostKeys.js";
+import { readRetryAfterMs } from "./readRetryAfterMs.js";
+import type { ExchangeEvents, RunningExchange } from "./runWithTakeover.js";
+import { buildRequest, startExchange } from "./startExchange.js";
+
+/** Another host that a request may be handed to. */
+export interface HelperTarget {
+    readonly kind: "host";
+    readonly member: Member;
+    /** Where the stream began that the client has received a part of. */
+    readonly origin: StreamOrigin | undefined;
+}
+
+/** What a request has been through before it is handed to another host. */
+export interface ForwardState {
+    readonly progress: RequestProgress;
+    /** Called with the time after which a host that refuses the request would serve it, in milliseconds. */
+    readonly onRefused: (readyInMs: number | undefined) => void;
+}
+
+/** Hands clients' requests to other hosts. */
+export interface Forwarder {
+    /** Hands a request to another host; `onStart` is called when the client gets the first bytes of its answer. */
+    send(
+        request: ClientRequest,
+        target: HelperTarget,
+        state: ForwardState,
+        events: ExchangeEvents,
+        onStart: () => void,
+    ): RunningExchange;
+}
+
+/**
+ * Creates the forwarder of requests to other hosts.
+ *
+ * @param context - Clock, log, metrics and this host's name
+ * @param transport - Transport between hosts
+ * @returns the forwarder
+ *
+ * @example
+ * const forwarder = createForwarder(context, transport);
+ * const { result } = forwarder.send(request, { kind: "host", member, origin }, state, events, () => undefined);
+ */
+export function createForwarder(
+    context: Pick<FrontContext, "clock" | "deployment" | "log" | "metrics">,
+    transport: Pick<ForwardTransport, "send">,
+): Forwarder {
+    const { clock, deployment, log, metrics } = context;
+    return {
+        send(request, { member, origin }, { progress, onRefused }, events, onStart) {
+            const sentMs = clock.nowMs();
+            const { host, ip } = member;
+            const target = { id: brandId<EngineId>(host), address: { ip, port: member.forwardPort ?? 0 } };
+            const mark = {
+                from: deployment.host,
+                sends: progress.sends,
+                tried: [...progress.tried],
+                origin,
+            };
+            let readyInMs: number | undefined;
+            request.times.sentMs = sentMs;
+            log.write("info", 416, { id: request.requestId, host, sends: progress.sends });
+            return startExchange(request, buildRequest(request, target, sentMs), {
+                transport: { send: (req, sink) => transport.send(req, mark, sink) },
+                clock,
+                events,
+                onStart,
+                onBytes: () => void (request.times.firstByteMs ??= clock.nowMs()),
+                onHead: head => void (readyInMs = readRetryAfterMs(head.headers)),
+                finish(result) {
+                    metrics.count("forwards_total", { result: result.kind });
+                    if (result.kind !== "not_run") {
+                        return result;
+                    }
+                    onRefused(readyInMs);
+                    return { kind: "unsent", reason: `${host} refused with ${result.status}` };
+                },
+            });
+        },
+    };
+}
--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -29,6 +29,7 @@
 import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
+import { NO_LOST_PATHS } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
 import type {
     FleetArrival,
@@ -39,6 +40,7 @@
     FrontFleetOptions,
 } from "./frontFleet.steps.js";
 import { formatMember, formatMemberKey } from "./hostKeys.js";
+import { NO_FORWARDER } from "./noForwarder.steps.js";
 import { createRequestRunner } from "./runRequest.js";
 import type { RequestRunner } from "./runRequest.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
@@ -281,7 +283,17 @@
             sendGrant: (request: SendGrantRequest, from: HostId) => limits.handleRequest(request, from),
         });
         const loadTracker = createEngineLoadTracker(clock);
-        const runner = createRequestRunner(context, view, loadTracker, adapters, streamOrigins, quarantine, limits);
+        const runner = createRequestRunner(
+            context,
+            view,
+            loadTracker,
+            adapters,
+            streamOrigins,
+            quarantine,
+            limits,
+            NO_LOST_PATHS,
+            NO_FORWARDER,
+        );
         runners.set(host, runner);
     };
     const drawParts = (isPoison: boolean): readonly PromptPart[] => {
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -1,5 +1,5 @@
 import { parseJson } from "@fulmarcleat/http";
-import type { EngineId, HostId, Incarnation, Suspect } from "@fulmarcleat/ids";
+import type { EngineId, FailureDomain, HostId, Incarnation, Suspect } from "@fulmarcleat/ids";
 import { brandId } from "@fulmarcleat/ids";
 import type { AdapterLoadRequest } from "@fulmarcleat/wire";
 import * as z from "zod";
@@ -19,6 +19,10 @@
     readonly incarnation: Incarnation;
     readonly ip: string;
     readonly port: number;
+    /** Failure domain of the host; undefined if a former version has written the entry. */
+    readonly domain?: FailureDomain | undefined;
+    /** Port on which the host serves other hosts' requests; undefined if a former version has written the entry. */
+    readonly forwardPort?: number | undefined;
     readonly isLeaving: boolean;
 }
 
@@ -33,6 +37,8 @@
     incarnation: z.string(),
     ip: z.string(),
     port: z.number(),
+    domain: z.string().optional(),
+    forwardPort: z.number().optional(),
     isLeaving: z.boolean(),
 });
 const ownerSchema = z.object({ host: z.string(), incarnation: z.string(), isReleased: z.boolean() });
@@ -129,8 +135,9 @@
  * @example
  * formatMember({ incarnation, ip: "10.0.0.1", port: 7000, isLeaving: false });
  */
-export function formatMember({ incarnation, ip, port, isLeaving }: Omit<Member, "host">): Buffer {
-    return Buffer.from(JSON.stringify({ incarnation, ip, port, isLeaving }));
+export function formatMember(member: Omit<Member, "host">): Buffer {
+    const { incarnation, ip, port, domain, forwardPort, isLeaving } = member;
+    return Buffer.from(JSON.stringify({ incarnation, ip, port, domain, forwardPort, isLeaving }));
 }
 
 /**
@@ -194,7 +201,19 @@
  */
 export function parseMember(host: HostId, value: Buffer): Member | undefined {
     const parsed = memberSchema.safeParse(parseJson(value.toString("utf8")));
-    return parsed.success ? { ...parsed.data, host, incarnation: brandId(parsed.data.incarnation) } : undefined;
+    if (!parsed.success) {
+        return undefined;
+    }
+    const { incarnation, ip, port, domain, forwardPort, isLeaving } = parsed.data;
+    return {
+        host,
+        incarnation: brandId(incarnation),
+        ip,
+        port,
+        domain: domain === undefined ? undefined : brandId(domain),
+        forwardPort,
+        isLeaving,
+    };
 }
 
 /**
--- a/packages/front/src/runExchange.steps.ts
+++ b/packages/front/src/runExchange.steps.ts
@@ -93,8 +93,6 @@
                 sink = next;
                 return { cancel: () => undefined, resume: () => undefined };
             },
-            forget: () => undefined,
-            close: () => undefined,
         },
         clock,
         relay: createAnswerRelay(res, { sendsCompleteEvents: true, isClosing: () => false }),
--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -33,7 +33,7 @@
 
 /** Settings of one exchange. */
 export interface ExchangeOptions {
-    readonly transport: EngineTransport;
+    readonly transport: Pick<EngineTransport, "send">;
     readonly clock: Clock;
     /** Streams the answer to the client as it arrives; undefined to buffer the whole answer. */
     readonly relay: AnswerRelay | undefined;
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -19,7 +19,9 @@
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { Quarantine } from "./createQuarantine.js";
+import { NO_LOST_PATHS } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
+import { NO_FORWARDER } from "./noForwarder.steps.js";
 import { createAnswerRelay } from "./relayAnswer.js";
 import { createRequestRunner } from "./runRequest.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
@@ -130,6 +132,8 @@
         streamOrigins,
         NO_QUARANTINE,
         createEngineLimits(context, clusterView, () => undefined),
+        NO_LOST_PATHS,
+        NO_FORWARDER,
     );
     const end = await runner.run(createRequest());
     return { sent: sent.join(","), end: formatEnd(end) };
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -1,7 +1,7 @@
 import type { KnownEngine, Service } from "@fulmarcleat/directory";
 import { createRetryWindow, readSuspectKind } from "@fulmarcleat/dispatch";
 import type { RetryWindow } from "@fulmarcleat/dispatch";
-import { sleep } from "@fulmarcleat/ids";
+import { brandId, sleep } from "@fulmarcleat/ids";
 import type { EngineId, ServiceName, Suspect } from "@fulmarcleat/ids";
 import type { StreamOrigin } from "@fulmarcleat/wire";
 import { applyAttempt, NO_ATTEMPTS } from "./applyAttempt.js";
@@ -14,15 +14,19 @@
 import { createEnginePreparer, MIN_REMAINING_MS, NO_ENGINE_RETRY_MS } from "./createEnginePreparer.js";
 import type { PreparationState } from "./createEnginePreparer.js";
 import { createEngineSender } from "./createEngineSender.js";
-import type { SendTarget } from "./createEngineSender.js";
+import type { EngineSendTarget } from "./createEngineSender.js";
+import type { Forwarder, HelperTarget } from "./createForwarder.js";
 import type { Quarantine } from "./createQuarantine.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
 import { FIRST_SERVER_ERROR } from "./describeHealth.js";
+import type { EnginePaths } from "./enginePaths.js";
+import type { ForwardMark } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
 import { giveUp } from "./giveUp.js";
 import { listSuspects } from "./listSuspects.js";
 import type { ExchangeResult } from "./runExchange.js";
 import { runWithTakeover, SILENT } from "./runWithTakeover.js";
+import type { ExchangeEvents, RunningExchange } from "./runWithTakeover.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
 
 /** Where the stream of a request began; undefined until its first event has been sent. */
@@ -30,6 +34,27 @@
     origin: StreamOrigin | undefined;
 }
 
+/** An engine or a host that a request is sent to. */
+type SendTarget = EngineSendTarget | HelperTarget;
+
+/** The next step of a request: a target, its end, or another look. */
+type NextTarget =
+    | { readonly kind: "target"; readonly target: SendTarget }
+    | { readonly kind: "over"; readonly end: RequestEnd }
+    | { readonly kind: "again" };
+
+/** State of one request over its attempts. */
+interface RunState {
+    readonly preparation: PreparationState;
+    readonly stream: StreamState;
+    /** Number of hosts that the request was handed to. */
+    helpers: number;
+    /** Time after which a host that refused the request would serve it, in milliseconds; undefined if none refused. */
+    helperReadyInMs: number | undefined;
+    /** Whether the retry budget knows the request. */
+    isCounted: boolean;
+}
+
 /** Sends client requests to engines. */
 export interface RequestRunner {
     /** Runs one request, with retries if its route allows them. */
@@ -38,6 +63,8 @@
 
 /** Most engines that are looked at when a silent one is to be taken over, before the request waits on. */
 const MAX_TAKEOVER_TRIES = 3;
+/** Most hosts that one request is handed to. */
+const MAX_HELPERS = 3;
 /** Most times that one request is sent to engines, refused attempts included. */
 const MAX_SENDS = 8;
 /** Expected time until another host may know where a stream began, in milliseconds; basis of the Retry-After. */
@@ -57,10 +84,12 @@
  * @param streamOrigins - Where streams began that clients resume
  * @param quarantine - Prompt parts and requests that crash engines
  * @param limits - Limits that engines name
+ * @param paths - This host's paths to engines
+ * @param forwarder - Hands requests to other hosts
  * @returns the runner
  *
  * @example
- * const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, quarantine, limits);
+ * const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, ...others);
  * const end = await runner.run(request);
  */
 export function createRequestRunner(
@@ -71,11 +100,13 @@
     streamOrigins: StreamOrigins,
     quarantine: Quarantine,
     limits: EngineLimits,
+    paths: EnginePaths,
+    forwarder: Forwarder,
 ): RequestRunner {
     const { clock, log, metrics } = context;
     const chooser = createEngineChooser(context, clusterView, loadTracker, adapters);
     const preparer = createEnginePreparer(context, chooser, adapters, limits);
-    const sender = createEngineSender(context, clusterView, loadTracker, adapters, quarantine, limits);
+    const sender = createEngineSender(context, clusterView, loadTracker, adapters, quarantine, limits, paths);
     const budgets = new Map<ServiceName, RetryWindow>();
     const getRetryBudget = ({ name }: Service): RetryWindow => {
         const existing = budgets.get(name);
@@ -92,8 +123,8 @@
         budgets.set(name, budget);
         return budget;
     };
-    const logRetry = (request: ClientRequest, known: KnownEngine, result: ExchangeResult, sends: number): void => {
-        const details = { id: request.requestId, engine: known.entry.id, sends };
+    const logRetry = (request: ClientRequest, target: EngineId, result: ExchangeResult, sends: number): void => {
+        const details = { id: request.requestId, engine: target, sends };
         switch (result.kind) {
             case "not_run":
                 log.write("info", 402, { ...details, status: result.status });
@@ -118,111 +149,198 @@
             streamOrigins.record({ requestId, service, softwareVersion });
         }
     };
-    const recordResult = (request: ClientRequest, known: KnownEngine, result: ExchangeResult, sends: number): void => {
+    const recordResult = (
+        request: ClientRequest,
+        target: SendTarget,
+        result: ExchangeResult,
+        sends: number,
+    ): void => {
         metrics.count("exchanges_total", { result: result.kind });
-        logRetry(request, known, result, sends);
-        if (result.kind === "not_run" && result.isReplaced) {
-            clusterView.markReplaced(known.entry);
+        logRetry(request, readTargetId(target), result, sends);
+        if (target.kind === "engine" && result.kind === "not_run" && result.isReplaced) {
+            clusterView.markReplaced(target.known.entry);
+        }
+    };
+    /** Finds another host for a request; undefined for one that another host has handed to this one. */
+    const findHelper = async (
+        request: ClientRequest,
+        progress: RequestProgress,
+        state: RunState,
+    ): Promise<HelperTarget | undefined> => {
+        const member = request.mark === undefined && state.helpers < MAX_HELPERS
+            ? await paths.findHelper(request.service.name, progress.excluded)
+            : undefined;
+        return member && { kind: "host", member, origin: state.stream.origin };
+    };
+    /** Chooses the engine that gets a request, or another host if this one reaches no engine that would take it. */
+    const chooseTarget = async (
+        request: ClientRequest,
+        progress: RequestProgress,
+        state: RunState,
+    ): Promise<NextTarget> => {
+        if (request.mark === undefined && paths.isServiceSilent(request.service.name)) {
+            const helper = await findHelper(request, progress, state);
+            if (helper !== undefined) {
+                return { kind: "target", target: helper };
+            }
+            if (state.helpers > 0) {
+                const readyInMs = state.helperReadyInMs ?? NO_ENGINE_RETRY_MS;
+                return { kind: "over", end: giveUp(progress, "no_path", readyInMs) };
+            }
+        }
+        if (!state.isCounted) {
+            state.isCounted = true;
+            getRetryBudget(request.service).addRequest(clock.nowMs());
+        }
+        const prepared = await preparer.prepare(request, progress, state.preparation, state.stream.origin);
+        switch (prepared.kind) {
+            case "again":
+                return prepared;
+            case "over": {
+                const helper = isPathToBlame(prepared.end) && paths.hasSuspect(request.service.name)
+                    ? await findHelper(request, progress, state)
+                    : undefined;
+                return helper === undefined ? prepared : { kind: "target", target: helper };
+            }
+            case "chosen": {
+                const { known } = prepared;
+                const permit = await limits.acquire(known.entry, request.route.priority, prepared.permit);
+                if (permit.kind === "refused") {
+                    state.preparation.refusedGrants += 1;
+                    return { kind: "again" };
+                }
+                return { kind: "target", target: { kind: "engine", known, permit } };
+            }
+        }
+    };
+    /** Says why a request may not be sent to a target now; undefined if it may. */
+    const findObstacle = (
+        request: ClientRequest,
+        progress: RequestProgress,
+        target: SendTarget,
+    ): RequestEnd | undefined => {
+        if (request.signal.aborted) {
+            return giveUp(progress, "ended", NO_ENGINE_RETRY_MS);
+        }
+        // The host that a request is handed to spends its own budget and looks for itself.
+        if (target.kind === "host") {
+            return undefined;
+        }
+        if (progress.sends > 0 && !getRetryBudget(request.service).trySpend(clock.nowMs())) {
+            metrics.count("retries_refused_total", { service: request.service.name });
+            return giveUp(progress, "no_retry_left", REFUSED_RETRY_MS);
         }
+        const quarantined = quarantine.findAtSend(listSuspects(request));
+        return quarantined && giveUp(progress, describeQuarantine(quarantined), QUARANTINED_RETRY_MS);
     };
-    /** Finds another engine for a stream whose engine is silent. Whatever speaks against it ends nothing. */
+    /** Finds where a stream began whose first events came by way of another host. */
+    const findOrigin = async ({ relay, requestId, service }: ClientRequest, stream: StreamState): Promise<boolean> => {
+        if (relay?.hasStarted === true) {
+            stream.origin ??= await streamOrigins.find(requestId, service);
+        }
+        return relay?.hasStarted !== true || stream.origin !== undefined;
+    };
+    /** Finds another target for a stream whose engine is silent. Whatever speaks against it ends nothing. */
     const findTakeover = async (
         request: ClientRequest,
         progress: RequestProgress,
-        stream: StreamState,
+        state: RunState,
     ): Promise<SendTarget | undefined> => {
-        const state: PreparationState = { unownedEngines: new Set(), refusedGrants: 0 };
-        const suspects = listSuspects(request);
+        const { stream } = state;
+        const preparation = { unownedEngines: new Set<EngineId>(), refusedGrants: 0 };
         for (let tries = 0; tries < MAX_TAKEOVER_TRIES && progress.sends < MAX_SENDS; tries += 1) {
-            const prepared = await preparer.prepare(request, progress, state, stream.origin);
-            if (prepared.kind === "over" || request.signal.aborted) {
+            const next = await findOrigin(request, stream)
+                ? await chooseTarget(request, progress, { ...state, preparation })
+                : undefined;
+            if (next === undefined || next.kind === "over" || request.signal.aborted) {
                 return undefined;
             }
-            if (prepared.kind === "again") {
-                continue;
-            }
-            const permit = await limits.acquire(prepared.known.entry, request.route.priority, prepared.permit);
-            if (permit.kind === "refused") {
-                state.refusedGrants += 1;
-                continue;
-            }
-            if (!getRetryBudget(request.service).trySpend(clock.nowMs())) {
-                metrics.count("retries_refused_total", { service: request.service.name });
-                return undefined;
+            if (next.kind === "target") {
+                return findObstacle(request, progress, next.target) === undefined ? next.target : undefined;
             }
-            return quarantine.findAtSend(suspects) === undefined ? { known: prepared.known, permit } : undefined;
         }
         return undefined;
     };
+    const start = (
+        request: ClientRequest,
+        progress: RequestProgress,
+        state: RunState,
+        target: SendTarget,
+        events: ExchangeEvents,
+    ): RunningExchange => {
+        switch (target.kind) {
+            case "engine":
+                return sender.send(request, target, events, () => startStream(request, target.known, state.stream));
+            case "host": {
+                const onRefused = (readyInMs: number | undefined): void => void (state.helperReadyInMs = readyInMs);
+                state.helpers += 1;
+                return forwarder.send(request, target, { progress, onRefused }, events, () => undefined);
+            }
+        }
+    };
     const run = async (request: ClientRequest): Promise<RequestEnd> => {
         const { lastEventId, resumedRequestId } = request.head;
+        const { mark } = request;
         const isResumed = lastEventId !== undefined;
         const stream: StreamState = {
-            origin: isResumed ? await streamOrigins.find(resumedRequestId, request.service) : undefined,
+            origin: mark?.origin
+                ?? (isResumed ? await streamOrigins.find(resumedRequestId, request.service) : undefined),
         };
         if (isResumed && stream.origin === undefined) {
             return giveUp(NO_ATTEMPTS, "unknown_origin", UNKNOWN_ORIGIN_RETRY_MS);
         }
-        const suspects = listSuspects(request);
-        const quarantined = quarantine.find(suspects);
+        const quarantined = quarantine.find(listSuspects(request));
         if (quarantined !== undefined) {
             return giveUp(NO_ATTEMPTS, describeQuarantine(quarantined), QUARANTINED_RETRY_MS);
         }
-        const budget = getRetryBudget(request.service);
-        const state: PreparationState = { unownedEngines: new Set(), refusedGrants: 0 };
-        let progress = NO_ATTEMPTS;
-        budget.addRequest(clock.nowMs());
+        const state: RunState = {
+            preparation: { unownedEngines: new Set(), refusedGrants: 0 },
+            stream,
+            helpers: 0,
+            helperReadyInMs: undefined,
+            isCounted: mark !== undefined && mark.sends > 0,
+        };
+        let progress = mark === undefined ? NO_ATTEMPTS : resumeProgress(mark);
         while (progress.sends < MAX_SENDS) {
             if (request.signal.aborted || request.deadlineAtMs - clock.nowMs() < MIN_REMAINING_MS) {
                 return giveUp(progress, "ended", NO_ENGINE_RETRY_MS);
             }
-            const prepared = await preparer.prepare(request, progress, state, stream.origin);
-            if (prepared.kind === "over") {
-                return prepared.end;
+            if (!await findOrigin(request, stream)) {
+                return giveUp(progress, "unknown_origin", UNKNOWN_ORIGIN_RETRY_MS);
             }
-            if (prepared.kind === "again") {
-                continue;
+            const chosen = await chooseTarget(request, progress, state);
+            if (chosen.kind === "over") {
+                return chosen.end;
             }
-            const { known } = prepared;
-            const permit = await limits.acquire(known.entry, request.route.priority, prepared.permit);
-            if (permit.kind === "refused") {
-                state.refusedGrants += 1;
+            if (chosen.kind === "again") {
                 continue;
             }
-            if (request.signal.aborted) {
-                return giveUp(progress, "ended", NO_ENGINE_RETRY_MS);
-            }
-            if (progress.sends > 0 && !budget.trySpend(clock.nowMs())) {
-                metrics.count("retries_refused_total", { service: request.service.name });
-                return giveUp(progress, "no_retry_left", REFUSED_RETRY_MS);
-            }
-            const quarantinedSince = quarantine.findAtSend(suspects);
-            if (quarantinedSince !== undefined) {
-                return giveUp(progress, describeQuarantine(quarantinedSince), QUARANTINED_RETRY_MS);
+            const obstacle = findObstacle(request, progress, chosen.target);
+            if (obstacle !== undefined) {
+                return obstacle;
             }
-            const { target, result } = await runWithTakeover<SendTarget>({ known, permit }, {
-                start: (target, events) =>
-                    sender.send(request, target, events, () => startStream(request, target.known, stream)),
-                findNext: silent => findTakeover(request, recordLoser(progress, silent, SILENT), stream),
+            const { target, result } = await runWithTakeover<SendTarget>(chosen.target, {
+                start: (next, events) => start(request, progress, state, next, events),
+                findNext: silent => findTakeover(request, recordLoser(progress, silent, SILENT), state),
                 recordLoser(loser, lost) {
-                    recordResult(request, loser.known, lost, progress.sends + 1);
+                    recordResult(request, loser, lost, progress.sends + 1);
                     metrics.count("takeovers_total", { lost: lost.kind });
-                    if (lost === SILENT) {
+                    if (lost === SILENT && loser.kind === "engine") {
                         loadTracker.recordHealth(loser.known.entry.id, { kind: "failed", atMs: clock.nowMs() });
                     }
                     progress = recordLoser(progress, loser, lost);
                 },
                 onSwitch: () => request.relay?.discardPartialEvent(),
             });
-            recordResult(request, target.known, result, progress.sends + 1);
+            recordResult(request, target, result, progress.sends + 1);
             if (result.kind === "broken") {
                 request.relay?.discardPartialEvent();
             }
             const next = applyAttempt(progress, {
-                engine: target.known.entry.id,
+                engine: readTargetId(target),
                 result,
                 mayRetry: mayRetry(request),
-                mayFailOver: result.kind === "answer"
+                mayFailOver: result.kind === "answer" && target.kind === "engine"
                     && mayFailOver(request, result, progress.tried, target.known, chooser.list(request.service)),
             });
             if (next.kind === "over") {
@@ -242,11 +360,32 @@
 /** Smallest number of hosts that the retry budget is divided among, even if fewer hosts are known. */
 const MIN_HOSTS = 6;
 
-/** Records an exchange that didn't end its request; its engine is not tried again. */
-function recordLoser(progress: RequestProgress, { known }: SendTarget, result: ExchangeResult): RequestProgress {
+/** Returns what identifies a target among those that a request was sent to. */
+function readTargetId(target: SendTarget): EngineId {
+    switch (target.kind) {
+        case "engine":
+            return target.known.entry.id;
+        case "host":
+            return brandId<EngineId>(target.member.host);
+    }
+}
+
+/** Continues a request at the point at which another host has handed it to this one. */
+function resumeProgress({ sends, tried }: ForwardMark): RequestProgress {
+    return { ...NO_ATTEMPTS, sends, tried: new Set(tried), excluded: new Set(tried) };
+}
+
+/** Whether a request ended for want of an engine, which another host may reach. */
+function isPathToBlame(end: RequestEnd): boolean {
+    return end.kind === "gave_up"
+        && (end.reason === "no_room" || end.reason === "no_engine" || end.reason === "overloaded");
+}
+
+/** Records an exchange that didn't end its request; its target is not tried again. */
+function recordLoser(progress: RequestProgress, target: SendTarget, result: ExchangeResult): RequestProgress {
     const mayHaveRun = result.kind === "answer" || result.kind === "cancelled" || result.kind === "relayed";
     const next = applyAttempt(progress, {
-        engine: known.entry.id,
+        engine: readTargetId(target),
         result: mayHaveRun ? SILENT : result,
         mayRetry: true,
         mayFailOver: false,
--- a/packages/front/src/silentStream.steps.ts
+++ b/packages/front/src/silentStream.steps.ts
@@ -14,7 +14,9 @@
 import type { Quarantine } from "./createQuarantine.js";
 import { createSilentEngines, STREAM } from "./createSilentEngines.steps.js";
 import type { EngineScript, SilentExchange } from "./createSilentEngines.steps.js";
+import { NO_LOST_PATHS } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
+import { NO_FORWARDER } from "./noForwarder.steps.js";
 import { createAnswerRelay } from "./relayAnswer.js";
 import { createRequestRunner } from "./runRequest.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
@@ -286,6 +288,8 @@
         streamOrigins,
         NO_QUARANTINE,
         createEngineLimits(context, clusterView, () => undefined),
+        NO_LOST_PATHS,
+        NO_FORWARDER,
     );
 }
 
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -21,6 +21,10 @@
 import { createClusterView } from "./createClusterView.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
+import { createEnginePaths } from "./createEnginePaths.js";
+import { createForwarder } from "./createForwarder.js";
+import { createForwardServer } from "./createForwardServer.js";
+import { createForwardTransport } from "./createForwardTransport.js";
 import { createLoadRequestOutbox } from "./createLoadRequestOutbox.js";
 import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
@@ -47,6 +51,10 @@
 const LOG_CAPACITY = 2000;
 /** Time without a request after which a connection between hosts is closed, in milliseconds. */
 const PEER_IDLE_MS = 8000;
+/** How long an idle connection on which requests are handed to another host is kept open, in milliseconds. */
+const FORWARD_IDLE_MS = 4000;
+/** Idle connections of that kind kept open to one host. */
+const FORWARD_IDLE_CONNECTIONS = 16;
 /** Factor on the idle time at the accepting end of a connection, so that the requesting end closes first. */
 const SERVER_IDLE_FACTOR = 2;
 /** How long a stopping host accepts new requests until the load balancer has removed it, in milliseconds. */
@@ -86,13 +94,31 @@
     const session = startSession(context, health, clusterView);
     const ownership = startOwnership(context, health, clusterView, session);
     const loadTracker = createEngineLoadTracker(clock);
+    const paths = createEnginePaths(context, clusterView, () => peers, () => handler.running);
     const outbox = createLoadRequestOutbox(context, () => session.lease);
     let peers: PeerClient | undefined;
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
     const quarantine = createQuarantine(context, clusterView, () => peers);
     const limits = createEngineLimits(context, clusterView, () => peers);
-    const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, quarantine, limits);
+    let sharedKey: string | undefined;
+    const forwardTransport = createForwardTransport({
+        readPeerKey: () => sharedKey,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        idleMs: FORWARD_IDLE_MS,
+        idleConnections: FORWARD_IDLE_CONNECTIONS,
+    });
+    const runner = createRequestRunner(
+        context,
+        clusterView,
+        loadTracker,
+        adapters,
+        streamOrigins,
+        quarantine,
+        limits,
+        paths,
+        createForwarder(context, forwardTransport),
+    );
     clusterView.onEngineRemoved(entry => transport.forget({ id: entry.id, address: entry.address }));
     detectPauses(clock, pausedMs => {
         log.write("warn", 106, { pausedMs: Math.round(pausedMs) });
@@ -102,7 +128,6 @@
     let isStopping = false;
     const isReady = (): boolean => !isStopping && clusterView.config !== undefined && clusterView.engines.size > 0;
     let stopsAtMs: number | undefined;
-    let sharedKey: string | undefined;
     const digestRequest = createRequestDigester(() => sharedKey);
     const handler = createClientHandler(context, clusterView, runner, () => stopsAtMs, digestRequest);
     const clients = createServer({
@@ -148,10 +173,21 @@
                 },
                 engineLimit: (notice, from) => Promise.resolve(limits.handleNotice(notice, from)),
                 sendGrant: (request, from) => Promise.resolve(limits.handleRequest(request, from)),
+                engineReach: request => Promise.resolve(paths.answer(request)),
                 engineUse: usageReport => adapters.handleUsageReport(usageReport),
             },
         });
         peers = createPeerClient({ ...shared, heartbeatMs: undefined });
+        await createForwardServer({
+            host: deployment.host,
+            peerKey,
+            listen: { host: deployment.ip, port: deployment.forwardPort },
+            metrics,
+            log,
+            maxHeaderBytes: MAX_HEADER_BYTES,
+            idleMs: FORWARD_IDLE_MS * SERVER_IDLE_FACTOR,
+            handle: (req, res, mark) => handler.handle(req, res, mark),
+        });
     });
     return {
         describeUnfinished: () => `${handler.running} requests`,
@@ -170,6 +206,7 @@
             }
             clusterView.stop();
             adapters.stop();
+            paths.stop();
             if (session.lease !== undefined) {
                 await store.endLease(session.lease).catch((err: unknown) =>
                     log.write("warn", 602, { step: "end lease", reason: String(err) })
--- /dev/null
+++ b/packages/wire/src/reachMessages.ts
@@ -0,0 +1,14 @@
+import type { EngineId, ServiceName } from "@fulmarcleat/ids";
+
+/** Asks a host which engines of a service it hears from. */
+export interface EngineReachRequest {
+    readonly service: ServiceName;
+}
+
+/** The engines that a host has heard from lately. */
+export interface EngineReachReply {
+    /** Engines with the time since bytes last arrived from them, in milliseconds. */
+    readonly heardAgoMs: readonly (readonly [EngineId, number])[];
+    /** Number of requests of clients in flight at the host. */
+    readonly running: number;
+}
