--- a/packages/front/src/createStoreFake.steps.ts
+++ b/packages/front/src/createStoreFake.steps.ts
@@ -33,6 +33,12 @@
     readonly answer: (reply: WatchReply) => void;
 }
 
+/** A lease that has not ended. */
+interface OpenLease {
+    readonly ttlMs: number;
+    readonly cancelEnd: () => void;
+}
+
 /** Time for a reply of the store, in milliseconds, as the deployments state it. */
 const REPLY_MS = 4;
 
@@ -47,7 +53,7 @@
  */
 export function createStoreFake(clock: Clock): StoreFake {
     const items = new Map<string, StoreItem>();
-    const leases = new Set<number>();
+    const leases = new Map<number, OpenLease>();
     let history: StoreEvent[] = [];
     let watches: OpenWatch[] = [];
     let revision = 1;
@@ -99,7 +105,13 @@
         answerWatches();
         return { kind: "written", revision };
     };
+    /** Starts a lease's time, or starts it anew at a renewal. */
+    const startLease = (lease: number, ttlMs: number): void => {
+        leases.get(lease)?.cancelEnd();
+        leases.set(lease, { ttlMs, cancelEnd: clock.setTimer(ttlMs, () => endLease(lease)) });
+    };
     const endLease = (lease: number): void => {
+        leases.get(lease)?.cancelEnd();
         leases.delete(lease);
         const removes = [...items.values()].filter(item => item.lease === lease).map(item => item.key);
         apply({ expect: [], puts: [], removes });
@@ -131,11 +143,17 @@
             call(0, answer => {
                 lastLease += 1;
                 const lease = lastLease;
-                leases.add(lease);
-                clock.setTimer(ttlMs, () => endLease(lease));
+                startLease(lease, ttlMs);
                 answer(lease);
             }),
-        renewLease: lease => call(0, answer => answer(leases.has(lease))),
+        renewLease: lease =>
+            call(0, answer => {
+                const open = leases.get(lease);
+                if (open !== undefined) {
+                    startLease(lease, open.ttlMs);
+                }
+                answer(open !== undefined);
+            }),
         endLease: lease =>
             call(0, answer => {
                 endLease(lease);
