An owner that has lost its path to an engine hands it over, and hosts without a path claim none

A host that got nothing from its engines while others did kept their ownership: its orders had no answer, so every host lacked adapters there. It now stops ordering, waits for its last order's reply or timeout and marks the owner key; the key is released as well only if no earlier order can still be carried out, else the next owner waits as after a lapse. Hosts without a path claim nothing. After a handover hosts of other failure domains claim first, and with each wait twice as many may, so that hosts that can't claim hold the others up little. A claim that another host was first to write is not repeated for 1,500 ms on the same revision.

startOwnership takes the paths as one more parameter; startFront passes NO_LOST_PATHS until they are known. Members state their failure domain, and owner keys hasLostPath; former versions ignore both.

--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -190,7 +190,7 @@
                 const owner = parseOwner(item.value);
                 if (owner !== undefined) {
                     claims.set(key.engine, { ...owner, revision: item.revision });
-                    if (owner.isReleased) {
+                    if (owner.isReleased || owner.hasLostPath) {
                         unownedSince.set(key.engine, clock.nowMs());
                     }
                     else {
--- a/packages/front/src/createOwnerTask.ts
+++ b/packages/front/src/createOwnerTask.ts
@@ -1,4 +1,4 @@
-import type { EngineEntry, EngineOrder } from "@fulmarcleat/directory";
+import type { EngineEntry, EngineOrder, OrderReply } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
 import type { AdapterName, BaseModel, HostId } from "@fulmarcleat/ids";
 import {
@@ -40,6 +40,11 @@
     recordHostUsage(host: HostId, usage: HostUsage, started: readonly AdapterName[]): OwnerReport;
     /** Stops sending orders and refuses the waiting load requests. */
     stop(): void;
+    /**
+     * Waits after a stop until the last order has been answered or has timed out. Returns whether no order of this task
+     * can be carried out any more.
+     */
+    settle(): Promise<boolean>;
 }
 
 /** A load request that has not been answered yet. */
@@ -55,6 +60,11 @@
 const WAITER_CHECK_INTERVAL_MS = 60;
 /** Delay before an engine's report is read again after a failure, in milliseconds. */
 const REPORT_RETRY_DELAY_MS = 250;
+/**
+ * Replies after which an earlier order without a reply can't be carried out any more: the engine has counted another
+ * order, or has started anew.
+ */
+const ENDS_FORMER_ORDERS: ReadonlySet<OrderReply["kind"]> = new Set(["accepted", "conflict", "misdirected"]);
 /** How long a new version stays requested on an engine that holds an older one, in milliseconds. */
 const REFRESH_REQUEST_MS = 20_000;
 
@@ -74,6 +84,8 @@
     let state: ResidencyState = createResidencyState(options.model, options.slots);
     let waiters: Waiter[] = [];
     let isRunningSteps = false;
+    let lastOrder = Promise.resolve(true);
+    let hasUnansweredOrder = false;
     let isStopped = false;
 
     const readReport = async (): Promise<boolean> => {
@@ -108,6 +120,7 @@
             seq: terms.expectedSeq,
             reply: reply.kind,
         });
+        hasUnansweredOrder = reply.kind === "unknown" || hasUnansweredOrder && !ENDS_FORMER_ORDERS.has(reply.kind);
         state = applyOrderReply(state, order, reply, clock.nowMs());
         if (reply.kind === "fenced") {
             options.onFenced();
@@ -120,7 +133,8 @@
             case "read_report":
                 return readReport();
             case "order":
-                return sendOrder(next.order);
+                lastOrder = sendOrder(next.order);
+                return lastOrder;
             case "wait":
                 return false;
         }
@@ -202,6 +216,10 @@
             waiters.forEach(waiter => waiter.resolve({ kind: "refused", reason: "not_owner" }));
             waiters = [];
         },
+        async settle() {
+            await lastOrder;
+            return !hasUnansweredOrder;
+        },
     };
 }
 
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -1,5 +1,5 @@
 import { parseJson } from "@fulmarcleat/http";
-import type { EngineId, HostId, Incarnation, Suspect } from "@fulmarcleat/ids";
+import type { EngineId, FailureDomain, HostId, Incarnation, Suspect } from "@fulmarcleat/ids";
 import { brandId } from "@fulmarcleat/ids";
 import type { AdapterLoadRequest } from "@fulmarcleat/wire";
 import * as z from "zod";
@@ -19,6 +19,8 @@
     readonly incarnation: Incarnation;
     readonly ip: string;
     readonly port: number;
+    /** Failure domain of the host; undefined if a former version has written the entry. */
+    readonly domain?: FailureDomain | undefined;
     readonly isLeaving: boolean;
 }
 
@@ -27,15 +29,23 @@
     readonly host: HostId;
     readonly incarnation: Incarnation;
     readonly isReleased: boolean;
+    /** Whether the host gave the engine up because it had lost its path to it. */
+    readonly hasLostPath: boolean;
 }
 
 const memberSchema = z.object({
     incarnation: z.string(),
     ip: z.string(),
     port: z.number(),
+    domain: z.string().optional(),
     isLeaving: z.boolean(),
 });
-const ownerSchema = z.object({ host: z.string(), incarnation: z.string(), isReleased: z.boolean() });
+const ownerSchema = z.object({
+    host: z.string(),
+    incarnation: z.string(),
+    isReleased: z.boolean(),
+    hasLostPath: z.boolean().default(false),
+});
 const loadRequestsSchema = z.object({
     asks: z.array(z.object({
         engine: z.string(),
@@ -127,23 +137,23 @@
  * @returns the value as JSON
  *
  * @example
- * formatMember({ incarnation, ip: "10.0.0.1", port: 7000, isLeaving: false });
+ * formatMember({ incarnation, ip: "10.0.0.1", port: 7000, domain: brandId("a"), isLeaving: false });
  */
-export function formatMember({ incarnation, ip, port, isLeaving }: Omit<Member, "host">): Buffer {
-    return Buffer.from(JSON.stringify({ incarnation, ip, port, isLeaving }));
+export function formatMember({ incarnation, ip, port, domain, isLeaving }: Omit<Member, "host">): Buffer {
+    return Buffer.from(JSON.stringify({ incarnation, ip, port, domain, isLeaving }));
 }
 
 /**
  * Serializes the value of an engine's owner key.
  *
- * @param owner - The owner and whether it has released the engine
+ * @param owner - The owner, and whether and how it has given the engine up
  * @returns the value as JSON
  *
  * @example
- * formatOwner({ host, incarnation, isReleased: false });
+ * formatOwner({ host, incarnation, isReleased: false, hasLostPath: false });
  */
-export function formatOwner({ host, incarnation, isReleased }: OwnerValue): Buffer {
-    return Buffer.from(JSON.stringify({ host, incarnation, isReleased }));
+export function formatOwner({ host, incarnation, isReleased, hasLostPath }: OwnerValue): Buffer {
+    return Buffer.from(JSON.stringify({ host, incarnation, isReleased, hasLostPath }));
 }
 
 /**
@@ -194,7 +204,18 @@
  */
 export function parseMember(host: HostId, value: Buffer): Member | undefined {
     const parsed = memberSchema.safeParse(parseJson(value.toString("utf8")));
-    return parsed.success ? { ...parsed.data, host, incarnation: brandId(parsed.data.incarnation) } : undefined;
+    if (!parsed.success) {
+        return undefined;
+    }
+    const { incarnation, ip, port, domain, isLeaving } = parsed.data;
+    return {
+        host,
+        incarnation: brandId(incarnation),
+        ip,
+        port,
+        domain: domain === undefined ? undefined : brandId(domain),
+        isLeaving,
+    };
 }
 
 /**
@@ -213,6 +234,7 @@
             host: brandId(parsed.data.host),
             incarnation: brandId(parsed.data.incarnation),
             isReleased: parsed.data.isReleased,
+            hasLostPath: parsed.data.hasLostPath,
         }
         : undefined;
 }
--- a/packages/front/src/startAdapterTracker.ts
+++ b/packages/front/src/startAdapterTracker.ts
@@ -153,7 +153,9 @@
             return findRelay(engine);
         }
         const claim = clusterView.claims.get(engine);
-        const member = claim === undefined || claim.isReleased ? undefined : clusterView.members.get(claim.host);
+        const member = claim === undefined || claim.isReleased || claim.hasLostPath
+            ? undefined
+            : clusterView.members.get(claim.host);
         return member === undefined ? undefined : toAddress(member);
     };
     /** Picks another reachable host, which may know an owner that this host does not know yet. */
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -26,6 +26,7 @@
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStreamOrigins } from "./createStreamOrigins.js";
 import { detectPauses } from "./detectPauses.js";
+import { NO_LOST_PATHS } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
 import { createRequestRunner } from "./runRequest.js";
 import { startAdapterTracker } from "./startAdapterTracker.js";
@@ -83,7 +84,8 @@
     const health = createStoreHealth(clock, log);
     const clusterView = createClusterView(context, health);
     const session = startSession(context, health, clusterView);
-    const ownership = startOwnership(context, health, clusterView, session);
+    const paths = NO_LOST_PATHS;
+    const ownership = startOwnership(context, health, clusterView, session, paths);
     const loadTracker = createEngineLoadTracker(clock);
     const outbox = createLoadRequestOutbox(context, () => session.lease);
     let peers: PeerClient | undefined;
--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -1,10 +1,12 @@
 import type { ChangeReply, EngineEntry, EngineSpec } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
 import type { EngineId, HostId } from "@fulmarcleat/ids";
-import { assignOwners, decideEngineClaim } from "@fulmarcleat/residency";
+import { assignOwners, decideEngineClaim, rankSuccessors } from "@fulmarcleat/residency";
+import type { OwnerClaim } from "@fulmarcleat/residency";
 import type { ClusterView } from "./createClusterView.js";
 import { createOwnerTask } from "./createOwnerTask.js";
 import type { OwnerTask } from "./createOwnerTask.js";
+import type { EnginePaths } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
 import { formatOwner, formatOwnerKey } from "./hostKeys.js";
 import type { Session } from "./startSession.js";
@@ -27,6 +29,7 @@
     readonly expectedRevision: number;
     readonly lease: number;
     readonly isReleased: boolean;
+    readonly hasLostPath: boolean;
 }
 
 /** An engine that this host owns. */
@@ -34,12 +37,30 @@
     readonly task: OwnerTask;
     /** Start time that the engine reported when the task was created, in milliseconds; a restart creates a new task. */
     readonly bornMs: number | undefined;
+    /** Resolves to whether no order of the tasks before this one can be carried out any more. */
+    readonly formerSettled: Promise<boolean>;
+}
+
+/** The giving up of an engine because this host has lost its path to it; once begun it is carried through. */
+interface Handover {
+    /** Revision of the claim that is given up. */
+    readonly revision: number;
+    /** Resolves to whether no order of this host can be carried out any more, after the last one's reply or timeout. */
+    readonly settled: Promise<boolean>;
+    isWriting: boolean;
+    /** Whether the store has answered that this host no longer holds the claim. */
+    isDone: boolean;
 }
 
 /** Interval between two checks of ownership, in milliseconds. */
 const RECONCILE_INTERVAL_MS = 200;
 /** How long hosts wait for each other at a first start before engines are assigned to them, in milliseconds. */
 const FIRST_START_WAIT_MS = 1500;
+/**
+ * Time after another host was first to claim an engine before this host tries again on the same revision, in
+ * milliseconds; the longest interval at which hosts learn of owners.
+ */
+const CONFLICT_PAUSE_MS = 1500;
 
 /**
  * Claims engines without an owner and runs the owner tasks of this host's engines.
@@ -48,16 +69,18 @@
  * @param health - Records whether the store answers
  * @param clusterView - Engines, live hosts and owner keys
  * @param session - Supplies this host's lease
+ * @param paths - Tells to which engines this host has lost its path; it hands these over
  * @returns the engines that this host owns
  *
  * @example
- * const ownership = startOwnership(context, health, clusterView, session);
+ * const ownership = startOwnership(context, health, clusterView, session, paths);
  */
 export function startOwnership(
     context: FrontContext,
     health: StoreHealth,
     clusterView: ClusterView,
     session: Session,
+    paths: Pick<EnginePaths, "isPathLost">,
 ): Ownership {
     const { clock, deployment, hash, incarnation, log, store } = context;
     const owned = new Map<EngineId, OwnedEngine>();
@@ -66,6 +89,11 @@
     const firstObserved = new Map<EngineId, number>();
     const rejectedFences = new Map<EngineId, number>();
     const pendingClaims = new Set<EngineId>();
+    const handovers = new Map<EngineId, Handover>();
+    const lastHandoverMs = new Map<EngineId, number>();
+    /** Clock readings until which orders of an engine's earlier owners may still be carried out, in milliseconds. */
+    const formerOrdersUntil = new Map<EngineId, number>();
+    const lostClaims = new Map<EngineId, { readonly revision: number; readonly atMs: number }>();
     const startedMs = clock.nowMs();
     let isStopped = false;
     let assignment: { readonly key: string; readonly owners: ReturnType<typeof assignOwners> } | undefined;
@@ -80,12 +108,17 @@
             log.write("info", 302, { engine, reason });
         }
     };
+    const settle = async ({ task, formerSettled }: OwnedEngine): Promise<boolean> => {
+        const [isSettled, isFormerSettled] = await Promise.all([task.settle(), formerSettled]);
+        return isSettled && isFormerSettled;
+    };
     const startOwning = (entry: EngineEntry, spec: EngineSpec, fence: number): void => {
         const existing = owned.get(entry.id);
         if (existing?.task.fence === fence && existing.bornMs === entry.bornMs) {
             return;
         }
         existing?.task.stop();
+        const formerSettled = existing === undefined ? Promise.resolve(true) : settle(existing);
         const model = spec.models[0]?.name;
         if (model === undefined || rejectedFences.get(entry.id) === fence) {
             return;
@@ -102,32 +135,47 @@
             mayOrder,
             onFenced: () => void rejectedFences.set(entry.id, fence),
         });
-        owned.set(entry.id, { task, bornMs: entry.bornMs });
+        owned.set(entry.id, { task, bornMs: entry.bornMs, formerSettled });
         log.write("info", 300, { engine: entry.id, fence, bornMs: entry.bornMs });
     };
     const writeOwner = (
         engine: EngineId,
-        { expectedRevision, lease, isReleased }: OwnerChange,
+        { expectedRevision, lease, isReleased, hasLostPath }: OwnerChange,
     ): Promise<ChangeReply> => {
         const key = formatOwnerKey(engine);
-        const value = formatOwner({ host: deployment.host, incarnation, isReleased });
+        const value = formatOwner({ host: deployment.host, incarnation, isReleased, hasLostPath });
         const expect = [{ key, revision: expectedRevision }];
         return store.change({ expect, puts: [{ key, value, lease }], removes: [] });
     };
-    const claim = async (engine: EngineId, expectedRevision: number, mustWait: boolean): Promise<void> => {
+    const claimEngine = async (engine: EngineId, expectedRevision: number, mustWait: boolean): Promise<void> => {
         const { lease } = session;
-        if (lease === undefined || pendingClaims.has(engine)) {
+        const lost = lostClaims.get(engine);
+        const hasJustLost = lost?.revision === expectedRevision && clock.nowMs() - lost.atMs < CONFLICT_PAUSE_MS;
+        if (lease === undefined || pendingClaims.has(engine) || hasJustLost) {
             return;
         }
-        const allowOrders = (): void =>
-            void ordersAllowedFrom.set(engine, clock.nowMs() + (mustWait ? context.readBounds().orderLeaseMs : 0));
+        const former = clusterView.claims.get(engine);
+        const mayHaveFormerOrders = former === undefined ? !deployment.isFirstStart : !former.isReleased;
+        const allowOrders = (): void => {
+            const { orderLeaseMs } = context.readBounds();
+            ordersAllowedFrom.set(engine, clock.nowMs() + (mustWait ? orderLeaseMs : 0));
+            formerOrdersUntil.set(engine, clock.nowMs() + (mayHaveFormerOrders ? orderLeaseMs : 0));
+        };
         pendingClaims.add(engine);
         try {
-            const reply = await writeOwner(engine, { expectedRevision, lease, isReleased: false });
+            const reply = await writeOwner(engine, {
+                expectedRevision,
+                lease,
+                isReleased: false,
+                hasLostPath: false,
+            });
             health.recordCall(true, "claim engine");
             if (reply.kind === "written") {
                 allowOrders();
             }
+            else if (reply.kind === "conflict") {
+                lostClaims.set(engine, { revision: expectedRevision, atMs: clock.nowMs() });
+            }
         }
         catch (err) {
             // The call failed, but the claim may have been written.
@@ -139,8 +187,83 @@
             pendingClaims.delete(engine);
         }
     };
+    const startHandover = (engine: EngineId, revision: number): Handover => {
+        const existing = owned.get(engine);
+        const isAfterFormerOrders = clock.nowMs() >= (formerOrdersUntil.get(engine) ?? 0);
+        stopOwning(engine, "the path is lost");
+        formerlyOwned.delete(engine);
+        lastHandoverMs.set(engine, clock.nowMs());
+        const handover = {
+            revision,
+            settled: existing === undefined || !isAfterFormerOrders ? Promise.resolve(false) : settle(existing),
+            isWriting: false,
+            isDone: false,
+        };
+        handovers.set(engine, handover);
+        return handover;
+    };
+    /** Writes that this host gives an engine up; called again until the store has answered. */
+    const writeHandover = async (engine: EngineId, handover: Handover): Promise<void> => {
+        const { lease } = session;
+        if (lease === undefined || handover.isWriting || handover.isDone) {
+            return;
+        }
+        handover.isWriting = true;
+        try {
+            const isReleased = await handover.settled;
+            // Unless the engine is released, the key ends with the lease, so that hosts of former versions claim it.
+            const reply = await writeOwner(engine, {
+                expectedRevision: handover.revision,
+                lease: isReleased ? 0 : lease,
+                isReleased,
+                hasLostPath: true,
+            });
+            health.recordCall(true, "hand engine over");
+            handover.isDone = reply.kind !== "lease_ended";
+            if (reply.kind === "written") {
+                log.write("info", 301, { engine, reason: "the path is lost", isReleased });
+            }
+        }
+        catch (err) {
+            log.write("warn", 602, { step: toServeError(err, HANDOVER_INTERNAL).step, engine });
+            health.recordCall(false, "hand engine over");
+        }
+        finally {
+            handover.isWriting = false;
+        }
+    };
+    /** Goes on with a handover until this host's view shows another claim; returns whether there is one. */
+    const continueHandover = (engine: EngineId): boolean => {
+        const handover = handovers.get(engine);
+        if (handover === undefined) {
+            return false;
+        }
+        if (clusterView.claims.get(engine)?.revision === handover.revision) {
+            void writeHandover(engine, handover);
+            return true;
+        }
+        handovers.delete(engine);
+        return false;
+    };
+    const mayHandOver = (engine: EngineId): boolean =>
+        health.isAvailable
+        && clock.nowMs() - (lastHandoverMs.get(engine) ?? -Infinity) >= context.readBounds().orderLeaseMs;
+    /** Ranks this host among those that may claim an engine, by the engine's order of live hosts. */
+    const readRank = (claim: OwnerClaim | undefined, hosts: readonly HostId[]): number => {
+        const order = claim?.hasLostPath === true
+            ? rankSuccessors(
+                hosts.map(host => ({ host, domain: clusterView.members.get(host)?.domain })),
+                claim.host,
+            )
+            : hosts;
+        const rank = order.indexOf(deployment.host);
+        return rank < 0 ? order.length : rank;
+    };
     const reconcileEngine = (entry: EngineEntry, spec: EngineSpec, hosts: readonly HostId[]): void => {
-        const rank = hosts.indexOf(deployment.host);
+        if (continueHandover(entry.id)) {
+            return;
+        }
+        const claim = clusterView.claims.get(entry.id);
         if (!firstObserved.has(entry.id)) {
             firstObserved.set(entry.id, clock.nowMs());
         }
@@ -148,9 +271,11 @@
         const decision = decideEngineClaim({
             self: deployment.host,
             incarnation,
-            claim: clusterView.claims.get(entry.id),
-            rank: rank < 0 ? hosts.length : rank,
+            claim,
+            rank: readRank(claim, hosts),
             wasOwner: formerlyOwned.has(entry.id),
+            isPathLost: paths.isPathLost(entry.id),
+            mayHandOver: mayHandOver(entry.id),
             unownedMs: clock.nowMs() - unownedSinceMs,
             isFirstStart: deployment.isFirstStart,
             checksFences: context.readBounds().checksFences,
@@ -161,11 +286,14 @@
                 return;
             case "claim":
                 stopOwning(entry.id, "the claim is gone");
-                void claim(entry.id, decision.expectedRevision, decision.mustWait);
+                void claimEngine(entry.id, decision.expectedRevision, decision.mustWait);
+                return;
+            case "hand_over":
+                void writeHandover(entry.id, startHandover(entry.id, decision.expectedRevision));
                 return;
             case "wait":
                 stopOwning(entry.id, "another host owns it");
-                if (clusterView.claims.get(entry.id)?.host !== undefined) {
+                if (claim?.host !== undefined) {
                     formerlyOwned.delete(entry.id);
                 }
                 return;
@@ -201,6 +329,7 @@
     clusterView.onEngineRemoved(entry => {
         stopOwning(entry.id, "the engine is gone");
         firstObserved.delete(entry.id);
+        lostClaims.delete(entry.id);
     });
     clusterView.onRelease(({ adapter, version }) => owned.forEach(({ task }) => task.refreshAdapter(adapter, version)));
     return {
@@ -215,7 +344,12 @@
             engines.forEach(([engine]) => stopOwning(engine, "the host stops"));
             await Promise.all(engines.map(async ([engine, { task }]) => {
                 try {
-                    await writeOwner(engine, { expectedRevision: task.fence, lease: 0, isReleased: true });
+                    await writeOwner(engine, {
+                        expectedRevision: task.fence,
+                        lease: 0,
+                        isReleased: true,
+                        hasLostPath: false,
+                    });
                     log.write("info", 301, { engine });
                 }
                 catch (err) {
@@ -230,4 +364,10 @@
     };
 }
 
+const HANDOVER_INTERNAL = {
+    code: "internal",
+    step: "hand engine over",
+    peer: "platform store",
+    outcome: "unknown",
+} as const;
 const INTERNAL = { code: "internal", step: "claim engine", peer: "platform store", outcome: "unknown" } as const;
--- a/packages/front/src/startSession.ts
+++ b/packages/front/src/startSession.ts
@@ -55,8 +55,8 @@
         resolveSecret = resolve;
     });
     const writeMember = async (currentLease: number): Promise<void> => {
-        const { ip, peerPort: port } = deployment;
-        const value = formatMember({ incarnation: context.incarnation, ip, port, isLeaving });
+        const { ip, peerPort: port, domain } = deployment;
+        const value = formatMember({ incarnation: context.incarnation, ip, port, domain, isLeaving });
         const puts = [{ key: formatMemberKey(deployment.host), value, lease: currentLease }];
         const reply = await store.change({ expect: [], puts, removes: [] });
         if (reply.kind === "lease_ended") {
--- a/packages/residency/src/decideEngineClaim.ts
+++ b/packages/residency/src/decideEngineClaim.ts
@@ -6,6 +6,11 @@
     readonly incarnation: Incarnation;
     /** Whether the owner released the engine, which it does only after the reply to its last order. */
     readonly isReleased: boolean;
+    /**
+     * Whether the owner gave the engine up because it had lost its path to it. If it did not release the engine too,
+     * orders of it may still be carried out.
+     */
+    readonly hasLostPath: boolean;
     /** Revision of the claim, which is the fencing token of its holder's orders. */
     readonly revision: number;
 }
@@ -15,10 +20,14 @@
     readonly self: HostId;
     readonly incarnation: Incarnation;
     readonly claim: OwnerClaim | undefined;
-    /** Position of this host in the engine's order of live hosts; 0 is first. */
+    /** Position of this host in the engine's order of live hosts, or of successors after a lost path; 0 is first. */
     readonly rank: number;
     /** Whether this host was the last known owner. */
     readonly wasOwner: boolean;
+    /** Whether this host gets nothing from the engine while other hosts do. */
+    readonly isPathLost: boolean;
+    /** Whether this host may give the engine up for a lost path now. */
+    readonly mayHandOver: boolean;
     /** How long the engine has been without an owner, in milliseconds. */
     readonly unownedMs: number;
     /** Whether the system starts for the first time. */
@@ -27,7 +36,7 @@
     readonly checksFences: boolean;
 }
 
-/** Whether a host owns an engine, claims it or waits. */
+/** Whether a host owns an engine, claims it, hands it over or waits. */
 export type EngineClaimDecision =
     | { readonly kind: "own"; readonly fence: number }
     | {
@@ -37,15 +46,18 @@
         /** Whether the new owner must wait because another host may have just sent orders. */
         readonly mustWait: boolean;
     }
+    /** The host gives its engine up, under the condition that the claim's key has this revision. */
+    | { readonly kind: "hand_over"; readonly expectedRevision: number }
     | { readonly kind: "wait" };
 
+const WAIT: EngineClaimDecision = { kind: "wait" };
 /** Time per position in the order of hosts before a host claims an engine without an owner, in milliseconds. */
 const RANK_WAIT_MS = 400;
 /** Time for the last owner to claim its engine again before others do, in milliseconds. */
 const FORMER_WAIT_MS = 600;
 
 /**
- * Decides whether a host owns an engine, claims it or waits.
+ * Decides whether a host owns an engine, claims it, hands it over or waits.
  *
  * @param view - Current claim, this host's rank and how long the engine has had no owner
  * @returns the decision; a claim takes effect only if its compare-and-swap in the store succeeds
@@ -55,21 +67,38 @@
  */
 export function decideEngineClaim(view: EngineClaimView): EngineClaimDecision {
     const { claim, self } = view;
-    if (claim !== undefined && !claim.isReleased) {
-        if (claim.host !== self) {
-            return { kind: "wait" };
-        }
-        return claim.incarnation === view.incarnation
-            ? { kind: "own", fence: claim.revision }
-            : { kind: "claim", expectedRevision: claim.revision, mustWait: false };
+    if (claim !== undefined && !claim.isReleased && !claim.hasLostPath) {
+        return claim.host === self ? decideOwnClaim(view, claim) : WAIT;
+    }
+    if (view.isPathLost) {
+        return WAIT;
     }
-    const waitMs = view.wasOwner ? 0 : view.rank * RANK_WAIT_MS + (view.isFirstStart ? 0 : FORMER_WAIT_MS);
     if (claim !== undefined) {
-        return view.unownedMs >= view.rank * RANK_WAIT_MS
-            ? { kind: "claim", expectedRevision: claim.revision, mustWait: false }
-            : { kind: "wait" };
+        return view.unownedMs >= (claim.hasLostPath ? countRankSteps(view.rank) : view.rank) * RANK_WAIT_MS
+            ? { kind: "claim", expectedRevision: claim.revision, mustWait: !claim.isReleased && !view.checksFences }
+            : WAIT;
     }
+    const waitMs = view.wasOwner ? 0 : view.rank * RANK_WAIT_MS + (view.isFirstStart ? 0 : FORMER_WAIT_MS);
     return view.unownedMs >= waitMs
         ? { kind: "claim", expectedRevision: 0, mustWait: !view.wasOwner && !view.isFirstStart && !view.checksFences }
-        : { kind: "wait" };
+        : WAIT;
+}
+
+/** Decides what a host does with an engine whose claim names it as the owner. */
+function decideOwnClaim(view: EngineClaimView, claim: OwnerClaim): EngineClaimDecision {
+    if (view.isPathLost && view.mayHandOver) {
+        return { kind: "hand_over", expectedRevision: claim.revision };
+    }
+    if (claim.incarnation === view.incarnation) {
+        return { kind: "own", fence: claim.revision };
+    }
+    return view.isPathLost ? WAIT : { kind: "claim", expectedRevision: claim.revision, mustWait: false };
+}
+
+/**
+ * Counts the waits of a host before it claims an engine whose owner has lost its path. With each wait twice as many
+ * hosts may claim, so that hosts without a path delay the others little, however many they are.
+ */
+function countRankSteps(rank: number): number {
+    return Math.ceil(Math.log2(rank + 1));
 }
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -7,6 +7,8 @@
 export { isNewEnough } from "./isNewEnough.js";
 export { planOrder } from "./planOrder.js";
 export type { OwnerStep } from "./planOrder.js";
+export { rankSuccessors } from "./rankSuccessors.js";
+export type { PlacedHost } from "./rankSuccessors.js";
 export { reduceResidency } from "./reduceResidency.js";
 export type { OwnerMessage } from "./reduceResidency.js";
 export { createResidencyState } from "./residencyState.js";
--- a/packages/spec/src/platformOwnershipSpecification.ts
+++ b/packages/spec/src/platformOwnershipSpecification.ts
@@ -121,6 +121,7 @@
         host: brandId<HostId>(store.owner),
         incarnation: brandId<Incarnation>("1"),
         isReleased: false,
+        hasLostPath: false,
         revision: store.revision,
     };
     const decision = decideEngineClaim({
@@ -129,6 +130,8 @@
         claim,
         rank: 0,
         wasOwner: hosts[host].fence !== 0,
+        isPathLost: false,
+        mayHandOver: false,
         unownedMs: NOW_MS,
         isFirstStart: false,
         checksFences,
