--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -31,6 +31,8 @@
     readonly host: HostId;
     readonly incarnation: Incarnation;
     readonly isReleased: boolean;
+    /** Whether the host gave the engine up because it had lost its path to it. */
+    readonly hasLostPath: boolean;
 }
 
 const memberSchema = z.object({
@@ -41,7 +43,12 @@
     forwardPort: z.number().optional(),
     isLeaving: z.boolean(),
 });
-const ownerSchema = z.object({ host: z.string(), incarnation: z.string(), isReleased: z.boolean() });
+const ownerSchema = z.object({
+    host: z.string(),
+    incarnation: z.string(),
+    isReleased: z.boolean(),
+    hasLostPath: z.boolean().default(false),
+});
 const loadRequestsSchema = z.object({
     asks: z.array(z.object({
         engine: z.string(),
@@ -133,7 +140,7 @@
  * @returns the value as JSON
  *
  * @example
- * formatMember({ incarnation, ip: "10.0.0.1", port: 7000, isLeaving: false });
+ * formatMember({ incarnation, ip: "10.0.0.1", port: 7000, domain: brandId("a"), isLeaving: false });
  */
 export function formatMember(member: Omit<Member, "host">): Buffer {
     const { incarnation, ip, port, domain, forwardPort, isLeaving } = member;
@@ -143,14 +150,14 @@
 /**
  * Serializes the value of an engine's owner key.
  *
- * @param owner - The owner and whether it has released the engine
+ * @param owner - The owner, and whether and how it has given the engine up
  * @returns the value as JSON
  *
  * @example
- * formatOwner({ host, incarnation, isReleased: false });
+ * formatOwner({ host, incarnation, isReleased: false, hasLostPath: false });
  */
-export function formatOwner({ host, incarnation, isReleased }: OwnerValue): Buffer {
-    return Buffer.from(JSON.stringify({ host, incarnation, isReleased }));
+export function formatOwner({ host, incarnation, isReleased, hasLostPath }: OwnerValue): Buffer {
+    return Buffer.from(JSON.stringify({ host, incarnation, isReleased, hasLostPath }));
 }
 
 /**
@@ -232,6 +239,7 @@
             host: brandId(parsed.data.host),
             incarnation: brandId(parsed.data.incarnation),
             isReleased: parsed.data.isReleased,
+            hasLostPath: parsed.data.hasLostPath,
         }
         : undefined;
 }
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -92,11 +92,11 @@
     const health = createStoreHealth(clock, log);
     const clusterView = createClusterView(context, health);
     const session = startSession(context, health, clusterView);
-    const ownership = startOwnership(context, health, clusterView, session);
-    const loadTracker = createEngineLoadTracker(clock);
+    let peers: PeerClient | undefined;
     const paths = createEnginePaths(context, clusterView, () => peers, () => handler.running);
+    const ownership = startOwnership(context, health, clusterView, session, paths);
+    const loadTracker = createEngineLoadTracker(clock);
     const outbox = createLoadRequestOutbox(context, () => session.lease);
-    let peers: PeerClient | undefined;
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
     const quarantine = createQuarantine(context, clusterView, () => peers);
