Go on with a stream whose resumption another engine answers with a failure

Cause: a stream that had begun was resumed at another engine, which answered with an error status; that answer was taken for the request's end and its head written a second time, which throws. Class: an end of one attempt is taken for the end of the request.

Now such an answer counts as a broken attempt: the stream goes on elsewhere. Both new scenarios failed before. The test's route allows three engines, as the platform's do; the other rows are unchanged.

--- a/packages/front/src/runRequest.feature
+++ b/packages/front/src/runRequest.feature
@@ -17,3 +17,15 @@
             | a resumption whose version is gone       | v1 v1       | send the whole stream           | began at v2 in models       |             | gave_up not_run version_gone   |
             | a resumption of another service's stream | v1 v1       | send the whole stream           | began at v1 in other-models |             | gave_up not_run version_gone   |
             | a resumption whose origin is not known   | v1 v2       | send the whole stream           | began nobody knows where    |             | gave_up not_run unknown_origin |
+
+    # Guards against a stream that has begun and is closed because another engine answers its resumption with a failure.
+    Scenario Outline: A failed answer doesn't end a stream that has begun: <case>
+        Given engines of the versions "<engines>" that break off after the first event, then fail once
+        And a stream that is new
+        When a client's request for the stream runs 20 times
+        Then each run is sent to versions "<sent>" and ends as "<end>"
+
+        Examples:
+            | case                     | engines  | sent     | end                     |
+            | a third engine           | v1 v1 v1 | v1,v1,v1 | relayed                 |
+            | no other engine is left  | v1 v1    | v1,v1    | gave_up unknown no_room |
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -28,22 +28,25 @@
 
 const SERVICE: Service = { name: brandId<ServiceName>("models"), maxConnections: 10, engine: undefined };
 const EVENTS = ["id: 1\n\n", "id: 2\n\n"];
-/** Number of whole events after which the first engine of a run breaks off; undefined if it sends the whole stream. */
-const EVENTS_BEFORE_BREAK: Readonly<Record<string, number | undefined>> = {
-    "send the whole stream": undefined,
-    "break off after the first event": 1,
-    "break off before an event": 0,
+/** What an engine does: sends the whole stream, breaks off after so many whole events, or answers with a failure. */
+type Act = { readonly kind: "whole" } | { readonly kind: "break"; readonly events: number } | { readonly kind: "fail" };
+/** What the first engines of a run do; the others send the whole stream. */
+const ACTS: Readonly<Record<string, readonly Act[]>> = {
+    "send the whole stream": [],
+    "break off after the first event": [{ kind: "break", events: 1 }],
+    "break off before an event": [{ kind: "break", events: 0 }],
+    "break off after the first event, then fail once": [{ kind: "break", events: 1 }, { kind: "fail" }],
 };
 
 let engines: Map<EngineId, KnownEngine>;
-let eventsBeforeBreak: number | undefined;
+let acts: readonly Act[] = [];
 let isResumed = false;
 let origin: StreamOrigin | undefined;
 let results: { readonly sent: string; readonly end: string }[] = [];
 
 Given(/^engines of the versions "(.*)" that (.*)$/, (versions: string, behaviour: string) => {
-    ok(behaviour in EVENTS_BEFORE_BREAK);
-    eventsBeforeBreak = EVENTS_BEFORE_BREAK[behaviour];
+    ok(behaviour in ACTS);
+    acts = ACTS[behaviour] ?? [];
     engines = new Map(
         versions.split(" ").map((version, at) => {
             const id = brandId<EngineId>(`i-${at}`);
@@ -94,7 +97,8 @@
     const transport = {
         send(req: EngineRequest, sink: AnswerSink) {
             sent.push(engines.get(req.target.id)?.entry.softwareVersion ?? "");
-            queueMicrotask(() => answer(req, sink, sent.length === 1 ? eventsBeforeBreak : undefined));
+            const act = acts[sent.length - 1] ?? { kind: "whole" };
+            queueMicrotask(() => answer(req, sink, act));
             return { cancel: () => undefined, resume: () => undefined };
         },
     } as unknown as EngineTransport;
@@ -150,10 +154,9 @@
     handleNotice: () => undefined,
 };
 
-/** Answers like an engine; breaks off after so many whole events if that is given. */
-function answer(req: EngineRequest, sink: AnswerSink, breakAfter: number | undefined): void {
+function answer(req: EngineRequest, sink: AnswerSink, act: Act): void {
     const head: EngineAnswerHead = {
-        status: 200,
+        status: act.kind === "fail" ? 500 : 200,
         framing: "chunks",
         headers: [],
         requestId: req.requestId,
@@ -162,13 +165,21 @@
         limit: { kind: "none" },
         instance: undefined,
     };
+    const sendEvents = (until?: number): void =>
+        EVENTS.slice(Number(req.lastEventId ?? 0), until).forEach(event => sink.piece(Buffer.from(event)));
     sink.head(head);
-    EVENTS.slice(Number(req.lastEventId ?? 0), breakAfter).forEach(event => sink.piece(Buffer.from(event)));
-    if (breakAfter === undefined) {
-        sink.end();
-    }
-    else {
-        sink.fail({ kind: "broken", reason: "ECONNRESET" });
+    switch (act.kind) {
+        case "whole":
+            sendEvents();
+            sink.end();
+            return;
+        case "break":
+            sendEvents(act.events);
+            sink.fail({ kind: "broken", reason: "ECONNRESET" });
+            return;
+        case "fail":
+            sink.end();
+            return;
     }
 }
 
@@ -183,7 +194,7 @@
             lastEventId: isResumed ? "1" : undefined,
             resumedRequestId: isResumed ? brandId<RequestId>("r1") : undefined,
         },
-        route: { kind: "streaming", isResumable: true, maxEngines: 2, goalMs: 100, priority: 0 },
+        route: { kind: "streaming", isResumable: true, maxEngines: 3, goalMs: 100, priority: 0 },
         service: SERVICE,
         requestedAdapter: undefined,
         body: Buffer.alloc(0),
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -319,7 +319,7 @@
             if (obstacle !== undefined) {
                 return obstacle;
             }
-            const { target, result } = await runWithTakeover<SendTarget>(chosen.target, {
+            const { target, result: ended } = await runWithTakeover<SendTarget>(chosen.target, {
                 start: (next, events) => start(request, progress, state, next, events),
                 findNext: silent => findTakeover(request, recordLoser(progress, silent, SILENT), state),
                 recordLoser(loser, lost) {
@@ -332,6 +332,9 @@
                 },
                 onSwitch: () => request.relay?.discardPartialEvent(),
             });
+            const result = ended.kind === "answer" && request.relay?.hasStarted === true
+                ? describeUnfit(ended)
+                : ended;
             recordResult(request, target, result, progress.sends + 1);
             if (result.kind === "broken") {
                 request.relay?.discardPartialEvent();
@@ -360,6 +363,11 @@
 /** Smallest number of hosts that the retry budget is divided among, even if fewer hosts are known. */
 const MIN_HOSTS = 6;
 
+/** Describes a failed answer to the resumption of a stream that has begun: the client can't get it any more. */
+function describeUnfit({ head }: BufferedAnswer): ExchangeResult {
+    return { kind: "broken", reason: `answered ${head.status}`, framing: head.framing };
+}
+
 /** Returns what identifies a target among those that a request was sent to. */
 function readTargetId(target: SendTarget): EngineId {
     switch (target.kind) {
