--- a/packages/directory/src/engineControl.ts
+++ b/packages/directory/src/engineControl.ts
@@ -65,6 +65,8 @@
     order(target: EngineTarget, order: EngineOrder, terms: OrderTerms): Promise<OrderReply>;
     /** Reads the engine's report; throws ServeError `upstream_failed`. */
     report(target: EngineTarget): Promise<EngineReport>;
+    /** Whether a connection to an engine of any service can be opened; sends nothing. */
+    connects(target: EngineTarget): Promise<boolean>;
     /** Finds out whether an engine of any service runs; any answer shows that it does. */
     probe(target: EngineTarget): Promise<EngineProbe>;
 }
--- a/packages/front/src/createEnginePaths.ts
+++ b/packages/front/src/createEnginePaths.ts
@@ -95,12 +95,12 @@
     const probe = async (entry: EngineEntry): Promise<void> => {
         const record = open(entry.id);
         record.probedMs = clock.nowMs();
-        const result = await control.probe({ id: entry.id, address: entry.address });
-        metrics.count("path_probes_total", { result });
-        if (result === "running") {
-            recordHeard(entry.id);
+        const isOpen = await control.connects({ id: entry.id, address: entry.address });
+        metrics.count("path_probes_total", { open: String(isOpen) });
+        if (isOpen) {
+            update(record, { kind: "heard" });
         }
-        else if (clusterView.engines.has(entry.id)) {
+        else {
             update(record, { kind: "unreachable", atMs: clock.nowMs() });
         }
     };
