Clear the block on an engine when its path opens again

After failed connections an engine is avoided for up to two seconds. On a path that a probe finds open again, nothing speaks against the engine any more, so requests are sent there at once instead of being refused as overloaded. reduceHealth has a row for it.

--- a/packages/dispatch/src/reduceHealth.feature
+++ b/packages/dispatch/src/reduceHealth.feature
@@ -13,4 +13,5 @@
             | no connection, after the pause | unreachable@0                                 | 300  | false   | 0.00  |
             | three times no connection      | unreachable@0 unreachable@300 unreachable@900 | 1500 | true    | 0.00  |
             | an answer unblocks the engine  | unreachable@0 unreachable@300 answered@900    | 901  | false   | 0.00  |
+            | a path that opens again        | unreachable@0 unreachable@300 reached@310     | 311  | false   | 0.00  |
             | a full engine                  | shed@0                                        | 30   | true    | 0.00  |
--- a/packages/dispatch/src/reduceHealth.ts
+++ b/packages/dispatch/src/reduceHealth.ts
@@ -18,6 +18,8 @@
     | { readonly kind: "failed"; readonly atMs: number }
     /** No connection could be opened. */
     | { readonly kind: "unreachable"; readonly atMs: number }
+    /** A connection could be opened again. */
+    | { readonly kind: "reached"; readonly atMs: number }
     /** The engine rejected the request without running it. */
     | { readonly kind: "shed"; readonly atMs: number };
 
@@ -80,6 +82,8 @@
                 changedAtMs: atMs,
             };
         }
+        case "reached":
+            return { ...decayed, blockedUntilMs: 0, unreachableCount: 0, changedAtMs: atMs };
         case "shed":
             return {
                 ...decayed,
--- a/packages/front/src/createEnginePaths.ts
+++ b/packages/front/src/createEnginePaths.ts
@@ -47,16 +47,18 @@
  * @param clusterView - Engines, services and live hosts
  * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
  * @param readRunning - Returns the number of clients' requests in flight at this host
+ * @param onOpen - Called when a connection to an engine could be opened on a path that was probed
  * @returns the paths, all open at first
  *
  * @example
- * const paths = createEnginePaths(context, clusterView, () => peers, () => handler.running);
+ * const paths = createEnginePaths(context, clusterView, () => peers, () => handler.running, onOpen);
  */
 export function createEnginePaths(
     context: Pick<FrontContext, "clock" | "control" | "deployment" | "log" | "metrics" | "random">,
     clusterView: Pick<ClusterView, "config" | "engines" | "members" | "onEngineRemoved">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
     readRunning: () => number,
+    onOpen: (engine: EngineId) => void,
 ): SurveyedPaths {
     const { clock, control, log, metrics } = context;
     const survey = createReachSurvey(context, clusterView, readPeers);
@@ -99,6 +101,7 @@
         metrics.count("path_probes_total", { open: String(isOpen) });
         if (isOpen) {
             update(record, { kind: "heard" });
+            onOpen(entry.id);
         }
         else {
             update(record, { kind: "unreachable", atMs: clock.nowMs() });
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -93,9 +93,15 @@
     const clusterView = createClusterView(context, health);
     const session = startSession(context, health, clusterView);
     let peers: PeerClient | undefined;
-    const paths = createEnginePaths(context, clusterView, () => peers, () => handler.running);
-    const ownership = startOwnership(context, health, clusterView, session, paths);
     const loadTracker = createEngineLoadTracker(clock);
+    const paths = createEnginePaths(
+        context,
+        clusterView,
+        () => peers,
+        () => handler.running,
+        engine => loadTracker.recordHealth(engine, { kind: "reached", atMs: clock.nowMs() }),
+    );
+    const ownership = startOwnership(context, health, clusterView, session, paths);
     const outbox = createLoadRequestOutbox(context, () => session.lease);
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
