--- a/packages/front/src/createForwardServer.ts
+++ b/packages/front/src/createForwardServer.ts
@@ -31,8 +31,6 @@
 /** A running listener for other hosts' requests. */
 export interface ForwardServer {
     readonly port: number;
-    /** Closes the connections that carry no request. */
-    closeIdleConnections(): void;
     /** Stops listening and closes all connections. */
     close(): Promise<void>;
 }
@@ -72,7 +70,6 @@
     const port = await listen(server, options.listen);
     return {
         port,
-        closeIdleConnections: () => server.closeIdleConnections(),
         close: () =>
             new Promise(resolve => {
                 server.close(() => resolve());
@@ -89,7 +86,8 @@
     res.end();
 }
 
+/** Removes the mark from a request, last from `rawHeaders`, which Node.js reads the others from at their first use. */
 function removeMark(req: IncomingMessage): void {
+    [req.headers, req.headersDistinct].forEach(headers => MARK_HEADERS.forEach(name => delete headers[name]));
     req.rawHeaders = [...removeHeaders(req.rawHeaders, MARK_HEADERS)];
-    MARK_HEADERS.forEach(name => delete req.headers[name]);
 }
