--- a/packages/front/src/createForwardTransport.feature
+++ b/packages/front/src/createForwardTransport.feature
@@ -29,45 +29,9 @@
         When the host hands over a request in which the client sent a mark of its own
         Then the helping host has received the mark of the host
 
-    Scenario: Each event of a stream arrives before the next is written
-        Given a helping host that writes each event once the last has arrived
-        When the host hands over a request for a stream of 300 events
-        Then the stream has arrived whole
-
-    Scenario: A helping host stops writing while the first host does not read
-        Given a helping host that writes 4096 events of 16384 bytes, each once the connection takes more
-        When the host hands over a request and stops reading at the first event
-        Then the helping host comes to a stop before the end
-        When the host reads on
-        Then all events have arrived in order
-
-    Scenario Outline: A request ends as "<kind>" if <case>
-        Given a helping host that <helper>
-        When the host hands over a request
-        Then the handover ends as "<kind>" after "<text>"
-
-        Examples:
-            | case                             | helper                                   | kind   | text  |
-            | nobody listens                   | does not listen                          | unsent |       |
-            | the host does not know the key   | this host has no key for                 | unsent |       |
-            | it closes without an answer      | closes the connection without an answer  | broken |       |
-            | it breaks within a length        | breaks off within a length               | broken | hello |
-            | it breaks between chunks         | breaks off between chunks                | broken | hello |
-
-    Scenario Outline: The helping host's response closes if the host cancels <when>
-        Given a helping host that answers <when>
-        When the host hands over a request and cancels it <when>
-        Then the helping host's response closes before its end, and the host hears no more of it
-
-        Examples:
-            | when                     |
-            | before the answer's head |
-            | within the answer        |
-            | while it does not read   |
-
     Scenario Outline: A refusal of the helping host with the outcome "<outcome>" is understood
         Given a helping host that refuses with <status>, the outcome "<outcome>" and a time of "<retryAfter>"
-        When the host hands over a request
+        When the host hands over a request to it
         Then the head states <isNotRun> as not run, the request's own id and a time of <ms>
         And no header that a client gets names an outcome
 
@@ -81,7 +45,7 @@
 
     Scenario Outline: An engine's answer with status <status> is never taken for a promise that the request did not run
         Given a helping host that passes on an engine's answer with status <status>
-        When the host hands over a request
+        When the host hands over a request to it
         Then the head is of the engine's answer with status <status>, without load, limit or engine
 
         Examples:
