A host asks others for bytes from an engine before it reports its crash

A host that had lost its path saw broken answers and then refused connections, took the sound engine for a crashed one and reported the prompts that ran there. Bytes of the first 50 ms after the break don't count, and a reply is waited for 200 ms at most, so a real crash is reported 150 ms after the break, or 350 ms without replies.

createQuarantine takes the paths as one more parameter.

--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -29,6 +29,7 @@
 import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
+import { NO_LOST_PATHS } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
 import type {
     FleetArrival,
@@ -268,7 +269,7 @@
             find: () => Promise.resolve(undefined),
         };
         const peers = connect(host);
-        const quarantine = createQuarantine(context, view, () => peers);
+        const quarantine = createQuarantine(context, view, () => peers, NO_LOST_PATHS);
         const limits = createEngineLimits(context, view, () => peers);
         handlersByHost.set(host, {
             engineCrash: (report: CrashReport) => quarantine.handleCrash(report),
--- a/packages/front/src/createQuarantine.ts
+++ b/packages/front/src/createQuarantine.ts
@@ -4,7 +4,7 @@
 import { toServeError } from "@fulmarcleat/errors";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import { sleep } from "@fulmarcleat/ids";
-import type { HostId, Suspect } from "@fulmarcleat/ids";
+import type { EngineId, HostId, Suspect } from "@fulmarcleat/ids";
 import type {
     CrashReply,
     CrashReport,
@@ -14,6 +14,7 @@
     QuarantineNotice,
 } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
+import type { EnginePaths } from "./enginePaths.js";
 import { formatEngineRun } from "./formatEngineRun.js";
 import type { FrontContext } from "./frontContext.js";
 import { formatQuarantineKey } from "./hostKeys.js";
@@ -40,6 +41,8 @@
 
 /** Requests that broke at one engine and are not reported yet. */
 interface PendingCrash {
+    /** Clock reading when the first of them broke, in milliseconds. */
+    readonly brokeAtMs: number;
     readonly requests: Suspects[];
 }
 
@@ -53,6 +56,15 @@
 const MAX_PROBES = 3;
 /** Delay between two of these calls, in milliseconds. */
 const PROBE_DELAY_MS = 50;
+/**
+ * Time after a break from which on bytes that other hosts get show that the engine has not crashed, in milliseconds;
+ * hosts see the same crash at different times, and process the last bytes before it late while they are busy.
+ */
+const BREAK_MARGIN_MS = 50;
+/** Time after a break at which other hosts are asked for such bytes, in milliseconds; a stream has some by then. */
+const ASK_AFTER_MS = 150;
+/** Longest wait for what other hosts reply, in milliseconds; a crash is reported without it. */
+const MAX_ASK_MS = 200;
 /** Delay of each judge behind the one ranked before it when it writes a finding to the store, in milliseconds. */
 const WRITE_DELAY_PER_RANK_MS = 60;
 /** Delay after a finding could not be written to the store, in milliseconds. */
@@ -71,15 +83,17 @@
  * @param context - Clock, hash, store, engines' control interface, metrics and log
  * @param clusterView - Live hosts, and quarantines in the store
  * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
+ * @param paths - Asks other hosts whether they reach an engine that seems to have crashed
  * @returns the quarantine, empty
  *
  * @example
- * const quarantine = createQuarantine(context, clusterView, () => peers);
+ * const quarantine = createQuarantine(context, clusterView, () => peers, paths);
  */
 export function createQuarantine(
     context: Pick<FrontContext, "clock" | "control" | "deployment" | "hash" | "log" | "metrics" | "store">,
     clusterView: Pick<ClusterView, "members" | "onQuarantine" | "quarantined">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
+    paths: Pick<EnginePaths, "isReachedByOthers">,
 ): Quarantine {
     const { clock, control, deployment, hash, log, metrics, store } = context;
     const peerContext = { metrics, readPeers };
@@ -265,13 +279,28 @@
         }
         return probe;
     };
-    const confirmCrash = async ({ id, address, bornMs }: EngineEntry, pending: PendingCrash): Promise<void> => {
+    /** Whether other hosts get bytes from an engine that has crashed as seen from here, so that only the path is lost. */
+    const isPathLost = async (engine: EngineId, brokeAtMs: number): Promise<boolean> => {
+        await sleep(clock, Math.max(0, brokeAtMs + ASK_AFTER_MS - clock.nowMs()));
+        const reply = paths.isReachedByOthers(engine, brokeAtMs + BREAK_MARGIN_MS).catch((err: unknown) => {
+            logFailure(err);
+            return false;
+        });
+        return Promise.race([reply, sleep(clock, MAX_ASK_MS).then(() => false)]);
+    };
+    const findCause = async ({ id, address }: EngineEntry, brokeAtMs: number): Promise<EngineProbe | "path_lost"> => {
         const probe = await probeEngine({ id, address });
+        return probe === "gone" && await isPathLost(id, brokeAtMs) ? "path_lost" : probe;
+    };
+    const confirmCrash = async (entry: EngineEntry, pending: PendingCrash): Promise<void> => {
+        const { id, bornMs } = entry;
+        const probe = await findCause(entry, pending.brokeAtMs);
         pendingCrashes.delete(formatEngineRun(id, bornMs));
         switch (probe) {
             case "gone":
                 await reportCrash({ engine: id, bornMs, prompts: pending.requests });
                 return;
+            case "path_lost":
             case "running":
             case "unclear":
                 metrics.count("engine_breaks_total", { probe });
@@ -319,7 +348,7 @@
                 pending.requests.push(suspects);
                 return;
             }
-            const first = { requests: [suspects] };
+            const first = { brokeAtMs: clock.nowMs(), requests: [suspects] };
             pendingCrashes.set(key, first);
             void confirmCrash(entry, first);
         },
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -91,7 +91,7 @@
     let peers: PeerClient | undefined;
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
-    const quarantine = createQuarantine(context, clusterView, () => peers);
+    const quarantine = createQuarantine(context, clusterView, () => peers, paths);
     const limits = createEngineLimits(context, clusterView, () => peers);
     const runner = createRequestRunner(context, clusterView, loadTracker, adapters, streamOrigins, quarantine, limits);
     clusterView.onEngineRemoved(entry => transport.forget({ id: entry.id, address: entry.address }));
