--- a/packages/front/src/createOwnerFleet.steps.ts
+++ b/packages/front/src/createOwnerFleet.steps.ts
@@ -1,4 +1,5 @@
-import type { EngineControl, OrderReply } from "@fulmarcleat/directory";
+import { STORE_REPLY_TIMEOUT_MS } from "@fulmarcleat/directory";
+import type { ChangeReply, EngineControl, OrderReply, StoreChange } from "@fulmarcleat/directory";
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom, sleep } from "@fulmarcleat/ids";
@@ -9,6 +10,7 @@
 import { createStoreFake } from "./createStoreFake.steps.js";
 import type { StoreFake } from "./createStoreFake.steps.js";
 import type { FrontContext } from "./frontContext.js";
+import { formatOwnerKey, parseOwner } from "./hostKeys.js";
 import { startOwnership } from "./startOwnership.js";
 import type { Ownership } from "./startOwnership.js";
 import { startSession } from "./startSession.js";
@@ -39,6 +41,13 @@
     readonly atMs: number;
 }
 
+/** A claim that a host gave up, as the store has it. */
+export interface GivenUpClaim {
+    readonly engine: string;
+    readonly fence: number;
+    readonly atMs: number;
+}
+
 /** Hosts in memory that share out the ownership of engines; each owner is asked for new adapters all the time. */
 export interface OwnerFleet {
     readonly store: StoreFake;
@@ -47,7 +56,10 @@
     readonly orderLeaseMs: number;
     readonly orders: readonly FleetOrder[];
     readonly handovers: readonly FleetHandover[];
+    readonly givenUpClaims: readonly GivenUpClaim[];
     nowMs(): number;
+    /** Lets the store fall silent once it has written a handover, so that nobody learns of it until it serves again. */
+    silenceAfterHandover(): void;
     readDomain(host: string): string;
     /** The host that owns each engine, as the hosts themselves see it. */
     readOwners(): ReadonlyMap<string, string>;
@@ -102,6 +114,8 @@
     const running = new Map<string, RunningHost>();
     const orders: FleetOrder[] = [];
     const handovers: FleetHandover[] = [];
+    const givenUpClaims: GivenUpClaim[] = [];
+    let isSilencedAfterHandover = false;
     let cut: ReadonlySet<string> = new Set();
     let requested = 0;
     let incarnations = 0;
@@ -149,6 +163,28 @@
             return { models: [held], coming: [], isBusy: false, seq: engine.seq, running: 0, waiting: 0 };
         },
     });
+    const changeStore = async (change: StoreChange): Promise<ChangeReply> => {
+        const [expected] = change.expect;
+        const isHandover = parseOwner(change.puts[0]?.value ?? Buffer.alloc(0))?.hasLostPath === true;
+        if (!isHandover || expected === undefined) {
+            return store.change(change);
+        }
+        if (isSilencedAfterHandover) {
+            store.silenceOpenCalls();
+        }
+        const reply = await store.change(change);
+        if (reply.kind === "written") {
+            const engine = expected.key.slice(formatOwnerKey(brandId("")).length);
+            givenUpClaims.push({ engine, fence: expected.revision, atMs: clock.nowMs() });
+        }
+        if (isSilencedAfterHandover) {
+            isSilencedAfterHandover = false;
+            store.setMode("silent");
+            await sleep(clock, STORE_REPLY_TIMEOUT_MS);
+            throw new Error("the store did not reply");
+        }
+        return reply;
+    };
     const readDomain = (host: string): string => `d${Number(host.slice("host-".length)) % options.domains}`;
     const startHost = (name: string): void => {
         incarnations += 1;
@@ -168,7 +204,7 @@
         };
         const context = {
             clock: ownClock,
-            store,
+            store: { ...store, change: changeStore },
             hash,
             log,
             control: createControl(name),
@@ -217,6 +253,8 @@
         orderLeaseMs: BOUNDS.orderLeaseMs,
         orders,
         handovers,
+        givenUpClaims,
+        silenceAfterHandover: () => void (isSilencedAfterHandover = true),
         nowMs: () => clock.nowMs(),
         readDomain,
         readOwners() {
--- a/packages/front/src/startOwnership.feature
+++ b/packages/front/src/startOwnership.feature
@@ -47,6 +47,15 @@
         Then within 3000 ms each engine takes orders
         And no order has a fence below one before it
 
+    # Guards against a host that goes on to order since it doesn't know that it has given its engine up.
+    Scenario: A handover is written without a reply, and the path returns
+        Given 8 hosts in 3 failure domains that own 12 engines, which check fences
+        When 1 host lose their paths to the engines, and the store falls silent once a handover is written
+        And 700 ms later all paths are back
+        And 1500 ms later the store serves again
+        Then within 3000 ms each engine takes orders
+        And no host orders under a fence that it has given up
+
     Scenario: No host reaches the engines
         Given 8 hosts in 3 failure domains that own 12 engines, which check fences
         When all hosts lose their paths to the engines
--- a/packages/front/src/startOwnership.steps.ts
+++ b/packages/front/src/startOwnership.steps.ts
@@ -67,6 +67,20 @@
     },
 );
 
+When(
+    "{int} host lose their paths to the engines, and the store falls silent once a handover is written",
+    (count: number) => {
+        fleet.silenceAfterHandover();
+        lose(String(count));
+    },
+);
+
+When("{int} ms later the store serves again", async (ms: number) => {
+    await fleet.advance(ms);
+    fleet.store.setMode("serving");
+    lostMs = fleet.nowMs();
+});
+
 When("{int} host restart without paths to the engines", (count: number) => {
     lose(String(count));
     cut.forEach(host => fleet.restart(host));
@@ -149,6 +163,14 @@
     }
 });
 
+Then("no host orders under a fence that it has given up", () => {
+    ok(fleet.givenUpClaims.length > 0, "no engine was handed over");
+    for (const { engine, fence, atMs } of fleet.givenUpClaims) {
+        const late = fleet.orders.find(order => order.engine === engine && order.fence === fence && order.atMs > atMs);
+        ok(late === undefined, `${engine}: ${fence} is given up at ${atMs}, and used at ${late?.atMs}`);
+    }
+});
+
 Then("for {int} ms the owners stay the same", async (ms: number) => {
     const before = [...fleet.readOwners()].sort().join(" ");
     await fleet.advance(ms);
