A stopping host releases an engine only after the reply to its last order

release() marked an engine as released at once, also while an order was under way or had no reply, so the next owner ordered while that order could still be carried out, where engines check no fences.

--- a/packages/front/src/createOwnerFleet.steps.ts
+++ b/packages/front/src/createOwnerFleet.steps.ts
@@ -14,6 +14,7 @@
 import { startOwnership } from "./startOwnership.js";
 import type { Ownership } from "./startOwnership.js";
 import { startSession } from "./startSession.js";
+import type { Session } from "./startSession.js";
 import { createStoreHealth } from "./storeHealth.js";
 
 /** Size and engines of a fleet. */
@@ -65,6 +66,8 @@
     readOwners(): ReadonlyMap<string, string>;
     /** Cuts exactly these hosts off from all engines; paths count as lost while another host has its own. */
     cut(hosts: readonly string[]): void;
+    /** Stops a host as the platform does: it leaves and gives its engines up. */
+    stopHost(host: string): void;
     /** Kills a host and starts it again under its name. */
     restart(host: string): void;
     advance(ms: number): Promise<void>;
@@ -80,6 +83,7 @@
 /** A running process of a host. */
 interface RunningHost {
     readonly ownership: Ownership;
+    readonly session: Session;
     readonly stop: () => void;
 }
 
@@ -226,7 +230,7 @@
         const session = startSession(context, health, view);
         const paths = { isPathLost: () => cut.has(name) && cut.size < running.size };
         const ownership = startOwnership(context, health, view, session, paths);
-        running.set(name, { ownership, stop: () => void (isRunning = false) });
+        running.set(name, { ownership, session, stop: () => void (isRunning = false) });
     };
     const hosts = Array.from({ length: options.hosts }, (value, number) => `host-${number}`);
     hosts.forEach(startHost);
@@ -265,6 +269,11 @@
             return owners;
         },
         cut: next => void (cut = new Set(next)),
+        stopHost(host) {
+            const { session, ownership } = running.get(host) ?? {};
+            void session?.leave();
+            void ownership?.release();
+        },
         restart(host) {
             running.get(host)?.stop();
             startHost(host);
--- a/packages/front/src/startOwnership.feature
+++ b/packages/front/src/startOwnership.feature
@@ -79,6 +79,21 @@
         Then within 8000 ms each engine of theirs takes orders of another host under a higher fence
         And no order came while a former owner's could still be carried out
 
+    # Guards against a next owner that orders while an order of a stopped host may still be carried out.
+    Scenario Outline: A host stops <when>, engines <check> fences
+        Given 8 hosts in 3 failure domains that own 12 engines, which <check> fences
+        When all hosts lose their paths to the engines
+        And <lost> ms later 1 host stops
+        And 300 ms later all paths are back
+        Then within <within> ms each engine takes orders
+        And no order came while a former owner's could still be carried out
+
+        Examples:
+            | when                                | check  | lost | within |
+            | while its orders are unanswered     | ignore | 300  | 4500   |
+            | while its orders are unanswered     | check  | 300  | 1300   |
+            | just after its last orders are sent | ignore | 110  | 4500   |
+
     # Guards against engines that change hands with each short loss of a path.
     Scenario: Paths come and go
         Given 3 hosts in 3 failure domains that own 12 engines, which check fences
--- a/packages/front/src/startOwnership.steps.ts
+++ b/packages/front/src/startOwnership.steps.ts
@@ -93,6 +93,11 @@
     formerOwners = before;
 });
 
+When("{int} ms later {int} host stops", async (ms: number, count: number) => {
+    await fleet.advance(ms);
+    [...new Set(fleet.readOwners().values())].sort().slice(0, count).forEach(host => fleet.stopHost(host));
+});
+
 When("{int} ms later all paths are back", async (ms: number) => {
     await fleet.advance(ms);
     fleet.cut([]);
--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -138,6 +138,7 @@
         owned.set(entry.id, { task, bornMs: entry.bornMs, formerSettled });
         log.write("info", 300, { engine: entry.id, fence, bornMs: entry.bornMs });
     };
+    /** Writes an owner key; unless it is released, it ends with the lease, so that hosts of former versions claim it. */
     const writeOwner = (
         engine: EngineId,
         { expectedRevision, lease, isReleased, hasLostPath }: OwnerChange,
@@ -187,18 +188,21 @@
             pendingClaims.delete(engine);
         }
     };
-    const startHandover = (engine: EngineId, revision: number): Handover => {
+    /**
+     * Stops owning an engine. Resolves, once the last order has been answered or has timed out, to whether no order of
+     * this host or of an owner before it can be carried out any more.
+     */
+    const stopOrders = (engine: EngineId, reason: string): Promise<boolean> => {
         const existing = owned.get(engine);
         const isAfterFormerOrders = clock.nowMs() >= (formerOrdersUntil.get(engine) ?? 0);
-        stopOwning(engine, "the path is lost");
+        stopOwning(engine, reason);
+        return existing === undefined || !isAfterFormerOrders ? Promise.resolve(false) : settle(existing);
+    };
+    const startHandover = (engine: EngineId, revision: number): Handover => {
+        const settled = stopOrders(engine, "the path is lost");
         formerlyOwned.delete(engine);
         lastHandoverMs.set(engine, clock.nowMs());
-        const handover = {
-            revision,
-            settled: existing === undefined || !isAfterFormerOrders ? Promise.resolve(false) : settle(existing),
-            isWriting: false,
-            isDone: false,
-        };
+        const handover = { revision, settled, isWriting: false, isDone: false };
         handovers.set(engine, handover);
         return handover;
     };
@@ -211,7 +215,6 @@
         handover.isWriting = true;
         try {
             const isReleased = await handover.settled;
-            // Unless the engine is released, the key ends with the lease, so that hosts of former versions claim it.
             const reply = await writeOwner(engine, {
                 expectedRevision: handover.revision,
                 lease: isReleased ? 0 : lease,
@@ -340,17 +343,21 @@
         isFenced: engine => rejectedFences.has(engine) && rejectedFences.get(engine) === owned.get(engine)?.task.fence,
         async release() {
             isStopped = true;
-            const engines = [...owned.entries()];
-            engines.forEach(([engine]) => stopOwning(engine, "the host stops"));
-            await Promise.all(engines.map(async ([engine, { task }]) => {
+            await Promise.all([...owned].map(async ([engine, { task }]) => {
+                const isReleased = await stopOrders(engine, "the host stops");
+                const lease = isReleased ? 0 : session.lease;
+                if (lease === undefined) {
+                    return;
+                }
                 try {
+                    // An engine that left an order without a reply is handed over like one whose path is lost.
                     await writeOwner(engine, {
                         expectedRevision: task.fence,
-                        lease: 0,
-                        isReleased: true,
-                        hasLostPath: false,
+                        lease,
+                        isReleased,
+                        hasLostPath: !isReleased,
                     });
-                    log.write("info", 301, { engine });
+                    log.write("info", 301, { engine, reason: "the host stops", isReleased });
                 }
                 catch (err) {
                     log.write("warn", 602, { step: toServeError(err, INTERNAL).step, engine });
