--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -163,13 +163,11 @@
             formerOrdersUntil.set(engine, clock.nowMs() + (mayHaveFormerOrders ? orderLeaseMs : 0));
         };
         pendingClaims.add(engine);
+        // The watch may show the claim before the reply to it arrives.
+        allowOrders();
         try {
-            const reply = await writeOwner(engine, {
-                expectedRevision,
-                lease,
-                isReleased: false,
-                hasLostPath: false,
-            });
+            const change = { expectedRevision, lease, isReleased: false, hasLostPath: false };
+            const reply = await writeOwner(engine, change);
             health.recordCall(true, "claim engine");
             if (reply.kind === "written") {
                 allowOrders();
