--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -270,7 +270,7 @@
             find: () => Promise.resolve(undefined),
         };
         const peers = connect(host);
-        const quarantine = createQuarantine(context, view, () => peers);
+        const quarantine = createQuarantine(context, view, () => peers, NO_LOST_PATHS);
         const limits = createEngineLimits(context, view, () => peers);
         handlersByHost.set(host, {
             engineCrash: (report: CrashReport) => quarantine.handleCrash(report),
--- a/packages/front/src/createOwnerFleet.steps.ts
+++ b/packages/front/src/createOwnerFleet.steps.ts
@@ -1,4 +1,5 @@
-import type { EngineControl, OrderReply } from "@fulmarcleat/directory";
+import { STORE_REPLY_TIMEOUT_MS } from "@fulmarcleat/directory";
+import type { ChangeReply, EngineControl, OrderReply, StoreChange } from "@fulmarcleat/directory";
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom, sleep } from "@fulmarcleat/ids";
@@ -9,9 +10,11 @@
 import { createStoreFake } from "./createStoreFake.steps.js";
 import type { StoreFake } from "./createStoreFake.steps.js";
 import type { FrontContext } from "./frontContext.js";
+import { formatOwnerKey, parseOwner } from "./hostKeys.js";
 import { startOwnership } from "./startOwnership.js";
 import type { Ownership } from "./startOwnership.js";
 import { startSession } from "./startSession.js";
+import type { Session } from "./startSession.js";
 import { createStoreHealth } from "./storeHealth.js";
 
 /** Size and engines of a fleet. */
@@ -39,6 +42,13 @@
     readonly atMs: number;
 }
 
+/** A claim that a host gave up, as the store has it. */
+export interface GivenUpClaim {
+    readonly engine: string;
+    readonly fence: number;
+    readonly atMs: number;
+}
+
 /** Hosts in memory that share out the ownership of engines; each owner is asked for new adapters all the time. */
 export interface OwnerFleet {
     readonly store: StoreFake;
@@ -47,12 +57,17 @@
     readonly orderLeaseMs: number;
     readonly orders: readonly FleetOrder[];
     readonly handovers: readonly FleetHandover[];
+    readonly givenUpClaims: readonly GivenUpClaim[];
     nowMs(): number;
+    /** Lets the store fall silent once it has written a handover, so that nobody learns of it until it serves again. */
+    silenceAfterHandover(): void;
     readDomain(host: string): string;
     /** The host that owns each engine, as the hosts themselves see it. */
     readOwners(): ReadonlyMap<string, string>;
     /** Cuts exactly these hosts off from all engines; paths count as lost while another host has its own. */
     cut(hosts: readonly string[]): void;
+    /** Stops a host as the platform does: it leaves and gives its engines up. */
+    stopHost(host: string): void;
     /** Kills a host and starts it again under its name. */
     restart(host: string): void;
     advance(ms: number): Promise<void>;
@@ -68,6 +83,7 @@
 /** A running process of a host. */
 interface RunningHost {
     readonly ownership: Ownership;
+    readonly session: Session;
     readonly stop: () => void;
 }
 
@@ -102,6 +118,8 @@
     const running = new Map<string, RunningHost>();
     const orders: FleetOrder[] = [];
     const handovers: FleetHandover[] = [];
+    const givenUpClaims: GivenUpClaim[] = [];
+    let isSilencedAfterHandover = false;
     let cut: ReadonlySet<string> = new Set();
     let requested = 0;
     let incarnations = 0;
@@ -149,6 +167,28 @@
             return { models: [held], coming: [], isBusy: false, seq: engine.seq, running: 0, waiting: 0 };
         },
     });
+    const changeStore = async (change: StoreChange): Promise<ChangeReply> => {
+        const [expected] = change.expect;
+        const isHandover = parseOwner(change.puts[0]?.value ?? Buffer.alloc(0))?.hasLostPath === true;
+        if (!isHandover || expected === undefined) {
+            return store.change(change);
+        }
+        if (isSilencedAfterHandover) {
+            store.silenceOpenCalls();
+        }
+        const reply = await store.change(change);
+        if (reply.kind === "written") {
+            const engine = expected.key.slice(formatOwnerKey(brandId("")).length);
+            givenUpClaims.push({ engine, fence: expected.revision, atMs: clock.nowMs() });
+        }
+        if (isSilencedAfterHandover) {
+            isSilencedAfterHandover = false;
+            store.setMode("silent");
+            await sleep(clock, STORE_REPLY_TIMEOUT_MS);
+            throw new Error("the store did not reply");
+        }
+        return reply;
+    };
     const readDomain = (host: string): string => `d${Number(host.slice("host-".length)) % options.domains}`;
     const startHost = (name: string): void => {
         incarnations += 1;
@@ -168,7 +208,7 @@
         };
         const context = {
             clock: ownClock,
-            store,
+            store: { ...store, change: changeStore },
             hash,
             log,
             control: createControl(name),
@@ -190,7 +230,7 @@
         const session = startSession(context, health, view);
         const paths = { isPathLost: () => cut.has(name) && cut.size < running.size };
         const ownership = startOwnership(context, health, view, session, paths);
-        running.set(name, { ownership, stop: () => void (isRunning = false) });
+        running.set(name, { ownership, session, stop: () => void (isRunning = false) });
     };
     const hosts = Array.from({ length: options.hosts }, (value, number) => `host-${number}`);
     hosts.forEach(startHost);
@@ -217,6 +257,8 @@
         orderLeaseMs: BOUNDS.orderLeaseMs,
         orders,
         handovers,
+        givenUpClaims,
+        silenceAfterHandover: () => void (isSilencedAfterHandover = true),
         nowMs: () => clock.nowMs(),
         readDomain,
         readOwners() {
@@ -227,6 +269,11 @@
             return owners;
         },
         cut: next => void (cut = new Set(next)),
+        stopHost(host) {
+            const { session, ownership } = running.get(host) ?? {};
+            void session?.leave();
+            void ownership?.release();
+        },
         restart(host) {
             running.get(host)?.stop();
             startHost(host);
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -105,7 +105,7 @@
     const outbox = createLoadRequestOutbox(context, () => session.lease);
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
-    const quarantine = createQuarantine(context, clusterView, () => peers);
+    const quarantine = createQuarantine(context, clusterView, () => peers, paths);
     const limits = createEngineLimits(context, clusterView, () => peers);
     let sharedKey: string | undefined;
     const forwardTransport = createForwardTransport({
