--- a/packages/front/src/createEnginePaths.ts
+++ b/packages/front/src/createEnginePaths.ts
@@ -2,7 +2,13 @@
 import { chooseUnresponsiveLimit, OPEN_PATH, readSuspectSince, reduceEnginePath } from "@fulmarcleat/dispatch";
 import type { EnginePath, EnginePathMessage } from "@fulmarcleat/dispatch";
 import type { EngineId, HostId, ServiceName } from "@fulmarcleat/ids";
-import type { EngineReachReply, EngineReachRequest, PeerClient } from "@fulmarcleat/wire";
+import type {
+    EngineProbeReply,
+    EngineProbeRequest,
+    EngineReachReply,
+    EngineReachRequest,
+    PeerClient,
+} from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
 import { createReachSurvey } from "./createReachSurvey.js";
 import type { EnginePaths } from "./enginePaths.js";
@@ -13,6 +19,8 @@
 export interface SurveyedPaths extends EnginePaths {
     /** Answers another host that asks which engines of a service this host hears from. */
     answer(request: EngineReachRequest): EngineReachReply;
+    /** Probes an engine for another host. */
+    probeFor(request: EngineProbeRequest): Promise<EngineProbeReply>;
     /** Stops the checks. */
     stop(): void;
 }
@@ -185,14 +193,13 @@
             await refreshed;
             return find();
         },
-        async isReachedByOthers(engine, sinceMs) {
-            const service = clusterView.engines.get(engine)?.entry.service;
-            const isHeard = (): boolean => (survey.readHeardMs(engine) ?? -Infinity) > sinceMs + NOTICE_SPREAD_MS;
-            // A survey under way may have begun too early.
-            for (let asked = 0; asked < 2 && service !== undefined && !isHeard(); asked += 1) {
-                await survey.refresh(service, 0);
-            }
-            return isHeard();
+        isReachedByOthers: (engine, sinceMs) =>
+            (survey.readHeardMs(engine) ?? -Infinity) > sinceMs ? Promise.resolve(true) : survey.probe(engine),
+        async probeFor({ engine }) {
+            const entry = clusterView.engines.get(engine)?.entry;
+            return {
+                probe: entry === undefined ? "unclear" : await control.probe({ id: engine, address: entry.address }),
+            };
         },
         answer({ service }) {
             const atMs = clock.nowMs();
--- a/packages/front/src/createReachSurvey.ts
+++ b/packages/front/src/createReachSurvey.ts
@@ -7,12 +7,14 @@
 
 /** What other hosts say of the engines that they hear from. */
 export interface ReachSurvey {
-    /** Asks other hosts which engines of a service they hear from, unless they were asked within a time in ms. */
-    refresh(service: ServiceName, maxAgeMs?: number): Promise<void>;
+    /** Asks other hosts which engines of a service they hear from, unless they were asked lately. */
+    refresh(service: ServiceName): Promise<void>;
     /** Clock reading when another host last had bytes from an engine, in milliseconds; undefined if none said so. */
     readHeardMs(engine: EngineId): number | undefined;
     /** Lists hosts that hear from engines of a service, the least busy first. */
     listHelpers(service: ServiceName): readonly Member[];
+    /** Asks some other hosts to probe an engine; returns whether it runs as seen from one of them. */
+    probe(engine: EngineId): Promise<boolean>;
     forget(engine: EngineId): void;
 }
 
@@ -32,6 +34,8 @@
 
 /** Number of hosts that are asked at once. */
 const ASKED_HOSTS = 4;
+/** Number of hosts that are asked to probe an engine. */
+const PROBING_HOSTS = 3;
 /** Most times that further hosts are asked because those before hear from no engine. */
 const MAX_ROUNDS = 3;
 /** Age from which replies are renewed, in milliseconds. */
@@ -95,9 +99,9 @@
         }
     };
     return {
-        refresh(service, maxAgeMs = RENEW_AFTER_MS) {
+        refresh(service) {
             const survey = open(service);
-            if (survey.pending === undefined && clock.nowMs() - survey.askedMs >= maxAgeMs) {
+            if (survey.pending === undefined && clock.nowMs() - survey.askedMs >= RENEW_AFTER_MS) {
                 survey.pending = ask(service, survey).finally(() => {
                     survey.askedMs = clock.nowMs();
                     survey.pending = undefined;
@@ -115,6 +119,14 @@
                 .filter(member => member !== undefined && !member.isLeaving && member.forwardPort !== undefined)
                 .filter(member => member !== undefined);
         },
+        async probe(engine) {
+            const replies = orderPeers().slice(0, PROBING_HOSTS).map(async member => {
+                const reply = await sendToPeer(peerContext, member, "engineProbe", { engine });
+                return reply?.probe === "running" || Promise.reject(new Error(`${member.host} doesn't reach it`));
+            });
+            // It rejects only if no host reaches the engine.
+            return Promise.any(replies).catch(() => false);
+        },
         forget: engine => void heardMs.delete(engine),
     };
 }
--- a/packages/front/src/enginePaths.ts
+++ b/packages/front/src/enginePaths.ts
@@ -18,7 +18,7 @@
     isServiceSilent(service: ServiceName): boolean;
     /** Finds another host that hears from engines of a service; undefined if none is known. */
     findHelper(service: ServiceName, excluded: ReadonlySet<EngineId | HostId>): Promise<Member | undefined>;
-    /** Asks other hosts whether they have had bytes from an engine since a clock reading of this host, in milliseconds. */
+    /** Whether other hosts reach an engine: they have had bytes since a clock reading, in milliseconds, or a probe does. */
     isReachedByOthers(engine: EngineId, sinceMs: number): Promise<boolean>;
 }
 
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -20,7 +20,7 @@
     QuarantineNotice,
 } from "./crashMessages.js";
 import type { LimitNotice, LimitNoticeReply, SendGrantReply, SendGrantRequest } from "./limitMessages.js";
-import type { EngineReachReply, EngineReachRequest } from "./reachMessages.js";
+import type { EngineProbeReply, EngineProbeRequest, EngineReachReply, EngineReachRequest } from "./reachMessages.js";
 import type { AdapterLoadReply, AdapterLoadRequest, HostUsageReply, HostUsageReport } from "./residencyMessages.js";
 import type { StreamOriginReply, StreamOriginRequest, StreamRecord } from "./streamMessages.js";
 
@@ -269,6 +269,7 @@
     readonly quarantine: { readonly request: QuarantineNotice; readonly reply: Acknowledgement };
     readonly engineLimit: { readonly request: LimitNotice; readonly reply: LimitNoticeReply };
     readonly sendGrant: { readonly request: SendGrantRequest; readonly reply: SendGrantReply };
+    readonly engineProbe: { readonly request: EngineProbeRequest; readonly reply: EngineProbeReply };
     readonly engineReach: { readonly request: EngineReachRequest; readonly reply: EngineReachReply };
     readonly engineUse: { readonly request: HostUsageReport; readonly reply: HostUsageReply };
 }
--- a/packages/wire/src/reachMessages.ts
+++ b/packages/wire/src/reachMessages.ts
@@ -12,3 +12,13 @@
     /** Number of requests of clients in flight at the host. */
     readonly running: number;
 }
+
+/** Asks a host to find out whether an engine runs. */
+export interface EngineProbeRequest {
+    readonly engine: EngineId;
+}
+
+/** What a host has found out: `unclear` also for an engine that it doesn't know. */
+export interface EngineProbeReply {
+    readonly probe: "gone" | "running" | "unclear";
+}
