--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -24,6 +24,7 @@
     .option("kept", { type: "boolean", default: false, describe: "run the regression seeds of seeds.json" })
     .option("seconds", { type: "number", default: 8, describe: "duration of the faults of each seed" })
     .option("hosts", { type: "number", default: 3 })
+    .option("domains", { type: "number", default: 1, describe: "number of failure domains" })
     .option("engines", { type: "number", default: 3, describe: "number of model engines" })
     .option("plain", { type: "number", default: 2, describe: "number of engines of the plain service" })
     .option("versions", { type: "number", default: 2, describe: "versions of the engines' software, side by side" })
@@ -38,6 +39,7 @@
     const report = await runSoak({
         seed,
         hosts: args.hosts,
+        domains: args.domains,
         modelEngines: args.engines,
         plainEngines: args.plain,
         softwareVersions: args.versions,
--- a/packages/soak/src/runSoak.steps.ts
+++ b/packages/soak/src/runSoak.steps.ts
@@ -34,6 +34,7 @@
         report = await runSoak({
             seed,
             hosts: 3,
+            domains: 1,
             modelEngines: 3,
             plainEngines: 2,
             softwareVersions,
@@ -58,7 +59,13 @@
     "a soak fleet of {int} hosts serves a {string} request",
     { timeout: STEP_TIMEOUT_MS },
     async (hosts: number, kind: string) => {
-        const fleet = await startSoakFleet({ hosts, modelEngines: 2, plainEngines: 1, softwareVersions: 1 });
+        const fleet = await startSoakFleet({
+            hosts,
+            domains: 1,
+            modelEngines: 2,
+            plainEngines: 1,
+            softwareVersions: 1,
+        });
         try {
             ok(await waitUntilReady(fleet, START_TIMEOUT_MS), "the hosts did not become ready in time");
             const [front] = fleet.fronts;
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -4,12 +4,13 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { checkAnswers } from "./checkAnswers.js";
 import type { FrontProcess } from "./createFrontProcess.js";
+import { drawAdapter, drawRequest, VERSION_TIMEOUT_MS } from "./drawRequest.js";
 import { planFaults } from "./planFaults.js";
 import type { Fault, PlannedFault } from "./planFaults.js";
 import { resumeRequest } from "./resumeRequest.js";
 import { sendRequest } from "./sendRequest.js";
 import type { SoakAnswer, SoakRequest } from "./sendRequest.js";
-import { HOST_NAME, MODEL, startSoakFleet } from "./startSoakFleet.js";
+import { HOST_NAME, startSoakFleet } from "./startSoakFleet.js";
 import type { SoakFleet, SoakSize } from "./startSoakFleet.js";
 import { toTarget } from "./toTarget.js";
 import { waitUntilReady } from "./waitUntilReady.js";
@@ -48,8 +49,6 @@
 const RECOVERY_SAMPLE_MS = 2000;
 /** Minimum share of requests that must be answered after recovery; the platform states a quarter. */
 const MIN_RECOVERED_SHARE = 0.25;
-/** Longest time until a declared version is in effect, in milliseconds; the platform states 5 s. */
-const VERSION_TIMEOUT_MS = 5000;
 /** Mean pause of a client between requests, in milliseconds. */
 const MEAN_CLIENT_PAUSE_MS = 60;
 /** Deadline of each request, in milliseconds. */
@@ -62,7 +61,7 @@
  * @returns the plan of faults, the violated guarantees and the logs of the processes
  *
  * @example
- * const size = { hosts: 3, modelEngines: 3, plainEngines: 2, softwareVersions: 2 };
+ * const size = { hosts: 3, domains: 1, modelEngines: 3, plainEngines: 2, softwareVersions: 2 };
  * const { violations } = await runSoak({ ...size, seed: 7, lengthMs: 8000, clients: 8 });
  */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
@@ -82,7 +81,11 @@
         for (let sent = 0; !isOver; sent += 1) {
             const front = fleet.fronts[Math.floor(clientRandom.next() * fleet.fronts.length)];
             if (front !== undefined) {
-                const req = drawRequest(clientRandom, `${options.seed}-${client}-${sent}`, fleet);
+                const req = drawRequest(clientRandom, fleet, {
+                    id: `${options.seed}-${client}-${sent}`,
+                    deadlineMs: DEADLINE_MS,
+                    adapters: ADAPTERS,
+                });
                 answers.push(...await sendAndResume(req, front, fleet, agent));
             }
             await wait(MEAN_CLIENT_PAUSE_MS * 2 * clientRandom.next());
@@ -132,27 +135,6 @@
     }
 }
 
-function drawRequest(random: Random, id: string, fleet: SoakFleet): SoakRequest {
-    const share = random.next();
-    const adapter = `a${1 + Math.floor(ADAPTERS * random.next() ** 2)}`;
-    const base = { id, hostName: HOST_NAME, deadlineMs: DEADLINE_MS, body: "", minVersion: 0 };
-    if (share < 0.25) {
-        return { ...base, kind: "safe", path: `/status/${id}` };
-    }
-    if (share < 0.5) {
-        return { ...base, kind: "unsafe", path: `/orders/${id}`, body: `order ${id}` };
-    }
-    const declared = fleet.versions.get(adapter);
-    const isInEffect = declared !== undefined && performance.now() - declared.sinceMs > VERSION_TIMEOUT_MS;
-    return {
-        ...base,
-        kind: "streaming",
-        path: `/answers/${id}`,
-        generation: { model: MODEL, adapter, events: 1 + Math.floor(30 * random.next()) },
-        minVersion: isInEffect && fleet.isFaultFree(VERSION_TIMEOUT_MS) ? declared.version : 0,
-    };
-}
-
 /** Sends a request; a stream that breaks off is resumed at the other hosts, one after the other. */
 async function sendAndResume(
     req: SoakRequest,
@@ -254,7 +236,7 @@
             fleet.publishNewConfig();
             return;
         case "new_version":
-            fleet.publishNewVersion(`a${1 + Math.floor(ADAPTERS * random.next() ** 2)}`);
+            fleet.publishNewVersion(drawAdapter(random, ADAPTERS));
             return;
     }
 }
--- a/packages/soak/src/startSoakFleet.ts
+++ b/packages/soak/src/startSoakFleet.ts
@@ -6,6 +6,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { EngineRecord } from "./checkAnswers.js";
+import { createEnginePaths } from "./createEnginePaths.js";
+import type { EnginePaths } from "./createEnginePaths.js";
 import { createFrontProcess } from "./createFrontProcess.js";
 import type { FrontProcess } from "./createFrontProcess.js";
 import { createLoopbackProxy } from "./createLoopbackProxy.js";
@@ -17,7 +19,10 @@
     readonly store: StoreStandin;
     readonly fronts: readonly FrontProcess[];
     readonly storeLinks: readonly LoopbackProxy[];
+    /** One proxy in front of each engine, for the connections of all hosts. */
     readonly engineLinks: readonly LoopbackProxy[];
+    /** The paths from each host to the proxies in front of the engines. */
+    readonly enginePaths: readonly EnginePaths[];
     /** Newest declared version of each adapter, and when it was declared, in milliseconds of `performance.now()`. */
     readonly versions: ReadonlyMap<string, { readonly version: number; readonly sinceMs: number }>;
     readonly configVersion: number;
@@ -38,9 +43,11 @@
     close(): Promise<void>;
 }
 
-/** Number of hosts, engines and versions of the engines' software in a fleet. */
+/** Number of hosts, failure domains, engines and versions of the engines' software in a fleet. */
 export interface SoakSize {
     readonly hosts: number;
+    /** Number of failure domains; hosts and engines are in them by turns. */
+    readonly domains: number;
     readonly modelEngines: number;
     readonly plainEngines: number;
     readonly softwareVersions: number;
@@ -62,8 +69,8 @@
 const OCTET_VALUES = 254;
 /** First port of the hosts; below the range that the kernel assigns to outgoing connections. */
 const FIRST_PORT = 20_000;
-/** Number of ports of each host: one for clients, one for readiness and two of its own. */
-const PORTS_PER_HOST = 4;
+/** Number of ports of each host: one for clients, one for readiness and six of its own. */
+const PORTS_PER_HOST = 8;
 const ROUTES: readonly StandinRoute[] = [
     { name: "status", kind: "safe", pathPrefix: "/status/", service: PLAIN_SERVICE },
     { name: "orders", kind: "unsafe", pathPrefix: "/orders/", service: PLAIN_SERVICE },
@@ -77,7 +84,8 @@
  * @returns the fleet; its processes are started, but may not be ready yet
  *
  * @example
- * const fleet = await startSoakFleet({ hosts: 3, modelEngines: 4, plainEngines: 2, softwareVersions: 2 });
+ * const size = { hosts: 3, domains: 1, modelEngines: 4, plainEngines: 2, softwareVersions: 2 };
+ * const fleet = await startSoakFleet(size);
  */
 export async function startSoakFleet(size: SoakSize): Promise<SoakFleet> {
     const clock = createSystemClock();
@@ -88,6 +96,7 @@
     const allEngines: EngineStandin[] = [];
     const engines: EngineStandin[] = [];
     const engineLinks: LoopbackProxy[] = [];
+    const enginePaths = Array.from({ length: size.hosts }, createEnginePaths);
     let configVersion = 0;
     let faultsEndAtMs = -Infinity;
     let startedEngines = 0;
@@ -109,7 +118,7 @@
         const engine = await createEngineStandin({
             id: `i-${startedEngines}`,
             service: isModel ? MODEL_SERVICE : PLAIN_SERVICE,
-            domain: "a",
+            domain: `d${index % size.domains}`,
             store,
             clock,
             softwareVersion: `v${1 + startedEngines % size.softwareVersions}`,
@@ -118,6 +127,7 @@
             async announcedPort(port) {
                 const link = await createLoopbackProxy(port);
                 engineLinks[index] = link;
+                await Promise.all(enginePaths.map(paths => paths.open(link.port)));
                 return link.port;
             },
         });
@@ -130,17 +140,17 @@
     }
     const storeLinks: LoopbackProxy[] = [];
     const fronts: FrontProcess[] = [];
-    for (let index = 0; index < size.hosts; index += 1) {
-        const link = await createLoopbackProxy(store.port);
+    for (const [index, paths] of enginePaths.entries()) {
+        const link = await createLoopbackProxy(await store.openListener(paths.toPathPort));
         const firstPort = FIRST_PORT + index * PORTS_PER_HOST;
         storeLinks.push(link);
         const host = {
             name: `front-${index}`,
-            domain: "a",
+            domain: `d${index % size.domains}`,
             ip,
             clientPort: firstPort,
             readinessPort: firstPort + 1,
-            ownPorts: [firstPort + 2, firstPort + 3] as const,
+            ownPorts: [firstPort + 2, firstPort + PORTS_PER_HOST - 1] as const,
             storePort: link.port,
             stopS: STOP_TIMEOUT_S,
         };
@@ -153,6 +163,7 @@
         fronts,
         storeLinks,
         engineLinks,
+        enginePaths,
         versions,
         get configVersion() {
             return configVersion;
@@ -174,7 +185,7 @@
         async close() {
             await Promise.all(fronts.map(front => front.close()));
             allEngines.forEach(engine => engine.crash());
-            [...storeLinks, ...engineLinks].forEach(link => link.close());
+            [...storeLinks, ...engineLinks, ...enginePaths].forEach(link => link.close());
             store.close();
             await rm(folder, { recursive: true, force: true });
         },
