--- a/packages/front/src/createEnginePaths.ts
+++ b/packages/front/src/createEnginePaths.ts
@@ -102,10 +102,14 @@
         record.heardMs = clock.nowMs();
         update(record, { kind: "heard" });
     };
+    /** Whether a path is open. A connection alone proves nothing where requests have had no answer. */
+    const reaches = async ({ id, address }: EngineEntry, { path }: PathRecord): Promise<boolean> =>
+        await control.connects({ id, address })
+        && (path.unansweredSinceMs === undefined || await control.probe({ id, address }) === "running");
     const probe = async (entry: EngineEntry): Promise<void> => {
         const record = open(entry.id);
         record.probedMs = clock.nowMs();
-        const isOpen = await control.connects({ id: entry.id, address: entry.address });
+        const isOpen = await reaches(entry, record);
         metrics.count("path_probes_total", { open: String(isOpen) });
         if (isOpen) {
             update(record, { kind: "heard" });
