--- a/packages/front/src/createSilentEngines.steps.ts
+++ b/packages/front/src/createSilentEngines.steps.ts
@@ -12,8 +12,8 @@
     readonly silenceMs: number;
     /** Time from the first request to another engine to the end of the silence, if that comes sooner. */
     readonly endsAfterSecondMs: number | undefined;
-    /** Whether the engine breaks off at the end of its silence. */
-    readonly breaksOff: boolean;
+    /** What the engine does at the end of its silence. */
+    readonly afterSilence: "goes on" | "breaks off" | "refuses as full";
 }
 
 /** One exchange with an engine, as the engine saw it. */
@@ -110,7 +110,7 @@
         if (engine.isFirst) {
             wentOnMs ??= clock.nowMs();
         }
-        if (engine.script.breaksOff) {
+        if (engine.script.afterSilence === "breaks off") {
             engine.isGone = true;
             [...engine.open].forEach(([exchange, sink]) => {
                 close(engine, exchange, "broken");
@@ -145,15 +145,16 @@
             exchange.beganMs = clock.nowMs();
         }
         if (rest.length === 0) {
-            close(engine, exchange, "sent");
+            close(engine, exchange, engine.script.afterSilence === "refuses as full" ? "refused" : "sent");
         }
         part.send(sink);
         clock.setTimer(rest[0]?.afterMs ?? 0, () => sendParts(engine, exchange, rest));
     };
     const answer = (engine: ScriptedEngine, exchange: SilentExchange, req: EngineRequest): void => {
-        const { kind, beginMs } = engine.script;
+        const { kind, beginMs, afterSilence } = engine.script;
         if (kind === "stream" && !engine.isGone) {
-            clock.setTimer(beginMs, () => sendParts(engine, exchange, listParts(req, engine.isFirst)));
+            const parts = afterSilence === "refuses as full" ? listRefusal(req) : listParts(req, engine.isFirst);
+            clock.setTimer(beginMs, () => sendParts(engine, exchange, parts));
             return;
         }
         if (kind === "mute") {
@@ -227,6 +228,14 @@
     ];
 }
 
+/** Lists the parts of a refusal. */
+function listRefusal(req: EngineRequest): readonly StreamPart[] {
+    return [
+        { name: "head", afterMs: 0, send: sink => sink.head(createHead(req, 503, true)) },
+        { name: "end", afterMs: 0, send: sink => sink.end() },
+    ];
+}
+
 function createHead(req: EngineRequest, status: number, isNotRun: boolean): EngineAnswerHead {
     return {
         status,
--- a/packages/front/src/silentStream.feature
+++ b/packages/front/src/silentStream.feature
@@ -79,11 +79,31 @@
             | never, the second falls silent after events | after event 1   | stays silent                                            | 1     | fall silent after event 5                     | 9000     |
             | never, the second falls silent inside one   | after event 1   | stays silent                                            | 1     | fall silent inside event 5                    | 9000     |
             | never, one of two others falls silent       | after event 1   | stays silent                                            | 2     | are sound, but one falls silent after event 5 | 9000     |
+            | never, after an event, one of two refuses | after event 1 | stays silent | 2 | are sound, but one refuses as full | 5000 |
+            | never, before the head, one of two refuses | before the head | stays silent | 2 | are sound, but one refuses as full | 5000 |
+            | never, after an event, one of two unreachable | after event 1 | stays silent | 2 | are sound, but one refuses connections | 5000 |
+            | never, before the head, one of two unreachable | before the head | stays silent | 2 | are sound, but one refuses connections | 5000 |
+            | refuses while the second begins | before the head | refuses as full, at the latest 100 ms after another is asked | 1 | begin after 400 ms | 5000 |
             | breaks off, before the head                 | before the head | breaks off, at the latest 100 ms after another is asked | 1     | begin after 400 ms                            | 5000     |
             | breaks off, after an event                  | after event 1   | breaks off, at the latest 100 ms after another is asked | 1     | begin after 400 ms                            | 5000     |
             | breaks off, inside an event                 | inside event 2  | breaks off, at the latest 100 ms after another is asked | 1     | begin after 400 ms                            | 5000     |
             | breaks off while the second sends           | inside event 2  | breaks off, at the latest 500 ms after another is asked | 1     | begin after 400 ms                            | 5000     |
 
+    # Guards against two engines that work on one request for longer than the rules allow.
+    Scenario Outline: An engine that is taken over from stops soon after another one has got the request: <case>
+        Given a first engine that falls silent <where> and stays silent
+        And 2 other engines that begin after 600 ms
+        And a budget for retries
+        And a deadline of 5000 ms
+        When a client's stream runs with each silence of "1500 1900 2500" ms
+        Then each stream's request ends as "relayed"
+        And no engine works on a request 400 ms after a later one has got it
+
+        Examples:
+            | case            | where           |
+            | before the head | before the head |
+            | after an event  | after event 1   |
+
     # Guards against engines that work on for a client that has left.
     Scenario Outline: No engine works on for a client that has left: <case>
         Given a first engine that falls silent <where> and stays silent
--- a/packages/front/src/silentStream.steps.ts
+++ b/packages/front/src/silentStream.steps.ts
@@ -55,7 +55,7 @@
     silentBefore: [],
     silenceMs: 0,
     endsAfterSecondMs: undefined,
-    breaksOff: false,
+    afterSilence: "goes on",
 };
 /** Parts of a stream before which an engine falls silent, by the words of the feature. */
 const PLACES: Readonly<Record<string, readonly string[]>> = {
@@ -78,6 +78,8 @@
     "begin after 600 ms": [{ ...SOUND, beginMs: 600 }],
     "fall silent after event 5": [{ ...SOUND, silentBefore: findPlace("after event 5") }],
     "fall silent inside event 5": [{ ...SOUND, silentBefore: findPlace("inside event 5") }],
+    "are sound, but one refuses as full": [{ ...SOUND, kind: "full" }, SOUND],
+    "are sound, but one refuses connections": [{ ...SOUND, kind: "unreachable" }, SOUND],
     "are sound, but one falls silent after event 5": [{ ...SOUND, silentBefore: findPlace("after event 5") }, SOUND],
 };
 /** Silences at intervals of 10 ms from 0.9 to 3 seconds, for races between two engines. */
@@ -95,13 +97,13 @@
 });
 
 Given(
-    /^a first engine that falls silent (.*) and (goes on|breaks off), at the latest (\d+) ms after another is asked$/,
-    (where: string, then: string, endsAfterSecondMs: string) => {
+    /^a first engine that falls silent (.*) and (goes on|breaks off|refuses as full), at the latest (\d+) ms after another is asked$/,
+    (where: string, afterSilence: EngineScript["afterSilence"], endsAfterSecondMs: string) => {
         first = {
             ...SOUND,
             silentBefore: findPlace(where),
             endsAfterSecondMs: Number(endsAfterSecondMs),
-            breaksOff: then === "breaks off",
+            afterSilence,
         };
     },
 );
@@ -165,6 +167,21 @@
         ),
 );
 
+Then(
+    "no engine works on a request {int} ms after a later one has got it",
+    (ms: number) =>
+        runs.forEach(({ exchanges, describe }) =>
+            exchanges.forEach(({ closedMs }, at) =>
+                exchanges.slice(at + 1).forEach(({ sentMs, end }) =>
+                    ok(
+                        end === "refused" || (closedMs ?? Infinity) <= sentMs + ms,
+                        `exchange ${at + 1} beside a later one: ${describe()}`,
+                    )
+                )
+            )
+        ),
+);
+
 Then(
     "the first engine has sent the whole stream, and no other works on it {int} ms after it has gone on",
     (ms: number) =>
@@ -247,7 +264,8 @@
 ): Promise<ReturnType<typeof createRequestRunner>> {
     const known = [...Array(1 + othersCount).keys()].map(at => {
         const id = brandId<EngineId>(`i-${at}`);
-        const entry = { id, service: SERVICE.name, softwareVersion: "v1", address: { ip: "127.0.0.1", port: at } };
+        const address = { ip: "127.0.0.1", port: at };
+        const entry = { id, service: SERVICE.name, softwareVersion: "v1", address, slots: 8 };
         return [id, { entry, isUsable: true } as unknown as KnownEngine] as const;
     });
     const context = {
