Keep the second engine of a stream when the silent one refuses it

Callers saw: 502 although another engine was about to answer.

Cause: any byte of the silent engine closed the exchange with the second one, also the head of a refusal (503, Not-Executed) or of a failed answer. The second engine then counted as tried and was not asked again, and the first one was asked until the sends were used up.

Now only an answer that can be relayed closes the second exchange. A refusal ends its own exchange, and the second one goes on, as after a break.

--- a/packages/front/src/runWithTakeover.ts
+++ b/packages/front/src/runWithTakeover.ts
@@ -40,11 +40,13 @@
 interface Attempt<Target> {
     readonly target: Target;
     cancel(): void;
+    /** Whether its answer is relayed. */
+    isAccepted: boolean;
 }
 
 /**
- * Runs an exchange; while its engine is silent, the request is sent to another one too. Whichever sends bytes first
- * goes on, and the other exchange is closed, so that silence alone never ends an answer.
+ * Runs an exchange; while its engine is silent, the request is sent to another one too. Whichever sends an answer that
+ * can be relayed first goes on, and the other exchange is closed, so that silence alone never ends an answer.
  *
  * @param first - The engine that gets the request first
  * @param steps - Starts exchanges, finds engines and records what is lost
@@ -97,7 +99,7 @@
             }
         };
         const start = (target: Target, place: (attempt: Attempt<Target>) => void): void => {
-            const attempt: Attempt<Target> = { target, cancel: () => exchange.cancel() };
+            const attempt: Attempt<Target> = { target, cancel: () => exchange.cancel(), isAccepted: false };
             place(attempt);
             const exchange = steps.start(target, {
                 onSilent() {
@@ -108,13 +110,19 @@
                 onBytes() {
                     if (attempt === current) {
                         onNextBytes();
-                        dropStandby();
+                        if (attempt.isAccepted) {
+                            dropStandby();
+                        }
                     }
                 },
                 onAccept() {
+                    attempt.isAccepted = true;
                     if (attempt === standby) {
                         promoteStandby(SILENT);
                     }
+                    else if (attempt === current) {
+                        dropStandby();
+                    }
                 },
             });
             exchange.result.then(result => handleEnd(attempt, result)).catch(reject);
