Ask the next engine at once when the second one of a silent stream fails

Callers saw: no event for 3,390 ms, longer than clients wait (3,200 ms), or a stream that ran into its deadline, although a third engine was free.

Cause: a second engine that refused or couldn't be reached was given up after 5 ms, but the next one was looked for only when the silence timer ran out again, 1,600 ms later. At half of the client's patience that is too late.

Now the next engine is asked in the same turn, at most three in one silence; retry budget, engine limits and the route's number of engines hold as before.

--- a/packages/front/src/runWithTakeover.ts
+++ b/packages/front/src/runWithTakeover.ts
@@ -40,10 +40,15 @@
 interface Attempt<Target> {
     readonly target: Target;
     cancel(): void;
+    /** Whether the engine has been silent for the limit and has sent nothing since. */
+    isSilent: boolean;
     /** Whether its answer is relayed. */
     isAccepted: boolean;
 }
 
+/** Most engines that get a request one after the other in one silence. */
+const MAX_STANDBYS = 3;
+
 /**
  * Runs an exchange; while its engine is silent, the request is sent to another one too. Whichever sends an answer that
  * can be relayed first goes on, and the other exchange is closed, so that silence alone never ends an answer.
@@ -61,7 +66,7 @@
         let standby: Attempt<Target> | undefined;
         let isFinding = false;
         let isOver = false;
-        let onNextBytes: () => void = () => undefined;
+        let standbysLeft = 0;
 
         const finish = (target: Target, result: ExchangeResult): void => {
             isOver = true;
@@ -87,32 +92,36 @@
             steps.onSwitch();
         };
         const findStandby = async (silent: Attempt<Target>): Promise<void> => {
-            if (isFinding || standby !== undefined) {
+            if (isFinding || standby !== undefined || standbysLeft === 0) {
                 return;
             }
-            let hasMoved = false;
-            onNextBytes = () => void (hasMoved = true);
+            standbysLeft -= 1;
             isFinding = true;
             const next = await steps.findNext(silent.target).finally(() => void (isFinding = false));
-            if (next !== undefined && !isOver && !hasMoved && current === silent) {
+            if (next !== undefined && !isOver && silent.isSilent && current === silent) {
                 start(next, attempt => void (standby = attempt));
             }
         };
         const start = (target: Target, place: (attempt: Attempt<Target>) => void): void => {
-            const attempt: Attempt<Target> = { target, cancel: () => exchange.cancel(), isAccepted: false };
+            const attempt: Attempt<Target> = {
+                target,
+                cancel: () => exchange.cancel(),
+                isSilent: false,
+                isAccepted: false,
+            };
             place(attempt);
             const exchange = steps.start(target, {
                 onSilent() {
+                    attempt.isSilent = true;
                     if (attempt === current) {
+                        standbysLeft = MAX_STANDBYS;
                         findStandby(attempt).catch(reject);
                     }
                 },
                 onBytes() {
-                    if (attempt === current) {
-                        onNextBytes();
-                        if (attempt.isAccepted) {
-                            dropStandby();
-                        }
+                    attempt.isSilent = false;
+                    if (attempt === current && attempt.isAccepted) {
+                        dropStandby();
                     }
                 },
                 onAccept() {
@@ -134,6 +143,9 @@
             if (attempt === standby) {
                 standby = undefined;
                 steps.recordLoser(attempt.target, result);
+                if (current?.isSilent === true) {
+                    findStandby(current).catch(reject);
+                }
             }
             else if (attempt === current && standby !== undefined && hasFailed(result)) {
                 promoteStandby(result);
