Let no failed search for another engine end a silent stream

Callers would see: a stream cut, or 500, while its own engine goes on.

Cause: an exception in the search for another engine, or in the start of its exchange, rejected the whole request; the exchange in flight was not closed and could still write to the finished response. No call in the search throws today (each peer and store call in it catches), so no caller has seen it.

Now such a failure is logged (402 with its reason) and the request waits on. A second exchange counts only once it has begun.

--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -204,6 +204,10 @@
                 start: (target, events) =>
                     sender.send(request, target, events, () => startStream(request, target.known, stream)),
                 findNext: silent => findTakeover(request, recordLoser(progress, silent, SILENT), stream),
+                recordFailedSearch(silent, err) {
+                    const reason = `the search for another engine failed: ${String(err)}`;
+                    log.write("error", 402, { id: request.requestId, engine: silent.known.entry.id, reason });
+                },
                 recordLoser(loser, lost) {
                     recordResult(request, loser.known, lost, progress.sends + 1);
                     metrics.count("takeovers_total", { lost: lost.kind });
--- a/packages/front/src/runWithTakeover.ts
+++ b/packages/front/src/runWithTakeover.ts
@@ -25,6 +25,8 @@
     start(target: Target, events: ExchangeEvents): RunningExchange;
     /** Finds another engine while one is silent; undefined if there is none at present. */
     findNext(silent: Target): Promise<Target | undefined>;
+    /** Records that the search for another engine failed; the request waits on. */
+    recordFailedSearch(silent: Target, err: unknown): void;
     /** Records an exchange that doesn't end the request. */
     recordLoser(target: Target, result: ExchangeResult): void;
     /** Called when another exchange goes on in place of one that may have relayed a part of the answer. */
@@ -58,7 +60,7 @@
  * @returns the exchange that ended the request and its result
  *
  * @example
- * const { target, result } = await runWithTakeover(first, { start, findNext, recordLoser, onSwitch });
+ * const { target, result } = await runWithTakeover(first, { start, findNext, ...records, onSwitch });
  */
 export function runWithTakeover<Target>(first: Target, steps: TakeoverSteps<Target>): Promise<TakeoverEnd<Target>> {
     return new Promise((resolve, reject) => {
@@ -91,13 +93,18 @@
             }
             steps.onSwitch();
         };
-        const findStandby = async (silent: Attempt<Target>): Promise<void> => {
+        const findStandby = (silent: Attempt<Target>): void => {
             if (isFinding || standby !== undefined || standbysLeft === 0) {
                 return;
             }
             standbysLeft -= 1;
             isFinding = true;
-            const next = await steps.findNext(silent.target).finally(() => void (isFinding = false));
+            steps.findNext(silent.target)
+                .finally(() => void (isFinding = false))
+                .then(next => startStandby(silent, next))
+                .catch((err: unknown) => steps.recordFailedSearch(silent.target, err));
+        };
+        const startStandby = (silent: Attempt<Target>, next: Target | undefined): void => {
             if (next !== undefined && !isOver && silent.isSilent && current === silent) {
                 start(next, attempt => void (standby = attempt));
             }
@@ -109,13 +116,12 @@
                 isSilent: false,
                 isAccepted: false,
             };
-            place(attempt);
             const exchange = steps.start(target, {
                 onSilent() {
                     attempt.isSilent = true;
                     if (attempt === current) {
                         standbysLeft = MAX_STANDBYS;
-                        findStandby(attempt).catch(reject);
+                        findStandby(attempt);
                     }
                 },
                 onBytes() {
@@ -134,6 +140,7 @@
                     }
                 },
             });
+            place(attempt);
             exchange.result.then(result => handleEnd(attempt, result)).catch(reject);
         };
         const handleEnd = (attempt: Attempt<Target>, result: ExchangeResult): void => {
@@ -144,7 +151,7 @@
                 standby = undefined;
                 steps.recordLoser(attempt.target, result);
                 if (current?.isSilent === true) {
-                    findStandby(current).catch(reject);
+                    findStandby(current);
                 }
             }
             else if (attempt === current && standby !== undefined && hasFailed(result)) {
