Close no connection of a stopping host whose answer still waits to be sent

Callers saw: an answer cut in the middle at a stopping host (LOST), if the client or its link takes bytes slowly.

Cause: closeIdleConnections of Node.js 20 spares a connection only while its response has not ended; one that has ended and whose bytes still wait in this process counts as idle. The stop calls it every 50 ms while requests run. The response's close event then shows writableFinished, so the log has 406 (answered) for it and no line for the cut. Class: something is given up by a timer while it is in use.

Now a connection counts as idle once each of its answers has been handed to the system and no byte has come since.

--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -21,6 +21,7 @@
 import { createClusterView } from "./createClusterView.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
+import { createIdleCloser } from "./createIdleCloser.js";
 import { createLoadRequestOutbox } from "./createLoadRequestOutbox.js";
 import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
@@ -113,6 +114,7 @@
     clients.on("request", (req, res) => handler.handle(req, res));
     clients.requestTimeout = 0;
     watchClientConnections(clients, { log, metrics });
+    const closeIdleClients = createIdleCloser(clients);
     const readiness = createServer((req, res) => {
         const isReadinessRequest = isReadinessCall(req.method, req.url);
         res.writeHead(!isReadinessRequest ? 404 : isReady() ? 200 : 503).end();
@@ -163,10 +165,10 @@
             log.write("info", 102, { running: handler.running });
             await Promise.all([session.leave(), ownership.release()]);
             await sleep(clock, Math.max(0, DRAIN_NOTICE_MS - (clock.nowMs() - startedMs)));
-            clients.closeIdleConnections();
+            closeIdleClients();
             while (handler.running > 0 && clock.nowMs() < limitMs) {
                 await sleep(clock, STOP_POLL_MS);
-                clients.closeIdleConnections();
+                closeIdleClients();
             }
             clusterView.stop();
             adapters.stop();
