--- a/packages/front/src/silentStream.feature
+++ b/packages/front/src/silentStream.feature
@@ -104,6 +104,23 @@
             | before the head | before the head |
             | after an event  | after event 1   |
 
+    # Guards against requests that are refused as if no engine were left while the only one is silent for a while.
+    Scenario Outline: A silent engine that is the only one gets further requests: <case>
+        Given a first engine that falls silent before the head and stays silent
+        And 0 other engines that are sound
+        And a budget for retries
+        And a deadline of 5000 ms
+        And engines that run models
+        When a second client's request comes <after> ms after the first one's
+        Then the engine has got 2 requests
+
+        Examples:
+            | case          | after |
+            | after 500 ms  | 500   |
+            | after 1000 ms | 1000  |
+            | after 1300 ms | 1300  |
+            | after 3000 ms | 3000  |
+
     # Guards against engines that work on for a client that has left.
     Scenario Outline: No engine works on for a client that has left: <case>
         Given a first engine that falls silent <where> and stays silent
--- a/packages/front/src/silentStream.steps.ts
+++ b/packages/front/src/silentStream.steps.ts
@@ -45,6 +45,7 @@
 }
 
 const SERVICE: Service = { name: brandId<ServiceName>("models"), maxConnections: 10, engine: undefined };
+const MODEL_SERVICE = { ...SERVICE, engine: {} } as unknown as Service;
 /** Step of the clock between two turns of the event loop, in milliseconds. */
 const STEP_MS = 10;
 /** Time for which a run is watched after its end, in milliseconds. */
@@ -90,6 +91,8 @@
 let othersCount = 0;
 let hasBudget = true;
 let deadlineMs = 0;
+let service = SERVICE;
+let sentToFirst = 0;
 let runs: ClientRun[] = [];
 
 Given(/^a first engine that falls silent (.*) and (goes on|stays silent)$/, (where: string, then: string) => {
@@ -117,7 +120,12 @@
 
 Given(/^(a budget|nothing) for retries$/, (budget: string) => void (hasBudget = budget === "a budget"));
 
-Given("a deadline of {int} ms", (ms: number) => void (deadlineMs = ms));
+Given("a deadline of {int} ms", (ms: number) => {
+    deadlineMs = ms;
+    service = SERVICE;
+});
+
+Given("engines that run models", () => void (service = MODEL_SERVICE));
 
 When("a client's stream runs with each silence of {string} ms", async (silences: string) => {
     runs = [];
@@ -133,6 +141,27 @@
     },
 );
 
+When("a second client's request comes {int} ms after the first one's", async (afterMs: number) => {
+    const clock = createManualClock(0);
+    const engines = createSilentEngines(clock, [first]);
+    const runner = await createRunner(clock, engines.transport);
+    const res = { writeHead: () => undefined } as unknown as ServerResponse;
+    const leaver = new AbortController();
+    clock.setTimer(deadlineMs, () => leaver.abort());
+    void runner.run(createRequest(res, leaver.signal));
+    while (clock.nowMs() < afterMs + TAIL_MS) {
+        await setImmediate();
+        clock.advance(STEP_MS);
+        if (clock.nowMs() === afterMs) {
+            void runner.run({ ...createRequest(res, leaver.signal), startedMs: afterMs, deadlineAtMs: 2 * deadlineMs });
+        }
+    }
+    sentToFirst = engines.exchanges.length;
+    leaver.abort();
+});
+
+Then("the engine has got {int} requests", (count: number) => strictEqual(sentToFirst, count));
+
 Then(
     "each stream's request ends as {string}",
     (end: string) => runs.forEach(run => strictEqual(run.end, end, `${run.end} instead of ${end}: ${run.describe()}`)),
@@ -289,7 +318,14 @@
         onEngineRemoved: () => undefined,
         markReplaced: () => undefined,
     } as unknown as ClusterView;
-    const adapters = { startRequest: () => undefined, finishRequest: () => undefined } as unknown as AdapterTracker;
+    const adapters = {
+        startRequest: () => undefined,
+        finishRequest: () => undefined,
+        find: () => ({ kind: "present" }),
+        refresh: () => Promise.resolve(false),
+        countLoad: () => undefined,
+        countQueuedTokens: () => undefined,
+    } as unknown as AdapterTracker;
     const streamOrigins = {
         record: () => undefined,
         keep: () => undefined,
@@ -332,7 +368,7 @@
             timeoutMs: deadlineMs,
             priority: 0,
         },
-        service: SERVICE,
+        service,
         requestedAdapter: undefined,
         body: Buffer.alloc(0),
         digest: undefined,
