Spend no retry for a search that is no longer wanted

Callers would see: 502 with no_retry_left, sooner than the budget says.

Cause: the search for another engine may wait up to 350 ms for an adapter. If the silent engine goes on, ends or breaks meanwhile, no second exchange is started, but the retry was spent all the same.

Now the search asks before it spends. Evidence: the four scenarios of runWithTakeover.feature; how often it occurs was not measured.

--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -130,6 +130,7 @@
         request: ClientRequest,
         progress: RequestProgress,
         stream: StreamState,
+        isWanted: () => boolean,
     ): Promise<SendTarget | undefined> => {
         const state: PreparationState = { unownedEngines: new Set(), refusedGrants: 0 };
         const suspects = listSuspects(request);
@@ -146,6 +147,9 @@
                 state.refusedGrants += 1;
                 continue;
             }
+            if (!isWanted()) {
+                return undefined;
+            }
             if (!getRetryBudget(request.service).trySpend(clock.nowMs())) {
                 metrics.count("retries_refused_total", { service: request.service.name });
                 return undefined;
@@ -203,7 +207,8 @@
             const { target, result } = await runWithTakeover<SendTarget>({ known, permit }, {
                 start: (target, events) =>
                     sender.send(request, target, events, () => startStream(request, target.known, stream)),
-                findNext: silent => findTakeover(request, recordLoser(progress, silent, SILENT), stream),
+                findNext: (silent, isWanted) =>
+                    findTakeover(request, recordLoser(progress, silent, SILENT), stream, isWanted),
                 recordFailedSearch(silent, err) {
                     const reason = `the search for another engine failed: ${String(err)}`;
                     log.write("error", 402, { id: request.requestId, engine: silent.known.entry.id, reason });
--- a/packages/front/src/runWithTakeover.feature
+++ b/packages/front/src/runWithTakeover.feature
@@ -7,3 +7,17 @@
         And engine "a" sends the whole answer
         Then the request ends as "relayed" at engine "a"
         And the failed search of engine "a" is recorded
+
+    # Guards against a retry that is spent for an engine that is no longer needed.
+    Scenario Outline: A search knows whether it is still wanted: <case>
+        Given an exchange with engine "a"
+        When engine "a" is silent and another one is being looked for
+        And engine "a" <then>
+        Then the search is <wanted>
+
+        Examples:
+            | case          | then                    | wanted           |
+            | stays silent  | stays silent            | wanted           |
+            | sends a byte  | sends a byte            | no longer wanted |
+            | has sent all  | sends the whole answer  | no longer wanted |
+            | breaks off    | breaks off              | no longer wanted |
--- a/packages/front/src/runWithTakeover.steps.ts
+++ b/packages/front/src/runWithTakeover.steps.ts
@@ -1,4 +1,4 @@
-import { Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { setImmediate } from "node:timers/promises";
 import type { ExchangeResult } from "./runExchange.js";
 import { runWithTakeover } from "./runWithTakeover.js";
@@ -12,6 +12,8 @@
 
 let exchanges: Map<string, ControlledExchange>;
 let searches: string[];
+let fails = false;
+let isSearchWanted: () => boolean = () => false;
 let end: string | undefined;
 
 Given("an exchange with engine {string}", (engine: string) => {
@@ -25,7 +27,10 @@
             exchanges.set(target, { events, end: finish });
             return { result, cancel: () => finish({ kind: "cancelled" }) };
         },
-        findNext: () => Promise.reject(new Error("the search failed")),
+        findNext(silent, isWanted) {
+            isSearchWanted = isWanted;
+            return fails ? Promise.reject(new Error("the search failed")) : new Promise(() => undefined);
+        },
         recordFailedSearch: (silent, err) => void searches.push(`${silent}: ${String(err)}`),
         recordLoser: () => undefined,
         onSwitch: () => undefined,
@@ -36,7 +41,22 @@
 });
 
 When("engine {string} is silent and the search for another one fails", async (engine: string) => {
+    fails = true;
+    exchanges.get(engine)?.events.onSilent();
+    await setImmediate();
+});
+
+When("engine {string} is silent and another one is being looked for", (engine: string) => {
+    fails = false;
     exchanges.get(engine)?.events.onSilent();
+});
+
+When("engine {string} stays silent", (engine: string) => ok(exchanges.has(engine)));
+
+When("engine {string} sends a byte", (engine: string) => exchanges.get(engine)?.events.onBytes());
+
+When("engine {string} breaks off", async (engine: string) => {
+    exchanges.get(engine)?.end({ kind: "broken", reason: "ECONNRESET", framing: undefined });
     await setImmediate();
 });
 
@@ -57,3 +77,8 @@
     "the failed search of engine {string} is recorded",
     (engine: string) => strictEqual(searches.join(), `${engine}: Error: the search failed`),
 );
+
+Then(
+    /^the search is (wanted|no longer wanted)$/,
+    (wanted: string) => strictEqual(isSearchWanted(), wanted === "wanted"),
+);
--- a/packages/front/src/runWithTakeover.ts
+++ b/packages/front/src/runWithTakeover.ts
@@ -23,8 +23,8 @@
 /** The steps of a request that another engine may take over. */
 export interface TakeoverSteps<Target> {
     start(target: Target, events: ExchangeEvents): RunningExchange;
-    /** Finds another engine while one is silent; undefined if there is none at present. */
-    findNext(silent: Target): Promise<Target | undefined>;
+    /** Finds another engine while one is silent and the search is wanted; undefined if there is none at present. */
+    findNext(silent: Target, isWanted: () => boolean): Promise<Target | undefined>;
     /** Records that the search for another engine failed; the request waits on. */
     recordFailedSearch(silent: Target, err: unknown): void;
     /** Records an exchange that doesn't end the request. */
@@ -99,16 +99,16 @@
             }
             standbysLeft -= 1;
             isFinding = true;
-            steps.findNext(silent.target)
+            const isWanted = (): boolean => !isOver && silent.isSilent && current === silent;
+            steps.findNext(silent.target, isWanted)
                 .finally(() => void (isFinding = false))
-                .then(next => startStandby(silent, next))
+                .then(next => {
+                    if (next !== undefined && isWanted()) {
+                        start(next, attempt => void (standby = attempt));
+                    }
+                })
                 .catch((err: unknown) => steps.recordFailedSearch(silent.target, err));
         };
-        const startStandby = (silent: Attempt<Target>, next: Target | undefined): void => {
-            if (next !== undefined && !isOver && silent.isSilent && current === silent) {
-                start(next, attempt => void (standby = attempt));
-            }
-        };
         const start = (target: Target, place: (attempt: Attempt<Target>) => void): void => {
             const attempt: Attempt<Target> = {
                 target,
