Don't refuse requests because their only engine is silent for a moment

Callers saw: 503 (overloaded, expected wait over 19 s) while the engine that would have served them was only silent. Cause: an engine without a byte for 900 ms is charged 20 s, which is meant to steer requests to other engines, and the same figure decided whether a request is refused. With one engine, or with all silent at once, every request was refused, for as long as one exchange stayed open.

The cost still steers the choice. The expected wait of a silent engine now adds one second, the silence of a sound engine; an engine that can't be connected to counts as out as before.

--- a/packages/dispatch/src/chooseModelEngine.ts
+++ b/packages/dispatch/src/chooseModelEngine.ts
@@ -1,9 +1,13 @@
 import type { EngineId } from "@fulmarcleat/ids";
 import { createModelCost } from "./createModelCost.js";
 import type { ModelEngineOptions } from "./createModelCost.js";
+import type { ModelEngineView } from "./engineView.js";
 import { estimateFirstByte } from "./estimateFirstByte.js";
 import { findCheapest } from "./findCheapest.js";
 
+/** Expected rest of an engine's silence, in milliseconds; a sound engine may be silent for a second or so. */
+const SILENCE_MS = 1000;
+
 /** The engine chosen for a generation. */
 export interface ModelEngineChoice {
     readonly id: EngineId;
@@ -24,5 +28,12 @@
     const best = findCheapest(options.engines, createModelCost(options));
     return best === undefined
         ? undefined
-        : { id: best.id, expectedMs: estimateFirstByte(best, options.atMs, options.loadMs) };
+        : { id: best.id, expectedMs: estimateWait(best, options) };
+}
+
+/** Estimates the time to the first byte; silence alone is a pause here, though it speaks for other engines. */
+function estimateWait(view: ModelEngineView, { atMs, loadMs }: ModelEngineOptions): number {
+    return view.isUnresponsive
+        ? estimateFirstByte({ ...view, isUnresponsive: false }, atMs, loadMs) + SILENCE_MS
+        : estimateFirstByte(view, atMs, loadMs);
 }
