--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -245,6 +245,7 @@
         request: ClientRequest,
         progress: RequestProgress,
         state: RunState,
+        isWanted: () => boolean,
     ): Promise<SendTarget | undefined> => {
         const { stream } = state;
         const preparation = { unownedEngines: new Set<EngineId>(), refusedGrants: 0 };
@@ -252,7 +253,7 @@
             const next = await findOrigin(request, stream)
                 ? await chooseTarget(request, progress, { ...state, preparation })
                 : undefined;
-            if (next === undefined || next.kind === "over" || request.signal.aborted) {
+            if (next === undefined || next.kind === "over" || request.signal.aborted || !isWanted()) {
                 return undefined;
             }
             if (next.kind === "target") {
@@ -321,7 +322,12 @@
             }
             const { target, result: ended } = await runWithTakeover<SendTarget>(chosen.target, {
                 start: (next, events) => start(request, progress, state, next, events),
-                findNext: silent => findTakeover(request, recordLoser(progress, silent, SILENT), state),
+                findNext: (silent, isWanted) =>
+                    findTakeover(request, recordLoser(progress, silent, SILENT), state, isWanted),
+                recordFailedSearch(silent, err) {
+                    const reason = `the search for another engine failed: ${String(err)}`;
+                    log.write("error", 402, { id: request.requestId, engine: readTargetId(silent), reason });
+                },
                 recordLoser(loser, lost) {
                     recordResult(request, loser, lost, progress.sends + 1);
                     metrics.count("takeovers_total", { lost: lost.kind });
--- a/packages/front/src/runWithTakeover.ts
+++ b/packages/front/src/runWithTakeover.ts
@@ -23,8 +23,10 @@
 /** The steps of a request that another engine may take over. */
 export interface TakeoverSteps<Target> {
     start(target: Target, events: ExchangeEvents): RunningExchange;
-    /** Finds another engine while one is silent; undefined if there is none at present. */
-    findNext(silent: Target): Promise<Target | undefined>;
+    /** Finds another engine while one is silent and the search is wanted; undefined if there is none at present. */
+    findNext(silent: Target, isWanted: () => boolean): Promise<Target | undefined>;
+    /** Records that the search for another engine failed; the request waits on. */
+    recordFailedSearch(silent: Target, err: unknown): void;
     /** Records an exchange that doesn't end the request. */
     recordLoser(target: Target, result: ExchangeResult): void;
     /** Called when another exchange goes on in place of one that may have relayed a part of the answer. */
@@ -40,18 +42,25 @@
 interface Attempt<Target> {
     readonly target: Target;
     cancel(): void;
+    /** Whether the engine has been silent for the limit and has sent nothing since. */
+    isSilent: boolean;
+    /** Whether its answer is relayed. */
+    isAccepted: boolean;
 }
 
+/** Most engines that get a request one after the other in one silence. */
+const MAX_STANDBYS = 3;
+
 /**
- * Runs an exchange; while its engine is silent, the request is sent to another one too. Whichever sends bytes first
- * goes on, and the other exchange is closed, so that silence alone never ends an answer.
+ * Runs an exchange; while its engine is silent, the request is sent to another one too. Whichever sends an answer that
+ * can be relayed first goes on, and the other exchange is closed, so that silence alone never ends an answer.
  *
  * @param first - The engine that gets the request first
  * @param steps - Starts exchanges, finds engines and records what is lost
  * @returns the exchange that ended the request and its result
  *
  * @example
- * const { target, result } = await runWithTakeover(first, { start, findNext, recordLoser, onSwitch });
+ * const { target, result } = await runWithTakeover(first, { start, findNext, ...records, onSwitch });
  */
 export function runWithTakeover<Target>(first: Target, steps: TakeoverSteps<Target>): Promise<TakeoverEnd<Target>> {
     return new Promise((resolve, reject) => {
@@ -59,7 +68,7 @@
         let standby: Attempt<Target> | undefined;
         let isFinding = false;
         let isOver = false;
-        let onNextBytes: () => void = () => undefined;
+        let standbysLeft = 0;
 
         const finish = (target: Target, result: ExchangeResult): void => {
             isOver = true;
@@ -84,39 +93,54 @@
             }
             steps.onSwitch();
         };
-        const findStandby = async (silent: Attempt<Target>): Promise<void> => {
-            if (isFinding || standby !== undefined) {
+        const findStandby = (silent: Attempt<Target>): void => {
+            if (isFinding || standby !== undefined || standbysLeft === 0) {
                 return;
             }
-            let hasMoved = false;
-            onNextBytes = () => void (hasMoved = true);
+            standbysLeft -= 1;
             isFinding = true;
-            const next = await steps.findNext(silent.target).finally(() => void (isFinding = false));
-            if (next !== undefined && !isOver && !hasMoved && current === silent) {
-                start(next, attempt => void (standby = attempt));
-            }
+            const isWanted = (): boolean => !isOver && silent.isSilent && current === silent;
+            steps.findNext(silent.target, isWanted)
+                .finally(() => void (isFinding = false))
+                .then(next => {
+                    if (next !== undefined && isWanted()) {
+                        start(next, attempt => void (standby = attempt));
+                    }
+                })
+                .catch((err: unknown) => steps.recordFailedSearch(silent.target, err));
         };
         const start = (target: Target, place: (attempt: Attempt<Target>) => void): void => {
-            const attempt: Attempt<Target> = { target, cancel: () => exchange.cancel() };
-            place(attempt);
+            const attempt: Attempt<Target> = {
+                target,
+                cancel: () => exchange.cancel(),
+                isSilent: false,
+                isAccepted: false,
+            };
             const exchange = steps.start(target, {
                 onSilent() {
+                    attempt.isSilent = true;
                     if (attempt === current) {
-                        findStandby(attempt).catch(reject);
+                        standbysLeft = MAX_STANDBYS;
+                        findStandby(attempt);
                     }
                 },
                 onBytes() {
-                    if (attempt === current) {
-                        onNextBytes();
+                    attempt.isSilent = false;
+                    if (attempt === current && attempt.isAccepted) {
                         dropStandby();
                     }
                 },
                 onAccept() {
+                    attempt.isAccepted = true;
                     if (attempt === standby) {
                         promoteStandby(SILENT);
                     }
+                    else if (attempt === current) {
+                        dropStandby();
+                    }
                 },
             });
+            place(attempt);
             exchange.result.then(result => handleEnd(attempt, result)).catch(reject);
         };
         const handleEnd = (attempt: Attempt<Target>, result: ExchangeResult): void => {
@@ -126,6 +150,9 @@
             if (attempt === standby) {
                 standby = undefined;
                 steps.recordLoser(attempt.target, result);
+                if (current?.isSilent === true) {
+                    findStandby(current);
+                }
             }
             else if (attempt === current && standby !== undefined && hasFailed(result)) {
                 promoteStandby(result);
--- a/packages/front/src/silentStream.feature
+++ b/packages/front/src/silentStream.feature
@@ -79,11 +79,48 @@
             | never, the second falls silent after events | after event 1   | stays silent                                            | 1     | fall silent after event 5                     | 9000     |
             | never, the second falls silent inside one   | after event 1   | stays silent                                            | 1     | fall silent inside event 5                    | 9000     |
             | never, one of two others falls silent       | after event 1   | stays silent                                            | 2     | are sound, but one falls silent after event 5 | 9000     |
+            | never, after an event, one of two refuses | after event 1 | stays silent | 2 | are sound, but one refuses as full | 5000 |
+            | never, before the head, one of two refuses | before the head | stays silent | 2 | are sound, but one refuses as full | 5000 |
+            | never, after an event, one of two unreachable | after event 1 | stays silent | 2 | are sound, but one refuses connections | 5000 |
+            | never, before the head, one of two unreachable | before the head | stays silent | 2 | are sound, but one refuses connections | 5000 |
+            | refuses while the second begins | before the head | refuses as full, at the latest 100 ms after another is asked | 1 | begin after 400 ms | 5000 |
             | breaks off, before the head                 | before the head | breaks off, at the latest 100 ms after another is asked | 1     | begin after 400 ms                            | 5000     |
             | breaks off, after an event                  | after event 1   | breaks off, at the latest 100 ms after another is asked | 1     | begin after 400 ms                            | 5000     |
             | breaks off, inside an event                 | inside event 2  | breaks off, at the latest 100 ms after another is asked | 1     | begin after 400 ms                            | 5000     |
             | breaks off while the second sends           | inside event 2  | breaks off, at the latest 500 ms after another is asked | 1     | begin after 400 ms                            | 5000     |
 
+    # Guards against two engines that write on one request.
+    Scenario Outline: An engine that is taken over from is closed once another one has begun: <case>
+        Given a first engine that falls silent <where> and stays silent
+        And 2 other engines that begin after 600 ms
+        And a budget for retries
+        And a deadline of 5000 ms
+        When a client's stream runs with each silence of "1500 1900 2500" ms
+        Then each stream's request ends as "relayed"
+        And no engine works on a request 400 ms after a later one has begun, or after the request's end
+
+        Examples:
+            | case            | where           |
+            | before the head | before the head |
+            | after an event  | after event 1   |
+
+    # Guards against requests that are refused as if no engine were left while the only one is silent for a while.
+    Scenario Outline: A silent engine that is the only one gets further requests: <case>
+        Given a first engine that falls silent before the head and stays silent
+        And 0 other engines that are sound
+        And a budget for retries
+        And a deadline of 5000 ms
+        And engines that run models
+        When a second client's request comes <after> ms after the first one's
+        Then the engine has got 2 requests
+
+        Examples:
+            | case          | after |
+            | after 500 ms  | 500   |
+            | after 1000 ms | 1000  |
+            | after 1300 ms | 1300  |
+            | after 3000 ms | 3000  |
+
     # Guards against engines that work on for a client that has left.
     Scenario Outline: No engine works on for a client that has left: <case>
         Given a first engine that falls silent <where> and stays silent
--- a/packages/front/src/silentStream.steps.ts
+++ b/packages/front/src/silentStream.steps.ts
@@ -47,6 +47,7 @@
 }
 
 const SERVICE: Service = { name: brandId<ServiceName>("models"), maxConnections: 10, engine: undefined };
+const MODEL_SERVICE = { ...SERVICE, engine: {} } as unknown as Service;
 /** Step of the clock between two turns of the event loop, in milliseconds. */
 const STEP_MS = 10;
 /** Time for which a run is watched after its end, in milliseconds. */
@@ -57,7 +58,7 @@
     silentBefore: [],
     silenceMs: 0,
     endsAfterSecondMs: undefined,
-    breaksOff: false,
+    afterSilence: "goes on",
 };
 /** Parts of a stream before which an engine falls silent, by the words of the feature. */
 const PLACES: Readonly<Record<string, readonly string[]>> = {
@@ -80,6 +81,8 @@
     "begin after 600 ms": [{ ...SOUND, beginMs: 600 }],
     "fall silent after event 5": [{ ...SOUND, silentBefore: findPlace("after event 5") }],
     "fall silent inside event 5": [{ ...SOUND, silentBefore: findPlace("inside event 5") }],
+    "are sound, but one refuses as full": [{ ...SOUND, kind: "full" }, SOUND],
+    "are sound, but one refuses connections": [{ ...SOUND, kind: "unreachable" }, SOUND],
     "are sound, but one falls silent after event 5": [{ ...SOUND, silentBefore: findPlace("after event 5") }, SOUND],
 };
 /** Silences at intervals of 10 ms from 0.9 to 3 seconds, for races between two engines. */
@@ -90,6 +93,8 @@
 let othersCount = 0;
 let hasBudget = true;
 let deadlineMs = 0;
+let service = SERVICE;
+let sentToFirst = 0;
 let runs: ClientRun[] = [];
 
 Given(/^a first engine that falls silent (.*) and (goes on|stays silent)$/, (where: string, then: string) => {
@@ -97,13 +102,13 @@
 });
 
 Given(
-    /^a first engine that falls silent (.*) and (goes on|breaks off), at the latest (\d+) ms after another is asked$/,
-    (where: string, then: string, endsAfterSecondMs: string) => {
+    /^a first engine that falls silent (.*) and (goes on|breaks off|refuses as full), at the latest (\d+) ms after another is asked$/,
+    (where: string, afterSilence: EngineScript["afterSilence"], endsAfterSecondMs: string) => {
         first = {
             ...SOUND,
             silentBefore: findPlace(where),
             endsAfterSecondMs: Number(endsAfterSecondMs),
-            breaksOff: then === "breaks off",
+            afterSilence,
         };
     },
 );
@@ -117,7 +122,12 @@
 
 Given(/^(a budget|nothing) for retries$/, (budget: string) => void (hasBudget = budget === "a budget"));
 
-Given("a deadline of {int} ms", (ms: number) => void (deadlineMs = ms));
+Given("a deadline of {int} ms", (ms: number) => {
+    deadlineMs = ms;
+    service = SERVICE;
+});
+
+Given("engines that run models", () => void (service = MODEL_SERVICE));
 
 When("a client's stream runs with each silence of {string} ms", async (silences: string) => {
     runs = [];
@@ -133,6 +143,27 @@
     },
 );
 
+When("a second client's request comes {int} ms after the first one's", async (afterMs: number) => {
+    const clock = createManualClock(0);
+    const engines = createSilentEngines(clock, [first]);
+    const runner = await createRunner(clock, engines.transport);
+    const res = { writeHead: () => undefined } as unknown as ServerResponse;
+    const leaver = new AbortController();
+    clock.setTimer(deadlineMs, () => leaver.abort());
+    void runner.run(createRequest(res, leaver.signal));
+    while (clock.nowMs() < afterMs + TAIL_MS) {
+        await setImmediate();
+        clock.advance(STEP_MS);
+        if (clock.nowMs() === afterMs) {
+            void runner.run({ ...createRequest(res, leaver.signal), startedMs: afterMs, deadlineAtMs: 2 * deadlineMs });
+        }
+    }
+    sentToFirst = engines.exchanges.length;
+    leaver.abort();
+});
+
+Then("the engine has got {int} requests", (count: number) => strictEqual(sentToFirst, count));
+
 Then(
     "each stream's request ends as {string}",
     (end: string) => runs.forEach(run => strictEqual(run.end, end, `${run.end} instead of ${end}: ${run.describe()}`)),
@@ -249,7 +280,8 @@
 ): Promise<ReturnType<typeof createRequestRunner>> {
     const known = [...Array(1 + othersCount).keys()].map(at => {
         const id = brandId<EngineId>(`i-${at}`);
-        const entry = { id, service: SERVICE.name, softwareVersion: "v1", address: { ip: "127.0.0.1", port: at } };
+        const address = { ip: "127.0.0.1", port: at };
+        const entry = { id, service: SERVICE.name, softwareVersion: "v1", address, slots: 8 };
         return [id, { entry, isUsable: true } as unknown as KnownEngine] as const;
     });
     const context = {
@@ -273,7 +305,14 @@
         onEngineRemoved: () => undefined,
         markReplaced: () => undefined,
     } as unknown as ClusterView;
-    const adapters = { startRequest: () => undefined, finishRequest: () => undefined } as unknown as AdapterTracker;
+    const adapters = {
+        startRequest: () => undefined,
+        finishRequest: () => undefined,
+        find: () => ({ kind: "present" }),
+        refresh: () => Promise.resolve(false),
+        countLoad: () => undefined,
+        countQueuedTokens: () => undefined,
+    } as unknown as AdapterTracker;
     const streamOrigins = {
         record: () => undefined,
         keep: () => undefined,
@@ -318,7 +357,7 @@
             timeoutMs: deadlineMs,
             priority: 0,
         },
-        service: SERVICE,
+        service,
         requestedAdapter: undefined,
         body: Buffer.alloc(0),
         digest: undefined,
