--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -2,11 +2,10 @@
     AnswerFraming,
     AnswerSink,
     EngineAnswerHead,
-    EngineProbe,
     EngineRequest,
     EngineTarget,
-    EngineTransport,
     NamedLimit,
+    Service,
 } from "@fulmarcleat/directory";
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
@@ -16,7 +15,6 @@
 import type {
     CrashReport,
     LimitNotice,
-    PeerClient,
     PromptAnsweredRequest,
     QuarantineNotice,
     SendGrantRequest,
@@ -25,7 +23,10 @@
 import { createClusterView } from "./createClusterView.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
-import { createPlainRequest, createStreamRequest, SERVICE } from "./createFleetRequest.steps.js";
+import { createFleetPaths } from "./createFleetPaths.steps.js";
+import { createFleetPeers } from "./createFleetPeers.steps.js";
+import type { PeerHandlers } from "./createFleetPeers.steps.js";
+import { createPlainRequest, createStreamRequest, drawKind, listServices } from "./createFleetRequest.steps.js";
 import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
@@ -46,13 +47,17 @@
 
 interface SimulatedEngine {
     readonly id: EngineId;
+    readonly service: Service;
     readonly exchanges: Set<AnswerSink>;
     isUp: boolean;
 }
 
-type MutableRequest = { -readonly [Key in keyof FleetRequest]: FleetRequest[Key] } & { reachedMs: number[] };
+type MutableRequest = { -readonly [Key in keyof FleetRequest]: FleetRequest[Key] } & {
+    reachedMs: number[];
+    sentBy: HostId[];
+};
 
-/** Number of engines, as the deployments have them. */
+/** Number of engines of each service, as the deployments have them. */
 const ENGINES = 6;
 /** Step of the clock between two turns of the event loop, in milliseconds. */
 const STEP_MS = 10;
@@ -73,10 +78,12 @@
 const ENTRY_TTL_MS = 3600;
 /** Time until a connection to a stopped engine is refused, in milliseconds. */
 const REFUSED_MS = 2;
-/** Time until a lost message between hosts counts as failed, in milliseconds. */
-const PEER_TIMEOUT_MS = 200;
 /** Time in which a plain service answers, in milliseconds. */
 const PLAIN_MS = 20;
+/** Time after its deadline at which a request is aborted, in milliseconds. */
+const DEADLINE_GRACE_MS = 80;
+/** Failure domains of the hosts and engines, as many of them as the fleet has. */
+const DOMAINS = "abcd";
 /** Share of the sound requests of a plain service that are all the same. */
 const FREQUENT_SHARE = 0.2;
 const MS_PER_S = 1000;
@@ -106,8 +113,11 @@
     const hash = await createHasher();
     const engines = new Map<EngineId, SimulatedEngine>();
     const runners = new Map<HostId, RequestRunner>();
-    const handlersByHost = new Map<HostId, Readonly<Record<string, (body: never, from: HostId) => unknown>>>();
+    const handlersByHost = new Map<HostId, PeerHandlers>();
     const arrivals: FleetArrival[] = [];
+    const domains = new Map<HostId, string>();
+    const pathRandom = createRandom(options.seed + 1);
+    const nameDomain = (number: number): string => DOMAINS[number % (options.domains ?? 1)] ?? "a";
     let limit: FleetLimit | undefined;
     const requests: MutableRequest[] = [];
     const requestsById = new Map<RequestId, MutableRequest>();
@@ -117,22 +127,23 @@
     let startedEngines = 0;
     let isPoisonous = true;
 
-    const startEngine = (formerId?: EngineId): void => {
+    const startEngine = (service: Service, formerId?: EngineId): void => {
+        const zone = nameDomain(startedEngines);
         startedEngines += 1;
         const id = formerId ?? brandId<EngineId>(`i-${startedEngines}`);
-        engines.set(id, { id, exchanges: new Set(), isUp: true });
+        engines.set(id, { id, service, exchanges: new Set(), isUp: true });
         const born = clock.nowMs();
-        const entry = { service: SERVICE.name, address: "127.0.0.1:1", zone: "a", slots: 64, state: "ready", born };
+        const entry = { service: service.name, address: "127.0.0.1:1", zone, slots: 64, state: "ready", born };
         store.put(ENGINE_PREFIX + id, Buffer.from(JSON.stringify(entry)));
     };
-    const crash = (engine: SimulatedEngine): void => {
+    const crash = (engine: SimulatedEngine, restartMs = RESTART_MS): void => {
         if (!engine.isUp) {
             return;
         }
         engine.isUp = false;
         [...engine.exchanges].forEach(sink => sink.fail({ kind: "broken", reason: "UND_ERR_SOCKET" }));
         engine.exchanges.clear();
-        clock.setTimer(RESTART_MS, () => startEngine(options.keepsIds ? engine.id : undefined));
+        clock.setTimer(restartMs, () => startEngine(engine.service, options.keepsIds ? engine.id : undefined));
         clock.setTimer(ENTRY_TTL_MS, () => {
             if (engines.get(engine.id) === engine) {
                 store.remove(ENGINE_PREFIX + engine.id);
@@ -176,7 +187,7 @@
             limit: nameLimit(engine.id),
             instance: undefined,
         });
-        if (options.plain !== undefined && request !== undefined) {
+        if (request !== undefined && request.kind !== "streaming") {
             if (request.isPoison && isPoisonous) {
                 crashAfter(request);
                 return;
@@ -205,62 +216,63 @@
             sendEvent(Number(req.lastEventId ?? 0) + 1);
         });
     };
-    const transport: EngineTransport = {
-        send(req, sink) {
-            const engine = engines.get(req.target.id);
-            if (engine?.isUp !== true) {
-                clock.setTimer(REFUSED_MS, () => sink.fail({ kind: "unsent", reason: "ECONNREFUSED" }));
-                return { cancel: () => undefined, resume: () => undefined };
-            }
-            requestsById.get(req.requestId)?.reachedMs.push(clock.nowMs());
-            arrivals.push({ engine: engine.id, atMs: clock.nowMs() });
-            engine.exchanges.add(sink);
-            answer(req, sink, engine);
-            return { cancel: () => void engine.exchanges.delete(sink), resume: () => undefined };
-        },
-        forget: () => undefined,
-        close: () => undefined,
+    const deliver = (host: HostId, req: EngineRequest, sink: AnswerSink): () => void => {
+        const engine = engines.get(req.target.id);
+        if (engine?.isUp !== true) {
+            return clock.setTimer(REFUSED_MS, () => sink.fail({ kind: "unsent", reason: "ECONNREFUSED" }));
+        }
+        const request = requestsById.get(req.requestId);
+        request?.reachedMs.push(clock.nowMs());
+        request?.sentBy.push(host);
+        arrivals.push({ engine: engine.id, host, atMs: clock.nowMs() });
+        engine.exchanges.add(sink);
+        answer(req, sink, engine);
+        return () => void engine.exchanges.delete(sink);
     };
-    const probe = ({ id }: EngineTarget): Promise<EngineProbe> =>
-        new Promise(resolve => {
-            const isUp = engines.get(id)?.isUp === true;
-            clock.setTimer(REFUSED_MS, () => resolve(isUp ? "running" : "gone"));
-        });
-    const connect = (from: HostId): PeerClient =>
-        ({
-            request(to: { readonly host: HostId }, name: string, body: unknown) {
-                const isLost = random.next() < options.lostShare;
-                const delayMs = options.maxDelayMs * random.next();
-                return new Promise((resolve, reject) => {
-                    clock.setTimer(PEER_TIMEOUT_MS, () => reject(new Error("no reply")));
-                    clock.setTimer(isLost ? Infinity : delayMs, () => {
-                        const handle = handlersByHost.get(to.host)?.[name];
-                        if (handle !== undefined) {
-                            resolve(handle(body as never, from));
-                        }
-                    });
-                });
-            },
-        }) as unknown as PeerClient;
+    const paths = createFleetPaths({
+        clock,
+        random: pathRandom,
+        deliver,
+        readService: id => engines.get(id)?.service.name,
+        probeEngine: id => engines.get(id)?.isUp === true ? "running" : "gone",
+    });
+    const { connect, forward, handovers } = createFleetPeers({
+        ...options,
+        clock,
+        random,
+        forwardRandom: pathRandom,
+        handlersByHost,
+        runners,
+    });
     const startHost = (number: number): void => {
         const host = brandId<HostId>(`host-${number}`);
+        const domain = nameDomain(number);
+        domains.set(host, domain);
         const log = { write: () => undefined };
         const context = {
             clock,
             store,
-            transport,
+            transport: paths.createTransport(host),
             hash,
             log,
-            control: { probe },
+            policy: "expected_wait",
+            control: { probe: ({ id }: EngineTarget) => paths.probe(host, id) },
             random: createRandom(options.seed * 1000 + number),
             metrics: createMetrics(),
-            deployment: { host, domain: "a" },
+            deployment: { host, domain },
             readBounds: () => ({ contactMs: 3000, retryRatio: 0.2, retryReserve: 56, retryWindowMs: 10_000 }),
         } as unknown as FrontContext;
         const member = { incarnation: brandId<Incarnation>("1"), ip: "127.0.0.1", port: 1, isLeaving: false };
         store.put(formatMemberKey(host), formatMember(member));
         const view = createClusterView(context, createStoreHealth(clock, log));
-        const adapters = { startRequest: () => undefined, finishRequest: () => undefined } as unknown as AdapterTracker;
+        const adapters = {
+            startRequest: () => undefined,
+            finishRequest: () => undefined,
+            refresh: () => Promise.resolve(false),
+            find: () => ({ kind: "present" }) as const,
+            countLoad: () => undefined,
+            countQueuedTokens: () => undefined,
+        } as unknown as AdapterTracker;
         const streamOrigins = {
             record: () => undefined,
             keep: () => undefined,
@@ -298,15 +310,19 @@
         return options.plain !== undefined && random.next() < FREQUENT_SHARE ? "frequent" : `r${requests.length}`;
     };
     const sendRequest = (isPoison: boolean, name: string): void => {
-        const runner = [...runners.values()][Math.floor(runners.size * random.next())];
+        const host = [...runners.keys()][Math.floor(runners.size * random.next())];
         const requestId = brandId<RequestId>(`r${requests.length}`);
         const request: MutableRequest = {
             name,
             isPoison,
             priority: Math.floor(PRIORITIES * random.next()),
+            host,
+            ...drawKind(options, random),
             sentMs: clock.nowMs(),
             reachedMs: [],
+            sentBy: [],
             hasBegun: false,
+            isAnswered: false,
             refusal: undefined,
             readyInMs: undefined,
             heldMs: undefined,
@@ -315,11 +331,16 @@
         requestsById.set(requestId, request);
         const content = { method: "GET", hostName: "a.example", path: `/${name}`, body: Buffer.alloc(0) };
         const digest = digestRequest(content);
-        const clientRequest = options.plain === undefined
-            ? createStreamRequest(request, requestId, digest, drawParts(isPoison))
-            : createPlainRequest(request, requestId, digest);
-        void runner?.run(clientRequest).then(end => {
+        const deadline = new AbortController();
+        const clientRequest = request.kind === "streaming"
+            ? createStreamRequest(request, requestId, digest, drawParts(isPoison), deadline.signal)
+            : createPlainRequest(request, requestId, digest, deadline.signal);
+        const graceMs = clientRequest.deadlineAtMs - clock.nowMs() + DEADLINE_GRACE_MS;
+        const cancelDeadline = clock.setTimer(graceMs, () => deadline.abort());
+        void (host === undefined ? undefined : runners.get(host))?.run(clientRequest).then(end => {
+            cancelDeadline();
             request.heldMs = clock.nowMs() - request.sentMs;
+            request.isAnswered = end.kind !== "gave_up";
             if (end.kind === "gave_up") {
                 request.refusal = end.reason;
                 request.readyInMs = end.readyInMs;
@@ -346,8 +367,10 @@
         }
         clock.setTimer(options.crashIntervalMs ?? Infinity, crashOne);
     };
-    for (let engine = 0; engine < ENGINES; engine += 1) {
-        startEngine();
+    for (const service of listServices(options)) {
+        for (let engine = 0; engine < ENGINES; engine += 1) {
+            startEngine(service);
+        }
     }
     for (let host = 0; host < options.hosts; host += 1) {
         startHost(host);
@@ -385,7 +408,15 @@
         },
         wait: advance,
         setPoisonous: next => void (isPoisonous = next),
-        crashAll: () => [...engines.values()].forEach(crash),
+        crashAll: () => [...engines.values()].forEach(engine => crash(engine)),
+        stopEngines: service =>
+            [...engines.values()].filter(engine => engine.service.name === service)
+                .forEach(engine => crash(engine, Infinity)),
+        cutHosts: paths.cut,
+        healHosts: paths.heal,
+        forward,
+        handovers,
+        readDomain: host => domains.get(host) ?? "",
         async addHost() {
             startHost(runners.size);
             await advance(MS_PER_S);
--- a/packages/front/src/createStoreFake.steps.ts
+++ b/packages/front/src/createStoreFake.steps.ts
@@ -54,8 +54,10 @@
     let oldestRevision = 1;
     let lastLease = 0;
     let mode: StoreFakeMode = "serving";
+    /** Events are in the order of their revisions, so that only the newest ones are looked at. */
     const find = (prefix: string, after: number): readonly StoreEvent[] =>
-        history.filter(event => readKey(event).startsWith(prefix) && readRevision(event) > after);
+        history.slice(history.findLastIndex(event => readRevision(event) <= after) + 1)
+            .filter(event => readKey(event).startsWith(prefix));
     const answerWatches = (): void => {
         watches = watches.filter(({ prefix, after, answer }) => {
             const events = find(prefix, after);
--- a/packages/front/src/frontFleet.steps.ts
+++ b/packages/front/src/frontFleet.steps.ts
@@ -1,4 +1,7 @@
-import type { EngineId, HostId, ManualClock } from "@fulmarcleat/ids";
+import type { RouteKind, Service } from "@fulmarcleat/directory";
+import type { EngineId, HostId, ManualClock, ServiceName } from "@fulmarcleat/ids";
+import type { RequestEnd } from "./applyAttempt.js";
+import type { ClientRequest } from "./clientRequest.js";
 import type { StoreFake } from "./createStoreFake.steps.js";
 
 /** Size, seed and faults of a fleet in memory. */
@@ -20,6 +23,13 @@
         /** Number of different requests that crash each engine that runs them. */
         readonly poisonKinds: number;
     };
+    /**
+     * Whether the fleet has two services, one with a model that gets requests for streams, and a plain one of whose
+     * requests half may run once only; if it is left out, it has one service.
+     */
+    readonly hasTwoServices?: boolean;
+    /** Number of failure domains that hosts and engines are in, in turn, at most 4; 1 if it is left out. */
+    readonly domains?: number;
     /** How many requests that crash engines come at the same moment, at any hosts; 1 if it is left out. */
     readonly copies?: number;
 }
@@ -31,9 +41,36 @@
     readonly perSecond: number;
 }
 
+/**
+ * How paths from hosts to engines are cut.
+ *
+ * - `hang`: nothing comes back over kept connections, and new ones get no answer
+ * - `reset`: exchanges in flight break, and new connections are refused
+ * - `new refused`: kept connections live on, which half of the requests use, and new ones are refused
+ */
+export type CutKind = "hang" | "new refused" | "reset";
+
+/** Hosts without paths to the engines of a service. */
+export interface FleetCut {
+    readonly hosts: readonly HostId[];
+    readonly how: CutKind;
+    /** The service whose engines they don't reach; undefined for all services. */
+    readonly service: ServiceName | undefined;
+}
+
+/** A request that one host hands to another. */
+export interface FleetHandover {
+    readonly from: HostId;
+    readonly to: HostId;
+    readonly service: ServiceName;
+    readonly atMs: number;
+}
+
 /** A request's arrival at an engine. */
 export interface FleetArrival {
     readonly engine: EngineId;
+    /** The host that sent it. */
+    readonly host: HostId;
     readonly atMs: number;
 }
 
@@ -50,11 +87,19 @@
     readonly isPoison: boolean;
     /** 0 is the most urgent. */
     readonly priority: number;
+    readonly service: Service;
+    readonly kind: RouteKind;
+    /** The host that it came to; undefined if there was none. */
+    readonly host: HostId | undefined;
     readonly sentMs: number;
     /** Clock readings at which it reached an engine, in milliseconds. */
     readonly reachedMs: readonly number[];
+    /** The hosts that sent it there each time. */
+    readonly sentBy: readonly HostId[];
     /** Whether an engine began to answer it. */
     readonly hasBegun: boolean;
+    /** Whether its host sent the whole answer; clients don't send a request again. */
+    readonly isAnswered: boolean;
     /** Reason of the host's refusal; undefined if it was not refused. */
     readonly refusal: string | undefined;
     /** Expected time until the request could be served, as the host that refused it states it, in milliseconds. */
@@ -86,6 +131,16 @@
     readonly hosts: readonly HostId[];
     /** Crashes every engine at once, as a loss of power does. */
     crashAll(): void;
+    /** Stops the engines of a service for good: they refuse connections, and their entries are removed later. */
+    stopEngines(service: ServiceName): void;
+    /** Cuts paths from hosts to engines, until `healHosts`; messages between hosts, the store and clients go on. */
+    cutHosts(cut: FleetCut): void;
+    healHosts(): void;
+    /** Hands a request from one host to another, which runs it as its own; rejects if that host has stopped. */
+    forward(from: HostId, to: HostId, request: ClientRequest): Promise<RequestEnd>;
+    readonly handovers: readonly FleetHandover[];
+    /** Returns the failure domain that a host is in. */
+    readDomain(host: HostId): string;
     /** Adds a host that knows nothing. */
     addHost(): Promise<void>;
 }
