Count an exchange that broke without a byte against its path; fleet in memory

Such an exchange now speaks against the path until bytes come. Hosts also name others that hear from engines, so that a few of them are found among many, and what was heard counts for one second.

--- a/packages/dispatch/src/reduceEnginePath.ts
+++ b/packages/dispatch/src/reduceEnginePath.ts
@@ -2,8 +2,10 @@
 export interface EnginePath {
     /** Clock reading of the oldest request or probe that nothing has followed, in milliseconds; undefined if none. */
     readonly unansweredSinceMs: number | undefined;
-    /** Clock reading of the first failed connection since bytes last arrived, in milliseconds; undefined if none. */
+    /** Clock reading of the first failed connection since one was opened, in milliseconds; undefined if none. */
     readonly unreachableSinceMs: number | undefined;
+    /** Clock reading of the first exchange that broke without a byte, in milliseconds; undefined if none. */
+    readonly brokenSinceMs: number | undefined;
 }
 
 /** What happened on a path to an engine. */
@@ -12,13 +14,21 @@
     | { readonly kind: "sent"; readonly atMs: number }
     /** Bytes arrived. */
     | { readonly kind: "heard" }
-    /** No connection could be opened, or a probe got no answer. */
+    /** A connection was opened, which doesn't show that bytes come back. */
+    | { readonly kind: "opened" }
+    /** No connection could be opened. */
     | { readonly kind: "unreachable"; readonly atMs: number }
+    /** An exchange broke without a byte. */
+    | { readonly kind: "broken"; readonly atMs: number }
     /** The last request in flight was withdrawn. */
     | { readonly kind: "withdrawn"; readonly atMs: number; readonly silentAfterMs: number };
 
 /** Path on which nothing is missing. */
-export const OPEN_PATH: EnginePath = { unansweredSinceMs: undefined, unreachableSinceMs: undefined };
+export const OPEN_PATH: EnginePath = {
+    unansweredSinceMs: undefined,
+    unreachableSinceMs: undefined,
+    brokenSinceMs: undefined,
+};
 
 /**
  * Updates what a host sees of its path to an engine.
@@ -36,6 +46,10 @@
             return path.unansweredSinceMs === undefined ? { ...path, unansweredSinceMs: message.atMs } : path;
         case "heard":
             return path === OPEN_PATH ? path : OPEN_PATH;
+        case "opened":
+            return { ...path, unreachableSinceMs: undefined };
+        case "broken":
+            return path.brokenSinceMs === undefined ? { ...path, brokenSinceMs: message.atMs } : path;
         case "unreachable":
             return path.unreachableSinceMs === undefined ? { ...path, unreachableSinceMs: message.atMs } : path;
         case "withdrawn": {
@@ -59,15 +73,10 @@
  * @example
  * const isSuspect = readSuspectSince(path, clock.nowMs(), 900) !== undefined;
  */
-export function readSuspectSince(
-    { unansweredSinceMs, unreachableSinceMs }: EnginePath,
-    atMs: number,
-    silentAfterMs: number,
-): number | undefined {
-    const silentSinceMs = unansweredSinceMs !== undefined && atMs - unansweredSinceMs > silentAfterMs
-        ? unansweredSinceMs
-        : undefined;
-    return silentSinceMs === undefined || unreachableSinceMs === undefined
-        ? silentSinceMs ?? unreachableSinceMs
-        : Math.min(silentSinceMs, unreachableSinceMs);
+export function readSuspectSince(path: EnginePath, atMs: number, silentAfterMs: number): number | undefined {
+    const { unansweredSinceMs, unreachableSinceMs, brokenSinceMs } = path;
+    const isSilent = unansweredSinceMs !== undefined && atMs - unansweredSinceMs > silentAfterMs;
+    const since = [isSilent ? unansweredSinceMs : undefined, unreachableSinceMs, brokenSinceMs]
+        .filter(sinceMs => sinceMs !== undefined);
+    return since.length === 0 ? undefined : Math.min(...since);
 }
--- a/packages/front/src/createEnginePaths.ts
+++ b/packages/front/src/createEnginePaths.ts
@@ -44,6 +44,8 @@
 const LOST_AFTER_MS = 1000;
 /** Largest difference between the times at which hosts notice the same event at an engine, in milliseconds. */
 const NOTICE_SPREAD_MS = 100;
+/** Most hosts that another host is told of as hearing from engines. */
+const TOLD_HELPERS = 4;
 /** Time since bytes came from an engine up to which other hosts are told of them, in milliseconds. */
 const TOLD_MS = 3000;
 
@@ -105,7 +107,8 @@
     /** Whether a path is open. A connection alone proves nothing where requests have had no answer. */
     const reaches = async ({ id, address }: EngineEntry, { path }: PathRecord): Promise<boolean> =>
         await control.connects({ id, address })
-        && (path.unansweredSinceMs === undefined || await control.probe({ id, address }) === "running");
+        && (path.unansweredSinceMs === undefined && path.brokenSinceMs === undefined
+            || await control.probe({ id, address }) === "running");
     const probe = async (entry: EngineEntry): Promise<void> => {
         const record = open(entry.id);
         record.probedMs = clock.nowMs();
@@ -164,15 +167,22 @@
             update(record, { kind: "sent", atMs: clock.nowMs() });
         },
         recordBytes: ({ id }) => recordHeard(id),
-        recordEnd(entry, wasReached) {
+        recordEnd(entry, end) {
             const record = records.get(entry.id);
             const atMs = clock.nowMs();
             if (record === undefined) {
                 return;
             }
             record.inFlight = Math.max(0, record.inFlight - 1);
-            if (!wasReached) {
-                update(record, { kind: "unreachable", atMs });
+            switch (end) {
+                case "unsent":
+                    update(record, { kind: "unreachable", atMs });
+                    break;
+                case "broken":
+                    update(record, { kind: "broken", atMs });
+                    break;
+                case "other":
+                    break;
             }
             if (record.inFlight === 0) {
                 update(record, { kind: "withdrawn", atMs, silentAfterMs: readSilentAfterMs(entry) });
@@ -210,7 +220,8 @@
             const heardAgoMs = listUsable(service)
                 .map(({ id }) => [id, Math.round(atMs - (records.get(id)?.heardMs ?? -Infinity))] as const)
                 .filter(([, agoMs]) => agoMs <= TOLD_MS);
-            return { heardAgoMs, running: readRunning() };
+            const helpers = survey.listHelpers(service).slice(0, TOLD_HELPERS).map(({ host }) => host);
+            return { heardAgoMs, helpers, running: readRunning() };
         },
         stop: () => void (isStopped = true),
     };
--- a/packages/front/src/createEngineSender.ts
+++ b/packages/front/src/createEngineSender.ts
@@ -143,7 +143,7 @@
             }
             loadTracker.finishRequest(id);
             adapters.finishRequest(id, adapter);
-            paths.recordEnd(entry, result.kind !== "unsent");
+            paths.recordEnd(entry, describePathEnd(result, firstByteMs !== undefined));
             const health = describeHealth(result, firstByteMs ?? clock.nowMs() - sentMs, clock.nowMs());
             // An engine that other hosts reach is not to blame for a lost path.
             if (health !== undefined && (health.kind !== "failed" || !paths.isPathLost(id))) {
@@ -178,3 +178,8 @@
     };
     return { send };
 }
+
+/** Describes what the end of an exchange shows of the path to its engine. */
+function describePathEnd({ kind }: ExchangeResult, wasHeard: boolean): "broken" | "other" | "unsent" {
+    return kind === "unsent" || kind === "broken" && !wasHeard ? kind : "other";
+}
--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -10,27 +10,34 @@
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
-import type { EngineId, HostId, Incarnation, PromptPart, RequestId } from "@fulmarcleat/ids";
+import type { EngineId, FailureDomain, HostId, Incarnation, PromptPart, RequestId } from "@fulmarcleat/ids";
 import { ENGINE_PREFIX } from "@fulmarcleat/platform";
 import type {
     CrashReport,
+    EngineProbeRequest,
+    EngineReachRequest,
     LimitNotice,
     PromptAnsweredRequest,
     QuarantineNotice,
     SendGrantRequest,
+    StreamRecord,
 } from "@fulmarcleat/wire";
 import { setImmediate } from "node:timers/promises";
+import type { ClientRequest } from "./clientRequest.js";
 import { createClusterView } from "./createClusterView.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
+import { createEnginePaths } from "./createEnginePaths.js";
+import { createFleetForwarding } from "./createFleetForwarding.steps.js";
 import { createFleetPaths } from "./createFleetPaths.steps.js";
 import { createFleetPeers } from "./createFleetPeers.steps.js";
 import type { PeerHandlers } from "./createFleetPeers.steps.js";
 import { createPlainRequest, createStreamRequest, drawKind, listServices } from "./createFleetRequest.steps.js";
+import { createForwarder } from "./createForwarder.js";
 import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
-import { NO_LOST_PATHS } from "./enginePaths.js";
+import { FIRST_SERVER_ERROR } from "./describeHealth.js";
 import type { FrontContext } from "./frontContext.js";
 import type {
     FleetArrival,
@@ -41,7 +48,6 @@
     FrontFleetOptions,
 } from "./frontFleet.steps.js";
 import { formatMember, formatMemberKey } from "./hostKeys.js";
-import { NO_FORWARDER } from "./noForwarder.steps.js";
 import { createRequestRunner } from "./runRequest.js";
 import type { RequestRunner } from "./runRequest.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
@@ -115,6 +121,8 @@
     const hash = await createHasher();
     const engines = new Map<EngineId, SimulatedEngine>();
     const runners = new Map<HostId, RequestRunner>();
+    const clientRequests = new Map<RequestId, ClientRequest>();
+    const origins = new Map<RequestId, StreamRecord>();
     const handlersByHost = new Map<HostId, PeerHandlers>();
     const arrivals: FleetArrival[] = [];
     const domains = new Map<HostId, string>();
@@ -258,13 +266,24 @@
             hash,
             log,
             policy: "expected_wait",
-            control: { probe: ({ id }: EngineTarget) => paths.probe(host, id) },
+            control: {
+                probe: ({ id }: EngineTarget) => paths.probe(host, id),
+                connects: async ({ id }: EngineTarget) => await paths.probe(host, id) === "running",
+            },
             random: createRandom(options.seed * 1000 + number),
             metrics: createMetrics(),
             deployment: { host, domain },
             readBounds: () => ({ contactMs: 3000, retryRatio: 0.2, retryReserve: 56, retryWindowMs: 10_000 }),
         } as unknown as FrontContext;
-        const member = { incarnation: brandId<Incarnation>("1"), ip: "127.0.0.1", port: 1, isLeaving: false };
+        const incarnation = brandId<Incarnation>("1");
+        const member = {
+            incarnation,
+            ip: "127.0.0.1",
+            port: 1,
+            domain: brandId<FailureDomain>(domain),
+            forwardPort: 2,
+            isLeaving: false,
+        };
         store.put(formatMemberKey(host), formatMember(member));
         const view = createClusterView(context, createStoreHealth(clock, log));
         const adapters = {
@@ -276,13 +295,21 @@
             countQueuedTokens: () => undefined,
         } as unknown as AdapterTracker;
         const streamOrigins = {
-            record: () => undefined,
+            record: (record: StreamRecord) => void origins.set(record.requestId, record),
             keep: () => undefined,
             answer: () => ({ kind: "unknown" }) as const,
-            find: () => Promise.resolve(undefined),
+            find: (id: RequestId | undefined) => Promise.resolve(id === undefined ? undefined : origins.get(id)),
         };
         const peers = connect(host);
-        const quarantine = createQuarantine(context, view, () => peers, NO_LOST_PATHS);
+        const loadTracker = createEngineLoadTracker(clock);
+        const enginePaths = createEnginePaths(
+            context,
+            view,
+            () => peers,
+            () => 0,
+            engine => loadTracker.recordHealth(engine, { kind: "reached", atMs: clock.nowMs() }),
+        );
+        const quarantine = createQuarantine(context, view, () => peers, enginePaths);
         const limits = createEngineLimits(context, view, () => peers);
         handlersByHost.set(host, {
             engineCrash: (report: CrashReport) => quarantine.handleCrash(report),
@@ -293,8 +320,9 @@
             },
             engineLimit: (notice: LimitNotice, from: HostId) => limits.handleNotice(notice, from),
             sendGrant: (request: SendGrantRequest, from: HostId) => limits.handleRequest(request, from),
+            engineProbe: (request: EngineProbeRequest) => enginePaths.probeFor(request),
+            engineReach: (request: EngineReachRequest) => enginePaths.answer(request),
         });
-        const loadTracker = createEngineLoadTracker(clock);
         const runner = createRequestRunner(
             context,
             view,
@@ -303,8 +331,8 @@
             streamOrigins,
             quarantine,
             limits,
-            NO_LOST_PATHS,
-            NO_FORWARDER,
+            enginePaths,
+            createForwarder(context, createFleetForwarding(host, { clock, forward, clientRequests })),
         );
         runners.set(host, runner);
     };
@@ -347,12 +375,14 @@
         const clientRequest = request.kind === "streaming"
             ? createStreamRequest(request, requestId, digest, drawParts(isPoison), deadline.signal)
             : createPlainRequest(request, requestId, digest, deadline.signal);
+        clientRequests.set(requestId, clientRequest);
         const graceMs = clientRequest.deadlineAtMs - clock.nowMs() + DEADLINE_GRACE_MS;
         const cancelDeadline = clock.setTimer(graceMs, () => deadline.abort());
         void (host === undefined ? undefined : runners.get(host))?.run(clientRequest).then(end => {
             cancelDeadline();
             request.heldMs = clock.nowMs() - request.sentMs;
-            request.isAnswered = end.kind !== "gave_up";
+            request.isAnswered = end.kind === "relayed"
+                || end.kind === "answer" && end.result.head.status < FIRST_SERVER_ERROR;
             if (end.kind === "gave_up") {
                 request.refusal = end.reason;
                 request.readyInMs = end.readyInMs;
--- a/packages/front/src/createReachSurvey.ts
+++ b/packages/front/src/createReachSurvey.ts
@@ -41,7 +41,7 @@
 /** Age from which replies are renewed, in milliseconds. */
 const RENEW_AFTER_MS = 500;
 /** Age up to which a reply, and what it says that was heard, counts, in milliseconds. */
-const VALID_MS = 1500;
+const VALID_MS = 1000;
 
 /**
  * Creates the survey of the engines that other hosts hear from. It sends no message until it is refreshed.
@@ -85,17 +85,20 @@
         return agoMs < VALID_MS;
     };
     const ask = async (service: ServiceName, survey: ServiceSurvey): Promise<void> => {
-        const peers = orderPeers();
+        let left = orderPeers();
         for (let round = 0; round < MAX_ROUNDS; round += 1) {
-            const asked = peers.slice(round * ASKED_HOSTS, (round + 1) * ASKED_HOSTS);
+            const asked = left.slice(0, ASKED_HOSTS);
             const askedMs = clock.nowMs();
-            const hasReach = await Promise.all(asked.map(async member => {
+            const replies = await Promise.all(asked.map(async member => {
                 const reply = await sendToPeer(peerContext, member, "engineReach", { service });
-                return reply !== undefined && record(survey, member, reply, askedMs);
+                return { named: reply?.helpers ?? [], hears: reply && record(survey, member, reply, askedMs) };
             }));
-            if (hasReach.includes(true) || asked.length === 0) {
+            if (replies.some(({ hears }) => hears) || asked.length === 0) {
                 return;
             }
+            const named = new Set(replies.flatMap(reply => reply.named));
+            const others = left.slice(ASKED_HOSTS);
+            left = [...others.filter(({ host }) => named.has(host)), ...others.filter(({ host }) => !named.has(host))];
         }
     };
     return {
@@ -114,8 +117,9 @@
             const sinceMs = clock.nowMs() - VALID_MS;
             return [...open(service).hosts]
                 .filter(([, reach]) => reach.atMs >= sinceMs && reach.heardMs >= sinceMs)
-                .sort(([, a], [, b]) => a.running - b.running)
-                .map(([host]) => clusterView.members.get(host))
+                .map(([host, reach]) => ({ host, cost: reach.running + random.next() }))
+                .sort((a, b) => a.cost - b.cost)
+                .map(({ host }) => clusterView.members.get(host))
                 .filter(member => member !== undefined && !member.isLeaving && member.forwardPort !== undefined)
                 .filter(member => member !== undefined);
         },
--- a/packages/front/src/enginePaths.ts
+++ b/packages/front/src/enginePaths.ts
@@ -8,8 +8,8 @@
     recordSend(entry: EngineEntry): void;
     /** Records bytes from an engine. */
     recordBytes(entry: EngineEntry): void;
-    /** Records that a request at an engine ended, and whether a connection could be opened for it. */
-    recordEnd(entry: EngineEntry, wasReached: boolean): void;
+    /** Records that a request at an engine ended: without a connection, broken without a byte, or in another way. */
+    recordEnd(entry: EngineEntry, end: "broken" | "other" | "unsent"): void;
     /** Whether this host gets nothing from an engine while other hosts do. */
     isPathLost(engine: EngineId): boolean;
     /** Whether this host gets nothing from an engine of a service. */
--- a/packages/wire/src/reachMessages.ts
+++ b/packages/wire/src/reachMessages.ts
@@ -1,4 +1,4 @@
-import type { EngineId, ServiceName } from "@fulmarcleat/ids";
+import type { EngineId, HostId, ServiceName } from "@fulmarcleat/ids";
 
 /** Asks a host which engines of a service it hears from. */
 export interface EngineReachRequest {
@@ -9,6 +9,8 @@
 export interface EngineReachReply {
     /** Engines with the time since bytes last arrived from them, in milliseconds. */
     readonly heardAgoMs: readonly (readonly [EngineId, number])[];
+    /** Other hosts that it knows to hear from engines of the service. */
+    readonly helpers: readonly HostId[];
     /** Number of requests of clients in flight at the host. */
     readonly running: number;
 }
