lostPaths.feature: requests that may run once are in flight when paths are cut; a request handed on once stays there

Such requests now take 300 ms at engines, so that some are in flight when connections are reset, and no host may hand on a request that another host handed to it.

--- a/packages/front/src/createFleetPeers.steps.ts
+++ b/packages/front/src/createFleetPeers.steps.ts
@@ -63,7 +63,8 @@
             }) as unknown as PeerClient,
         forward: (from, to, request) =>
             new Promise((resolve, reject) => {
-                handovers.push({ from, to, service: request.service.name, atMs: clock.nowMs() });
+                const { requestId, service } = request;
+                handovers.push({ from, to, requestId, service: service.name, atMs: clock.nowMs() });
                 clock.setTimer(options.maxDelayMs * forwardRandom.next(), () => {
                     const runner = runners.get(to);
                     if (runner === undefined) {
--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -80,6 +80,8 @@
 const REFUSED_MS = 2;
 /** Time in which a plain service answers, in milliseconds. */
 const PLAIN_MS = 20;
+/** Time in which it answers requests that may run once only, in milliseconds; some are in flight at any moment. */
+const UNSAFE_MS = 300;
 /** Time after its deadline at which a request is aborted, in milliseconds. */
 const DEADLINE_GRACE_MS = 80;
 /** Failure domains of the hosts and engines, as many of them as the fleet has. */
@@ -192,7 +194,7 @@
                 crashAfter(request);
                 return;
             }
-            clock.setTimer(PLAIN_MS, () => {
+            clock.setTimer(request.kind === "unsafe" ? UNSAFE_MS : PLAIN_MS, () => {
                 if (isInFlight()) {
                     engine.exchanges.delete(sink);
                     request.hasBegun = true;
--- a/packages/front/src/frontFleet.steps.ts
+++ b/packages/front/src/frontFleet.steps.ts
@@ -1,5 +1,5 @@
 import type { RouteKind, Service } from "@fulmarcleat/directory";
-import type { EngineId, HostId, ManualClock, ServiceName } from "@fulmarcleat/ids";
+import type { EngineId, HostId, ManualClock, RequestId, ServiceName } from "@fulmarcleat/ids";
 import type { RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { StoreFake } from "./createStoreFake.steps.js";
@@ -62,6 +62,7 @@
 export interface FleetHandover {
     readonly from: HostId;
     readonly to: HostId;
+    readonly requestId: RequestId;
     readonly service: ServiceName;
     readonly atMs: number;
 }
--- a/packages/front/src/lostPaths.feature
+++ b/packages/front/src/lostPaths.feature
@@ -5,6 +5,7 @@
         Given a fleet of <hosts> hosts before two services, whose <faults>
         When the paths of <who> to <services> are cut, <how>, <times>, while clients send requests
         Then no request that may run once reaches engines twice
+        And no host hands on a request that another host handed to it
         And from 3000 ms after the end on these hosts send at least 9 in 10 of their requests to engines themselves
         And from 3000 ms on until the end, first tries there are served two thirds as often as elsewhere, or 10 and 1 in 50 fail
 
--- a/packages/front/src/lostPaths.steps.ts
+++ b/packages/front/src/lostPaths.steps.ts
@@ -112,6 +112,15 @@
     }
 });
 
+Then("no host hands on a request that another host handed to it", () => {
+    for (const { fleet: { handovers } } of runs) {
+        const passedOn = handovers.filter(({ from, requestId, atMs }) =>
+            handovers.some(other => other.requestId === requestId && other.to === from && other.atMs <= atMs)
+        );
+        deepStrictEqual(passedOn, []);
+    }
+});
+
 Then(
     "from {int} ms after the end on these hosts send at least {int} in 10 of their requests to engines themselves",
     (afterMs: number, tenths: number) => {
