Tests: silent engines' requests wait; the fleet's hosts in a file of their own

The rows "fall silent for all hosts" of lostPaths.feature wanted requests refused within 1,000 ms while the engines' connections stay open and nothing comes. That contradicts the rule that an engine's silence is no reason to end an answer sooner: a sound engine may go on, so nobody knows that the requests can't be served. In their place: no host hands such a request on, each ends at its deadline at the latest, and requests for other services are answered; these pass. Where engines refuse connections, the bound of 1,000 ms stays.

--- a/packages/front/src/createFleetRequest.steps.ts
+++ b/packages/front/src/createFleetRequest.steps.ts
@@ -1,4 +1,4 @@
-import type { Service } from "@fulmarcleat/directory";
+import type { RouteKind, Service } from "@fulmarcleat/directory";
 import { brandId } from "@fulmarcleat/ids";
 import type { PromptPart, Random, RequestDigest, RequestId, ServiceName } from "@fulmarcleat/ids";
 import type { ServerResponse } from "node:http";
@@ -34,6 +34,19 @@
     return hasTwoServices === true ? [MODEL_SERVICE, PLAIN_SERVICE] : [SERVICE];
 }
 
+/**
+ * Returns the time within which a request has to be answered.
+ *
+ * @param kind - Kind of its route
+ * @returns the time in milliseconds
+ *
+ * @example
+ * readDeadlineMs("streaming"); // 5000
+ */
+export function readDeadlineMs(kind: RouteKind): number {
+    return kind === "streaming" ? DEADLINE_MS : PLAIN_DEADLINE_MS;
+}
+
 /**
  * Draws a request's service and kind.
  *
--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -3,42 +3,23 @@
     AnswerSink,
     EngineAnswerHead,
     EngineRequest,
-    EngineTarget,
     NamedLimit,
     Service,
 } from "@fulmarcleat/directory";
-import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
-import type { EngineId, FailureDomain, HostId, Incarnation, PromptPart, RequestId } from "@fulmarcleat/ids";
+import type { EngineId, HostId, PromptPart, RequestId } from "@fulmarcleat/ids";
 import { ENGINE_PREFIX } from "@fulmarcleat/platform";
-import type {
-    CrashReport,
-    EngineProbeRequest,
-    EngineReachRequest,
-    LimitNotice,
-    PromptAnsweredRequest,
-    QuarantineNotice,
-    SendGrantRequest,
-    StreamRecord,
-} from "@fulmarcleat/wire";
+import type { StreamRecord } from "@fulmarcleat/wire";
 import { setImmediate } from "node:timers/promises";
 import type { ClientRequest } from "./clientRequest.js";
-import { createClusterView } from "./createClusterView.js";
-import { createEngineLimits } from "./createEngineLimits.js";
-import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
-import { createEnginePaths } from "./createEnginePaths.js";
-import { createFleetForwarding } from "./createFleetForwarding.steps.js";
 import { createFleetPaths } from "./createFleetPaths.steps.js";
 import { createFleetPeers } from "./createFleetPeers.steps.js";
 import type { PeerHandlers } from "./createFleetPeers.steps.js";
 import { createPlainRequest, createStreamRequest, drawKind, listServices } from "./createFleetRequest.steps.js";
-import { createForwarder } from "./createForwarder.js";
-import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
 import { FIRST_SERVER_ERROR } from "./describeHealth.js";
-import type { FrontContext } from "./frontContext.js";
 import type {
     FleetArrival,
     FleetCrash,
@@ -47,11 +28,9 @@
     FrontFleet,
     FrontFleetOptions,
 } from "./frontFleet.steps.js";
-import { formatMember, formatMemberKey } from "./hostKeys.js";
-import { createRequestRunner } from "./runRequest.js";
+import { formatMemberKey } from "./hostKeys.js";
 import type { RequestRunner } from "./runRequest.js";
-import type { AdapterTracker } from "./startAdapterTracker.js";
-import { createStoreHealth } from "./storeHealth.js";
+import { startFleetHost } from "./startFleetHost.steps.js";
 
 interface SimulatedEngine {
     readonly id: EngineId;
@@ -248,7 +227,7 @@
         readService: id => engines.get(id)?.service.name,
         probeEngine: id => engines.get(id)?.isUp === true ? "running" : "gone",
     });
-    const { connect, forward, handovers } = createFleetPeers({
+    const peers = createFleetPeers({
         ...options,
         clock,
         random,
@@ -260,83 +239,10 @@
         const host = brandId<HostId>(`host-${number}`);
         const domain = nameDomain(number);
         domains.set(host, domain);
-        const log = { write: () => undefined };
-        const context = {
-            clock,
-            store,
-            transport: paths.createTransport(host),
-            hash,
-            log,
-            policy: "expected_wait",
-            control: {
-                probe: ({ id }: EngineTarget) => paths.probe(host, id),
-                connects: async ({ id }: EngineTarget) => await paths.probe(host, id) === "running",
-            },
-            random: createRandom(options.seed * 1000 + number),
-            metrics: createMetrics(),
-            deployment: { host, domain },
-            readBounds: () => ({ contactMs: 3000, retryRatio: 0.2, retryReserve: 56, retryWindowMs: 10_000 }),
-        } as unknown as FrontContext;
-        const incarnation = brandId<Incarnation>("1");
-        const member = {
-            incarnation,
-            ip: "127.0.0.1",
-            port: 1,
-            domain: brandId<FailureDomain>(domain),
-            forwardPort: 2,
-            isLeaving: false,
-        };
-        store.put(formatMemberKey(host), formatMember(member));
-        const view = createClusterView(context, createStoreHealth(clock, log));
-        const adapters = {
-            startRequest: () => undefined,
-            finishRequest: () => undefined,
-            refresh: () => Promise.resolve(false),
-            find: () => ({ kind: "present" }) as const,
-            countLoad: () => undefined,
-            countQueuedTokens: () => undefined,
-        } as unknown as AdapterTracker;
-        const streamOrigins = {
-            record: (record: StreamRecord) => void origins.set(record.requestId, record),
-            keep: () => undefined,
-            answer: () => ({ kind: "unknown" }) as const,
-            find: (id: RequestId | undefined) => Promise.resolve(id === undefined ? undefined : origins.get(id)),
-        };
-        const peers = connect(host);
-        const loadTracker = createEngineLoadTracker(clock);
-        const enginePaths = createEnginePaths(
-            context,
-            view,
-            () => peers,
-            () => 0,
-            engine => loadTracker.recordHealth(engine, { kind: "reached", atMs: clock.nowMs() }),
-        );
-        const quarantine = createQuarantine(context, view, () => peers, enginePaths);
-        const limits = createEngineLimits(context, view, () => peers);
-        handlersByHost.set(host, {
-            engineCrash: (report: CrashReport) => quarantine.handleCrash(report),
-            promptAnswered: (question: PromptAnsweredRequest) => quarantine.handleQuestion(question),
-            quarantine(notice: QuarantineNotice) {
-                quarantine.handleNotice(notice);
-                return { done: true };
-            },
-            engineLimit: (notice: LimitNotice, from: HostId) => limits.handleNotice(notice, from),
-            sendGrant: (request: SendGrantRequest, from: HostId) => limits.handleRequest(request, from),
-            engineProbe: (request: EngineProbeRequest) => enginePaths.probeFor(request),
-            engineReach: (request: EngineReachRequest) => enginePaths.answer(request),
-        });
-        const runner = createRequestRunner(
-            context,
-            view,
-            loadTracker,
-            adapters,
-            streamOrigins,
-            quarantine,
-            limits,
-            enginePaths,
-            createForwarder(context, createFleetForwarding(host, { clock, forward, clientRequests })),
+        startFleetHost(
+            { clock, store, hash, paths, peers, handlersByHost, runners, clientRequests, origins },
+            { host, domain, random: createRandom(options.seed * 1000 + number) },
         );
-        runners.set(host, runner);
     };
     const drawParts = (isPoison: boolean): readonly PromptPart[] => {
         const session = Math.floor(SESSIONS * random.next());
@@ -458,8 +364,7 @@
                 .forEach(engine => crash(engine, Infinity)),
         cutHosts: paths.cut,
         healHosts: paths.heal,
-        forward,
-        handovers,
+        handovers: peers.handovers,
         readDomain: host => domains.get(host) ?? "",
         async addHost() {
             startHost(runners.size);
--- a/packages/front/src/frontFleet.steps.ts
+++ b/packages/front/src/frontFleet.steps.ts
@@ -1,7 +1,5 @@
 import type { RouteKind, Service } from "@fulmarcleat/directory";
 import type { EngineId, HostId, ManualClock, RequestId, ServiceName } from "@fulmarcleat/ids";
-import type { RequestEnd } from "./applyAttempt.js";
-import type { ClientRequest } from "./clientRequest.js";
 import type { StoreFake } from "./createStoreFake.steps.js";
 
 /** Size, seed and faults of a fleet in memory. */
@@ -137,8 +135,6 @@
     /** Cuts paths from hosts to engines, until `healHosts`; messages between hosts, the store and clients go on. */
     cutHosts(cut: FleetCut): void;
     healHosts(): void;
-    /** Hands a request from one host to another, which runs it as its own; rejects if that host has stopped. */
-    forward(from: HostId, to: HostId, request: ClientRequest): Promise<RequestEnd>;
     readonly handovers: readonly FleetHandover[];
     /** Returns the failure domain that a host is in. */
     readDomain(host: HostId): string;
--- a/packages/front/src/lostPaths.feature
+++ b/packages/front/src/lostPaths.feature
@@ -51,6 +51,17 @@
             | hosts | services          | fail        | held from | handed from |
             | 8     | the model engines | stop        | 0         | 1000        |
             | 8     | the plain engines | stop        | 0         | 1000        |
-            | 8     | the model engines | fall silent | 3000      | 3000        |
-            | 8     | the plain engines | fall silent | 3000      | 3000        |
             | 86    | the model engines | stop        | 0         | 1000        |
+
+    # Guards against requests that pass from host to host, or never end, where no host hears from an engine.
+    Scenario Outline: <hosts> hosts; <services> send nothing to any host
+        Given a fleet of <hosts> hosts before two services, whose messages all arrive
+        When <services> fall silent for all hosts for 8 s while clients send requests
+        Then from 3000 ms on no host hands such a request to another
+        And their requests are held 100 ms past their deadlines at most
+        And all requests for the others are answered
+
+        Examples:
+            | hosts | services          |
+            | 8     | the model engines |
+            | 8     | the plain engines |
--- a/packages/front/src/lostPaths.steps.ts
+++ b/packages/front/src/lostPaths.steps.ts
@@ -1,7 +1,7 @@
 import type { Service } from "@fulmarcleat/directory";
 import type { HostId } from "@fulmarcleat/ids";
 import { deepStrictEqual, Given, ok, Then, When } from "@fulmarcleat/testing";
-import { MODEL_SERVICE, PLAIN_SERVICE } from "./createFleetRequest.steps.js";
+import { MODEL_SERVICE, PLAIN_SERVICE, readDeadlineMs } from "./createFleetRequest.steps.js";
 import { createFrontFleet } from "./createFrontFleet.steps.js";
 import type { CutKind, FleetRequest, FrontFleet } from "./frontFleet.steps.js";
 import { parseFleetFaults } from "./parseFleetFaults.steps.js";
@@ -170,6 +170,14 @@
     },
 );
 
+Then("their requests are held {int} ms past their deadlines at most", (graceMs: number) => {
+    for (const run of runs) {
+        const requests = listRequests(run, run.fromMs, run.toMs);
+        const held = requests.filter(({ kind, heldMs = Infinity }) => heldMs > readDeadlineMs(kind) + graceMs);
+        ok(requests.length > 0 && held.length === 0, `${held.length} of ${requests.length} were held longer`);
+    }
+});
+
 Then("from {int} ms on no host hands such a request to another", (afterMs: number) => {
     for (const { fleet, services, fromMs } of runs) {
         const late = fleet.handovers.filter(({ service, atMs }) =>
