--- a/packages/front/src/createForwardTransport.feature
+++ b/packages/front/src/createForwardTransport.feature
@@ -24,6 +24,11 @@
         Then the helping host reads a deadline of 1234 ms and the last event "7"
         And it has received no more headers than these and the client's
 
+    Scenario: A head as large as a client may send it arrives, with the mark on top
+        Given a helping host that answers with a length of 5 bytes
+        When the host hands over a request whose client sent a header of 65400 bytes
+        Then the helping host has received the mark of the host and the header of 65400 bytes
+
     Scenario: A client's own headers of the mark's names are not sent on
         Given a helping host that answers with a length of 5 bytes
         When the host hands over a request in which the client sent a mark of its own
--- a/packages/front/src/createForwardTransport.steps.ts
+++ b/packages/front/src/createForwardTransport.steps.ts
@@ -97,6 +97,16 @@
     strictEqual(raw.length, CLIENT_HEADERS.length + 2 * 3);
 });
 
+When("the host hands over a request whose client sent a header of {int} bytes", async (length: number) => {
+    handover = pair.handOver({ headers: [...CLIENT_HEADERS, "X-Long", "x".repeat(length)] });
+    await handover.done;
+});
+
+Then("the helping host has received the mark of the host and the header of {int} bytes", (length: number) => {
+    deepStrictEqual(pair.helper.handled.map(({ mark }) => mark), [MARK]);
+    strictEqual(pair.helper.handled[0]?.req.headers["x-long"], "x".repeat(length));
+});
+
 When("the host hands over a request in which the client sent a mark of its own", async () => {
     const first = ["Fulmarcleat-Forward", "e30", "FULMARCLEAT-FORWARD-MAC", "00"];
     const last = [MARK_HEADER, "", MARK_MAC_HEADER, ""];
--- a/packages/front/src/forwardTransportStreams.steps.ts
+++ b/packages/front/src/forwardTransportStreams.steps.ts
@@ -88,9 +88,9 @@
     handover = pair.handOver({ onPiece: () => !isPaused });
 }
 
-/** Waits until the helping host waits for the connection and has written nothing for a while. */
+/** Waits until the helping host waits for the connection and has written nothing for a while, or has written all. */
 async function waitForStandstill(): Promise<void> {
-    for (let before = -1; !isWaitingForDrain || writtenEvents !== before;) {
+    for (let before = -1; writtenEvents < eventCount && (!isWaitingForDrain || writtenEvents !== before);) {
         before = writtenEvents;
         await sleep(LOOK_MS);
     }
