--- a/packages/front/src/forwardTransportStreams.steps.ts
+++ b/packages/front/src/forwardTransportStreams.steps.ts
@@ -85,6 +85,7 @@
 
 function handOverPaused(): void {
     isPaused = true;
+    writtenEvents = 0;
     handover = pair.handOver({ onPiece: () => !isPaused });
 }
 
