--- a/packages/front/src/createForwardServer.ts
+++ b/packages/front/src/createForwardServer.ts
@@ -38,6 +38,7 @@
 /** Room in a request's head for the mark and what the sending host adds, in bytes. */
 const MAX_ADDED_BYTES = 16_384;
 const MARK_HEADERS = [MARK_HEADER, MARK_MAC_HEADER];
+/** Status of the refusal of a request without a valid mark. */
 const FORBIDDEN = 403;
 
 /**
