--- a/packages/front/src/createForwardServer.ts
+++ b/packages/front/src/createForwardServer.ts
@@ -31,8 +31,6 @@
 /** A running listener for other hosts' requests. */
 export interface ForwardServer {
     readonly port: number;
-    /** Closes the connections that carry no request. */
-    closeIdleConnections(): void;
     /** Stops listening and closes all connections. */
     close(): Promise<void>;
 }
@@ -40,6 +38,7 @@
 /** Room in a request's head for the mark and what the sending host adds, in bytes. */
 const MAX_ADDED_BYTES = 16_384;
 const MARK_HEADERS = [MARK_HEADER, MARK_MAC_HEADER];
+/** Status of the refusal of a request without a valid mark. */
 const FORBIDDEN = 403;
 
 /**
@@ -72,7 +71,6 @@
     const port = await listen(server, options.listen);
     return {
         port,
-        closeIdleConnections: () => server.closeIdleConnections(),
         close: () =>
             new Promise(resolve => {
                 server.close(() => resolve());
@@ -89,7 +87,8 @@
     res.end();
 }
 
+/** Removes the mark from a request, last from `rawHeaders`, which Node.js reads the others from at their first use. */
 function removeMark(req: IncomingMessage): void {
+    [req.headers, req.headersDistinct].forEach(headers => MARK_HEADERS.forEach(name => delete headers[name]));
     req.rawHeaders = [...removeHeaders(req.rawHeaders, MARK_HEADERS)];
-    MARK_HEADERS.forEach(name => delete req.headers[name]);
 }
--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -3,34 +3,23 @@
     AnswerSink,
     EngineAnswerHead,
     EngineRequest,
-    EngineTarget,
     NamedLimit,
     Service,
 } from "@fulmarcleat/directory";
-import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
-import type { EngineId, HostId, Incarnation, PromptPart, RequestId } from "@fulmarcleat/ids";
+import type { EngineId, HostId, PromptPart, RequestId } from "@fulmarcleat/ids";
 import { ENGINE_PREFIX } from "@fulmarcleat/platform";
-import type {
-    CrashReport,
-    LimitNotice,
-    PromptAnsweredRequest,
-    QuarantineNotice,
-    SendGrantRequest,
-} from "@fulmarcleat/wire";
+import type { StreamRecord } from "@fulmarcleat/wire";
 import { setImmediate } from "node:timers/promises";
-import { createClusterView } from "./createClusterView.js";
-import { createEngineLimits } from "./createEngineLimits.js";
-import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
+import type { ClientRequest } from "./clientRequest.js";
 import { createFleetPaths } from "./createFleetPaths.steps.js";
 import { createFleetPeers } from "./createFleetPeers.steps.js";
 import type { PeerHandlers } from "./createFleetPeers.steps.js";
 import { createPlainRequest, createStreamRequest, drawKind, listServices } from "./createFleetRequest.steps.js";
-import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
-import type { FrontContext } from "./frontContext.js";
+import { FIRST_SERVER_ERROR } from "./describeHealth.js";
 import type {
     FleetArrival,
     FleetCrash,
@@ -39,11 +28,9 @@
     FrontFleet,
     FrontFleetOptions,
 } from "./frontFleet.steps.js";
-import { formatMember, formatMemberKey } from "./hostKeys.js";
-import { createRequestRunner } from "./runRequest.js";
+import { formatMemberKey } from "./hostKeys.js";
 import type { RequestRunner } from "./runRequest.js";
-import type { AdapterTracker } from "./startAdapterTracker.js";
-import { createStoreHealth } from "./storeHealth.js";
+import { startFleetHost } from "./startFleetHost.steps.js";
 
 interface SimulatedEngine {
     readonly id: EngineId;
@@ -115,6 +102,8 @@
     const hash = await createHasher();
     const engines = new Map<EngineId, SimulatedEngine>();
     const runners = new Map<HostId, RequestRunner>();
+    const clientRequests = new Map<RequestId, ClientRequest>();
+    const origins = new Map<RequestId, StreamRecord>();
     const handlersByHost = new Map<HostId, PeerHandlers>();
     const arrivals: FleetArrival[] = [];
     const domains = new Map<HostId, string>();
@@ -238,7 +227,7 @@
         readService: id => engines.get(id)?.service.name,
         probeEngine: id => engines.get(id)?.isUp === true ? "running" : "gone",
     });
-    const { connect, forward, handovers } = createFleetPeers({
+    const peers = createFleetPeers({
         ...options,
         clock,
         random,
@@ -250,53 +239,10 @@
         const host = brandId<HostId>(`host-${number}`);
         const domain = nameDomain(number);
         domains.set(host, domain);
-        const log = { write: () => undefined };
-        const context = {
-            clock,
-            store,
-            transport: paths.createTransport(host),
-            hash,
-            log,
-            policy: "expected_wait",
-            control: { probe: ({ id }: EngineTarget) => paths.probe(host, id) },
-            random: createRandom(options.seed * 1000 + number),
-            metrics: createMetrics(),
-            deployment: { host, domain },
-            readBounds: () => ({ contactMs: 3000, retryRatio: 0.2, retryReserve: 56, retryWindowMs: 10_000 }),
-        } as unknown as FrontContext;
-        const member = { incarnation: brandId<Incarnation>("1"), ip: "127.0.0.1", port: 1, isLeaving: false };
-        store.put(formatMemberKey(host), formatMember(member));
-        const view = createClusterView(context, createStoreHealth(clock, log));
-        const adapters = {
-            startRequest: () => undefined,
-            finishRequest: () => undefined,
-            refresh: () => Promise.resolve(false),
-            find: () => ({ kind: "present" }) as const,
-            countLoad: () => undefined,
-            countQueuedTokens: () => undefined,
-        } as unknown as AdapterTracker;
-        const streamOrigins = {
-            record: () => undefined,
-            keep: () => undefined,
-            answer: () => ({ kind: "unknown" }) as const,
-            find: () => Promise.resolve(undefined),
-        };
-        const peers = connect(host);
-        const quarantine = createQuarantine(context, view, () => peers);
-        const limits = createEngineLimits(context, view, () => peers);
-        handlersByHost.set(host, {
-            engineCrash: (report: CrashReport) => quarantine.handleCrash(report),
-            promptAnswered: (question: PromptAnsweredRequest) => quarantine.handleQuestion(question),
-            quarantine(notice: QuarantineNotice) {
-                quarantine.handleNotice(notice);
-                return { done: true };
-            },
-            engineLimit: (notice: LimitNotice, from: HostId) => limits.handleNotice(notice, from),
-            sendGrant: (request: SendGrantRequest, from: HostId) => limits.handleRequest(request, from),
-        });
-        const loadTracker = createEngineLoadTracker(clock);
-        const runner = createRequestRunner(context, view, loadTracker, adapters, streamOrigins, quarantine, limits);
-        runners.set(host, runner);
+        startFleetHost(
+            { clock, store, hash, paths, peers, handlersByHost, runners, clientRequests, origins },
+            { host, domain, random: createRandom(options.seed * 1000 + number) },
+        );
     };
     const drawParts = (isPoison: boolean): readonly PromptPart[] => {
         const session = Math.floor(SESSIONS * random.next());
@@ -337,12 +283,14 @@
         const clientRequest = request.kind === "streaming"
             ? createStreamRequest(request, requestId, digest, drawParts(isPoison), deadline.signal)
             : createPlainRequest(request, requestId, digest, deadline.signal);
+        clientRequests.set(requestId, clientRequest);
         const graceMs = clientRequest.deadlineAtMs - clock.nowMs() + DEADLINE_GRACE_MS;
         const cancelDeadline = clock.setTimer(graceMs, () => deadline.abort());
         void (host === undefined ? undefined : runners.get(host))?.run(clientRequest).then(end => {
             cancelDeadline();
             request.heldMs = clock.nowMs() - request.sentMs;
-            request.isAnswered = end.kind !== "gave_up";
+            request.isAnswered = end.kind === "relayed"
+                || end.kind === "answer" && end.result.head.status < FIRST_SERVER_ERROR;
             if (end.kind === "gave_up") {
                 request.refusal = end.reason;
                 request.readyInMs = end.readyInMs;
@@ -416,8 +364,7 @@
                 .forEach(engine => crash(engine, Infinity)),
         cutHosts: paths.cut,
         healHosts: paths.heal,
-        forward,
-        handovers,
+        handovers: peers.handovers,
         readDomain: host => domains.get(host) ?? "",
         async addHost() {
             startHost(runners.size);
