--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -2,6 +2,7 @@
 import { join } from "node:path";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { BASIC_FAULT_KINDS, FAULT_KINDS } from "./planFaults.js";
 import { runSoak } from "./runSoak.js";
 import type { SoakReport } from "./runSoak.js";
 
@@ -29,6 +30,12 @@
     .option("plain", { type: "number", default: 2, describe: "number of engines of the plain service" })
     .option("versions", { type: "number", default: 2, describe: "versions of the engines' software, side by side" })
     .option("clients", { type: "number", default: 8 })
+    .option("kinds", {
+        array: true,
+        choices: FAULT_KINDS,
+        default: FAULT_KINDS,
+        describe: "kinds of faults; --kept runs the ones that its seeds were found with",
+    })
     .option("logs", { type: "string", default: ".work/soak", describe: "folder for the logs of failed seeds" })
     .strict()
     .parse();
@@ -45,6 +52,7 @@
         softwareVersions: args.versions,
         lengthMs: args.seconds * MS_PER_S,
         clients: args.clients,
+        kinds: args.kept ? BASIC_FAULT_KINDS : args.kinds,
     });
     process.stdout.write(formatReport(report));
     if (report.violations.length > 0) {
--- a/packages/soak/src/planFaults.steps.ts
+++ b/packages/soak/src/planFaults.steps.ts
@@ -1,9 +1,9 @@
 import { createRandom } from "@fulmarcleat/ids";
 import { deepStrictEqual, notDeepStrictEqual, ok, strictEqual, Then } from "@fulmarcleat/testing";
-import { planFaults } from "./planFaults.js";
+import { FAULT_KINDS, planFaults } from "./planFaults.js";
 import type { PlannedFault } from "./planFaults.js";
 
-const RANGE = { hosts: 3, engines: 5, lengthMs: 8000 };
+const RANGE = { hosts: 3, engines: 5, lengthMs: 8000, kinds: FAULT_KINDS };
 
 Then("soak plans of seed {int} are equal, and those of seed {int} differ", (seed: number, other: number) => {
     deepStrictEqual(plan(seed), plan(seed));
--- a/packages/soak/src/planFaults.ts
+++ b/packages/soak/src/planFaults.ts
@@ -1,4 +1,6 @@
 import type { Random } from "@fulmarcleat/ids";
+import { CUT_MODES } from "./createEnginePaths.js";
+import type { CutMode } from "./createEnginePaths.js";
 
 /** A fault that the soak injects from outside the processes; `host` and `index` count from 0. */
 export type Fault =
@@ -11,7 +13,12 @@
     | { readonly kind: "store_reset" | "engine_reset"; readonly index: number }
     | { readonly kind: "store_refuses" | "store_compacts" }
     | { readonly kind: "engine_crash" | "engine_leaves" | "engine_fails"; readonly index: number }
-    | { readonly kind: "new_config" | "new_version" };
+    | { readonly kind: "new_config" | "new_version" }
+    | { readonly kind: "hosts_cut"; readonly hosts: readonly number[]; readonly mode: CutMode }
+    | { readonly kind: "engine_silent"; readonly index: number };
+
+/** Name of a kind of fault. */
+export type FaultKind = Fault["kind"];
 
 /** A fault and the time at which it is injected. */
 export interface PlannedFault {
@@ -27,6 +34,8 @@
     readonly hosts: number;
     readonly engines: number;
     readonly lengthMs: number;
+    /** Kinds of faults that are drawn, each with the same probability; a seed's plan depends on them. */
+    readonly kinds: readonly FaultKind[];
 }
 
 /** Mean interval between faults, in milliseconds; shorter than most faults, so that they overlap. */
@@ -36,7 +45,8 @@
 /** Probability that a fault repeats the previous one, so that the same fault occurs several times in a row. */
 const REPEAT_PROBABILITY = 0.25;
 const LINK_MODES = ["delayed", "silent", "deaf", "refused"] as const;
-const FAULT_KINDS = [
+/** Kinds of faults for which the plans of the short runs and of the regression seeds are made. */
+export const BASIC_FAULT_KINDS: readonly FaultKind[] = [
     "kill",
     "pause",
     "stop",
@@ -52,17 +62,19 @@
     "engine_fails",
     "new_config",
     "new_version",
-] as const;
+];
+/** All kinds of faults. */
+export const FAULT_KINDS: readonly FaultKind[] = [...BASIC_FAULT_KINDS, "hosts_cut", "engine_silent"];
 
 /**
  * Plans a random sequence of faults; the same seed gives the same plan.
  *
  * @param random - Seeded random number generator
- * @param range - Number of hosts and engines, and length of the plan
+ * @param range - Number of hosts and engines, length of the plan and kinds of faults
  * @returns the faults, sorted by time
  *
  * @example
- * const plan = planFaults(createRandom(7), { hosts: 3, engines: 4, lengthMs: 8000 });
+ * const plan = planFaults(createRandom(7), { hosts: 3, engines: 4, lengthMs: 8000, kinds: FAULT_KINDS });
  */
 export function planFaults(random: Random, range: FaultRange): readonly PlannedFault[] {
     const plan: PlannedFault[] = [];
@@ -77,9 +89,9 @@
     return plan;
 }
 
-function drawFault(random: Random, { hosts, engines }: FaultRange): Fault {
+function drawFault(random: Random, { hosts, engines, kinds }: FaultRange): Fault {
     const draw = (count: number): number => Math.floor(random.next() * count);
-    const kind = FAULT_KINDS[draw(FAULT_KINDS.length)] ?? "kill";
+    const kind = kinds[draw(kinds.length)] ?? "kill";
     switch (kind) {
         case "kill":
         case "pause":
@@ -96,11 +108,21 @@
         case "engine_crash":
         case "engine_leaves":
         case "engine_fails":
+        case "engine_silent":
             return { kind, index: draw(engines) };
         case "store_refuses":
         case "store_compacts":
         case "new_config":
         case "new_version":
             return { kind };
+        case "hosts_cut": {
+            const first = draw(hosts);
+            const count = 1 + draw(hosts - 1);
+            return {
+                kind,
+                hosts: Array.from({ length: count }, (value, index) => (first + index) % hosts),
+                mode: CUT_MODES[draw(CUT_MODES.length)] ?? "hang",
+            };
+        }
     }
 }
--- a/packages/soak/src/runCut.feature
+++ b/packages/soak/src/runCut.feature
@@ -1,3 +1,5 @@
+# Front processes of one scenario at a time.
+@processes
 Feature: Hosts that are cut from all engines go on serving
 
     # Guards against hosts without paths to engines that serve far fewer requests than the others.
--- a/packages/soak/src/runSoak.feature
+++ b/packages/soak/src/runSoak.feature
@@ -1,3 +1,5 @@
+# Front processes of one scenario at a time.
+@processes
 Feature: Front processes keep the guarantees of the platform under injected faults
 
     Scenario Outline: <case>
--- a/packages/soak/src/runSoak.steps.ts
+++ b/packages/soak/src/runSoak.steps.ts
@@ -1,8 +1,18 @@
-import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import {
+    deepStrictEqual,
+    Given,
+    ok,
+    parallelCanAssignHelpers,
+    setParallelCanAssign,
+    strictEqual,
+    Then,
+    When,
+} from "@fulmarcleat/testing";
 import { execFileSync } from "node:child_process";
 import { Agent } from "node:http";
 import { setTimeout } from "node:timers/promises";
 import type { LogLine } from "./createFrontProcess.js";
+import { BASIC_FAULT_KINDS } from "./planFaults.js";
 import { runSoak } from "./runSoak.js";
 import type { SoakReport } from "./runSoak.js";
 import { sendRequest } from "./sendRequest.js";
@@ -23,6 +33,8 @@
 let answer: SoakAnswer | undefined;
 let lines: readonly LogLine[] = [];
 
+setParallelCanAssign(parallelCanAssignHelpers.atMostOnePicklePerTag(["@processes"]));
+
 Given("the front program is bundled", { timeout: STEP_TIMEOUT_MS }, () => {
     execFileSync(process.execPath, ["scripts/bundle.mjs"], { cwd: ROOT });
 });
@@ -40,6 +52,7 @@
             softwareVersions,
             lengthMs: seconds * 1000,
             clients: 6,
+            kinds: BASIC_FAULT_KINDS,
         });
     },
 );
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -6,7 +6,7 @@
 import type { FrontProcess } from "./createFrontProcess.js";
 import { drawAdapter, drawRequest, VERSION_TIMEOUT_MS } from "./drawRequest.js";
 import { planFaults } from "./planFaults.js";
-import type { Fault, PlannedFault } from "./planFaults.js";
+import type { Fault, FaultKind, PlannedFault } from "./planFaults.js";
 import { resumeRequest } from "./resumeRequest.js";
 import { sendRequest } from "./sendRequest.js";
 import type { SoakAnswer, SoakRequest } from "./sendRequest.js";
@@ -22,6 +22,8 @@
     readonly lengthMs: number;
     /** Number of concurrent clients. */
     readonly clients: number;
+    /** Kinds of faults that are injected. */
+    readonly kinds: readonly FaultKind[];
 }
 
 /** Result of a soak. */
@@ -62,7 +64,7 @@
  *
  * @example
  * const size = { hosts: 3, domains: 1, modelEngines: 3, plainEngines: 2, softwareVersions: 2 };
- * const { violations } = await runSoak({ ...size, seed: 7, lengthMs: 8000, clients: 8 });
+ * const { violations } = await runSoak({ ...size, seed: 7, lengthMs: 8000, clients: 8, kinds: FAULT_KINDS });
  */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
     const random = createRandom(options.seed);
@@ -70,6 +72,7 @@
         hosts: options.hosts,
         engines: options.modelEngines + options.plainEngines,
         lengthMs: options.lengthMs,
+        kinds: options.kinds,
     });
     const fleet = await startSoakFleet(options);
     const violations: string[] = [];
@@ -232,6 +235,14 @@
             await wait(forMs);
             fleet.getEngine(fault.index)?.setFailing(false);
             return;
+        case "engine_silent":
+            fleet.getEngine(fault.index)?.fallSilent(forMs / 4);
+            return;
+        case "hosts_cut":
+            fault.hosts.forEach(host => fleet.enginePaths[host]?.cut(fault.mode));
+            await wait(forMs);
+            fault.hosts.forEach(host => fleet.enginePaths[host]?.restore());
+            return;
         case "new_config":
             fleet.publishNewConfig();
             return;
--- a/packages/soak/src/startSoakFleet.ts
+++ b/packages/soak/src/startSoakFleet.ts
@@ -43,7 +43,7 @@
     close(): Promise<void>;
 }
 
-/** Number of hosts, failure domains, engines and versions of the engines' software in a fleet. */
+/** Number of hosts, failure domains, engines and versions of the engines' software in a fleet, and how these behave. */
 export interface SoakSize {
     readonly hosts: number;
     /** Number of failure domains; hosts and engines are in them by turns. */
@@ -51,6 +51,8 @@
     readonly modelEngines: number;
     readonly plainEngines: number;
     readonly softwareVersions: number;
+    /** Whether model engines truncate some of their streams; true by default. */
+    readonly truncatesStreams?: boolean | undefined;
 }
 
 /** Host name in the requests of clients. */
@@ -122,7 +124,7 @@
             store,
             clock,
             softwareVersion: `v${1 + startedEngines % size.softwareVersions}`,
-            truncatedStreamInterval: TRUNCATED_STREAM_INTERVAL,
+            truncatedStreamInterval: size.truncatesStreams === false ? undefined : TRUNCATED_STREAM_INTERVAL,
             model: isModel ? { name: MODEL, adapterSlots: ADAPTER_SLOTS } : undefined,
             async announcedPort(port) {
                 const link = await createLoopbackProxy(port);
