--- a/packages/soak/src/createLoopbackProxy.ts
+++ b/packages/soak/src/createLoopbackProxy.ts
@@ -23,6 +23,10 @@
     silence(): void;
     /** Resets every open connection. */
     reset(): void;
+    /** Frees the port; open connections go on. */
+    stopListening(): void;
+    /** Takes the port again. */
+    listenAgain(): Promise<void>;
     close(): void;
 }
 
@@ -88,6 +92,10 @@
         setMode: next => void (mode = next),
         silence: () => sockets.forEach(socket => silentSockets.add(socket)),
         reset: () => sockets.forEach(socket => socket.resetAndDestroy()),
+        stopListening: () => void server.close(),
+        async listenAgain() {
+            await listen(server, { host: "127.0.0.1", port });
+        },
         close() {
             server.close();
             sockets.forEach(socket => socket.destroy());
--- a/packages/soak/src/runCut.feature
+++ b/packages/soak/src/runCut.feature
@@ -10,8 +10,9 @@
         And the cut hosts serve at least two thirds as many first tries as the others, or fail few
 
         Examples:
-            | case                                         | hosts            | mode       |
-            | half of the hosts, channels hang             | half             | hang       |
-            | half of the hosts, channels are reset        | half             | reset      |
-            | half of the hosts, only new ones are refused | half             | refuse_new |
-            | a whole failure domain, channels hang        | a failure domain | hang       |
+            | case                                         | hosts            | mode        |
+            | half of the hosts, channels hang             | half             | hang        |
+            | half of the hosts, channels are reset        | half             | reset       |
+            | half of the hosts, new channels never open   | half             | unreachable |
+            | half of the hosts, only new ones are refused | half             | refuse_new  |
+            | a whole failure domain, channels hang        | a failure domain | hang        |
--- a/packages/soak/src/runCut.steps.ts
+++ b/packages/soak/src/runCut.steps.ts
@@ -17,7 +17,7 @@
 let report: CutReport;
 
 When(
-    /^(half|a failure domain) of (\d+) hosts in (\d+) failure domains are cut from all engines for (\d+) s, and channels "(hang|reset|refuse_new)"$/,
+    /^(half|a failure domain) of (\d+) hosts in (\d+) failure domains are cut from all engines for (\d+) s, and channels "(hang|unreachable|reset|refuse_new)"$/,
     { timeout: STEP_TIMEOUT_MS },
     async function(this: World, which: string, hosts: string, domains: string, seconds: string, mode: CutMode) {
         const all = Array.from({ length: Number(hosts) }, (value, index) => index);
--- a/packages/soak/src/runCut.ts
+++ b/packages/soak/src/runCut.ts
@@ -80,10 +80,10 @@
         await wait(WARM_UP_MS);
         const cutPaths = fleet.enginePaths.filter((paths, index) => options.cutHosts.includes(index));
         const cutAtMs = performance.now();
-        cutPaths.forEach(paths => paths.cut(options.mode));
+        await Promise.all(cutPaths.map(paths => paths.cut(options.mode)));
         await wait(options.lengthMs);
-        cutPaths.forEach(paths => paths.restore());
         const endedAtMs = performance.now();
+        await Promise.all(cutPaths.map(paths => paths.restore()));
         isOver = true;
         await Promise.all(clients);
         const answers = await Promise.all(sending);
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -239,9 +239,9 @@
             fleet.getEngine(fault.index)?.fallSilent(forMs / 4);
             return;
         case "hosts_cut":
-            fault.hosts.forEach(host => fleet.enginePaths[host]?.cut(fault.mode));
+            await Promise.all(fault.hosts.map(host => fleet.enginePaths[host]?.cut(fault.mode)));
             await wait(forMs);
-            fault.hosts.forEach(host => fleet.enginePaths[host]?.restore());
+            await Promise.all(fault.hosts.map(host => fleet.enginePaths[host]?.restore()));
             return;
         case "new_config":
             fleet.publishNewConfig();
--- a/packages/soak/src/startSoakFleet.ts
+++ b/packages/soak/src/startSoakFleet.ts
@@ -187,7 +187,8 @@
         async close() {
             await Promise.all(fronts.map(front => front.close()));
             allEngines.forEach(engine => engine.crash());
-            [...storeLinks, ...engineLinks, ...enginePaths].forEach(link => link.close());
+            await Promise.all(enginePaths.map(paths => paths.close()));
+            [...storeLinks, ...engineLinks].forEach(link => link.close());
             store.close();
             await rm(folder, { recursive: true, force: true });
         },
