A failure inside a host that serves for another one no longer counts as not run

The host that had handed the request over sent it on to a third host, also a request that may run once, because the handler of clients' requests stated "not_run" for every error, also for one thrown after the request had reached an engine. The outcome is now that of the error: "not_run" while the body is read, "unknown" else, and an unknown request goes nowhere else unless it may run again.

--- /dev/null
+++ b/packages/front/src/createClientHandler.steps.ts
@@ -0,0 +1,68 @@
+import type { ServingConfig } from "@fulmarcleat/directory";
+import { createMetrics } from "@fulmarcleat/events";
+import { createHasher } from "@fulmarcleat/hashing";
+import { listen } from "@fulmarcleat/http";
+import { brandId, createRandom, createSystemClock } from "@fulmarcleat/ids";
+import type { HostId, ServiceName } from "@fulmarcleat/ids";
+import { OUTCOME_HEADER } from "@fulmarcleat/platform";
+import { After, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import { createClientHandler } from "./createClientHandler.js";
+import type { ClusterView } from "./createClusterView.js";
+import type { FrontContext } from "./frontContext.js";
+
+const LOCAL = "127.0.0.1";
+const MARK = { from: brandId<HostId>("front-1"), sends: 0, tried: [], origin: undefined };
+const SERVICE = brandId<ServiceName>("plain");
+const BODY = "body";
+const ROUTE = {
+    hostName: LOCAL,
+    pathPrefix: "/",
+    kind: "unsafe",
+    timeoutMs: 1000,
+    targets: [{ service: SERVICE, weight: 1 }],
+};
+
+let server: Server | undefined;
+let port = 0;
+let answer: Response;
+
+Given(
+    /^a host that serves a request for another host, which fails (while its body is read|after an engine may have begun)$/,
+    async (when: string) => {
+        const config = {
+            routes: [ROUTE],
+            services: new Map([[SERVICE, { name: SERVICE }]]),
+            limits: { bodyBytes: when.startsWith("while") ? BODY.length - 1 : BODY.length },
+        } as unknown as ServingConfig;
+        const context = {
+            clock: createSystemClock(),
+            random: createRandom(1),
+            hash: await createHasher(),
+            metrics: createMetrics(),
+            log: { write: () => undefined },
+        } as unknown as FrontContext;
+        const view = { config, readAgeMs: () => 0 } as unknown as ClusterView;
+        const runner = { run: () => Promise.reject(new Error("a defect")) };
+        const handler = createClientHandler(context, view, runner, () => undefined, () => undefined);
+        server = createServer((req, res) => handler.handle(req, res, MARK));
+        port = await listen(server, { host: LOCAL, port: 0 });
+    },
+);
+
+After(() => {
+    server?.closeAllConnections();
+    server?.close();
+    server = undefined;
+});
+
+When("the request arrives", async () => {
+    const headers = { "request-id": "r1" };
+    answer = await fetch(`http://${LOCAL}:${port}/`, { method: "POST", headers, body: BODY });
+});
+
+Then(/^the other host gets (\d+), as (not_run|unknown)$/, (status: string, outcome: string) => {
+    strictEqual(answer.status, Number(status));
+    strictEqual(answer.headers.get(OUTCOME_HEADER), outcome);
+});
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -250,7 +250,7 @@
                 refuse(res, "unread", {
                     status: toErrorStatus(failure.code),
                     reason: failure.code,
-                    outcome: "not_run",
+                    outcome: failure.outcome,
                     heldMs: 0,
                     retryAfterMs: undefined,
                 });
