Probe the paths that have waited longest first

A host that lost its paths probes sixteen engines each 200 ms, each engine once a second, in the order in which it knows them. So from the 81st engine on none was probed while the others had no answer: these paths weren't found lost, and those found lost by requests stayed lost after the paths were back, as long as no request used them.

--- /dev/null
+++ b/packages/front/src/createEnginePaths.steps.ts
@@ -0,0 +1,92 @@
+import type { EngineEntry, EngineTarget, KnownEngine } from "@fulmarcleat/directory";
+import { createMetrics } from "@fulmarcleat/events";
+import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
+import type { EngineId, ManualClock, ServiceName } from "@fulmarcleat/ids";
+import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { setImmediate } from "node:timers/promises";
+import type { ClusterView } from "./createClusterView.js";
+import { createEnginePaths } from "./createEnginePaths.js";
+import type { SurveyedPaths } from "./createEnginePaths.js";
+import type { FrontContext } from "./frontContext.js";
+
+/** Step of the clock, in milliseconds. */
+const STEP_MS = 50;
+/** Time for which probes are watched, in milliseconds. */
+const WATCHED_MS = 20_000;
+
+let clock: ManualClock;
+let paths: SurveyedPaths;
+let entries: readonly EngineEntry[] = [];
+let areOpen = false;
+let probedMs: Map<EngineId, number[]>;
+
+Given("a host before {int} engines, none of which it reaches", (count: number) => {
+    clock = createManualClock(0);
+    areOpen = false;
+    // Each engine has a service of its own, so that what is known of one says nothing of the others.
+    entries = Array.from({ length: count }, (value, at) => ({
+        id: brandId<EngineId>(`i-${at}`),
+        service: brandId<ServiceName>(`s-${at}`),
+        address: { ip: "127.0.0.1", port: at },
+    } as unknown as EngineEntry));
+    probedMs = new Map(entries.map(({ id }) => [id, []]));
+    const control = {
+        connects({ id }: EngineTarget) {
+            probedMs.get(id)?.push(clock.nowMs());
+            return Promise.resolve(areOpen);
+        },
+        probe: () => Promise.resolve(areOpen ? "running" : "unclear"),
+    };
+    const context = {
+        clock,
+        control,
+        random: createRandom(1),
+        metrics: createMetrics(),
+        log: { write: () => undefined },
+        deployment: { host: "front-1", domain: "a" },
+    } as unknown as FrontContext;
+    const view = {
+        engines: new Map(entries.map(entry => [entry.id, { entry, isUsable: true } as unknown as KnownEngine])),
+        members: new Map(),
+        config: undefined,
+        onEngineRemoved: () => undefined,
+    } as unknown as ClusterView;
+    paths = createEnginePaths(context, view, () => undefined, () => 0, () => undefined);
+});
+
+async function advance(lengthMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < lengthMs; passedMs += STEP_MS) {
+        clock.advance(STEP_MS);
+        await setImmediate();
+    }
+}
+
+When("{int} requests find no connection", (count: number) => {
+    entries.slice(0, count).forEach(entry => {
+        paths.recordSend(entry);
+        paths.recordEnd(entry, "unsent");
+    });
+});
+
+Then(
+    "each engine is probed within {int} ms, and again every {int} ms",
+    async (firstMs: number, againMs: number) => {
+        await advance(WATCHED_MS);
+        for (const [id, times] of probedMs) {
+            ok((times[0] ?? Infinity) <= firstMs, `${id} was probed first after ${times[0]} ms`);
+            const gaps = [...times, clock.nowMs()].map((atMs, at) => atMs - (times[at - 1] ?? 0)).slice(1);
+            ok(Math.max(...gaps) <= againMs, `${id} was not probed for ${Math.max(...gaps)} ms`);
+        }
+    },
+);
+
+When("the paths are back after {int} ms", async (afterMs: number) => {
+    await advance(afterMs);
+    strictEqual(entries.some(({ service }) => paths.hasSuspect(service)), true);
+    areOpen = true;
+});
+
+Then("no engine is suspect from {int} ms after that on", async (afterMs: number) => {
+    await advance(afterMs);
+    deepStrictEqual(entries.filter(({ service }) => paths.hasSuspect(service)).map(({ id }) => id), []);
+});
--- a/packages/front/src/createEnginePaths.ts
+++ b/packages/front/src/createEnginePaths.ts
@@ -125,10 +125,14 @@
     const probeDue = (suspects: readonly EngineEntry[]): void => {
         const atMs = clock.nowMs();
         const all = suspects.length >= MIN_SUSPECTS ? listUsable() : suspects;
-        all.filter(({ id }) => {
+        const due = all.filter(({ id }) => {
             const record = open(id);
             return atMs - Math.max(record.probedMs, record.heardMs) >= PROBE_INTERVAL_MS;
-        }).slice(0, MAX_PROBES).forEach(entry => void probe(entry));
+        });
+        // Those that have waited longest come first, so that each has its turn however many there are.
+        due.sort((a, b) => Math.max(0, open(a.id).probedMs) - Math.max(0, open(b.id).probedMs))
+            .slice(0, MAX_PROBES)
+            .forEach(entry => void probe(entry));
     };
     const logServices = (services: ReadonlySet<ServiceName>): void => {
         for (const service of services) {
