Count the sends of hosts that refuse a request against its retries

A host that had refused a request after engines rejected it, also for want of a retry left, made the next host begin anew: the request's first send there was free, and counted as a request of its own in the retry budget. Now a refusal as not run states the sends (fulmarcleat-sends), and the host that handed the request over goes on from there; the limit of sends for one request holds over all hosts too. Hosts that state nothing count as before.

--- a/packages/front/src/applyAttempt.ts
+++ b/packages/front/src/applyAttempt.ts
@@ -19,6 +19,8 @@
         readonly kind: "gave_up";
         readonly outcome: Outcome;
         readonly reason: GiveUpReason;
+        /** Number of attempts that may have reached an engine. */
+        readonly sends: number;
         /** Expected time until the request could be served, in milliseconds. */
         readonly readyInMs: number;
     };
--- a/packages/front/src/createClientHandler.steps.ts
+++ b/packages/front/src/createClientHandler.steps.ts
@@ -1,4 +1,5 @@
 import type { ServingConfig } from "@fulmarcleat/directory";
+import type { Outcome } from "@fulmarcleat/errors";
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { listen } from "@fulmarcleat/http";
@@ -10,7 +11,9 @@
 import type { Server } from "node:http";
 import { createClientHandler } from "./createClientHandler.js";
 import type { ClusterView } from "./createClusterView.js";
+import { SENDS_HEADER } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
+import type { RequestRunner } from "./runRequest.js";
 
 const LOCAL = "127.0.0.1";
 const MARK = { from: brandId<HostId>("front-1"), sends: 0, tried: [], origin: undefined };
@@ -31,26 +34,39 @@
 Given(
     /^a host that serves a request for another host, which fails (while its body is read|after an engine may have begun)$/,
     async (when: string) => {
-        const config = {
-            routes: [ROUTE],
-            services: new Map([[SERVICE, { name: SERVICE }]]),
-            limits: { bodyBytes: when.startsWith("while") ? BODY.length - 1 : BODY.length },
-        } as unknown as ServingConfig;
-        const context = {
-            clock: createSystemClock(),
-            random: createRandom(1),
-            hash: await createHasher(),
-            metrics: createMetrics(),
-            log: { write: () => undefined },
-        } as unknown as FrontContext;
-        const view = { config, readAgeMs: () => 0 } as unknown as ClusterView;
-        const runner = { run: () => Promise.reject(new Error("a defect")) };
-        const handler = createClientHandler(context, view, runner, () => undefined, () => undefined);
-        server = createServer((req, res) => handler.handle(req, res, MARK));
-        port = await listen(server, { host: LOCAL, port: 0 });
+        const bodyBytes = when.startsWith("while") ? BODY.length - 1 : BODY.length;
+        await start(bodyBytes, () => Promise.reject(new Error("a defect")));
     },
 );
 
+Given(
+    /^a host that gives a request of another host up, (not_run|unknown) after (\d+) sends$/,
+    async (outcome: Outcome, sends: string) => {
+        const end = { kind: "gave_up", outcome, reason: "refused", sends: Number(sends), readyInMs: 0 } as const;
+        await start(BODY.length, () => Promise.resolve(end));
+    },
+);
+
+/** Starts the host that serves requests for another one. */
+async function start(bodyBytes: number, run: RequestRunner["run"]): Promise<void> {
+    const config = {
+        routes: [ROUTE],
+        services: new Map([[SERVICE, { name: SERVICE }]]),
+        limits: { bodyBytes },
+    } as unknown as ServingConfig;
+    const context = {
+        clock: createSystemClock(),
+        random: createRandom(1),
+        hash: await createHasher(),
+        metrics: createMetrics(),
+        log: { write: () => undefined },
+    } as unknown as FrontContext;
+    const view = { config, readAgeMs: () => 0 } as unknown as ClusterView;
+    const handler = createClientHandler(context, view, { run }, () => undefined, () => undefined);
+    server = createServer((req, res) => handler.handle(req, res, MARK));
+    port = await listen(server, { host: LOCAL, port: 0 });
+}
+
 After(() => {
     server?.closeAllConnections();
     server?.close();
@@ -66,3 +82,7 @@
     strictEqual(answer.status, Number(status));
     strictEqual(answer.headers.get(OUTCOME_HEADER), outcome);
 });
+
+Then("it is told of {string} sends", (stated: string) => {
+    strictEqual(answer.headers.get(SENDS_HEADER) ?? "none", stated);
+});
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -8,6 +8,7 @@
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import type { RequestDigester } from "./createRequestDigester.js";
+import { SENDS_HEADER } from "./forwardMark.js";
 import type { ForwardMark } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
 import { planRequest } from "./planRequest.js";
@@ -215,6 +216,7 @@
             status,
             reason: end.reason,
             outcome: end.outcome,
+            sends: end.sends,
             heldMs,
             expectedWaitMs: Math.round(end.readyInMs),
             retryAfterMs: end.outcome === "not_run" ? retryAfterMs : undefined,
@@ -285,6 +287,8 @@
     /** Expected wait that led to the refusal, in milliseconds. */
     readonly expectedWaitMs?: number;
     readonly retryAfterMs: number | undefined;
+    /** Number of attempts that may have reached an engine; undefined if the request got no further than this host. */
+    readonly sends?: number;
     /** What the refusal rests on: configuration version, and time since the store confirmed it, in milliseconds. */
     readonly basis?: { readonly configVersion: number | undefined; readonly viewAgeMs: number | undefined };
 }
@@ -342,6 +346,9 @@
     }
     if (isForwarded) {
         headers[OUTCOME_HEADER] = refusal.outcome;
+        if (refusal.sends !== undefined && refusal.outcome === "not_run") {
+            headers[SENDS_HEADER] = String(refusal.sends);
+        }
     }
     res.writeHead(refusal.status, headers);
     res.end(text);
--- a/packages/front/src/createFleetForwarding.steps.ts
+++ b/packages/front/src/createFleetForwarding.steps.ts
@@ -6,6 +6,7 @@
 import type { ClientRequest } from "./clientRequest.js";
 import type { FleetPeers } from "./createFleetPeers.steps.js";
 import type { ForwardTransport } from "./createForwardTransport.js";
+import { SENDS_HEADER } from "./forwardMark.js";
 import type { ForwardMark } from "./forwardMark.js";
 import { createAnswerRelay } from "./relayAnswer.js";
 
@@ -105,7 +106,7 @@
             sink.head({
                 ...createHead(req, end.outcome === "not_run" ? STATUS.refused : STATUS.badGateway, true),
                 isNotRun: end.outcome === "not_run",
-                headers: ["Retry-After", String(end.readyInMs / MS_PER_S)],
+                headers: ["Retry-After", String(end.readyInMs / MS_PER_S), SENDS_HEADER, String(end.sends)],
             });
             sink.end();
             return;
--- /dev/null
+++ b/packages/front/src/createForwarder.feature
@@ -0,0 +1,20 @@
+Feature: A request that other hosts refuse is sent on within the bounds of one host
+
+    # Guards against a retry budget that each host on the way grants anew, and against sends without end.
+    Scenario Outline: Hosts refuse a request, <refusals>; then this host reaches engines <again>
+        Given a host that reaches no engine, and a retry budget of <retries> sends
+        When the hosts that a request is handed to refuse it, <refusals>, and this host reaches engines <again>
+        Then the hosts are told of "<told>" sends
+        And the request ends as "<end>" after <sends> sends by this host
+
+        Examples:
+            | refusals                   | retries | again      | told  | end                            | sends |
+            | after 0, 0 and 0 sends     | 0       | not at all | 0 0 0 | gave_up not_run no_path        | 0     |
+            | after 1, 1 and 1 sends     | 0       | not at all | 0 1 1 | gave_up not_run no_path        | 0     |
+            | after 2, 3 and 3 sends     | 0       | not at all | 0 2 3 | gave_up not_run no_path        | 0     |
+            | unseen, after 2, unseen    | 0       | not at all | 0 0 2 | gave_up not_run no_path        | 0     |
+            | after 7, 8 and 8 sends     | 0       | not at all | 0 7   | gave_up not_run refused        | 0     |
+            | after 1 send               | 0       | after that | 0     | gave_up not_run no_retry_left  | 0     |
+            | after 1 send               | 1       | after that | 0     | answer                         | 1     |
+            | after 0 sends              | 0       | after that | 0     | answer                         | 1     |
+            | unseen                     | 0       | after that | 0     | answer                         | 1     |
--- a/packages/front/src/createForwarder.ts
+++ b/packages/front/src/createForwarder.ts
@@ -4,8 +4,10 @@
 import type { RequestProgress } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ForwardTransport } from "./createForwardTransport.js";
+import { SENDS_HEADER } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
+import { readHeader } from "./readHeader.js";
 import { readRetryAfterMs } from "./readRetryAfterMs.js";
 import type { ExchangeEvents, RunningExchange } from "./runWithTakeover.js";
 import { buildRequest, startExchange } from "./startExchange.js";
@@ -18,11 +20,19 @@
     readonly origin: StreamOrigin | undefined;
 }
 
+/** What a host says that refuses a request as not run. */
+export interface HelperRefusal {
+    /** Time after which it would serve the request, in milliseconds; undefined if it doesn't say. */
+    readonly readyInMs: number | undefined;
+    /** How often the request may have reached an engine by then, at any host; undefined if it wasn't looked at. */
+    readonly sends: number | undefined;
+}
+
 /** What a request has been through before it is handed to another host. */
 export interface ForwardState {
     readonly progress: RequestProgress;
-    /** Called with the time after which a host that refuses the request would serve it, in milliseconds. */
-    readonly onRefused: (readyInMs: number | undefined) => void;
+    /** Called if the host refuses the request as not run. */
+    readonly onRefused: (refusal: HelperRefusal) => void;
 }
 
 /** Hands clients' requests to other hosts. */
@@ -64,7 +74,7 @@
                 tried: [...progress.tried],
                 origin,
             };
-            let readyInMs: number | undefined;
+            let refusal: HelperRefusal = { readyInMs: undefined, sends: undefined };
             request.times.sentMs = sentMs;
             log.write("info", 416, { id: request.requestId, host, sends: progress.sends });
             return startExchange(request, buildRequest(request, target, sentMs), {
@@ -73,16 +83,22 @@
                 events,
                 onStart,
                 onBytes: () => void (request.times.firstByteMs ??= clock.nowMs()),
-                onHead: head => void (readyInMs = readRetryAfterMs(head.headers)),
+                onHead: ({ headers }) =>
+                    void (refusal = { readyInMs: readRetryAfterMs(headers), sends: readSends(headers) }),
                 finish(result) {
                     metrics.count("forwards_total", { result: result.kind });
                     if (result.kind !== "not_run") {
                         return result;
                     }
-                    onRefused(readyInMs);
+                    onRefused(refusal);
                     return { kind: "unsent", reason: `${host} refused with ${result.status}` };
                 },
             });
         },
     };
 }
+
+function readSends(headers: readonly string[]): number | undefined {
+    const sends = Number(readHeader(headers, SENDS_HEADER));
+    return Number.isInteger(sends) ? sends : undefined;
+}
--- a/packages/front/src/forwardMark.ts
+++ b/packages/front/src/forwardMark.ts
@@ -23,6 +23,8 @@
     readonly requestId: string;
 }
 
+/** Header in which a host that refuses a request as not run says how often it may have reached an engine by then. */
+export const SENDS_HEADER = "fulmarcleat-sends";
 /** Header with the mark. */
 export const MARK_HEADER = "fulmarcleat-forward";
 /** Header with the code that authenticates the mark. */
--- a/packages/front/src/giveUp.ts
+++ b/packages/front/src/giveUp.ts
@@ -14,6 +14,12 @@
  */
 export function giveUp(progress: RequestProgress, reason: GiveUpReason, readyInMs: number): RequestEnd {
     return progress.failedAnswer === undefined
-        ? { kind: "gave_up", outcome: combineOutcomes(progress.outcomes), reason, readyInMs }
+        ? {
+            kind: "gave_up",
+            outcome: combineOutcomes(progress.outcomes),
+            reason,
+            sends: progress.sends,
+            readyInMs,
+        }
         : { kind: "answer", result: progress.failedAnswer };
 }
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -15,7 +15,7 @@
 import type { PreparationState } from "./createEnginePreparer.js";
 import { createEngineSender } from "./createEngineSender.js";
 import type { EngineSendTarget } from "./createEngineSender.js";
-import type { Forwarder, HelperTarget } from "./createForwarder.js";
+import type { Forwarder, HelperRefusal, HelperTarget } from "./createForwarder.js";
 import type { Quarantine } from "./createQuarantine.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
 import { FIRST_SERVER_ERROR } from "./describeHealth.js";
@@ -51,6 +51,8 @@
     helpers: number;
     /** Time after which a host that refused the request would serve it, in milliseconds; undefined if none refused. */
     helperReadyInMs: number | undefined;
+    /** How often the request may have reached an engine, as the hosts say that refused it. */
+    helperSends: number;
     /** Whether the retry budget knows the request. */
     isCounted: boolean;
 }
@@ -273,7 +275,10 @@
             case "engine":
                 return sender.send(request, target, events, () => startStream(request, target.known, state.stream));
             case "host": {
-                const onRefused = (readyInMs: number | undefined): void => void (state.helperReadyInMs = readyInMs);
+                const onRefused = ({ readyInMs, sends }: HelperRefusal): void => {
+                    state.helperReadyInMs = readyInMs;
+                    state.helperSends = Math.max(state.helperSends, sends ?? 0);
+                };
                 state.helpers += 1;
                 return forwarder.send(request, target, { progress, onRefused }, events, () => undefined);
             }
@@ -299,6 +304,7 @@
             stream,
             helpers: 0,
             helperReadyInMs: undefined,
+            helperSends: 0,
             isCounted: mark !== undefined && mark.sends > 0,
         };
         let progress = mark === undefined ? NO_ATTEMPTS : resumeProgress(mark);
@@ -334,7 +340,7 @@
                     if (lost === SILENT && loser.kind === "engine") {
                         loadTracker.recordHealth(loser.known.entry.id, { kind: "failed", atMs: clock.nowMs() });
                     }
-                    progress = recordLoser(progress, loser, lost);
+                    progress = addSends(recordLoser(progress, loser, lost), state);
                 },
                 onSwitch: () => request.relay?.discardPartialEvent(),
             });
@@ -356,7 +362,7 @@
                 return next.end;
             }
             metrics.count("retries_total", { reason: result.kind });
-            progress = next.progress;
+            progress = addSends(next.progress, state);
             if (next.pauseMs > 0) {
                 await sleep(clock, next.pauseMs);
             }
@@ -389,6 +395,11 @@
     return { ...NO_ATTEMPTS, sends, tried: new Set(tried), excluded: new Set(tried) };
 }
 
+/** Counts the sends of hosts that refused a request, so that its next send anywhere is paid for as a retry. */
+function addSends(progress: RequestProgress, { helperSends }: RunState): RequestProgress {
+    return { ...progress, sends: Math.max(progress.sends, helperSends) };
+}
+
 /** Whether a request ended for want of an engine, which another host may reach. */
 function isPathToBlame(end: RequestEnd): boolean {
     return end.kind === "gave_up"
