A host waits longer for a silent host than that one waits for its engine

Two hosts looked for another engine at the same moment: the one that a stream was handed to, and the one that had handed it over, since both waited for the same time. New rows of createForwarder.feature: with a goal of 100 ms (limit 1,000 ms) a second host had the stream after 1,400 ms of silence. So one silence could put the stream at an engine more than its route allows; how often that happens was not played. The first host now waits half as long again, which leaves the other time to take the stream over, and still moves it from a host that is frozen within the time that clients wait.

--- a/packages/front/src/createEngineSender.ts
+++ b/packages/front/src/createEngineSender.ts
@@ -156,6 +156,7 @@
         return startExchange(request, req, {
             transport: context.transport,
             clock,
+            silenceFactor: 1,
             events,
             onStart,
             onBytes() {
--- a/packages/front/src/createForwarder.feature
+++ b/packages/front/src/createForwarder.feature
@@ -18,3 +18,17 @@
             | after 1 send               | 1       | after that | 0     | answer                         | 1     |
             | after 0 sends              | 0       | after that | 0     | answer                         | 1     |
             | unseen                     | 0       | after that | 0     | answer                         | 1     |
+
+    # Guards against a stream that two hosts take from a silent engine at once, so that one engine too many runs it.
+    Scenario Outline: The first host that a stream is handed to sends nothing for <silent ms> ms
+        Given a host that reaches no engine, and a retry budget of 10 sends
+        When the host that a stream with a goal of <goal ms> ms is handed to is silent for <silent ms> ms
+        Then the stream has been handed to <hosts> hosts
+
+        Examples:
+            | goal ms | silent ms | hosts |
+            | 100     | 900       | 1     |
+            | 100     | 1400      | 1     |
+            | 100     | 1600      | 2     |
+            | 1000    | 2900      | 1     |
+            | 1000    | 3100      | 2     |
--- a/packages/front/src/createForwarder.steps.ts
+++ b/packages/front/src/createForwarder.steps.ts
@@ -1,4 +1,11 @@
-import type { AnswerSink, EngineAnswerHead, EngineExchange, EngineRequest, KnownEngine } from "@fulmarcleat/directory";
+import type {
+    AnswerSink,
+    EngineAnswerHead,
+    EngineExchange,
+    EngineRequest,
+    KnownEngine,
+    Route,
+} from "@fulmarcleat/directory";
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
@@ -26,11 +33,13 @@
 import { SENDS_HEADER } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
 import { createRequestRunner } from "./runRequest.js";
+import type { RequestRunner } from "./runRequest.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
 
 const SERVICE = brandId<ServiceName>("plain");
 const STEP_MS = 10;
 const MAX_RUN_MS = 2000;
+const DEADLINE_MS = 10_000;
 const NO_EXCHANGE: EngineExchange = { cancel: () => undefined, resume: () => undefined };
 const QUARANTINE = { find: () => undefined, findAtSend: () => undefined, recordAnswer: () => undefined };
 const ADAPTERS = { startRequest: () => undefined, finishRequest: () => undefined };
@@ -57,6 +66,22 @@
     },
 );
 
+When(
+    "the host that a stream with a goal of {int} ms is handed to is silent for {int} ms",
+    async (goalMs: number, silentMs: number) => {
+        const runner = await createRunner(() => false, () => NO_EXCHANGE);
+        void runner.run({
+            ...createRequest(),
+            route: { kind: "streaming", isResumable: true, maxEngines: 2, goalMs, priority: 0 } as unknown as Route,
+        });
+        await advance(silentMs);
+    },
+);
+
+Then("the stream has been handed to {int} hosts", (count: number) => {
+    strictEqual(marks.length, count);
+});
+
 Then("the hosts are told of {string} sends", (told: string) => {
     strictEqual(marks.map(({ sends }) => sends).join(" "), told);
 });
@@ -80,15 +105,40 @@
     };
 }
 
+/** Sends an answer's head and end. */
+function answer(sink: AnswerSink, head: EngineAnswerHead): EngineExchange {
+    queueMicrotask(() => {
+        sink.head(head);
+        sink.end();
+    });
+    return NO_EXCHANGE;
+}
+
+async function advance(lengthMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < lengthMs && end === undefined; passedMs += STEP_MS) {
+        clock.advance(STEP_MS);
+        await setImmediate();
+    }
+}
+
 /** Runs one request; the hosts that it is handed to state so many sends as they refuse it. */
 async function run(stated: readonly (string | undefined)[], isBack: boolean): Promise<void> {
-    const answer = (sink: AnswerSink, head: EngineAnswerHead): EngineExchange => {
-        queueMicrotask(() => {
-            sink.head(head);
-            sink.end();
-        });
-        return NO_EXCHANGE;
-    };
+    const runner = await createRunner(
+        () => isBack && marks.length >= stated.length,
+        (req, sink) => {
+            const sends = stated[marks.length - 1];
+            return answer(sink, createHead(req, true, sends === undefined ? [] : [SENDS_HEADER, sends]));
+        },
+    );
+    void runner.run(createRequest()).then(ended => void (end = ended));
+    await advance(MAX_RUN_MS);
+}
+
+/** Creates the runner of a host that reaches an engine at times only, and what other hosts do with its requests. */
+async function createRunner(
+    isOpen: () => boolean,
+    help: (req: EngineRequest, sink: AnswerSink) => EngineExchange,
+): Promise<RequestRunner> {
     const transport = {
         send(req: EngineRequest, sink: AnswerSink) {
             directSends += 1;
@@ -97,9 +147,8 @@
     };
     const forwardTransport = {
         send(req: EngineRequest, mark: ForwardMark, sink: AnswerSink) {
-            const sends = stated[marks.length];
             marks.push(mark);
-            return answer(sink, createHead(req, true, sends === undefined ? [] : [SENDS_HEADER, sends]));
+            return help(req, sink);
         },
     };
     const context = {
@@ -131,11 +180,11 @@
     }));
     const paths = {
         ...NO_LOST_PATHS,
-        isServiceSilent: () => !isBack || marks.length < stated.length,
+        isServiceSilent: () => !isOpen(),
         findHelper: (service: ServiceName, excluded: ReadonlySet<EngineId | HostId>) =>
             Promise.resolve(members.find(({ host }) => !excluded.has(host))),
     };
-    const runner = createRequestRunner(
+    return createRequestRunner(
         context,
         view,
         createEngineLoadTracker(clock),
@@ -146,11 +195,6 @@
         paths,
         createForwarder(context, forwardTransport),
     );
-    void runner.run(createRequest()).then(ended => void (end = ended));
-    for (let passedMs = 0; passedMs < MAX_RUN_MS && end === undefined; passedMs += STEP_MS) {
-        clock.advance(STEP_MS);
-        await setImmediate();
-    }
 }
 
 function createRequest(): ClientRequest {
@@ -165,7 +209,7 @@
         body: Buffer.alloc(0),
         digest: undefined,
         startedMs: 0,
-        deadlineAtMs: MAX_RUN_MS,
+        deadlineAtMs: DEADLINE_MS,
         signal: new AbortController().signal,
         times: { sentMs: undefined, firstByteMs: undefined },
         relay: undefined,
--- a/packages/front/src/createForwarder.ts
+++ b/packages/front/src/createForwarder.ts
@@ -47,6 +47,9 @@
     ): RunningExchange;
 }
 
+/** Factor on the time for which a host may be silent: it first looks for another engine itself, after the same time. */
+const SILENCE_FACTOR = 1.5;
+
 /**
  * Creates the forwarder of requests to other hosts.
  *
@@ -80,6 +83,7 @@
             return startExchange(request, buildRequest(request, target, sentMs), {
                 transport: { send: (req, sink) => transport.send(req, mark, sink) },
                 clock,
+                silenceFactor: SILENCE_FACTOR,
                 events,
                 onStart,
                 onBytes: () => void (request.times.firstByteMs ??= clock.nowMs()),
--- a/packages/front/src/startExchange.ts
+++ b/packages/front/src/startExchange.ts
@@ -10,6 +10,8 @@
 export interface StartedExchangeOptions {
     readonly transport: Pick<EngineTransport, "send">;
     readonly clock: Clock;
+    /** Factor on the time for which a stream's receiver may be silent; 1 for an engine. */
+    readonly silenceFactor: number;
     readonly events: ExchangeEvents;
     /** Called when the client gets the first bytes of its answer. */
     readonly onStart: () => void;
@@ -61,7 +63,7 @@
 export function startExchange(
     request: ClientRequest,
     req: EngineRequest,
-    { transport, clock, events, onStart, onBytes, onHead, finish }: StartedExchangeOptions,
+    { transport, clock, silenceFactor, events, onStart, onBytes, onHead, finish }: StartedExchangeOptions,
 ): RunningExchange {
     const controller = new AbortController();
     const cancel = (): void => controller.abort();
@@ -74,7 +76,7 @@
         clock,
         relay: request.relay,
         signal: controller.signal,
-        silenceMs: request.route.isResumable ? chooseSilenceLimit(request.route.goalMs) : undefined,
+        silenceMs: request.route.isResumable ? chooseSilenceLimit(request.route.goalMs) * silenceFactor : undefined,
         onSilent: events.onSilent,
         onAccept: events.onAccept,
         onStart,
