An engine that has started again no longer counts as one whose path is lost

After an engine had stopped, another host could hear its new run up to a second before this host's next probe. Until then its path counted as lost here: the owner gave the engine up, and its failures weren't counted. New rows of createEnginePaths.feature: an engine that was down for 1,500 ms counted as lost 500 ms after its start, one down for 2,500 ms after 100 ms. A path now counts as lost only once a probe has failed that began after others had heard from the engine; that probe comes within 400 ms, and a path that is really lost is found within 2,600 ms in the same feature.

--- a/packages/front/src/createEnginePaths.feature
+++ b/packages/front/src/createEnginePaths.feature
@@ -42,3 +42,24 @@
             | the engine is quiet           | true  | 0         | 20000    | 0        | 1     | 1      |
             | it is quiet and can't be seen | false | 0         | 20000    | 0        | 0     | 1      |
             | its report is late            | true  | 250       | 20000    | 100      | 0     | 1      |
+
+    # Guards against an owner that gives an engine up, and failures that aren't counted, after the engine has restarted.
+    Scenario Outline: The only engine stops for <stopped ms> ms; others hear it <others ms> ms after its start
+        Given a host before 1 engines, none of which it reaches
+        When 1 requests find no connection
+        And the engine starts after <stopped ms> ms, and another host hears it <others ms> ms later
+        Then its path never counts as lost within 3000 ms
+
+        Examples:
+            | stopped ms | others ms |
+            | 900        | 50        |
+            | 1100       | 50        |
+            | 1500       | 50        |
+            | 2500       | 100       |
+            | 2500       | 800       |
+
+    Scenario: The path to an engine is lost that another host hears
+        Given a host before 1 engines, none of which it reaches
+        When 1 requests find no connection
+        And the engine runs all the while, and another host hears it
+        Then its path counts as lost within 2600 ms
--- a/packages/front/src/createEnginePaths.steps.ts
+++ b/packages/front/src/createEnginePaths.steps.ts
@@ -1,15 +1,24 @@
 import type { EngineEntry, EngineTarget, KnownEngine } from "@fulmarcleat/directory";
 import { createMetrics } from "@fulmarcleat/events";
 import { brandId, createManualClock, createRandom, sleep } from "@fulmarcleat/ids";
-import type { EngineId, ManualClock, ServiceName } from "@fulmarcleat/ids";
+import type { EngineId, FailureDomain, HostId, Incarnation, ManualClock, ServiceName } from "@fulmarcleat/ids";
 import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
-import type { EngineReachReply } from "@fulmarcleat/wire";
+import type { EngineReachReply, EngineReachRequest, PeerClient } from "@fulmarcleat/wire";
 import { setImmediate } from "node:timers/promises";
 import type { ClusterView } from "./createClusterView.js";
 import { createEnginePaths } from "./createEnginePaths.js";
 import type { SurveyedPaths } from "./createEnginePaths.js";
 import type { FrontContext } from "./frontContext.js";
 
+const OTHER = {
+    host: brandId<HostId>("front-2"),
+    incarnation: brandId<Incarnation>("1"),
+    ip: "127.0.0.1",
+    port: 1,
+    domain: brandId<FailureDomain>("b"),
+    forwardPort: 2,
+    isLeaving: false,
+};
 /** Step of the clock, in milliseconds. */
 const STEP_MS = 50;
 /** Time for which probes are watched, in milliseconds. */
@@ -21,6 +30,8 @@
 let areOpen = false;
 let reportMs = 0;
 let reports = 0;
+/** Clock reading from which on another host hears from the engines, in milliseconds. */
+let heardFromMs = Infinity;
 let reply: EngineReachReply | undefined;
 let probedMs: Map<EngineId, number[]>;
 
@@ -29,6 +40,7 @@
     areOpen = false;
     reportMs = 0;
     reports = 0;
+    heardFromMs = Infinity;
     // Each engine has a service of its own, so that what is known of one says nothing of the others.
     entries = Array.from({ length: count }, (value, at) => ({
         id: brandId<EngineId>(`i-${at}`),
@@ -57,11 +69,20 @@
     } as unknown as FrontContext;
     const view = {
         engines: new Map(entries.map(entry => [entry.id, { entry, isUsable: true } as unknown as KnownEngine])),
-        members: new Map(),
+        members: new Map([[OTHER.host, OTHER]]),
         config: undefined,
         onEngineRemoved: () => undefined,
     } as unknown as ClusterView;
-    paths = createEnginePaths(context, view, () => undefined, () => 0, () => undefined);
+    const peers = {
+        request: (to: unknown, name: string, { service }: EngineReachRequest) =>
+            Promise.resolve({
+                heardAgoMs: entries.filter(entry => entry.service === service && clock.nowMs() >= heardFromMs)
+                    .map(({ id }) => [id, 0]),
+                helpers: [],
+                running: 0,
+            }),
+    } as unknown as PeerClient;
+    paths = createEnginePaths(context, view, () => peers, () => 0, () => undefined);
 });
 
 async function advance(lengthMs: number): Promise<void> {
@@ -128,3 +149,37 @@
 Then("{int} reports were asked for", (count: number) => {
     strictEqual(reports, count);
 });
+
+When(
+    "the engine starts after {int} ms, and another host hears it {int} ms later",
+    async (stoppedMs: number, othersMs: number) => {
+        await advance(stoppedMs);
+        areOpen = true;
+        heardFromMs = clock.nowMs() + othersMs;
+    },
+);
+
+When("the engine runs all the while, and another host hears it", () => {
+    heardFromMs = clock.nowMs();
+});
+
+/** Returns when the path to the first engine counted as lost, in milliseconds from now; undefined if it never did. */
+async function findLostAfterMs(lengthMs: number): Promise<number | undefined> {
+    const [entry] = entries;
+    ok(entry !== undefined);
+    for (let passedMs = 0; passedMs <= lengthMs; passedMs += STEP_MS) {
+        if (paths.isPathLost(entry.id)) {
+            return passedMs;
+        }
+        await advance(STEP_MS);
+    }
+    return undefined;
+}
+
+Then("its path never counts as lost within {int} ms", async (lengthMs: number) => {
+    strictEqual(await findLostAfterMs(lengthMs), undefined);
+});
+
+Then("its path counts as lost within {int} ms", async (lengthMs: number) => {
+    ok(await findLostAfterMs(lengthMs) !== undefined);
+});
--- a/packages/front/src/createEnginePaths.ts
+++ b/packages/front/src/createEnginePaths.ts
@@ -31,12 +31,16 @@
     inFlight: number;
     heardMs: number;
     probedMs: number;
+    /** Whether a probe has failed that began after other hosts had heard from the engine. */
+    isConfirmed: boolean;
 }
 
 /** Interval between two checks for paths on which nothing comes, in milliseconds. */
 const CHECK_INTERVAL_MS = 200;
 /** Time between two probes of one engine, in milliseconds. */
 const PROBE_INTERVAL_MS = 1000;
+/** Time from a probe until the one that confirms what other hosts say, in milliseconds. */
+const CONFIRM_INTERVAL_MS = 400;
 /** Most probes of one check. */
 const MAX_PROBES = 16;
 /** Number of suspect paths from which this host probes its paths to all engines. */
@@ -84,7 +88,7 @@
 
     const open = (engine: EngineId): PathRecord => {
         const existing = records.get(engine)
-            ?? { path: OPEN_PATH, inFlight: 0, heardMs: -Infinity, probedMs: -Infinity };
+            ?? { path: OPEN_PATH, inFlight: 0, heardMs: -Infinity, probedMs: -Infinity, isConfirmed: false };
         records.set(engine, existing);
         return existing;
     };
@@ -108,8 +112,14 @@
     const recordHeard = (engine: EngineId): void => {
         const record = open(engine);
         record.heardMs = clock.nowMs();
+        record.isConfirmed = false;
         update(record, { kind: "heard" });
     };
+    /** Whether other hosts have heard from an engine since this one gets nothing from it. */
+    const isHeardByOthers = (entry: EngineEntry): boolean => {
+        const sinceMs = readSince(entry);
+        return sinceMs !== undefined && (survey.readHeardMs(entry.id) ?? -Infinity) > sinceMs + NOTICE_SPREAD_MS;
+    };
     /** Whether a path is open. A connection alone proves nothing where requests have had no answer. */
     const reaches = async ({ id, address }: EngineEntry, { path }: PathRecord): Promise<boolean> =>
         await control.connects({ id, address })
@@ -117,14 +127,17 @@
             || await control.probe({ id, address }) === "running");
     const probe = async (entry: EngineEntry): Promise<void> => {
         const record = open(entry.id);
+        const wasHeardByOthers = isHeardByOthers(entry);
         record.probedMs = clock.nowMs();
         const isOpen = await reaches(entry, record);
         metrics.count("path_probes_total", { open: String(isOpen) });
         if (isOpen) {
+            record.isConfirmed = false;
             update(record, { kind: "heard" });
             onOpen(entry.id);
         }
         else {
+            record.isConfirmed ||= wasHeardByOthers;
             update(record, { kind: "unreachable", atMs: clock.nowMs() });
         }
     };
@@ -157,9 +170,10 @@
     const probeDue = (suspects: readonly EngineEntry[]): void => {
         const atMs = clock.nowMs();
         const all = suspects.length >= MIN_SUSPECTS ? listUsable() : suspects;
-        const due = all.filter(({ id }) => {
-            const record = open(id);
-            return atMs - Math.max(record.probedMs, record.heardMs) >= PROBE_INTERVAL_MS;
+        const due = all.filter(entry => {
+            const { heardMs, isConfirmed, probedMs } = open(entry.id);
+            const intervalMs = !isConfirmed && isHeardByOthers(entry) ? CONFIRM_INTERVAL_MS : PROBE_INTERVAL_MS;
+            return atMs - Math.max(probedMs, heardMs) >= intervalMs;
         });
         // Those that have waited longest come first, so that each has its turn however many there are.
         due.sort((a, b) => Math.max(0, open(a.id).probedMs) - Math.max(0, open(b.id).probedMs))
@@ -227,8 +241,9 @@
         isPathLost(engine) {
             const entry = clusterView.engines.get(engine)?.entry;
             const sinceMs = entry && readSince(entry);
-            return sinceMs !== undefined && clock.nowMs() - sinceMs >= LOST_AFTER_MS
-                && (survey.readHeardMs(engine) ?? -Infinity) > sinceMs + NOTICE_SPREAD_MS;
+            // An engine that has just started again is heard by some hosts sooner than by others.
+            return entry !== undefined && sinceMs !== undefined && clock.nowMs() - sinceMs >= LOST_AFTER_MS
+                && isHeardByOthers(entry) && records.get(engine)?.isConfirmed === true;
         },
         hasSuspect: service => listUsable(service).some(entry => readSince(entry) !== undefined),
         isServiceSilent,
