A request that is handed over counts once in the retry budgets

New rows of createForwarder.feature: no mark said that a request was counted, and a host counted it again. The mark now says so, also after a host has refused it that had looked at it. The retries of such a request are paid for from what the receiver has besides, which is less than before: the first host's share isn't carried over.

--- a/packages/front/src/createForwarder.feature
+++ b/packages/front/src/createForwarder.feature
@@ -32,3 +32,26 @@
             | 100     | 1600      | 2     |
             | 1000    | 2900      | 1     |
             | 1000    | 3100      | 2     |
+
+    # Guards against a request that adds to the retry budgets of several hosts.
+    Scenario Outline: A request that is handed over <when> engine, and refused <refusal>, is counted once
+        Given a host that reaches no engine, and a retry budget of 0 sends
+        When a request is handed over <when> engine, and refused <refusal>
+        Then the hosts are told that it is counted: "<told>"
+
+        Examples:
+            | when                       | refusal       | told        |
+            | before this host looks for | unseen        | no no no    |
+            | before this host looks for | after 0 sends | no yes yes  |
+            | after this host found no   | unseen        | yes yes yes |
+            | after this host found no   | after 0 sends | yes yes yes |
+
+    Scenario Outline: A request from another host that <counted> adds to the retry budget unless it is counted
+        Given a host that reaches no engine, and a retry budget of 0 sends
+        When another host hands a request over that <counted>, and its engine rejects it once
+        Then the request ends as "<end>" after <sends> sends by this host
+
+        Examples:
+            | counted       | end                           | sends |
+            | is counted    | gave_up not_run no_retry_left | 1     |
+            | isn't counted | answer                        | 2     |
--- a/packages/front/src/createForwarder.steps.ts
+++ b/packages/front/src/createForwarder.steps.ts
@@ -48,6 +48,9 @@
 let clock: ManualClock;
 let marks: ForwardMark[] = [];
 let directSends = 0;
+/** Number of the first sends to engines that these reject. */
+let rejected = 0;
+let ratio = 0;
 let end: RequestEnd | undefined;
 
 Given("a host that reaches no engine, and a retry budget of {int} sends", (count: number) => {
@@ -55,6 +58,8 @@
     clock = createManualClock(0);
     marks = [];
     directSends = 0;
+    rejected = 0;
+    ratio = 0;
     end = undefined;
 });
 
@@ -142,7 +147,7 @@
     const transport = {
         send(req: EngineRequest, sink: AnswerSink) {
             directSends += 1;
-            return answer(sink, createHead(req, false, []));
+            return answer(sink, createHead(req, directSends <= rejected, []));
         },
     };
     const forwardTransport = {
@@ -160,7 +165,7 @@
         log: { write: () => undefined },
         deployment: { host: "front-1", domain: "a" },
         // Of the reserve, each of six hosts at least may use a part of its share.
-        readBounds: () => ({ retryRatio: 0, retryReserve: retries * 12, retryWindowMs: 1000 }),
+        readBounds: () => ({ retryRatio: ratio, retryReserve: retries * 12, retryWindowMs: 1000 }),
     } as unknown as FrontContext;
     const entry = { id: brandId<EngineId>("i-1"), service: SERVICE, address: { ip: "127.0.0.1", port: 1 } };
     const view = {
@@ -180,6 +185,7 @@
     }));
     const paths = {
         ...NO_LOST_PATHS,
+        hasSuspect: () => true,
         isServiceSilent: () => !isOpen(),
         findHelper: (service: ServiceName, excluded: ReadonlySet<EngineId | HostId>) =>
             Promise.resolve(members.find(({ host }) => !excluded.has(host))),
@@ -216,3 +222,40 @@
         mark: undefined,
     } as unknown as ClientRequest;
 }
+
+When(
+    /^another host hands a request over that (is counted|isn't counted), and its engine rejects it once$/,
+    async (counted: string) => {
+        rejected = 1;
+        ratio = 10;
+        const isCounted = counted === "is counted";
+        const mark = {
+            from: brandId<HostId>("front-2"),
+            sends: 0,
+            ...(isCounted ? { isCounted } : {}),
+            tried: [],
+            origin: undefined,
+        };
+        const runner = await createRunner(() => true, () => NO_EXCHANGE);
+        void runner.run({ ...createRequest(), mark }).then(ended => void (end = ended));
+        await advance(MAX_RUN_MS);
+    },
+);
+
+When(
+    /^a request is handed over (before this host looks for|after this host found no) engine, and refused (unseen|after 0 sends)$/,
+    async (when: string, refusal: string) => {
+        const runner = await createRunner(
+            () => when.startsWith("after"),
+            (req, sink) => answer(sink, createHead(req, true, refusal === "unseen" ? [] : [SENDS_HEADER, "0"])),
+        );
+        const usable = when.startsWith("after") ? { maxEngines: 0 } : {};
+        const request = createRequest();
+        void runner.run({ ...request, route: { ...request.route, ...usable } }).then(ended => void (end = ended));
+        await advance(MAX_RUN_MS);
+    },
+);
+
+Then("the hosts are told that it is counted: {string}", (told: string) => {
+    strictEqual(marks.map(({ isCounted }) => isCounted === true ? "yes" : "no").join(" "), told);
+});
--- a/packages/front/src/createForwarder.ts
+++ b/packages/front/src/createForwarder.ts
@@ -31,6 +31,8 @@
 /** What a request has been through before it is handed to another host. */
 export interface ForwardState {
     readonly progress: RequestProgress;
+    /** Whether a retry budget counts the request already. */
+    readonly isCounted: boolean;
     /** Called if the host refuses the request as not run. */
     readonly onRefused: (refusal: HelperRefusal) => void;
 }
@@ -67,13 +69,14 @@
 ): Forwarder {
     const { clock, deployment, log, metrics } = context;
     return {
-        send(request, { member, origin }, { progress, onRefused }, events, onStart) {
+        send(request, { member, origin }, { progress, isCounted, onRefused }, events, onStart) {
             const sentMs = clock.nowMs();
             const { host, ip } = member;
             const target = { id: brandId<EngineId>(host), address: { ip, port: member.forwardPort ?? 0 } };
             const mark = {
                 from: deployment.host,
                 sends: progress.sends,
+                ...(isCounted ? { isCounted: true as const } : {}),
                 tried: [...progress.tried],
                 origin,
             };
--- a/packages/front/src/forwardMark.ts
+++ b/packages/front/src/forwardMark.ts
@@ -7,6 +7,8 @@
     readonly from: HostId;
     /** Number of attempts that may have reached an engine. */
     readonly sends: number;
+    /** Whether the retry budget of a host before counts the request already; left out if none does. */
+    readonly isCounted?: true;
     /** Engines that the request has been tried at. */
     readonly tried: readonly EngineId[];
     /** Where the stream began; undefined if the client has received nothing of it. */
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -277,10 +277,13 @@
             case "host": {
                 const onRefused = ({ readyInMs, sends }: HelperRefusal): void => {
                     state.helperReadyInMs = readyInMs;
+                    // A host that has looked at the request has counted it.
+                    state.isCounted ||= sends !== undefined;
                     state.helperSends = Math.max(state.helperSends, sends ?? 0);
                 };
+                const { isCounted } = state;
                 state.helpers += 1;
-                return forwarder.send(request, target, { progress, onRefused }, events, () => undefined);
+                return forwarder.send(request, target, { progress, isCounted, onRefused }, events, () => undefined);
             }
         }
     };
@@ -305,7 +308,7 @@
             helpers: 0,
             helperReadyInMs: undefined,
             helperSends: 0,
-            isCounted: mark !== undefined && mark.sends > 0,
+            isCounted: mark !== undefined && (mark.sends > 0 || mark.isCounted === true),
         };
         let progress = mark === undefined ? NO_ATTEMPTS : resumeProgress(mark);
         while (progress.sends < MAX_SENDS) {
--- a/packages/front/src/verifyForwardMark.ts
+++ b/packages/front/src/verifyForwardMark.ts
@@ -13,6 +13,7 @@
 const markSchema = z.object({
     from: z.string().min(1),
     sends: z.int().nonnegative(),
+    isCounted: z.literal(true).optional(),
     tried: z.array(z.string()),
     origin: z.object({ service: z.string(), softwareVersion: z.string().optional() }).optional(),
 });
@@ -46,6 +47,7 @@
     return data && {
         from: brandId(data.from),
         sends: data.sends,
+        ...(data.isCounted === true ? { isCounted: true } : {}),
         tried: data.tried.map(id => brandId(id)),
         origin: data.origin && {
             service: brandId(data.origin.service),
