--- a/packages/front/src/forwardMark.ts
+++ b/packages/front/src/forwardMark.ts
@@ -7,6 +7,8 @@
     readonly from: HostId;
     /** Number of attempts that may have reached an engine. */
     readonly sends: number;
+    /** Whether the retry budget of a host before counts the request already; left out if none does. */
+    readonly isCounted?: true;
     /** Engines that the request has been tried at. */
     readonly tried: readonly EngineId[];
     /** Where the stream began; undefined if the client has received nothing of it. */
@@ -23,6 +25,8 @@
     readonly requestId: string;
 }
 
+/** Header in which a host that refuses a request as not run says how often it may have reached an engine by then. */
+export const SENDS_HEADER = "fulmarcleat-sends";
 /** Header with the mark. */
 export const MARK_HEADER = "fulmarcleat-forward";
 /** Header with the code that authenticates the mark. */
