--- a/packages/front/src/createForwardTransport.steps.ts
+++ b/packages/front/src/createForwardTransport.steps.ts
@@ -1,6 +1,7 @@
 import { brandId } from "@fulmarcleat/ids";
 import type { EngineId, RequestId } from "@fulmarcleat/ids";
 import { parseClientHead } from "@fulmarcleat/platform";
+import { ENGINE_STATE_HEADERS } from "@fulmarcleat/platform-standin";
 import { After, deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import type { ServerResponse } from "node:http";
 import { MARK_HEADER, MARK_MAC_HEADER } from "./forwardMark.js";
@@ -146,8 +147,7 @@
 
 Given("a helping host that passes on an engine's answer with status {int}", async (status: number) => {
     pair = await startForwardPair(({ res }) => {
-        const load = ["server-load", "3,0,8", "Server-Limit", "2", "instance-id", "i-7"];
-        res.writeHead(status, [...ANSWER_HEADERS, ...load]).end("hello");
+        res.writeHead(status, [...ANSWER_HEADERS, ...ENGINE_STATE_HEADERS]).end("hello");
     });
 });
 
