--- a/packages/dispatch/src/reduceEnginePath.feature
+++ b/packages/dispatch/src/reduceEnginePath.feature
@@ -13,10 +13,7 @@
             | the oldest of several counts              | sent@100 sent@900                       | 1100 | 100   |
             | a failed connection                       | unreachable@50                          | 50   | 50    |
             | a failed connection while others answer   | unreachable@50 heard@60                 | 70   |       |
-            | a connection opens again                  | unreachable@50 opened@60                | 70   |       |
-            | a connection opens, no request answered   | sent@0 unreachable@50 opened@60         | 1000 | 0     |
             | an exchange that broke without a byte     | sent@0 broken@20 withdrawn@20           | 30   | 20    |
-            | a connection opens after it               | broken@20 opened@40                     | 50   | 20    |
             | bytes after it                            | broken@20 heard@40                      | 50   |       |
             | the first failure counts                  | unreachable@50 unreachable@700          | 900  | 50    |
             | a failure after a silence                 | sent@0 unreachable@1200                 | 1300 | 0     |
--- a/packages/dispatch/src/reduceEnginePath.ts
+++ b/packages/dispatch/src/reduceEnginePath.ts
@@ -2,7 +2,7 @@
 export interface EnginePath {
     /** Clock reading of the oldest request or probe that nothing has followed, in milliseconds; undefined if none. */
     readonly unansweredSinceMs: number | undefined;
-    /** Clock reading of the first failed connection since one was opened, in milliseconds; undefined if none. */
+    /** Clock reading of the first failed connection, in milliseconds; undefined if none. */
     readonly unreachableSinceMs: number | undefined;
     /** Clock reading of the first exchange that broke without a byte, in milliseconds; undefined if none. */
     readonly brokenSinceMs: number | undefined;
@@ -12,10 +12,8 @@
 export type EnginePathMessage =
     /** A request was sent. */
     | { readonly kind: "sent"; readonly atMs: number }
-    /** Bytes arrived. */
+    /** Bytes arrived, or a probe showed that the path is open. */
     | { readonly kind: "heard" }
-    /** A connection was opened, which doesn't show that bytes come back. */
-    | { readonly kind: "opened" }
     /** No connection could be opened. */
     | { readonly kind: "unreachable"; readonly atMs: number }
     /** An exchange broke without a byte. */
@@ -46,8 +44,6 @@
             return path.unansweredSinceMs === undefined ? { ...path, unansweredSinceMs: message.atMs } : path;
         case "heard":
             return path === OPEN_PATH ? path : OPEN_PATH;
-        case "opened":
-            return { ...path, unreachableSinceMs: undefined };
         case "broken":
             return path.brokenSinceMs === undefined ? { ...path, brokenSinceMs: message.atMs } : path;
         case "unreachable":
