--- a/packages/events/src/eventCatalogue.ts
+++ b/packages/events/src/eventCatalogue.ts
@@ -35,6 +35,7 @@
     308: "order answered",
     309: "engine report read",
     310: "adapter load requested",
+    311: "former owner asked",
     400: "request refused",
     401: "request failed",
     402: "request retried",
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -19,8 +19,10 @@
     parseServingConfig,
     RELEASE_PREFIX,
 } from "@fulmarcleat/platform";
-import type { OwnerClaim } from "@fulmarcleat/residency";
+import type { ClockReading } from "@fulmarcleat/residency";
 import type { AdapterLoadRequest } from "@fulmarcleat/wire";
+import { createOwnerClaims } from "./createOwnerClaims.js";
+import type { OwnerClaims } from "./createOwnerClaims.js";
 import type { FrontContext } from "./frontContext.js";
 import {
     formatMemberKey,
@@ -43,18 +45,22 @@
     readonly engines: ReadonlyMap<EngineId, KnownEngine>;
     /** Live hosts, this one included. */
     readonly members: ReadonlyMap<HostId, Member>;
-    /** Current owner key of each engine. */
-    readonly claims: ReadonlyMap<EngineId, OwnerClaim>;
-    /** Clock reading since which each unowned engine has had no owner, in milliseconds. */
-    readonly unownedSince: ReadonlyMap<EngineId, number>;
+    /** Owner keys of the engines. */
+    readonly claims: OwnerClaims;
     /** Prompt parts and requests that are quarantined in the store. */
     readonly quarantined: ReadonlyMap<Suspect, StoredQuarantine>;
     /** Calls a listener when a quarantine is set, renewed or lifted in the store. */
     onQuarantine(listener: (suspect: Suspect, isSet: boolean) => void): void;
     /** Time since the store last confirmed a part of this view, in milliseconds; undefined before it first did. */
     readAgeMs(part: ViewPart): number | undefined;
+    /** Returns when the call was sent whose reply last confirmed a part of this view; undefined before the first. */
+    readConfirmedFrom(part: ViewPart): ClockReading | undefined;
     /** Whether the system's keys have been listed at least once since the start. */
     readonly hasReadHostKeys: boolean;
+    /** How often the system's keys were listed; changes before the last list may have gone unseen. */
+    readonly hostKeyLists: number;
+    /** Clock reading of the last list of the system's keys, in milliseconds; all changes since have been received. */
+    readonly hostKeysListedMs: number;
     /** Returns the newest declared version of an adapter; undefined if none was declared. */
     findRelease(model: BaseModel, adapter: AdapterName): number | undefined;
     /** Records that another engine answers at an engine's address; the entry is unused until the engine restarts. */
@@ -107,11 +113,11 @@
     const { clock, log, metrics } = context;
     let config: ServingConfig | undefined;
     let directory: DirectoryState = { engines: new Map(), graceUntilMs: 0 };
-    let hasReadHostKeys = false;
+    let hostKeyLists = 0;
+    let hostKeysListedMs = 0;
     const releases = new Map<string, number>();
     const members = new Map<HostId, Member>();
-    const claims = new Map<EngineId, OwnerClaim>();
-    const unownedSince = new Map<EngineId, number>();
+    const claims = createOwnerClaims(clock);
     const quarantined = new Map<Suspect, StoredQuarantine>();
     const quarantineListeners: ((suspect: Suspect, isSet: boolean) => void)[] = [];
     const releaseListeners: ((release: AdapterRelease) => void)[] = [];
@@ -183,19 +189,14 @@
                 const member = parseMember(key.host, item.value);
                 if (member !== undefined) {
                     members.set(key.host, member);
+                    claims.putMember(member);
                 }
                 return;
             }
             case "owner": {
                 const owner = parseOwner(item.value);
                 if (owner !== undefined) {
-                    claims.set(key.engine, { ...owner, revision: item.revision });
-                    if (owner.isReleased || owner.hasLostPath) {
-                        unownedSince.set(key.engine, clock.nowMs());
-                    }
-                    else {
-                        unownedSince.delete(key.engine);
-                    }
+                    claims.put(key.engine, { ...owner, revision: item.revision });
                 }
                 return;
             }
@@ -219,8 +220,7 @@
                 members.delete(key.host);
                 return;
             case "owner":
-                claims.delete(key.engine);
-                unownedSince.set(key.engine, clock.nowMs());
+                claims.remove(key.engine);
                 return;
             case "quarantine":
                 if (quarantined.delete(key.suspect)) {
@@ -260,11 +260,12 @@
             const present = new Set(items.map(item => item.key));
             [...members.keys()].filter(host => !present.has(formatMemberKey(host)))
                 .forEach(host => members.delete(host));
-            [...[...claims.keys()].map(formatOwnerKey), ...[...quarantined.keys()].map(formatQuarantineKey)]
+            [...[...claims.current.keys()].map(formatOwnerKey), ...[...quarantined.keys()].map(formatQuarantineKey)]
                 .filter(key => !present.has(key))
                 .forEach(removeHostKey);
             items.filter(item => parseHostKey(item.key).kind !== "wants").forEach(applyHostItem);
-            hasReadHostKeys = true;
+            hostKeyLists += 1;
+            hostKeysListedMs = clock.nowMs();
         },
         changed: events =>
             events.forEach(event => event.kind === "put" ? applyHostItem(event.item) : removeHostKey(event.key)),
@@ -300,6 +301,7 @@
         if (!isStopped) {
             applyDirectory({ kind: "tick", atMs: clock.nowMs() });
             exposeAges();
+            claims.prune(host => members.has(host), engine => directory.engines.has(engine));
             clock.setTimer(EXPIRY_CHECK_INTERVAL_MS, tick);
         }
     };
@@ -313,12 +315,18 @@
         },
         members,
         claims,
-        unownedSince,
         quarantined,
         onQuarantine: listener => void quarantineListeners.push(listener),
         readAgeMs,
+        readConfirmedFrom: part => watches[part].confirmedFrom,
         get hasReadHostKeys() {
-            return hasReadHostKeys;
+            return hostKeyLists > 0;
+        },
+        get hostKeyLists() {
+            return hostKeyLists;
+        },
+        get hostKeysListedMs() {
+            return hostKeysListedMs;
         },
         findRelease: (model, adapter) => releases.get(formatReleaseKey(model, adapter)),
         markReplaced(entry) {
--- a/packages/front/src/createOwnerFleet.steps.ts
+++ b/packages/front/src/createOwnerFleet.steps.ts
@@ -7,10 +7,14 @@
 import { CONFIG_KEY, ENGINE_PREFIX } from "@fulmarcleat/platform";
 import { setImmediate } from "node:timers/promises";
 import { createClusterView } from "./createClusterView.js";
+import { createHostFaults } from "./createHostFaults.steps.js";
+import type { HostFaults } from "./createHostFaults.steps.js";
+import { createOwnerFleetPeers } from "./createOwnerFleetPeers.steps.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
 import type { StoreFake } from "./createStoreFake.steps.js";
+import { detectPauses } from "./detectPauses.js";
 import type { FrontContext } from "./frontContext.js";
-import { formatOwnerKey, parseOwner } from "./hostKeys.js";
+import { formatMemberKey, formatOwnerKey, parseOwner } from "./hostKeys.js";
 import { startOwnership } from "./startOwnership.js";
 import type { Ownership } from "./startOwnership.js";
 import { startSession } from "./startSession.js";
@@ -66,6 +70,15 @@
     readOwners(): ReadonlyMap<string, string>;
     /** Cuts exactly these hosts off from all engines; paths count as lost while another host has its own. */
     cut(hosts: readonly string[]): void;
+    readonly faults: HostFaults;
+    /** Cuts exactly these hosts off from all other hosts. */
+    cutFromPeers(hosts: readonly string[]): void;
+    /** Delivers every order of these hosts only after this time, longer than hosts wait for a reply. */
+    delayOrders(hosts: readonly string[], delayMs: number): void;
+    /** Removes a host's keys from the store; its lease goes on. */
+    revokeKeys(host: string): void;
+    /** Kills a host for good. */
+    kill(host: string): void;
     /** Stops a host as the platform does: it leaves and gives its engines up. */
     stopHost(host: string): void;
     /** Kills a host and starts it again under its name. */
@@ -116,13 +129,17 @@
     const clock = createManualClock(0);
     const store = createStoreFake(clock);
     const hash = await createHasher();
+    const faults = createHostFaults(clock);
+    const peers = createOwnerFleetPeers(clock, faults);
     const engines = new Map<EngineId, SimulatedEngine>();
     const running = new Map<string, RunningHost>();
+    const started = new Set<string>();
     const orders: FleetOrder[] = [];
     const handovers: FleetHandover[] = [];
     const givenUpClaims: GivenUpClaim[] = [];
     let isSilencedAfterHandover = false;
     let cut: ReadonlySet<string> = new Set();
+    let delayed: ReadonlyMap<string, number> = new Map();
     let requested = 0;
     let incarnations = 0;
     let isStopped = false;
@@ -151,17 +168,28 @@
     const createControl = (host: string): Pick<EngineControl, "order" | "report"> => ({
         async order({ id }, order, { fence, expectedSeq }) {
             const engine = engines.get(id);
-            const atMs = clock.nowMs();
             const isReached = !cut.has(host) && engine !== undefined;
-            const reply: OrderReply = isReached ? executeOrder(engine, fence, expectedSeq) : { kind: "unknown" };
-            orders.push({ engine: id, host, fence, atMs, reply: reply.kind });
+            const arrive = (): OrderReply => {
+                const reply: OrderReply = isReached ? executeOrder(engine, fence, expectedSeq) : { kind: "unknown" };
+                orders.push({ engine: id, host, fence, atMs: clock.nowMs(), reply: reply.kind });
+                return reply;
+            };
+            if (delayed.has(host)) {
+                clock.setTimer(delayed.get(host) ?? 0, arrive);
+                await sleep(clock, CALL_TIMEOUT_MS);
+                await faults.whenRunning(host);
+                return { kind: "unknown" };
+            }
+            const reply = arrive();
             await sleep(clock, isReached ? REPLY_MS : CALL_TIMEOUT_MS);
+            await faults.whenRunning(host);
             return reply;
         },
         async report({ id }) {
             const engine = engines.get(id);
             const isReached = !cut.has(host) && engine !== undefined;
             await sleep(clock, isReached ? REPLY_MS : CALL_TIMEOUT_MS);
+            await faults.whenRunning(host);
             if (!isReached) {
                 throw new Error("no report");
             }
@@ -197,9 +225,10 @@
         const host = brandId<HostId>(name);
         let isRunning = true;
         // A killed process sets no timers and gets no replies any more.
+        const hostClock = faults.wrapClock(name);
         const ownClock = {
-            ...clock,
-            setTimer: (delayMs: number, fire: () => void) => clock.setTimer(delayMs, () => isRunning && fire()),
+            ...hostClock,
+            setTimer: (delayMs: number, fire: () => void) => hostClock.setTimer(delayMs, () => isRunning && fire()),
         };
         const log = {
             write(level: string, event: number, details: { readonly engine?: string; readonly reason?: string }) {
@@ -210,7 +239,7 @@
         };
         const context = {
             clock: ownClock,
-            store: { ...store, change: changeStore },
+            store: faults.wrapStore(name, { ...store, change: changeStore }),
             hash,
             log,
             control: createControl(name),
@@ -222,7 +251,7 @@
                 domain: readDomain(name),
                 ip: "127.0.0.1",
                 peerPort: 1,
-                isFirstStart: !running.has(name),
+                isFirstStart: !started.has(name),
                 minLeaseMs: 0,
             },
             readBounds: () => ({ ...BOUNDS, checksFences }),
@@ -231,7 +260,10 @@
         const view = createClusterView(context, health);
         const session = startSession(context, health, view);
         const paths = { isPathLost: () => cut.has(name) && cut.size < running.size };
-        const ownership = startOwnership(context, health, view, session, paths);
+        const ownership = startOwnership(context, health, view, session, paths, () => peers.connect(name));
+        peers.serve(name, { orderRight: request => ownership.answerOrderRight(request) });
+        detectPauses(ownClock, () => session.markUnverified());
+        started.add(name);
         running.set(name, { ownership, session, stop: () => void (isRunning = false) });
     };
     const hosts = Array.from({ length: options.hosts }, (value, number) => `host-${number}`);
@@ -270,6 +302,15 @@
             }
             return owners;
         },
+        faults,
+        cutFromPeers: next => peers.cut(next),
+        delayOrders: (slow, delayMs) => void (delayed = new Map(slow.map(host => [host, delayMs]))),
+        revokeKeys: host => store.revokeLease(formatMemberKey(brandId(host))),
+        kill(host) {
+            running.get(host)?.stop();
+            running.delete(host);
+            peers.serve(host, undefined);
+        },
         cut: next => void (cut = new Set(next)),
         stopHost(host) {
             const { session, ownership } = running.get(host) ?? {};
--- a/packages/front/src/createOwnerTask.ts
+++ b/packages/front/src/createOwnerTask.ts
@@ -32,6 +32,8 @@
 /** Loads and evicts adapters on one engine that this host owns. */
 export interface OwnerTask {
     readonly fence: number;
+    /** Whether the task has sent an order. */
+    readonly hasOrdered: boolean;
     /** Requests an adapter; resolves when it is present or being loaded, or with a refusal after the wait. */
     requestLoad(adapter: AdapterName, loadRequest: LoadRequest, isMissing: boolean): Promise<AdapterLoadReply>;
     /** Requests a newly declared version of an adapter if the engine holds an older one. */
@@ -85,6 +87,7 @@
     let waiters: Waiter[] = [];
     let isRunningSteps = false;
     let lastOrder = Promise.resolve(true);
+    let hasOrdered = false;
     let hasUnansweredOrder = false;
     let isStopped = false;
 
@@ -108,6 +111,7 @@
         }
     };
     const sendOrder = async (order: EngineOrder): Promise<boolean> => {
+        hasOrdered = true;
         const terms = { holder: context.deployment.host, fence: options.fence, expectedSeq: state.seq ?? 0 };
         const reply = await control.order(target, order, terms);
         metrics.count("orders_total", { order: order.kind, reply: reply.kind });
@@ -185,6 +189,9 @@
     tick();
     return {
         fence: options.fence,
+        get hasOrdered() {
+            return hasOrdered;
+        },
         requestLoad(adapter, loadRequest, isMissing) {
             if (!options.mayOrder() && state.residents.get(adapter) === undefined) {
                 return Promise.resolve({ kind: "refused", reason: "not_allowed" });
--- a/packages/front/src/createStoreFake.steps.ts
+++ b/packages/front/src/createStoreFake.steps.ts
@@ -22,6 +22,8 @@
     setMode(mode: StoreFakeMode): void;
     /** Lets every call that waits hear nothing for good. */
     silenceOpenCalls(): void;
+    /** Removes all keys that hang on the same lease as a key; the lease itself goes on. */
+    revokeLease(key: string): void;
     /** Discards the history of changes. */
     compact(): void;
 }
@@ -172,6 +174,12 @@
             }
         },
         silenceOpenCalls: () => void (watches = []),
+        revokeLease(key) {
+            const lease = items.get(key)?.lease ?? 0;
+            const removes = [...items.values()].filter(item => lease !== 0 && item.lease === lease)
+                .map(item => item.key);
+            apply({ expect: [], puts: [], removes });
+        },
         compact() {
             oldestRevision = revision;
             history = [];
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -1,6 +1,7 @@
 import { parseJson } from "@fulmarcleat/http";
 import type { EngineId, FailureDomain, HostId, Incarnation, Suspect } from "@fulmarcleat/ids";
 import { brandId } from "@fulmarcleat/ids";
+import type { OwnerClaim } from "@fulmarcleat/residency";
 import type { AdapterLoadRequest } from "@fulmarcleat/wire";
 import * as z from "zod";
 
@@ -33,6 +34,10 @@
     readonly isReleased: boolean;
     /** Whether the host gave the engine up because it had lost its path to it. */
     readonly hasLostPath: boolean;
+    /** Why the host waits before its first order; undefined once it may order. */
+    readonly waitsFor?: OwnerClaim["waitsFor"];
+    /** Hosts that may still have the right to order while the host waits for its end. */
+    readonly formerHosts?: OwnerClaim["formerHosts"];
 }
 
 const memberSchema = z.object({
@@ -48,6 +53,8 @@
     incarnation: z.string(),
     isReleased: z.boolean(),
     hasLostPath: z.boolean().default(false),
+    waitsFor: z.enum(["order_lease", "order_right"]).optional(),
+    formerHosts: z.array(z.string()).optional(),
 });
 const loadRequestsSchema = z.object({
     asks: z.array(z.object({
@@ -156,8 +163,8 @@
  * @example
  * formatOwner({ host, incarnation, isReleased: false, hasLostPath: false });
  */
-export function formatOwner({ host, incarnation, isReleased, hasLostPath }: OwnerValue): Buffer {
-    return Buffer.from(JSON.stringify({ host, incarnation, isReleased, hasLostPath }));
+export function formatOwner({ host, incarnation, isReleased, hasLostPath, waitsFor, formerHosts }: OwnerValue): Buffer {
+    return Buffer.from(JSON.stringify({ host, incarnation, isReleased, hasLostPath, waitsFor, formerHosts }));
 }
 
 /**
@@ -240,6 +247,8 @@
             incarnation: brandId(parsed.data.incarnation),
             isReleased: parsed.data.isReleased,
             hasLostPath: parsed.data.hasLostPath,
+            waitsFor: parsed.data.waitsFor,
+            formerHosts: parsed.data.formerHosts?.map(host => brandId<HostId>(host)),
         }
         : undefined;
 }
--- a/packages/front/src/main.ts
+++ b/packages/front/src/main.ts
@@ -5,6 +5,7 @@
 import { createEventLog } from "@fulmarcleat/events";
 import { readDeployment } from "@fulmarcleat/platform";
 import { stopOnSignals } from "@fulmarcleat/program";
+import { checkDeployment } from "./checkDeployment.js";
 import { startFront } from "./startFront.js";
 
 /** Exit code of a process that could not start. */
@@ -14,9 +15,10 @@
 const log = createEventLog({ process: "fulmarcleat-front" });
 
 try {
-    const deployment = await readDeployment(process.env);
+    const readSettings = async () => checkDeployment(await readDeployment(process.env));
+    const deployment = await readSettings();
     const policy = parseEnginePolicy(process.env[POLICY_VARIABLE]);
-    const running = await startFront(deployment, policy, () => readDeployment(process.env));
+    const running = await startFront(deployment, policy, readSettings);
     stopOnSignals(running, deployment.bounds.stopMs, log);
 }
 catch (err) {
--- a/packages/front/src/startAdapterTracker.ts
+++ b/packages/front/src/startAdapterTracker.ts
@@ -152,8 +152,10 @@
         if (ownership.isFenced(engine)) {
             return findRelay(engine);
         }
-        const claim = clusterView.claims.get(engine);
-        const member = claim === undefined || claim.isReleased || claim.hasLostPath
+        const claim = clusterView.claims.current.get(engine);
+        const member = claim === undefined
+            ? ownership.findHolder(engine)
+            : claim.isReleased || claim.hasLostPath
             ? undefined
             : clusterView.members.get(claim.host);
         return member === undefined ? undefined : toAddress(member);
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -102,7 +102,7 @@
         () => handler.running,
         engine => loadTracker.recordHealth(engine, { kind: "reached", atMs: clock.nowMs() }),
     );
-    const ownership = startOwnership(context, health, clusterView, session, paths);
+    const ownership = startOwnership(context, health, clusterView, session, paths, () => peers);
     const outbox = createLoadRequestOutbox(context, () => session.lease);
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
@@ -181,6 +181,7 @@
                 },
                 engineLimit: (notice, from) => Promise.resolve(limits.handleNotice(notice, from)),
                 sendGrant: (request, from) => Promise.resolve(limits.handleRequest(request, from)),
+                orderRight: request => ownership.answerOrderRight(request),
                 engineProbe: request => paths.probeFor(request),
                 engineReach: request => paths.answer(request),
                 engineUse: usageReport => adapters.handleUsageReport(usageReport),
--- a/packages/front/src/startOwnership.steps.ts
+++ b/packages/front/src/startOwnership.steps.ts
@@ -11,6 +11,19 @@
 const PAUSE_MS = 200;
 
 let fleet: OwnerFleet;
+
+/**
+ * Returns the fleet of the scenario that runs.
+ *
+ * @returns the fleet that the scenario's first step has started
+ *
+ * @example
+ * const fleet = readOwnerFleet();
+ */
+export function readOwnerFleet(): OwnerFleet {
+    return fleet;
+}
+
 let lostMs = 0;
 let formerOwners: ReadonlyMap<string, string>;
 let cut: readonly string[] = [];
--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -1,14 +1,16 @@
-import type { ChangeReply, EngineEntry, EngineSpec } from "@fulmarcleat/directory";
+import type { EngineEntry, EngineSpec } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
 import type { EngineId, HostId } from "@fulmarcleat/ids";
-import { assignOwners, decideEngineClaim, rankSuccessors } from "@fulmarcleat/residency";
+import { assignOwners, decideEngineClaim, holdsOrderRight, rankSuccessors } from "@fulmarcleat/residency";
 import type { OwnerClaim } from "@fulmarcleat/residency";
+import type { OrderRightReply, OrderRightRequest, PeerClient } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
+import { createEngineClaims } from "./createEngineClaims.js";
 import { createOwnerTask } from "./createOwnerTask.js";
 import type { OwnerTask } from "./createOwnerTask.js";
 import type { EnginePaths } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
-import { formatOwner, formatOwnerKey } from "./hostKeys.js";
+import type { Member } from "./hostKeys.js";
 import type { Session } from "./startSession.js";
 import type { StoreHealth } from "./storeHealth.js";
 
@@ -18,20 +20,19 @@
     find(engine: EngineId): OwnerTask | undefined;
     /** Whether the engine rejected this host's fencing token, and the store does not show the new owner yet. */
     isFenced(engine: EngineId): boolean;
+    /**
+     * Returns the last owner of an engine that checks no fences if its claim has ended and it may still order; undefined
+     * if there is none, or while it has not been asked.
+     */
+    findHolder(engine: EngineId): Member | undefined;
+    /** Answers a host that asks whether this one may still order an engine; after "stopped" this host no longer does. */
+    answerOrderRight(request: OrderRightRequest): Promise<OrderRightReply>;
     /** Releases every engine at a graceful stop. */
     release(): Promise<void>;
     /** Stops all tasks and claims without releasing the engines. */
     stop(): void;
 }
 
-/** A change of an engine's owner key. */
-interface OwnerChange {
-    readonly expectedRevision: number;
-    readonly lease: number;
-    readonly isReleased: boolean;
-    readonly hasLostPath: boolean;
-}
-
 /** An engine that this host owns. */
 interface OwnedEngine {
     readonly task: OwnerTask;
@@ -41,15 +42,6 @@
     readonly formerSettled: Promise<boolean>;
 }
 
-/** A claim of this host that the store has written, and that the view may not show yet. */
-interface WrittenClaim {
-    readonly claim: OwnerClaim;
-    /** Revision that the view shows until it shows this claim or a later one; undefined without a claim. */
-    readonly formerRevision: number | undefined;
-    readonly lease: number;
-    readonly atMs: number;
-}
-
 /** The giving up of an engine because this host has lost its path to it; once begun it is carried through. */
 interface Handover {
     /** Revision of the claim that is given up. */
@@ -65,11 +57,6 @@
 const RECONCILE_INTERVAL_MS = 200;
 /** How long hosts wait for each other at a first start before engines are assigned to them, in milliseconds. */
 const FIRST_START_WAIT_MS = 1500;
-/**
- * Time after another host was first to claim an engine before this host tries again on the same revision, in
- * milliseconds; the longest interval at which hosts learn of owners.
- */
-const CONFLICT_PAUSE_MS = 1500;
 
 /**
  * Claims engines without an owner and runs the owner tasks of this host's engines.
@@ -79,10 +66,11 @@
  * @param clusterView - Engines, live hosts and owner keys
  * @param session - Supplies this host's lease
  * @param paths - Tells to which engines this host has lost its path; it hands these over
+ * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
  * @returns the engines that this host owns
  *
  * @example
- * const ownership = startOwnership(context, health, clusterView, session, paths);
+ * const ownership = startOwnership(context, health, clusterView, session, paths, () => peers);
  */
 export function startOwnership(
     context: FrontContext,
@@ -90,20 +78,18 @@
     clusterView: ClusterView,
     session: Session,
     paths: Pick<EnginePaths, "isPathLost">,
+    readPeers: () => Pick<PeerClient, "request"> | undefined,
 ): Ownership {
-    const { clock, deployment, hash, incarnation, log, store } = context;
+    const { clock, deployment, hash, incarnation, log } = context;
+    const claims = createEngineClaims(context, health, clusterView, session, readPeers);
     const owned = new Map<EngineId, OwnedEngine>();
-    const formerlyOwned = new Set<EngineId>();
-    const ordersAllowedFrom = new Map<EngineId, number>();
-    const firstObserved = new Map<EngineId, number>();
+    /** Engines that this host owned last, with the number of the list of keys since which it has seen all changes. */
+    const formerlyOwned = new Map<EngineId, number>();
+    /** Clock reading when the last order of this process to an engine ended, in milliseconds. */
+    const lastOrders = new Map<EngineId, number>();
     const rejectedFences = new Map<EngineId, number>();
-    const pendingClaims = new Set<EngineId>();
     const handovers = new Map<EngineId, Handover>();
     const lastHandoverMs = new Map<EngineId, number>();
-    /** Clock readings until which orders of an engine's earlier owners may still be carried out, in milliseconds. */
-    const formerOrdersUntil = new Map<EngineId, number>();
-    const writtenClaims = new Map<EngineId, WrittenClaim>();
-    const lostClaims = new Map<EngineId, { readonly revision: number; readonly atMs: number }>();
     const startedMs = clock.nowMs();
     let isStopped = false;
     let assignment: { readonly key: string; readonly owners: ReturnType<typeof assignOwners> } | undefined;
@@ -115,9 +101,17 @@
         if (existing !== undefined) {
             existing.task.stop();
             owned.delete(engine);
+            recordLastOrder(engine, existing.task);
             log.write("info", 302, { engine, reason });
         }
     };
+    /** Keeps when the last order of a stopped task ended: with its reply or its timeout. */
+    const recordLastOrder = (engine: EngineId, task: OwnerTask): void => {
+        if (task.hasOrdered) {
+            lastOrders.set(engine, clock.nowMs());
+            void task.settle().then(() => lastOrders.set(engine, clock.nowMs()));
+        }
+    };
     const settle = async ({ task, formerSettled }: OwnedEngine): Promise<boolean> => {
         const [isSettled, isFormerSettled] = await Promise.all([task.settle(), formerSettled]);
         return isSettled && isFormerSettled;
@@ -127,15 +121,24 @@
         if (existing?.task.fence === fence && existing.bornMs === entry.bornMs) {
             return;
         }
-        existing?.task.stop();
+        if (existing !== undefined) {
+            existing.task.stop();
+            recordLastOrder(entry.id, existing.task);
+        }
         const formerSettled = existing === undefined ? Promise.resolve(true) : settle(existing);
         const model = spec.models[0]?.name;
         if (model === undefined || rejectedFences.get(entry.id) === fence) {
             return;
         }
-        formerlyOwned.add(entry.id);
+        const isWaiting = claims.read(entry.id)?.waitsFor !== undefined;
+        if (isWaiting) {
+            formerlyOwned.delete(entry.id);
+        }
+        else {
+            formerlyOwned.set(entry.id, clusterView.hostKeyLists);
+        }
         const mayOrder = (): boolean =>
-            session.isVerified() && clock.nowMs() >= (ordersAllowedFrom.get(entry.id) ?? 0)
+            hasOrderRight() && !isWaiting && claims.isWaitOver(entry.id)
             && rejectedFences.get(entry.id) !== fence && !isStopped;
         const task = createOwnerTask(context, {
             entry,
@@ -148,81 +151,13 @@
         owned.set(entry.id, { task, bornMs: entry.bornMs, formerSettled });
         log.write("info", 300, { engine: entry.id, fence, bornMs: entry.bornMs });
     };
-    /** Writes an owner key; unless it is released, it ends with the lease, so that hosts of former versions claim it. */
-    const writeOwner = (
-        engine: EngineId,
-        { expectedRevision, lease, isReleased, hasLostPath }: OwnerChange,
-    ): Promise<ChangeReply> => {
-        const key = formatOwnerKey(engine);
-        const value = formatOwner({ host: deployment.host, incarnation, isReleased, hasLostPath });
-        const expect = [{ key, revision: expectedRevision }];
-        return store.change({ expect, puts: [{ key, value, lease }], removes: [] });
-    };
-    /** Returns an engine's claim: this host's own one from the store's reply on, as the view may show it much later. */
-    const readClaim = (engine: EngineId): OwnerClaim | undefined => {
-        const shown = clusterView.claims.get(engine);
-        const written = writtenClaims.get(engine);
-        const isAhead = written !== undefined && shown?.revision === written.formerRevision
-            && session.lease === written.lease && clock.nowMs() - written.atMs < context.readBounds().contactMs;
-        return isAhead ? written.claim : shown;
-    };
-    const claimEngine = async (engine: EngineId, expectedRevision: number, mustWait: boolean): Promise<void> => {
-        const { lease } = session;
-        const lost = lostClaims.get(engine);
-        const hasJustLost = lost?.revision === expectedRevision && clock.nowMs() - lost.atMs < CONFLICT_PAUSE_MS;
-        if (lease === undefined || pendingClaims.has(engine) || hasJustLost) {
-            return;
-        }
-        const former = clusterView.claims.get(engine);
-        const mayHaveFormerOrders = former === undefined ? !deployment.isFirstStart : !former.isReleased;
-        const allowOrders = (): void => {
-            const { orderLeaseMs } = context.readBounds();
-            ordersAllowedFrom.set(engine, clock.nowMs() + (mustWait ? orderLeaseMs : 0));
-            formerOrdersUntil.set(engine, clock.nowMs() + (mayHaveFormerOrders ? orderLeaseMs : 0));
-        };
-        pendingClaims.add(engine);
-        // The watch may show the claim before the reply to it arrives.
-        allowOrders();
-        try {
-            const change = { expectedRevision, lease, isReleased: false, hasLostPath: false };
-            const reply = await writeOwner(engine, change);
-            health.recordCall(true, "claim engine");
-            if (reply.kind === "written") {
-                allowOrders();
-                writtenClaims.set(engine, {
-                    claim: {
-                        host: deployment.host,
-                        incarnation,
-                        isReleased: false,
-                        hasLostPath: false,
-                        revision: reply.revision,
-                    },
-                    formerRevision: expectedRevision === 0 ? undefined : expectedRevision,
-                    lease,
-                    atMs: clock.nowMs(),
-                });
-            }
-            else if (reply.kind === "conflict") {
-                lostClaims.set(engine, { revision: expectedRevision, atMs: clock.nowMs() });
-            }
-        }
-        catch (err) {
-            // The call failed, but the claim may have been written.
-            allowOrders();
-            log.write("warn", 602, { step: toServeError(err, INTERNAL).step, engine });
-            health.recordCall(false, "claim engine");
-        }
-        finally {
-            pendingClaims.delete(engine);
-        }
-    };
     /**
      * Stops owning an engine. Resolves, once the last order has been answered or has timed out, to whether no order of
      * this host or of an owner before it can be carried out any more.
      */
     const stopOrders = (engine: EngineId, reason: string): Promise<boolean> => {
         const existing = owned.get(engine);
-        const isAfterFormerOrders = clock.nowMs() >= (formerOrdersUntil.get(engine) ?? 0);
+        const isAfterFormerOrders = claims.isAfterFormerOrders(engine);
         stopOwning(engine, reason);
         return existing === undefined || !isAfterFormerOrders ? Promise.resolve(false) : settle(existing);
     };
@@ -236,19 +171,17 @@
     };
     /** Writes that this host gives an engine up; called again until the store has answered. */
     const writeHandover = async (engine: EngineId, handover: Handover): Promise<void> => {
-        const { lease } = session;
-        if (lease === undefined || handover.isWriting || handover.isDone) {
+        if (session.lease === undefined || handover.isWriting || handover.isDone) {
             return;
         }
         handover.isWriting = true;
         try {
             const isReleased = await handover.settled;
-            const reply = await writeOwner(engine, {
-                expectedRevision: handover.revision,
-                lease: isReleased ? 0 : lease,
-                isReleased,
-                hasLostPath: true,
-            });
+            const expectedRevision = handover.revision;
+            const reply = await claims.giveUp(engine, { expectedRevision, isReleased, hasLostPath: true });
+            if (reply === undefined) {
+                return;
+            }
             health.recordCall(true, "hand engine over");
             handover.isDone = reply.kind !== "lease_ended";
             if (reply.kind === "written") {
@@ -269,7 +202,7 @@
         if (handover === undefined) {
             return false;
         }
-        const revision = readClaim(engine)?.revision;
+        const revision = claims.read(engine)?.revision;
         if (revision !== undefined && revision <= handover.revision) {
             void writeHandover(engine, handover);
             return true;
@@ -277,6 +210,14 @@
         handovers.delete(engine);
         return false;
     };
+    /** Whether this host's view of its claims is young enough to order by, where engines check no fences. */
+    const hasOrderRight = (): boolean =>
+        session.isVerified()
+        && (context.readBounds().checksFences
+            || holdsOrderRight(clusterView.readConfirmedFrom("hosts"), {
+                nowMs: clock.nowMs(),
+                wallMs: clock.wallMs(),
+            }));
     const mayHandOver = (engine: EngineId): boolean =>
         health.isAvailable
         && clock.nowMs() - (lastHandoverMs.get(engine) ?? -Infinity) >= context.readBounds().orderLeaseMs;
@@ -295,21 +236,18 @@
         if (continueHandover(entry.id)) {
             return;
         }
-        const claim = readClaim(entry.id);
-        if (!firstObserved.has(entry.id)) {
-            firstObserved.set(entry.id, clock.nowMs());
-        }
-        const unownedSinceMs = clusterView.unownedSince.get(entry.id) ?? firstObserved.get(entry.id) ?? 0;
+        const claim = claims.read(entry.id);
         const decision = decideEngineClaim({
             self: deployment.host,
             incarnation,
             claim,
             rank: readRank(claim, hosts),
-            wasOwner: formerlyOwned.has(entry.id),
+            wasOwner: formerlyOwned.get(entry.id) === clusterView.hostKeyLists,
+            isWaitOver: claims.isWaitOver(entry.id),
             isPathLost: paths.isPathLost(entry.id),
             mayHandOver: mayHandOver(entry.id),
-            unownedMs: clock.nowMs() - unownedSinceMs,
-            isFirstStart: deployment.isFirstStart,
+            unownedMs: claims.readUnownedMs(entry.id),
+            isNeverOwned: claims.isNeverOwned(entry.id),
             checksFences: context.readBounds().checksFences,
         });
         switch (decision.kind) {
@@ -317,8 +255,8 @@
                 startOwning(entry, spec, decision.fence);
                 return;
             case "claim":
-                stopOwning(entry.id, "the claim is gone");
-                void claimEngine(entry.id, decision.expectedRevision, decision.mustWait);
+                stopOwning(entry.id, claim?.host === deployment.host ? "its wait is over" : "the claim is gone");
+                claims.claim(entry.id, decision);
                 return;
             case "hand_over":
                 void writeHandover(entry.id, startHandover(entry.id, decision.expectedRevision));
@@ -360,9 +298,7 @@
     reconcile();
     clusterView.onEngineRemoved(entry => {
         stopOwning(entry.id, "the engine is gone");
-        firstObserved.delete(entry.id);
-        lostClaims.delete(entry.id);
-        writtenClaims.delete(entry.id);
+        claims.forget(entry.id);
     });
     clusterView.onRelease(({ adapter, version }) => owned.forEach(({ task }) => task.refreshAdapter(adapter, version)));
     return {
@@ -371,23 +307,32 @@
             return task === undefined || rejectedFences.get(engine) === task.fence ? undefined : task;
         },
         isFenced: engine => rejectedFences.has(engine) && rejectedFences.get(engine) === owned.get(engine)?.task.fence,
+        findHolder(engine) {
+            return context.readBounds().checksFences ? undefined : claims.findHolder(engine);
+        },
+        async answerOrderRight({ engine, fence }) {
+            const existing = owned.get(engine);
+            if (existing !== undefined) {
+                const mayGoOn = fence === undefined ? hasOrderRight() : existing.task.fence >= fence;
+                if (mayGoOn && !isStopped) {
+                    return { kind: "holding" };
+                }
+                rejectedFences.set(engine, existing.task.fence);
+                stopOwning(engine, "another host takes it over");
+                await settle(existing);
+            }
+            return { kind: "stopped", lastOrderAgoMs: clock.nowMs() - (lastOrders.get(engine) ?? startedMs) };
+        },
         async release() {
             isStopped = true;
             await Promise.all([...owned].map(async ([engine, { task }]) => {
                 const isReleased = await stopOrders(engine, "the host stops");
-                const lease = isReleased ? 0 : session.lease;
-                if (lease === undefined) {
-                    return;
-                }
                 try {
                     // An engine that left an order without a reply is handed over like one whose path is lost.
-                    await writeOwner(engine, {
-                        expectedRevision: task.fence,
-                        lease,
-                        isReleased,
-                        hasLostPath: !isReleased,
-                    });
-                    log.write("info", 301, { engine, reason: "the host stops", isReleased });
+                    const change = { expectedRevision: task.fence, isReleased, hasLostPath: !isReleased };
+                    if (await claims.giveUp(engine, change) !== undefined) {
+                        log.write("info", 301, { engine, reason: "the host stops", isReleased });
+                    }
                 }
                 catch (err) {
                     log.write("warn", 602, { step: toServeError(err, INTERNAL).step, engine });
@@ -396,6 +341,7 @@
         },
         stop() {
             isStopped = true;
+            claims.stop();
             owned.forEach(({ task }) => task.stop());
         },
     };
--- a/packages/front/src/startSession.ts
+++ b/packages/front/src/startSession.ts
@@ -2,6 +2,7 @@
 import { ServeError, toServeError } from "@fulmarcleat/errors";
 import { sleep } from "@fulmarcleat/ids";
 import { randomBytes } from "node:crypto";
+import { LEASE_MS } from "./checkDeployment.js";
 import type { ClusterView } from "./createClusterView.js";
 import type { FrontContext } from "./frontContext.js";
 import { formatMember, formatMemberKey, PEER_SECRET_KEY } from "./hostKeys.js";
@@ -21,11 +22,6 @@
     leave(): Promise<void>;
 }
 
-/**
- * Lease of a host's keys, in milliseconds. It outlasts a restart, so that a restarted host
- * still owns its engines. When it ends, a former owner's last order is older than the platform's order lease.
- */
-const LEASE_MS = 6000;
 /** Interval between two renewals of the lease, in milliseconds. */
 const RENEW_INTERVAL_MS = 1000;
 /** Delay after a failed call to the store, in milliseconds. */
--- a/packages/front/src/startStoreWatch.ts
+++ b/packages/front/src/startStoreWatch.ts
@@ -2,6 +2,7 @@
 import type { StoreEvent, StoreItem } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
 import { sleep } from "@fulmarcleat/ids";
+import type { ClockReading } from "@fulmarcleat/residency";
 import type { FrontContext } from "./frontContext.js";
 import type { StoreHealth } from "./storeHealth.js";
 
@@ -26,6 +27,8 @@
 export interface StoreWatch {
     /** Clock reading when the store last confirmed what the listener received, in milliseconds; undefined before. */
     readonly confirmedAtMs: number | undefined;
+    /** When the call was sent whose reply was the last confirmation; undefined before. */
+    readonly confirmedFrom: ClockReading | undefined;
     stop(): void;
 }
 
@@ -56,15 +59,17 @@
     let isStopped = false;
     let revision: number | undefined;
     let confirmedAtMs: number | undefined;
+    let confirmedFrom: ClockReading | undefined;
     const read = async (isRetry: boolean): Promise<void> => {
+        const sent = { nowMs: context.clock.nowMs(), wallMs: context.clock.wallMs() };
         if (revision === undefined) {
-            const sentAtMs = context.clock.nowMs();
             const { items, revision: listedAt } = await context.store.list(options.prefix);
             health.recordCall(true, "list keys");
             revision = listedAt;
             // The pages of a list are read one after the other; only what was there before the first is certain.
-            confirmedAtMs = sentAtMs;
+            confirmedAtMs = sent.nowMs;
             listener.listed(items);
+            confirmedFrom = sent;
             return;
         }
         // A call that waits would tell only at the end of its wait that the store still doesn't answer.
@@ -81,6 +86,7 @@
         if (reply.events.length > 0) {
             listener.changed(reply.events);
         }
+        confirmedFrom = sent;
     };
     const run = async (): Promise<void> => {
         let pauseMs = INITIAL_RETRY_DELAY_MS;
@@ -116,6 +122,9 @@
         get confirmedAtMs() {
             return confirmedAtMs;
         },
+        get confirmedFrom() {
+            return confirmedFrom;
+        },
         stop: () => void (isStopped = true),
     };
 }
--- a/packages/residency/src/decideEngineClaim.feature
+++ b/packages/residency/src/decideEngineClaim.feature
@@ -1,7 +1,7 @@
 Feature: An engine has one owner at a time, and a new owner sends orders only once the former owner no longer can
 
     Scenario Outline: <case>
-        Then decideEngineClaim of [{"self":"a","incarnation":"1","rank":<rank>,"wasOwner":<was>,"unownedMs":<unowned>,"isFirstStart":<first>,"checksFences":false,<claim>}] gives <result>
+        Then decideEngineClaim of [{"self":"a","incarnation":"1","rank":<rank>,"wasOwner":<was>,"unownedMs":<unowned>,"isNeverOwned":<first>,"checksFences":false,<claim>}] gives <result>
 
         Examples:
             | case                                     | rank | was   | unowned | first | claim                                                                  | result                                                 |
@@ -19,7 +19,7 @@
 
     # Guards against owners that hold engines which they can't reach, and against long waits for hosts that can't claim.
     Scenario Outline: Lost paths: <case>
-        Then decideEngineClaim of [{"self":"a","incarnation":"1","rank":<rank>,"wasOwner":false,"isPathLost":<lost>,"mayHandOver":<may>,"unownedMs":<unowned>,"isFirstStart":false,"checksFences":<fences>,<claim>}] gives <result>
+        Then decideEngineClaim of [{"self":"a","incarnation":"1","rank":<rank>,"wasOwner":false,"isPathLost":<lost>,"mayHandOver":<may>,"unownedMs":<unowned>,"isNeverOwned":false,"checksFences":<fences>,<claim>}] gives <result>
 
         Examples:
             | case                                            | rank | lost  | may   | unowned | fences | claim                                                                                      | result                                                 |
@@ -42,5 +42,19 @@
             | handed over, last of 300, all others are silent | 299  | false | true  | 3600    | true   | "claim":{"host":"b","incarnation":"1","isReleased":true,"hasLostPath":true,"revision":7}   | {"kind":"claim","expectedRevision":7,"mustWait":false} |
             | handed over by this host, its path is back      | 0    | false | true  | 0       | false  | "claim":{"host":"a","incarnation":"1","isReleased":false,"hasLostPath":true,"revision":7}  | {"kind":"claim","expectedRevision":7,"mustWait":true}  |
 
+    # Guards against an owner whose wait for the owners before it is forgotten with its process, or never ends.
+    Scenario Outline: Waits: <case>
+        Then decideEngineClaim of [{"self":"a","incarnation":"1","rank":0,"wasOwner":<was>,"isWaitOver":<over>,"unownedMs":0,"isNeverOwned":false,"checksFences":<fences>,<claim>}] gives <result>
+
+        Examples:
+            | case                                      | was   | over  | fences | claim                                                                                                              | result                                                 |
+            | it still waits                            | false | false | false  | "claim":{"host":"a","incarnation":"1","isReleased":false,"hasLostPath":false,"waitsFor":"order_right","revision":7} | {"kind":"own","fence":7}                               |
+            | its wait is over                          | false | true  | false  | "claim":{"host":"a","incarnation":"1","isReleased":false,"hasLostPath":false,"waitsFor":"order_right","revision":7} | {"kind":"claim","expectedRevision":7,"mustWait":false} |
+            | it restarts while it waits for a right    | false | true  | false  | "claim":{"host":"a","incarnation":"0","isReleased":false,"hasLostPath":false,"waitsFor":"order_right","revision":7} | {"kind":"claim","expectedRevision":7,"mustWait":true}  |
+            | it restarts while it waits for a lease    | false | true  | false  | "claim":{"host":"a","incarnation":"0","isReleased":false,"hasLostPath":false,"waitsFor":"order_lease","revision":7} | {"kind":"claim","expectedRevision":7,"mustWait":true}  |
+            | the same where engines check fences       | false | true  | true   | "claim":{"host":"a","incarnation":"0","isReleased":false,"hasLostPath":false,"waitsFor":"order_lease","revision":7} | {"kind":"claim","expectedRevision":7,"mustWait":false} |
+            | another host waits                        | false | true  | false  | "claim":{"host":"b","incarnation":"1","isReleased":false,"hasLostPath":false,"waitsFor":"order_right","revision":7} | {"kind":"wait"}                                        |
+            | another host gave up while it waited      | false | true  | false  | "claim":{"host":"b","incarnation":"1","isReleased":false,"hasLostPath":true,"waitsFor":"order_right","revision":7}  | {"kind":"claim","expectedRevision":7,"mustWait":true}  |
+
     Scenario: A new owner of an engine that checks fences doesn't wait after the former lease has expired
-        Then decideEngineClaim of [{"self":"a","incarnation":"1","rank":0,"wasOwner":false,"unownedMs":700,"isFirstStart":false,"checksFences":true}] gives {"kind":"claim","expectedRevision":0,"mustWait":false}
+        Then decideEngineClaim of [{"self":"a","incarnation":"1","rank":0,"wasOwner":false,"unownedMs":700,"isNeverOwned":false,"checksFences":true}] gives {"kind":"claim","expectedRevision":0,"mustWait":false}
--- a/packages/residency/src/decideEngineClaim.ts
+++ b/packages/residency/src/decideEngineClaim.ts
@@ -11,6 +11,13 @@
      * orders of it may still be carried out.
      */
     readonly hasLostPath: boolean;
+    /**
+     * Why the owner waits before its first order: the last order of an owner before it may be younger than the order
+     * lease, or that owner may still have the right to order. Undefined once it may order.
+     */
+    readonly waitsFor?: "order_lease" | "order_right" | undefined;
+    /** Hosts that may still have the right to order while the owner waits for its end; empty if they are unknown. */
+    readonly formerHosts?: readonly HostId[] | undefined;
     /** Revision of the claim, which is the fencing token of its holder's orders. */
     readonly revision: number;
 }
@@ -22,16 +29,18 @@
     readonly claim: OwnerClaim | undefined;
     /** Position of this host in the engine's order of live hosts, or of successors after a lost path; 0 is first. */
     readonly rank: number;
-    /** Whether this host was the last known owner. */
+    /** Whether this host was the last owner, and no other one can have been since. */
     readonly wasOwner: boolean;
+    /** Whether this host's wait before its first order is over. */
+    readonly isWaitOver: boolean;
     /** Whether this host gets nothing from the engine while other hosts do. */
     readonly isPathLost: boolean;
     /** Whether this host may give the engine up for a lost path now. */
     readonly mayHandOver: boolean;
     /** How long the engine has been without an owner, in milliseconds. */
     readonly unownedMs: number;
-    /** Whether the system starts for the first time. */
-    readonly isFirstStart: boolean;
+    /** Whether the engine has never had an owner, for all that hosts can have done unseen. */
+    readonly isNeverOwned: boolean;
     /** Whether engines reject a former owner's orders once they have received an order of the new owner. */
     readonly checksFences: boolean;
 }
@@ -43,7 +52,7 @@
         readonly kind: "claim";
         /** Revision that the claim's key must have, so that only one host's claim succeeds. */
         readonly expectedRevision: number;
-        /** Whether the new owner must wait because another host may have just sent orders. */
+        /** Whether the new owner must wait because another host may still send orders, or may have just sent some. */
         readonly mustWait: boolean;
     }
     /** The host gives its engine up, under the condition that the claim's key has this revision. */
@@ -78,9 +87,13 @@
             ? { kind: "claim", expectedRevision: claim.revision, mustWait: !claim.isReleased && !view.checksFences }
             : WAIT;
     }
-    const waitMs = view.wasOwner ? 0 : view.rank * RANK_WAIT_MS + (view.isFirstStart ? 0 : FORMER_WAIT_MS);
+    const waitMs = view.wasOwner ? 0 : view.rank * RANK_WAIT_MS + (view.isNeverOwned ? 0 : FORMER_WAIT_MS);
     return view.unownedMs >= waitMs
-        ? { kind: "claim", expectedRevision: 0, mustWait: !view.wasOwner && !view.isFirstStart && !view.checksFences }
+        ? {
+            kind: "claim",
+            expectedRevision: 0,
+            mustWait: !view.wasOwner && !view.isNeverOwned && !view.checksFences,
+        }
         : WAIT;
 }
 
@@ -89,10 +102,18 @@
     if (view.isPathLost && view.mayHandOver) {
         return { kind: "hand_over", expectedRevision: claim.revision };
     }
-    if (claim.incarnation === view.incarnation) {
-        return { kind: "own", fence: claim.revision };
+    if (claim.incarnation !== view.incarnation) {
+        return view.isPathLost
+            ? WAIT
+            : {
+                kind: "claim",
+                expectedRevision: claim.revision,
+                mustWait: claim.waitsFor !== undefined && !view.checksFences,
+            };
     }
-    return view.isPathLost ? WAIT : { kind: "claim", expectedRevision: claim.revision, mustWait: false };
+    return claim.waitsFor !== undefined && view.isWaitOver
+        ? { kind: "claim", expectedRevision: claim.revision, mustWait: false }
+        : { kind: "own", fence: claim.revision };
 }
 
 /**
--- /dev/null
+++ b/packages/residency/src/holdsOrderRight.steps.ts
@@ -0,0 +1,9 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { holdsOrderRight } from "./holdsOrderRight.js";
+import type { ClockReading } from "./holdsOrderRight.js";
+
+// JSON has no undefined.
+registerTable(
+    "holdsOrderRight",
+    (confirmedFrom: ClockReading | null, now: ClockReading) => holdsOrderRight(confirmedFrom ?? undefined, now),
+);
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -1,10 +1,16 @@
 export { applyEngineReport } from "./applyEngineReport.js";
 export { applyOrderReply } from "./applyOrderReply.js";
 export { assignOwners } from "./assignOwners.js";
+export { chooseOrderWait } from "./chooseOrderWait.js";
+export type { FormerOwner } from "./chooseOrderWait.js";
 export { decideEngineClaim } from "./decideEngineClaim.js";
 export type { EngineClaimDecision, EngineClaimView, OwnerClaim } from "./decideEngineClaim.js";
 export { describeResidency } from "./describeResidency.js";
+export { holdsOrderRight } from "./holdsOrderRight.js";
+export type { ClockReading } from "./holdsOrderRight.js";
 export { isNewEnough } from "./isNewEnough.js";
+export { joinFormerOwners } from "./joinFormerOwners.js";
+export type { FormerOwnerReply, JoinOptions } from "./joinFormerOwners.js";
 export { planOrder } from "./planOrder.js";
 export type { OwnerStep } from "./planOrder.js";
 export { rankSuccessors } from "./rankSuccessors.js";
--- a/packages/spec/src/checkedSpecifications.ts
+++ b/packages/spec/src/checkedSpecifications.ts
@@ -1,5 +1,6 @@
 import { CHECKED_IDEMPOTENCY } from "./checkedIdempotency.js";
 import { CONFIG_SPECIFICATIONS } from "./configSpecifications.js";
+import { ORDER_RIGHT_SPECIFICATIONS } from "./exploreOrderRight.js";
 import { OWNERSHIP_SPECIFICATIONS } from "./exploreOwnership.js";
 import { PLATFORM_OWNERSHIP_SPECIFICATIONS } from "./explorePlatformOwnership.js";
 import type { CheckedSpecification } from "./specification.js";
@@ -10,4 +11,5 @@
     ...CONFIG_SPECIFICATIONS,
     ...OWNERSHIP_SPECIFICATIONS,
     ...PLATFORM_OWNERSHIP_SPECIFICATIONS,
+    ...ORDER_RIGHT_SPECIFICATIONS,
 ];
--- a/packages/spec/src/platformOwnershipSpecification.ts
+++ b/packages/spec/src/platformOwnershipSpecification.ts
@@ -130,10 +130,11 @@
         claim,
         rank: 0,
         wasOwner: hosts[host].fence !== 0,
+        isWaitOver: true,
         isPathLost: false,
         mayHandOver: false,
         unownedMs: NOW_MS,
-        isFirstStart: false,
+        isNeverOwned: false,
         checksFences,
     });
     return decision.kind === "claim";
--- a/packages/wire/src/createPeerClient.ts
+++ b/packages/wire/src/createPeerClient.ts
@@ -46,7 +46,7 @@
 export interface PeerClient {
     /**
      * Sends a request and waits for its reply. Throws ServeError `peer_failed` with the outcome `not_run` if nothing
-     * was sent, and `unknown` otherwise.
+     * was sent, and `unknown` otherwise; its cause is the socket's error if the connection could not be opened.
      */
     request<Name extends ExchangeName>(
         to: PeerAddress,
@@ -143,6 +143,7 @@
     const nonce = randomBytes(NONCE_BYTES).toString("hex");
     let cancelHeartbeat: CancelTimer = () => undefined;
     let isConnected = false;
+    let socketError: Error | undefined;
     const sendHeartbeat = (): void => {
         if (options.heartbeatMs !== undefined) {
             writeFrame(socket, { t: "ping" }, options.metrics);
@@ -151,14 +152,17 @@
     };
     const verified = new Promise<void>((resolve, reject) => {
         socket.setTimeout(options.silenceMs, () => socket.destroy());
-        socket.on("error", () => socket.destroy());
+        socket.on("error", err => {
+            socketError = err;
+            socket.destroy();
+        });
         socket.on("close", () => {
             remove();
             cancelHeartbeat();
             if (isConnected) {
                 options.log?.write("info", 201, { peer: to.host });
             }
-            reject(createError(to.host, "the connection could not be opened", "not_run"));
+            reject(createError(to.host, "the connection could not be opened", "not_run", socketError));
             pendingRequests.failAll("the connection to the peer was closed");
         });
         const accept = (): void => {
@@ -260,6 +264,6 @@
     }
 }
 
-function createError(peer: HostId, message: string, outcome: "not_run" | "unknown"): ServeError {
-    return new ServeError(message, { code: "peer_failed", step: "ask peer", peer, outcome });
+function createError(peer: HostId, message: string, outcome: "not_run" | "unknown", cause?: Error): ServeError {
+    return new ServeError(message, { code: "peer_failed", step: "ask peer", peer, outcome, cause });
 }
--- a/packages/wire/src/createPeerServer.feature
+++ b/packages/wire/src/createPeerServer.feature
@@ -32,3 +32,6 @@
             | when                         | heartbeats         | count |
             | by the next request          | without heartbeats | 2     |
             | only after the silence limit | with heartbeats    | 1     |
+
+    Scenario: The error of a refused connection names the socket's error, so that callers can tell it from silence
+        Then a request to a port without a listener fails as not run because of "ECONNREFUSED"
--- a/packages/wire/src/createPeerServer.steps.ts
+++ b/packages/wire/src/createPeerServer.steps.ts
@@ -84,6 +84,36 @@
     return readFileSync(new URL(`../../../features/certificates/${name}.pem`, import.meta.url), "utf8");
 }
 
+Then(
+    "a request to a port without a listener fails as not run because of {string}",
+    async (code: string) => {
+        const unused = createServer();
+        await new Promise<void>(resolve => unused.listen(0, LOCAL, () => resolve()));
+        const address = unused.address();
+        const port = typeof address === "object" && address !== null ? address.port : 0;
+        await new Promise(resolve => unused.close(resolve));
+        const client = createPeerClient({
+            host: CLIENT,
+            peerKey: padKey("k"),
+            clock: createSystemClock(),
+            metrics: createMetrics(),
+            heartbeatMs: undefined,
+            silenceMs: SILENCE_MS,
+        });
+        const to = { host: brandId<HostId>("entry-1"), address: LOCAL, port };
+        const request = client.request(to, "explain", { adapter: undefined, requestId: undefined }, SILENCE_MS);
+        await rejects(
+            request,
+            (err: Error & { readonly outcome?: string; readonly cause?: { readonly code?: string } }) => {
+                strictEqual(err.outcome, "not_run");
+                strictEqual(err.cause?.code, code);
+                return true;
+            },
+        );
+        client.close();
+    },
+);
+
 let connectionCount = 0;
 
 Given(/^a client (with|without) heartbeats sends two requests to an unresponsive peer$/, async (how: string) => {
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -11,6 +11,7 @@
 export { isSameMac } from "./isSameMac.js";
 export type * from "./limitMessages.js";
 export type * from "./messages.js";
+export type * from "./orderRightMessages.js";
 export type * from "./reachMessages.js";
 export type * from "./residencyMessages.js";
 export type * from "./streamMessages.js";
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -20,6 +20,7 @@
     QuarantineNotice,
 } from "./crashMessages.js";
 import type { LimitNotice, LimitNoticeReply, SendGrantReply, SendGrantRequest } from "./limitMessages.js";
+import type { OrderRightReply, OrderRightRequest } from "./orderRightMessages.js";
 import type { EngineProbeReply, EngineProbeRequest, EngineReachReply, EngineReachRequest } from "./reachMessages.js";
 import type { AdapterLoadReply, AdapterLoadRequest, HostUsageReply, HostUsageReport } from "./residencyMessages.js";
 import type { StreamOriginReply, StreamOriginRequest, StreamRecord } from "./streamMessages.js";
@@ -270,6 +271,7 @@
     readonly engineLimit: { readonly request: LimitNotice; readonly reply: LimitNoticeReply };
     readonly sendGrant: { readonly request: SendGrantRequest; readonly reply: SendGrantReply };
     readonly engineProbe: { readonly request: EngineProbeRequest; readonly reply: EngineProbeReply };
+    readonly orderRight: { readonly request: OrderRightRequest; readonly reply: OrderRightReply };
     readonly engineReach: { readonly request: EngineReachRequest; readonly reply: EngineReachReply };
     readonly engineUse: { readonly request: HostUsageReport; readonly reply: HostUsageReply };
 }
