A permit to send to a limited engine counts from the sending of its request

Cause: it counted from the reply, so that a late or frozen reply made it longer than the granter's window assumes; same class as an owner's right without an end. Change: createEngineLimits keeps when the request was sent. Evidence: one of four rows failed before.

--- a/packages/front/src/createEngineLimits.feature
+++ b/packages/front/src/createEngineLimits.feature
@@ -64,3 +64,16 @@
         When 6 engines name a limit of 2 requests a second, and clients send requests for 30 s
         Then requests are refused as limited within 100 ms, and are told to return after 20 to 4000 ms
         And a request of priority 0 is served at least 1.3 times as often as one of priority 1
+
+    # Guards against a right to send that lasts longer the later the reply that grants it arrives.
+    Scenario Outline: A permit whose grant arrives <late> ms after it was asked for and is used <after> ms after that
+        Given a host that asks another one for a permit, whose reply arrives after <late> ms
+        When it uses the permit <after> ms after the reply
+        Then the granter has been asked <times>
+
+        Examples:
+            | late | after | times |
+            | 10   | 480   | once  |
+            | 180  | 310   | once  |
+            | 10   | 500   | twice |
+            | 180  | 330   | twice |
--- a/packages/front/src/createEngineLimits.ts
+++ b/packages/front/src/createEngineLimits.ts
@@ -22,7 +22,8 @@
 export type SendPermit =
     /** The engine names no limit, as far as this host knows. */
     | { readonly kind: "unlimited" }
-    | { readonly kind: "granted"; readonly atMs: number }
+    /** `askedMs` is the clock reading when the request for it was sent, in milliseconds. */
+    | { readonly kind: "granted"; readonly askedMs: number }
     /** `readyInMs` is the expected time until a request may be sent, in milliseconds. */
     | { readonly kind: "refused"; readonly readyInMs: number };
 
@@ -80,7 +81,7 @@
 
 /** Time for which sends without a grant count once the engine names a limit, in milliseconds. */
 const SENDS_MEMORY_MS = 4000;
-/** Time for which a request may use a grant, in milliseconds; it may wait for an adapter. */
+/** Time after its request was sent for which a grant may be used, in milliseconds; its holder may wait for an adapter. */
 const PERMIT_VALID_MS = 500;
 /** Hosts that grant requests to an engine: the granter, and its substitute while the granter does not reply. */
 const GRANTERS = 2;
@@ -294,11 +295,16 @@
         record.hold = { untilMs: nowMs + holdMs, priority, readyAtMs: nowMs + readyInMs };
         return { kind: "refused", readyInMs: Math.max(holdMs, readyInMs) };
     };
-    const applyReply = (record: EngineRecord, reply: SendGrantReply, priority: number): SendPermit => {
+    const applyReply = (
+        record: EngineRecord,
+        reply: SendGrantReply,
+        priority: number,
+        askedMs: number,
+    ): SendPermit => {
         metrics.count("send_grants_total", { reply: reply.kind });
         switch (reply.kind) {
             case "granted":
-                return { kind: "granted", atMs: clock.nowMs() };
+                return { kind: "granted", askedMs };
             case "refused":
                 return refuse(record, priority, reply.readyInMs);
             case "unlimited": {
@@ -344,7 +350,7 @@
             if (limit?.perSecond === undefined) {
                 return { kind: "unlimited" };
             }
-            if (held?.kind === "granted" && clock.nowMs() - held.atMs < PERMIT_VALID_MS) {
+            if (held?.kind === "granted" && clock.nowMs() - held.askedMs < PERMIT_VALID_MS) {
                 return held;
             }
             const holdMs = readHoldMs(entry, priority);
@@ -354,9 +360,10 @@
             const granters = listGranters(entry.id);
             for (const granter of granters.filter(isReachable)) {
                 const isSubstitute = granter !== granters[0];
+                const askedMs = clock.nowMs();
                 const reply = await askGranter(granter, { ...createNotice(record, limit), priority, isSubstitute });
                 if (reply !== undefined) {
-                    return applyReply(record, reply, priority);
+                    return applyReply(record, reply, priority, askedMs);
                 }
             }
             metrics.count("send_grants_total", { reply: "none" });
