Requests whose clients have left while they waited to be read are not sent on

Cause: a host that is behind (all hosts have just started, cold code) reads a request a second or two after it arrived, and reads its client's end only in the next turn of the event loop; by then the request has gone to an engine. Ruled out: sends after a wait (the engine is reached by the first send). Change: createLoopTurns tells when the process is behind; the request then waits two turns, in which its client's end is read. Nothing waits while the loop is on time.

--- a/packages/front/src/createClientHandler.steps.ts
+++ b/packages/front/src/createClientHandler.steps.ts
@@ -62,7 +62,10 @@
         log: { write: () => undefined },
     } as unknown as FrontContext;
     const view = { config, readAgeMs: () => 0 } as unknown as ClusterView;
-    const handler = createClientHandler(context, view, { run }, () => undefined, () => undefined);
+    const handler = createClientHandler(context, view, { run }, () => undefined, () => undefined, {
+        isBehind: () => false,
+        readArrived: () => Promise.resolve(),
+    });
     server = createServer((req, res) => handler.handle(req, res, MARK));
     port = await listen(server, { host: LOCAL, port: 0 });
 }
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -7,6 +7,7 @@
 import type { RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
+import type { LoopTurns } from "./createLoopTurns.js";
 import type { RequestDigester } from "./createRequestDigester.js";
 import { SENDS_HEADER } from "./forwardMark.js";
 import type { ForwardMark } from "./forwardMark.js";
@@ -41,10 +42,11 @@
  * @param runner - Sends requests to engines
  * @param readStopMs - Returns the clock reading at which the process exits; undefined while no stop has begun
  * @param digestRequest - Computes the digests of requests
+ * @param turns - Tells whether the process is behind in reading what has arrived
  * @returns the handler and the number of requests in flight
  *
  * @example
- * createServer(createClientHandler(context, clusterView, runner, () => undefined, digestRequest).handle);
+ * createServer(createClientHandler(context, clusterView, runner, () => undefined, digestRequest, turns).handle);
  */
 export function createClientHandler(
     context: FrontContext,
@@ -52,6 +54,7 @@
     runner: RequestRunner,
     readStopMs: () => number | undefined,
     digestRequest: RequestDigester,
+    turns: Pick<LoopTurns, "isBehind" | "readArrived">,
 ): ClientHandler {
     const isStopping = (): boolean => readStopMs() !== undefined;
     const { clock, log, metrics, random } = context;
@@ -103,10 +106,13 @@
             () => abortController.abort(),
         );
         let hasDisconnected = false;
+        const disconnect = (): void => {
+            hasDisconnected = true;
+            abortController.abort();
+        };
         res.on("close", () => {
             if (!res.writableFinished) {
-                hasDisconnected = true;
-                abortController.abort();
+                disconnect();
             }
         });
         try {
@@ -117,6 +123,13 @@
                 peer: "caller",
             } as const;
             const body = hasBody(req) ? await readBody(req, limits) : Buffer.alloc(0);
+            if (turns.isBehind()) {
+                // The client may have left while its request waited to be read.
+                await turns.readArrived();
+                if (req.socket.readableEnded) {
+                    disconnect();
+                }
+            }
             const relay = route.kind === "streaming"
                 ? createAnswerRelay(res, { sendsCompleteEvents: route.isResumable, isClosing: isStopping })
                 : undefined;
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -27,6 +27,7 @@
 import { createForwardTransport } from "./createForwardTransport.js";
 import { createIdleCloser } from "./createIdleCloser.js";
 import { createLoadRequestOutbox } from "./createLoadRequestOutbox.js";
+import { createLoopTurns } from "./createLoopTurns.js";
 import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStreamOrigins } from "./createStreamOrigins.js";
@@ -136,7 +137,8 @@
     const isReady = (): boolean => !isStopping && clusterView.config !== undefined && clusterView.engines.size > 0;
     let stopsAtMs: number | undefined;
     const digestRequest = createRequestDigester(() => sharedKey);
-    const handler = createClientHandler(context, clusterView, runner, () => stopsAtMs, digestRequest);
+    const turns = createLoopTurns(clock, setImmediate);
+    const handler = createClientHandler(context, clusterView, runner, () => stopsAtMs, digestRequest, turns);
     const clients = createServer({
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
@@ -217,6 +219,7 @@
             clusterView.stop();
             adapters.stop();
             paths.stop();
+            turns.stop();
             if (session.lease !== undefined) {
                 await store.endLease(session.lease).catch((err: unknown) =>
                     log.write("warn", 602, { step: "end lease", reason: String(err) })
