An owner looks at its claim before each order, not only when it next checks its engines

Cause: a host that was cut off from all learns from the same reply that its view is young again and that another host has its engine; for up to 200 ms, until it next checked its engines, it ordered by the former claim. Change: mayOrder and the answer to another host compare the claim in view with the fence.

--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -138,7 +138,7 @@
             formerlyOwned.set(entry.id, clusterView.hostKeyLists);
         }
         const mayOrder = (): boolean =>
-            hasOrderRight() && !isWaiting && claims.isWaitOver(entry.id)
+            hasOrderRight() && claims.read(entry.id)?.revision === fence && !isWaiting && claims.isWaitOver(entry.id)
             && rejectedFences.get(entry.id) !== fence && !isStopped;
         const task = createOwnerTask(context, {
             entry,
@@ -313,7 +313,8 @@
         async answerOrderRight({ engine, fence }) {
             const existing = owned.get(engine);
             if (existing !== undefined) {
-                const mayGoOn = fence === undefined ? hasOrderRight() : existing.task.fence >= fence;
+                const hasClaim = claims.read(engine)?.revision === existing.task.fence;
+                const mayGoOn = fence === undefined ? hasOrderRight() && hasClaim : existing.task.fence >= fence;
                 if (mayGoOn && !isStopped) {
                     return { kind: "holding" };
                 }
