--- a/packages/front/src/startAdapterTracker.steps.ts
+++ b/packages/front/src/startAdapterTracker.steps.ts
@@ -177,7 +177,9 @@
         config: { services: new Map([[service, { name: service, engine: {} }]]) },
         engines: new Map(engines.map(id => [id, { entry: { id, service, models: [] } }])),
         members: new Map(hosts.map(host => [host, { host, ...address }])),
-        claims: new Map([...owners].map(([engine, owner]) => [engine, { host: brandId<HostId>(owner), ...claim }])),
+        claims: {
+            current: new Map([...owners].map(([engine, owner]) => [engine, { host: brandId<HostId>(owner), ...claim }])),
+        },
         onLoadRequests: () => undefined,
         onEngineRemoved: () => undefined,
     };
@@ -190,7 +192,7 @@
     tracker = startAdapterTracker(
         context as unknown as FrontContext,
         clusterView as unknown as ClusterView,
-        { find: () => undefined, isFenced: () => isFenced } as unknown as Ownership,
+        { find: () => undefined, isFenced: () => isFenced, findHolder: () => undefined } as unknown as Ownership,
         createEngineLoadTracker(clock),
         outbox,
         () => peers as unknown as PeerClient,
