Two hosts of a failure domain read the store; the others follow their views

Change: chooseViewRole picks two readers a failure domain of five hosts or more; the others ask them (message view), with the age of each part. createKeyFeed joins the sources and never goes back. A view that is too old, or a silent source, makes the host read the store itself. Rule and price of the times: a change must be in force within configApplyMs; a view counts for that less 1 s, and a reader's watch waits for that less 1.3 s more.

--- /dev/null
+++ b/packages/directory/src/chooseViewAges.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { chooseViewAges } from "./chooseViewAges.js";
+
+registerTable("chooseViewAges", chooseViewAges);
--- a/packages/directory/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -1,6 +1,12 @@
 export type { AdapterRelease } from "./adapterRelease.js";
+export { chooseViewAges } from "./chooseViewAges.js";
+export type { ViewAges } from "./chooseViewAges.js";
+export { chooseViewRole } from "./chooseViewRole.js";
+export type { ViewHost, ViewRole } from "./chooseViewRole.js";
 export { chooseWatchInterval } from "./chooseWatchInterval.js";
 export { chooseWatchWait } from "./chooseWatchWait.js";
+export { createKeyFeed } from "./createKeyFeed.js";
+export type { Confirmation, FeedChanges, FeedListener, KeyFeed } from "./createKeyFeed.js";
 export type * from "./engineControl.js";
 export type * from "./engineEntry.js";
 export * from "./engineTransport.js";
--- a/packages/events/src/eventCatalogue.ts
+++ b/packages/events/src/eventCatalogue.ts
@@ -18,6 +18,7 @@
     202: "peer refused",
     203: "session lapsed",
     204: "session opened",
+    205: "view source changed",
     210: "engine listed",
     211: "engine draining",
     212: "engine gone",
--- a/packages/front/src/createClusterView.steps.ts
+++ b/packages/front/src/createClusterView.steps.ts
@@ -1,4 +1,5 @@
 import { createMetrics } from "@fulmarcleat/events";
+import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
 import type { EngineId, Incarnation, ManualClock } from "@fulmarcleat/ids";
 import { CONFIG_KEY, ENGINE_PREFIX } from "@fulmarcleat/platform";
@@ -13,7 +14,7 @@
 import { createStoreHealth } from "./storeHealth.js";
 
 /** The platform's bounds, in milliseconds. */
-const BOUNDS = { contactMs: 3000, applyMs: 2000 } as const;
+const BOUNDS = { contactMs: 3000, applyMs: 2000, configApplyMs: 2000 } as const;
 /** Step of the manual clock between two turns of the event loop, in milliseconds. */
 const STEP_MS = 10;
 const ENGINE = brandId<EngineId>("i-1");
@@ -44,6 +45,8 @@
         clock,
         store,
         log,
+        hash: await createHasher(),
+        deployment: { host: "host-0" },
         random: createRandom(seed),
         metrics: createMetrics(),
         readBounds: () => BOUNDS,
@@ -54,7 +57,7 @@
         const member = { incarnation: brandId<Incarnation>("1"), ip: "127.0.0.1", port: 1, isLeaving: false };
         store.put(formatMemberKey(brandId(`host-${number}`)), formatMember(member));
     }
-    const view = createClusterView(context, createStoreHealth(clock, log));
+    const view = createClusterView(context, createStoreHealth(clock, log), () => undefined);
     const advance = async (ms: number): Promise<void> => {
         for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
             clock.advance(STEP_MS);
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -1,15 +1,25 @@
-import { chooseWatchInterval, reduceDirectory } from "@fulmarcleat/directory";
+import {
+    chooseViewAges,
+    chooseViewRole,
+    chooseWatchInterval,
+    createKeyFeed,
+    reduceDirectory,
+} from "@fulmarcleat/directory";
 import type {
     AdapterRelease,
     DirectoryMessage,
     DirectoryState,
     EngineEntry,
+    FeedListener,
+    KeyFeed,
     KnownEngine,
     ServingConfig,
     StoreItem,
+    ViewRole,
 } from "@fulmarcleat/directory";
+import { rankByRendezvous } from "@fulmarcleat/hashing";
 import { brandId } from "@fulmarcleat/ids";
-import type { AdapterName, BaseModel, EngineId, HostId, Suspect } from "@fulmarcleat/ids";
+import type { AdapterName, BaseModel, ClockReading, EngineId, HostId, Suspect } from "@fulmarcleat/ids";
 import {
     CONFIG_KEY,
     ENGINE_PREFIX,
@@ -19,8 +29,8 @@
     parseServingConfig,
     RELEASE_PREFIX,
 } from "@fulmarcleat/platform";
-import type { ClockReading } from "@fulmarcleat/residency";
-import type { AdapterLoadRequest } from "@fulmarcleat/wire";
+import type { AdapterLoadRequest, PeerClient, ViewPart, ViewReply, ViewRequest } from "@fulmarcleat/wire";
+import { answerView } from "./answerView.js";
 import { createOwnerClaims } from "./createOwnerClaims.js";
 import type { OwnerClaims } from "./createOwnerClaims.js";
 import type { FrontContext } from "./frontContext.js";
@@ -36,7 +46,8 @@
 } from "./hostKeys.js";
 import type { Member } from "./hostKeys.js";
 import { startStoreWatch } from "./startStoreWatch.js";
-import type { StoreListener, StoreWatch } from "./startStoreWatch.js";
+import type { StoreWatch } from "./startStoreWatch.js";
+import { startViewFollower } from "./startViewFollower.js";
 import type { StoreHealth } from "./storeHealth.js";
 
 /** This host's copy of the configuration, the engines and the other hosts, as read from the store. */
@@ -71,6 +82,10 @@
     onEngineRemoved(listener: (entry: EngineEntry) => void): void;
     /** Calls a listener with the load requests that hosts write to the store for engines' owners. */
     onLoadRequests(listener: (loadRequests: readonly AdapterLoadRequest[]) => void): void;
+    /** Whether other hosts follow this host's view. */
+    readonly isFollowed: boolean;
+    /** Answers another host that follows this host's view. */
+    answer(request: ViewRequest): Promise<ViewReply>;
     /** Stops watching the store. */
     stop(): void;
 }
@@ -83,9 +98,6 @@
     readonly sinceMs: number;
 }
 
-/** Part of the view that has a watch of its own. */
-export type ViewPart = "config" | "engines" | "hosts";
-
 /** Shortest time between two watch calls for the configuration, in milliseconds. */
 const CONFIG_WATCH_INTERVAL_MS = 60;
 /** Base interval between two watch calls for engines' entries, which change often, in milliseconds. */
@@ -100,17 +112,22 @@
 const EXPIRY_CHECK_INTERVAL_MS = 200;
 
 /**
- * Watches the store's keys and keeps their current values in memory.
+ * Keeps the current values of the store's keys in memory: it watches them, or follows another host that does.
  *
- * @param context - Store, clock and log
+ * @param context - Store, clock, hash and log
  * @param health - Records whether the store answers
+ * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
  * @returns the view, empty until the store has answered
  *
  * @example
- * const clusterView = createClusterView(context, health);
+ * const clusterView = createClusterView(context, health, () => peers);
  */
-export function createClusterView(context: FrontContext, health: StoreHealth): ClusterView {
-    const { clock, log, metrics } = context;
+export function createClusterView(
+    context: FrontContext,
+    health: StoreHealth,
+    readPeers: () => Pick<PeerClient, "request"> | undefined,
+): ClusterView {
+    const { clock, deployment, hash, log, metrics } = context;
     let config: ServingConfig | undefined;
     let directory: DirectoryState = { engines: new Map(), graceUntilMs: 0 };
     let hostKeyLists = 0;
@@ -232,11 +249,11 @@
                 return;
         }
     };
-    const operatorKeys: StoreListener = {
+    const operatorKeys: FeedListener = {
         listed: items => items.forEach(applyOperatorItem),
         changed: events => events.forEach(event => event.kind === "put" && applyOperatorItem(event.item)),
     };
-    const engineKeys: StoreListener = {
+    const engineKeys: FeedListener = {
         listed(items) {
             const entries = items.map(parseEntry).filter(entry => entry !== undefined);
             applyDirectory({ kind: "listed", entries, atMs: clock.nowMs() });
@@ -255,7 +272,7 @@
             }
         },
     };
-    const hostKeys: StoreListener = {
+    const hostKeys: FeedListener = {
         listed(items) {
             const present = new Set(items.map(item => item.key));
             [...members.keys()].filter(host => !present.has(formatMemberKey(host)))
@@ -270,26 +287,68 @@
         changed: events =>
             events.forEach(event => event.kind === "put" ? applyHostItem(event.item) : removeHostKey(event.key)),
     };
-    health.onRecovery(() => applyDirectory({ kind: "store_returned", atMs: clock.nowMs() }));
-    const maxAgeMs = (): number => context.readBounds().contactMs;
-    const watchPrefix = (prefix: string, listener: StoreListener, readIntervalMs: () => number): StoreWatch =>
-        startStoreWatch(context, health, { prefix, readIntervalMs, maxAgeMs }, listener);
-    const watches: Readonly<Record<ViewPart, StoreWatch>> = {
-        config: watchPrefix(OPERATOR_PREFIX, operatorKeys, () => CONFIG_WATCH_INTERVAL_MS),
-        engines: watchPrefix(
+    /** Clock reading at which the store answered again after its last outage, in milliseconds. */
+    let storeReturnedMs: number | undefined;
+    const recordReturn = (atMs: number): void => {
+        if (atMs > (storeReturnedMs ?? -Infinity)) {
+            storeReturnedMs = atMs;
+            applyDirectory({ kind: "store_returned", atMs });
+        }
+    };
+    health.onRecovery(() => recordReturn(clock.nowMs()));
+    const feeds: Readonly<Record<ViewPart, KeyFeed>> = {
+        config: createKeyFeed(operatorKeys),
+        engines: createKeyFeed(engineKeys),
+        hosts: createKeyFeed(hostKeys),
+    };
+    const readAges = () => chooseViewAges(context.readBounds().configApplyMs);
+    const readRole = (): ViewRole => {
+        if (!readAges().mayFollow) {
+            return { isFollowed: false, sources: [], readers: members.size };
+        }
+        const hosts = [...members.values()].map(({ host, domain, canBeFollowed = false, isLeaving }) => (
+            { host, domain, canBeFollowed, isLeaving }
+        ));
+        return chooseViewRole(deployment.host, hosts, (key, names) => rankByRendezvous(hash, key, names));
+    };
+    const listSources = (): readonly Member[] =>
+        readRole().sources.map(host => members.get(host)).filter(member => member !== undefined);
+    const follower = startViewFollower(context, {
+        feeds,
+        listSources,
+        readPeers,
+        readAges,
+        onStoreReturned: agoMs => recordReturn(clock.nowMs() - agoMs),
+    });
+    const countReaders = (): number => {
+        const { isFollowed, readers } = readRole();
+        return isFollowed ? readers : members.size;
+    };
+    const watchPart = (part: ViewPart, prefix: string, readIntervalMs: () => number): StoreWatch =>
+        startStoreWatch(context, health, {
+            prefix,
+            feed: feeds[part],
+            readIntervalMs,
+            maxAgeMs: () => context.readBounds().contactMs,
+            maxWaitMs: () => readRole().isFollowed ? readAges().maxWaitMs : Infinity,
+            isFollowing: () => follower.isFollowing(),
+        });
+    const watches: readonly StoreWatch[] = [
+        watchPart("config", OPERATOR_PREFIX, () => CONFIG_WATCH_INTERVAL_MS),
+        watchPart(
+            "engines",
             ENGINE_PREFIX,
-            engineKeys,
-            () => chooseWatchInterval(members.size, ENGINE_WATCH_INTERVAL_MS, ENGINE_WATCH_INTERVAL_PER_HOST_MS),
+            () => chooseWatchInterval(countReaders(), ENGINE_WATCH_INTERVAL_MS, ENGINE_WATCH_INTERVAL_PER_HOST_MS),
         ),
-        hosts: watchPrefix(
+        watchPart(
+            "hosts",
             SYSTEM_PREFIX,
-            hostKeys,
-            () => chooseWatchInterval(members.size, HOST_WATCH_INTERVAL_MS, HOST_WATCH_INTERVAL_PER_HOST_MS),
+            () => chooseWatchInterval(countReaders(), HOST_WATCH_INTERVAL_MS, HOST_WATCH_INTERVAL_PER_HOST_MS),
         ),
-    };
+    ];
     const readAgeMs = (part: ViewPart): number | undefined => {
-        const { confirmedAtMs } = watches[part];
-        return confirmedAtMs === undefined ? undefined : Math.round(clock.nowMs() - confirmedAtMs);
+        const { confirmation } = feeds[part];
+        return confirmation === undefined ? undefined : Math.round(clock.nowMs() - confirmation.atMs);
     };
     const exposeAges = (): void => {
         for (const part of ["config", "engines", "hosts"] as const) {
@@ -318,7 +377,7 @@
         quarantined,
         onQuarantine: listener => void quarantineListeners.push(listener),
         readAgeMs,
-        readConfirmedFrom: part => watches[part].confirmedFrom,
+        readConfirmedFrom: part => feeds[part].confirmation?.from,
         get hasReadHostKeys() {
             return hostKeyLists > 0;
         },
@@ -336,9 +395,18 @@
         onRelease: listener => void releaseListeners.push(listener),
         onLoadRequests: listener => void loadRequestListeners.push(listener),
         onEngineRemoved: listener => void removalListeners.push(listener),
+        get isFollowed() {
+            return readRole().isFollowed;
+        },
+        async answer(request) {
+            const parts = await answerView(clock, feeds, request);
+            const storeReturnedAgoMs = storeReturnedMs === undefined ? undefined : clock.nowMs() - storeReturnedMs;
+            return { parts, storeReturnedAgoMs };
+        },
         stop() {
             isStopped = true;
-            Object.values(watches).forEach(watch => watch.stop());
+            follower.stop();
+            watches.forEach(watch => watch.stop());
         },
     };
 }
--- a/packages/front/src/createOwnerFleet.steps.ts
+++ b/packages/front/src/createOwnerFleet.steps.ts
@@ -112,7 +112,7 @@
 const REQUEST_MS = 400;
 /** Time within which all hosts start, so that their watches are out of step, in milliseconds. */
 const START_SPREAD_MS = 1500;
-const BOUNDS = { contactMs: 3000, orderLeaseMs: 3000 } as const;
+const BOUNDS = { contactMs: 3000, orderLeaseMs: 3000, configApplyMs: 3000 } as const;
 const MODEL = "base";
 
 /**
@@ -257,11 +257,14 @@
             readBounds: () => ({ ...BOUNDS, checksFences }),
         } as unknown as FrontContext;
         const health = createStoreHealth(ownClock, log);
-        const view = createClusterView(context, health);
+        const view = createClusterView(context, health, () => peers.connect(name));
         const session = startSession(context, health, view);
         const paths = { isPathLost: () => cut.has(name) && cut.size < running.size };
         const ownership = startOwnership(context, health, view, session, paths, () => peers.connect(name));
-        peers.serve(name, { orderRight: request => ownership.answerOrderRight(request) });
+        peers.serve(name, {
+            orderRight: request => ownership.answerOrderRight(request),
+            view: request => view.answer(request),
+        });
         detectPauses(ownClock, () => session.markUnverified());
         started.add(name);
         running.set(name, { ownership, session, stop: () => void (isRunning = false) });
--- /dev/null
+++ b/packages/front/src/followViews.feature
@@ -0,0 +1,61 @@
+Feature: Few hosts read the store for all, and no fault of theirs keeps the others' views old
+
+    # Guards against a store whose load grows with hosts times changes.
+    Scenario Outline: <hosts> hosts in <domains> failure domains while <changes>
+        Given <hosts> hosts in <domains> failure domains that follow the store, changes due within 4000 ms
+        When <changes> for 10000 ms
+        Then all hosts together have made at most <calls> calls a second to the store
+        And each host's view is at most 4000 ms old
+
+        Examples:
+            | hosts | domains | changes                               | calls |
+            | 30    | 5       | nothing changes                       | 20    |
+            | 100   | 5       | nothing changes                       | 20    |
+            | 300   | 5       | nothing changes                       | 20    |
+            | 30    | 5       | an engine's entry changes each 100 ms | 60    |
+            | 300   | 5       | an engine's entry changes each 100 ms | 60    |
+
+    # Guards against a followed host that hears nothing, or is heard by nobody.
+    Scenario Outline: <hosts> hosts, changes due within <apply> ms: <fault>
+        Given <hosts> hosts in <domains> failure domains that follow the store, changes due within <apply> ms
+        When <fault>
+        And a configuration is accepted and an engine announces that it leaves
+        Then both are in force <apply> ms later at each host that runs and reaches the store
+
+        Examples:
+            | hosts | domains | apply | fault                                                        |
+            | 85    | 4       | 3000  | nothing fails                                                |
+            | 85    | 4       | 3000  | the hosts that read the store are killed                     |
+            | 85    | 4       | 3000  | the hosts that read the store are frozen                     |
+            | 85    | 4       | 3000  | the hosts that read the store are cut off from the store     |
+            | 85    | 4       | 3000  | the hosts that read the store are cut off from other hosts   |
+            | 85    | 4       | 3000  | all followed hosts are killed                                |
+            | 85    | 4       | 3000  | all followed hosts are frozen                                |
+            | 85    | 4       | 3000  | all followed hosts are cut off from the store                |
+            | 85    | 4       | 3000  | all followed hosts are cut off from other hosts              |
+            | 85    | 4       | 3000  | no host reaches another one                                  |
+            | 85    | 4       | 3000  | nine of ten hosts are killed                                 |
+            | 195   | 5       | 4000  | all followed hosts are cut off from the store                |
+            | 195   | 5       | 4000  | the hosts that read the store are frozen                     |
+            | 195   | 5       | 4000  | no host reaches another one                                  |
+            | 300   | 5       | 4000  | all followed hosts are cut off from the store                |
+
+    Scenario Outline: The store <fault>, and each of <hosts> hosts knows the next change in time
+        Given <hosts> hosts in <domains> failure domains that follow the store, changes due within <apply> ms
+        When the followed store <fault>
+        And 4000 ms pass in the fleet
+        And a configuration is accepted and an engine announces that it leaves
+        Then both are in force <apply> ms later at each host that runs and reaches the store
+
+        Examples:
+            | hosts | domains | apply | fault                             |
+            | 85    | 4       | 3000  | answers nothing for 2500 ms       |
+            | 85    | 4       | 3000  | answers nothing for 10000 ms      |
+            | 85    | 4       | 3000  | forgets its history               |
+            | 195   | 5       | 4000  | answers nothing for 10000 ms      |
+            | 195   | 5       | 4000  | forgets its history               |
+
+    # Guards against a view that goes back when its source changes.
+    Scenario: No view goes back while followed hosts come and go
+        Given 40 hosts in 4 failure domains that follow the store, changes due within 3000 ms
+        Then in 12 random sequences of cuts and freezes no host's configuration goes back
--- /dev/null
+++ b/packages/front/src/followViews.steps.ts
@@ -0,0 +1,174 @@
+import { brandId, createRandom } from "@fulmarcleat/ids";
+import type { EngineId } from "@fulmarcleat/ids";
+import { CONFIG_KEY, ENGINE_PREFIX } from "@fulmarcleat/platform";
+import { deepStrictEqual, Given, ok, Then, When } from "@fulmarcleat/testing";
+import { createViewFleet } from "./createViewFleet.steps.js";
+import type { ViewFleet } from "./createViewFleet.steps.js";
+
+const ENGINE = brandId<EngineId>("i-1");
+/** Time in which every host that reads the store calls it at least once, in milliseconds. */
+const READERS_MS = 3000;
+/** Interval between two changes of a load, in milliseconds. */
+const CHANGE_INTERVAL_MS = 100;
+/** Longest fault of a random sequence, in milliseconds. */
+const MAX_FAULT_MS = 3000;
+/** Time within which a fault's effect begins before a change is accepted, in milliseconds. */
+const FAULT_LEAD_MS = 50;
+
+let fleet: ViewFleet;
+let applyMs = 0;
+let version = 1;
+let affected: ReadonlySet<string> = new Set();
+let callsPerS = 0;
+
+Given(
+    "{int} hosts in {int} failure domains that follow the store, changes due within {int} ms",
+    async (hosts: number, domains: number, dueMs: number) => {
+        applyMs = dueMs;
+        version = 1;
+        affected = new Set();
+        fleet = await createViewFleet({ hosts, domains, applyMs });
+        putConfig();
+        putEngine("ready");
+        await fleet.advance(READERS_MS);
+        fleet.takeStoreReaders();
+        await fleet.advance(READERS_MS);
+    },
+);
+
+When(
+    /^(nothing changes|an engine's entry changes each 100 ms) for (\d+) ms$/,
+    async (changes: string, forMs: string) => {
+        const callsBefore = fleet.storeCalls;
+        for (let passedMs = 0; passedMs < Number(forMs); passedMs += CHANGE_INTERVAL_MS) {
+            if (changes !== "nothing changes") {
+                putEngine("ready");
+            }
+            await fleet.advance(CHANGE_INTERVAL_MS);
+        }
+        callsPerS = (fleet.storeCalls - callsBefore) / (Number(forMs) / 1000);
+    },
+);
+
+When(
+    /^(nothing fails|no host reaches another one|nine of ten hosts are killed|(?:all followed hosts|the hosts that read the store) are .*)$/,
+    async (fault: string) => {
+        playFault(fault);
+        await fleet.advance(FAULT_LEAD_MS);
+    },
+);
+
+When(/^the followed store (answers nothing for .* ms|forgets its history)$/, async (fault: string) => {
+    if (fault === "forgets its history") {
+        putConfig();
+        fleet.store.compact();
+        fleet.store.silenceOpenCalls();
+        return;
+    }
+    fleet.store.setMode("silent");
+    await fleet.advance(Number(/\d+/.exec(fault)?.[0]));
+    fleet.store.setMode("serving");
+});
+
+When("{int} ms pass in the fleet", (ms: number) => fleet.advance(ms));
+
+When("a configuration is accepted and an engine announces that it leaves", () => {
+    putConfig();
+    putEngine("draining");
+});
+
+Then("all hosts together have made at most {int} calls a second to the store", (most: number) => {
+    ok(callsPerS <= most, `${callsPerS} calls`);
+});
+
+Then("each host's view is at most {int} ms old", (most: number) => {
+    const ages = fleet.hosts.flatMap(host =>
+        (["config", "engines", "hosts"] as const).map(part => fleet.findView(host)?.readAgeMs(part) ?? Infinity)
+    );
+    ok(Math.max(...ages) <= most, `${Math.max(...ages)} ms`);
+});
+
+Then("both are in force {int} ms later at each host that runs and reaches the store", async (ms: number) => {
+    await fleet.advance(ms);
+    const late = fleet.hosts.filter(host => {
+        const view = fleet.findView(host);
+        return view !== undefined && !affected.has(host)
+            && (view.config?.version !== version || view.engines.get(ENGINE)?.isUsable !== false);
+    });
+    deepStrictEqual(late, []);
+});
+
+Then(
+    "in {int} random sequences of cuts and freezes no host's configuration goes back",
+    async (sequences: number) => {
+        const known = new Map<string, number>();
+        for (let sequence = 1; sequence <= sequences; sequence += 1) {
+            const random = createRandom(sequence);
+            const pick = (): readonly string[] => fleet.hosts.filter(() => random.next() < 0.3);
+            fleet.faults.cutFromStore(pick());
+            fleet.faults.freeze(pick());
+            fleet.peers.cut(pick());
+            putConfig();
+            await fleet.advance(MAX_FAULT_MS * random.next());
+            for (const host of fleet.hosts) {
+                const seen = fleet.findView(host)?.config?.version ?? 0;
+                ok(seen >= (known.get(host) ?? 0), `${host} goes back to ${seen}`);
+                known.set(host, seen);
+            }
+        }
+        fleet.faults.cutFromStore([]);
+        fleet.faults.freeze([]);
+        fleet.peers.cut([]);
+        await fleet.advance(MAX_FAULT_MS + applyMs);
+        deepStrictEqual(fleet.hosts.filter(host => fleet.findView(host)?.config?.version !== version), []);
+    },
+);
+
+/** Plays a fault as a row of the table names it; the hosts whose own path or process fails are left out of the check. */
+function playFault(fault: string): void {
+    const readers = fleet.takeStoreReaders();
+    if (fault === "nothing fails") {
+        return;
+    }
+    if (fault === "no host reaches another one") {
+        fleet.peers.cut(fleet.hosts);
+        return;
+    }
+    const hosts = fault.startsWith("nine of ten")
+        ? fleet.hosts.filter((host, at) => at % 10 !== 0)
+        : fault.startsWith("all followed hosts")
+        ? listFollowed(readers)
+        : readers;
+    if (fault.endsWith("cut off from other hosts")) {
+        fleet.peers.cut(hosts);
+        return;
+    }
+    affected = new Set(hosts);
+    if (fault.endsWith("killed")) {
+        hosts.forEach(fleet.kill);
+    }
+    else if (fault.endsWith("frozen")) {
+        fleet.faults.freeze(hosts);
+    }
+    else {
+        fleet.faults.cutFromStore(hosts);
+    }
+}
+
+/** Lists the hosts that others follow: those that read the store, and those that do once these are gone. */
+function listFollowed(readers: readonly string[]): readonly string[] {
+    const followed = fleet.hosts.filter(host => fleet.findView(host)?.isFollowed === true);
+    ok(readers.every(host => followed.includes(host)));
+    return followed;
+}
+
+function putConfig(): void {
+    version += 1;
+    const limits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 20_000 };
+    fleet.store.put(CONFIG_KEY, Buffer.from(JSON.stringify({ version, routes: [], services: [], limits })));
+}
+
+function putEngine(state: string): void {
+    const entry = { service: "models", address: "127.0.0.1:1", zone: "a", slots: 4, state, born: 1 };
+    fleet.store.put(ENGINE_PREFIX + ENGINE, Buffer.from(JSON.stringify(entry)));
+}
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -24,6 +24,8 @@
     readonly domain?: FailureDomain | undefined;
     /** Port on which the host serves other hosts' requests; undefined if a former version has written the entry. */
     readonly forwardPort?: number | undefined;
+    /** Whether the host answers others that follow its view of the store; hosts of former versions don't. */
+    readonly canBeFollowed?: boolean | undefined;
     readonly isLeaving: boolean;
 }
 
@@ -46,6 +48,7 @@
     port: z.number(),
     domain: z.string().optional(),
     forwardPort: z.number().optional(),
+    canBeFollowed: z.boolean().optional(),
     isLeaving: z.boolean(),
 });
 const ownerSchema = z.object({
@@ -150,8 +153,8 @@
  * formatMember({ incarnation, ip: "10.0.0.1", port: 7000, domain: brandId("a"), isLeaving: false });
  */
 export function formatMember(member: Omit<Member, "host">): Buffer {
-    const { incarnation, ip, port, domain, forwardPort, isLeaving } = member;
-    return Buffer.from(JSON.stringify({ incarnation, ip, port, domain, forwardPort, isLeaving }));
+    const { incarnation, ip, port, domain, forwardPort, canBeFollowed, isLeaving } = member;
+    return Buffer.from(JSON.stringify({ incarnation, ip, port, domain, forwardPort, canBeFollowed, isLeaving }));
 }
 
 /**
@@ -218,7 +221,7 @@
     if (!parsed.success) {
         return undefined;
     }
-    const { incarnation, ip, port, domain, forwardPort, isLeaving } = parsed.data;
+    const { incarnation, ip, port, domain, forwardPort, canBeFollowed, isLeaving } = parsed.data;
     return {
         host,
         incarnation: brandId(incarnation),
@@ -226,6 +229,7 @@
         port,
         domain: domain === undefined ? undefined : brandId(domain),
         forwardPort,
+        canBeFollowed,
         isLeaving,
     };
 }
--- a/packages/front/src/startAdapterTracker.steps.ts
+++ b/packages/front/src/startAdapterTracker.steps.ts
@@ -178,7 +178,9 @@
         engines: new Map(engines.map(id => [id, { entry: { id, service, models: [] } }])),
         members: new Map(hosts.map(host => [host, { host, ...address }])),
         claims: {
-            current: new Map([...owners].map(([engine, owner]) => [engine, { host: brandId<HostId>(owner), ...claim }])),
+            current: new Map(
+                [...owners].map(([engine, owner]) => [engine, { host: brandId<HostId>(owner), ...claim }]),
+            ),
         },
         onLoadRequests: () => undefined,
         onEngineRemoved: () => undefined,
--- a/packages/front/src/startFleetHost.steps.ts
+++ b/packages/front/src/startFleetHost.steps.ts
@@ -80,7 +80,13 @@
         random,
         metrics: createMetrics(),
         deployment: { host, domain },
-        readBounds: () => ({ contactMs: 3000, retryRatio: 0.2, retryReserve: 56, retryWindowMs: 10_000 }),
+        readBounds: () => ({
+            contactMs: 3000,
+            configApplyMs: 2000,
+            retryRatio: 0.2,
+            retryReserve: 56,
+            retryWindowMs: 10_000,
+        }),
     } as unknown as FrontContext;
     const incarnation = brandId<Incarnation>("1");
     const member = {
@@ -92,7 +98,7 @@
         isLeaving: false,
     };
     store.put(formatMemberKey(host), formatMember(member));
-    const view = createClusterView(context, createStoreHealth(clock, log));
+    const view = createClusterView(context, createStoreHealth(clock, log), () => undefined);
     const adapters = {
         startRequest: () => undefined,
         finishRequest: () => undefined,
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -92,9 +92,9 @@
     const { clock, log, metrics, store, transport } = context;
     log.write("info", 100, { host: deployment.host, isFirstStart: deployment.isFirstStart, policy });
     const health = createStoreHealth(clock, log);
-    const clusterView = createClusterView(context, health);
-    const session = startSession(context, health, clusterView);
     let peers: PeerClient | undefined;
+    const clusterView = createClusterView(context, health, () => peers);
+    const session = startSession(context, health, clusterView);
     const loadTracker = createEngineLoadTracker(clock);
     const paths = createEnginePaths(
         context,
@@ -183,6 +183,7 @@
                 },
                 engineLimit: (notice, from) => Promise.resolve(limits.handleNotice(notice, from)),
                 sendGrant: (request, from) => Promise.resolve(limits.handleRequest(request, from)),
+                view: request => clusterView.answer(request),
                 orderRight: request => ownership.answerOrderRight(request),
                 engineProbe: request => paths.probeFor(request),
                 engineReach: request => paths.answer(request),
--- a/packages/front/src/startSession.ts
+++ b/packages/front/src/startSession.ts
@@ -52,7 +52,15 @@
     });
     const writeMember = async (currentLease: number): Promise<void> => {
         const { ip, peerPort: port, domain, forwardPort } = deployment;
-        const value = formatMember({ incarnation: context.incarnation, ip, port, domain, forwardPort, isLeaving });
+        const value = formatMember({
+            incarnation: context.incarnation,
+            ip,
+            port,
+            domain,
+            forwardPort,
+            canBeFollowed: true,
+            isLeaving,
+        });
         const puts = [{ key: formatMemberKey(deployment.host), value, lease: currentLease }];
         const reply = await store.change({ expect: [], puts, removes: [] });
         if (reply.kind === "lease_ended") {
--- a/packages/front/src/startStoreWatch.ts
+++ b/packages/front/src/startStoreWatch.ts
@@ -1,34 +1,27 @@
 import { chooseWatchWait } from "@fulmarcleat/directory";
-import type { StoreEvent, StoreItem } from "@fulmarcleat/directory";
+import type { KeyFeed } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
 import { sleep } from "@fulmarcleat/ids";
-import type { ClockReading } from "@fulmarcleat/residency";
 import type { FrontContext } from "./frontContext.js";
 import type { StoreHealth } from "./storeHealth.js";
 
-/** Receives the contents and changes of the watched keys. */
-export interface StoreListener {
-    /** Called with all keys below the prefix, at the start and after missed changes. */
-    listed(items: readonly StoreItem[]): void;
-    /** Called with the changes since the last call. */
-    changed(events: readonly StoreEvent[]): void;
-}
-
 /** Settings of a watch. */
 export interface StoreWatchOptions {
     readonly prefix: string;
+    /** Receives the keys and their changes. */
+    readonly feed: KeyFeed;
     /** Returns the shortest time between two calls, in milliseconds; changes in between arrive together. */
     readonly readIntervalMs: () => number;
     /** Returns the longest time for which a change may go unnoticed, in milliseconds. */
     readonly maxAgeMs: () => number;
+    /** Returns the longest wait of a call at the store, in milliseconds. */
+    readonly maxWaitMs: () => number;
+    /** Whether the feed is kept up to date from elsewhere, so that the store need not be read. */
+    readonly isFollowing: () => boolean;
 }
 
 /** A running watch. */
 export interface StoreWatch {
-    /** Clock reading when the store last confirmed what the listener received, in milliseconds; undefined before. */
-    readonly confirmedAtMs: number | undefined;
-    /** When the call was sent whose reply was the last confirmation; undefined before. */
-    readonly confirmedFrom: ClockReading | undefined;
     stop(): void;
 }
 
@@ -36,97 +29,88 @@
 const INITIAL_RETRY_DELAY_MS = 150;
 /** Longest delay after failed watch calls, in milliseconds. */
 const MAX_RETRY_DELAY_MS = 700;
+/** Interval between two checks whether the store must be read again, in milliseconds. */
+const FOLLOW_CHECK_INTERVAL_MS = 100;
 
 /**
- * Watches the keys below a prefix; never returns to a revision older than one already received.
+ * Watches the keys below a prefix at the store while no other source keeps their feed up to date.
  *
  * @param context - Store, clock, metrics and log
  * @param health - Records whether the store answers
- * @param options - Key prefix and interval between calls
- * @param listener - Receives the keys and their changes
+ * @param options - Key prefix, feed, interval and waits of the calls
  * @returns the running watch
  *
  * @example
- * const options = { prefix: "op/", readIntervalMs: () => 100, maxAgeMs: () => 3000 };
- * startStoreWatch(context, health, options, listener);
+ * startStoreWatch(context, health, { prefix: "op/", feed, readIntervalMs, maxAgeMs, maxWaitMs, isFollowing });
  */
 export function startStoreWatch(
     context: FrontContext,
     health: StoreHealth,
-    options: StoreWatchOptions,
-    listener: StoreListener,
+    { prefix, feed, readIntervalMs, maxAgeMs, maxWaitMs, isFollowing }: StoreWatchOptions,
 ): StoreWatch {
+    const { clock, log, metrics, random, store } = context;
     let isStopped = false;
-    let revision: number | undefined;
-    let confirmedAtMs: number | undefined;
-    let confirmedFrom: ClockReading | undefined;
-    const read = async (isRetry: boolean): Promise<void> => {
-        const sent = { nowMs: context.clock.nowMs(), wallMs: context.clock.wallMs() };
-        if (revision === undefined) {
-            const { items, revision: listedAt } = await context.store.list(options.prefix);
+    /** Whether the next call lists the keys, since changes are no longer kept. */
+    let mustList = true;
+    const read = async (isFirst: boolean): Promise<void> => {
+        const from = { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
+        if (mustList || feed.revision === undefined) {
+            const { items, revision } = await store.list(prefix);
             health.recordCall(true, "list keys");
-            revision = listedAt;
+            mustList = false;
             // The pages of a list are read one after the other; only what was there before the first is certain.
-            confirmedAtMs = sent.nowMs;
-            listener.listed(items);
-            confirmedFrom = sent;
+            feed.takeList(items, revision, { atMs: from.nowMs, from });
             return;
         }
         // A call that waits would tell only at the end of its wait that the store still doesn't answer.
-        const waitMs = isRetry ? 0 : chooseWatchWait(options.readIntervalMs(), options.maxAgeMs());
-        const reply = await context.store.watch(options.prefix, revision, waitMs);
+        const waitMs = isFirst ? 0 : Math.min(maxWaitMs(), chooseWatchWait(readIntervalMs(), maxAgeMs()));
+        const reply = await store.watch(prefix, feed.revision, waitMs);
         health.recordCall(true, "watch keys");
         if (reply.kind === "compacted") {
-            context.log.write("warn", 604, { prefix: options.prefix, afterRevision: revision });
-            revision = undefined;
+            log.write("warn", 604, { prefix, afterRevision: feed.revision });
+            mustList = true;
             return;
         }
-        confirmedAtMs = context.clock.nowMs();
-        revision = Math.max(revision, reply.revision);
-        if (reply.events.length > 0) {
-            listener.changed(reply.events);
-        }
-        confirmedFrom = sent;
+        feed.takeEvents(reply.events, reply.revision, { atMs: clock.nowMs(), from });
     };
     const run = async (): Promise<void> => {
         let pauseMs = INITIAL_RETRY_DELAY_MS;
-        let isRetry = false;
+        let isFirst = false;
         while (!isStopped) {
-            const calledAtMs = context.clock.nowMs();
+            if (feed.revision !== undefined && isFollowing()) {
+                mustList = false;
+                isFirst = true;
+                await sleep(clock, FOLLOW_CHECK_INTERVAL_MS);
+                continue;
+            }
+            const calledAtMs = clock.nowMs();
             try {
-                await read(isRetry);
-                isRetry = false;
+                await read(isFirst);
+                isFirst = false;
                 pauseMs = INITIAL_RETRY_DELAY_MS;
-                await sleep(context.clock, options.readIntervalMs());
+                await sleep(clock, readIntervalMs());
             }
             catch (err) {
                 const { step, message } = toServeError(err, INTERNAL);
-                context.metrics.count("store_failures_total", { step });
-                const atMs = context.clock.nowMs();
-                context.log.write("warn", 603, {
+                metrics.count("store_failures_total", { step });
+                const atMs = clock.nowMs();
+                const { confirmation } = feed;
+                log.write("warn", 603, {
                     step,
-                    prefix: options.prefix,
+                    prefix,
                     reason: message,
                     waitedMs: Math.round(atMs - calledAtMs),
-                    viewAgeMs: confirmedAtMs === undefined ? undefined : Math.round(atMs - confirmedAtMs),
+                    viewAgeMs: confirmation === undefined ? undefined : Math.round(atMs - confirmation.atMs),
                 });
                 health.recordCall(false, step);
-                isRetry = true;
-                await sleep(context.clock, pauseMs * (0.5 + context.random.next()));
+                isFirst = true;
+                await sleep(clock, pauseMs * (0.5 + random.next()));
                 pauseMs = Math.min(MAX_RETRY_DELAY_MS, pauseMs * 2);
             }
         }
     };
     void run();
-    return {
-        get confirmedAtMs() {
-            return confirmedAtMs;
-        },
-        get confirmedFrom() {
-            return confirmedFrom;
-        },
-        stop: () => void (isStopped = true),
-    };
+    return { stop: () => void (isStopped = true) };
 }
 
 const INTERNAL = { code: "internal", step: "follow keys", peer: "self", outcome: "not_run" } as const;
--- a/packages/ids/src/index.ts
+++ b/packages/ids/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./brandId.js";
 export type { CancelTimer, Clock } from "./clock.js";
+export type { ClockReading } from "./clockReading.js";
 export { createId } from "./createId.js";
 export { createManualClock } from "./createManualClock.js";
 export type { ManualClock } from "./createManualClock.js";
--- a/packages/residency/src/holdsOrderRight.steps.ts
+++ b/packages/residency/src/holdsOrderRight.steps.ts
@@ -1,6 +1,6 @@
+import type { ClockReading } from "@fulmarcleat/ids";
 import { registerTable } from "@fulmarcleat/testing";
 import { holdsOrderRight } from "./holdsOrderRight.js";
-import type { ClockReading } from "./holdsOrderRight.js";
 
 // JSON has no undefined.
 registerTable(
--- a/packages/residency/src/holdsOrderRight.ts
+++ b/packages/residency/src/holdsOrderRight.ts
@@ -1,10 +1,4 @@
-/** Readings of a host's clocks at one moment. */
-export interface ClockReading {
-    /** Monotonic time in milliseconds; it may stand still while the host is suspended. */
-    readonly nowMs: number;
-    /** Wall time in milliseconds. */
-    readonly wallMs: number;
-}
+import type { ClockReading } from "@fulmarcleat/ids";
 
 /**
  * Time for which an owner may order an engine that checks no fences after it has sent the call to the store that last
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -7,7 +7,6 @@
 export type { EngineClaimDecision, EngineClaimView, OwnerClaim } from "./decideEngineClaim.js";
 export { describeResidency } from "./describeResidency.js";
 export { holdsOrderRight } from "./holdsOrderRight.js";
-export type { ClockReading } from "./holdsOrderRight.js";
 export { isNewEnough } from "./isNewEnough.js";
 export { joinFormerOwners } from "./joinFormerOwners.js";
 export type { FormerOwnerReply, JoinOptions } from "./joinFormerOwners.js";
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -15,3 +15,4 @@
 export type * from "./reachMessages.js";
 export type * from "./residencyMessages.js";
 export type * from "./streamMessages.js";
+export type * from "./viewMessages.js";
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -24,6 +24,7 @@
 import type { EngineProbeReply, EngineProbeRequest, EngineReachReply, EngineReachRequest } from "./reachMessages.js";
 import type { AdapterLoadReply, AdapterLoadRequest, HostUsageReply, HostUsageReport } from "./residencyMessages.js";
 import type { StreamOriginReply, StreamOriginRequest, StreamRecord } from "./streamMessages.js";
+import type { ViewReply, ViewRequest } from "./viewMessages.js";
 
 /** Requests a place, a slot in an engine's batch with an adapter loaded, from the engine's owner. */
 export interface PlaceRequest {
@@ -273,6 +274,7 @@
     readonly engineProbe: { readonly request: EngineProbeRequest; readonly reply: EngineProbeReply };
     readonly orderRight: { readonly request: OrderRightRequest; readonly reply: OrderRightReply };
     readonly engineReach: { readonly request: EngineReachRequest; readonly reply: EngineReachReply };
+    readonly view: { readonly request: ViewRequest; readonly reply: ViewReply };
     readonly engineUse: { readonly request: HostUsageReport; readonly reply: HostUsageReply };
 }
 
