A refusal counts as one of the request that it belongs to only

Cause: any head with Not-Executed, or with status 421, counted as this request's refusal, whatever id it bore; a copy of an earlier refusal on a kept connection became 'not run' for a request that the engine runs (REFUSED), or sent it to a second engine (TWICE). A copy may bear the same id too, if the request comes to the same connection once more. Change: the id of a refusal must be the request's. What belongs to no request leaves the outcome unknown, and its connection is closed.

--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -105,14 +105,15 @@
             head(next) {
                 options.onBytes();
                 restartSilenceTimer();
-                if (next.requestId !== req.requestId && !next.isNotRun) {
+                const unfit = findUnfitness(next, req);
+                if (unfit !== undefined) {
                     exchange.cancel();
-                    finish({ kind: "broken", reason: "answer to another request", framing: next.framing });
+                    finish({ kind: "broken", reason: unfit, framing: next.framing });
                     return;
                 }
                 head = next;
                 options.onHead(next);
-                isRelayed = relay !== undefined && next.status >= OK_STATUSES.from && next.status < OK_STATUSES.to;
+                isRelayed = relay !== undefined && isSuccess(next);
                 if (isRelayed) {
                     options.onAccept();
                     relay?.begin(next);
@@ -177,6 +178,20 @@
     });
 }
 
+/** Returns why an answer can't be taken as this request's; undefined if it can. */
+function findUnfitness(head: EngineAnswerHead, req: EngineRequest): string | undefined {
+    // A refusal may lack an id; the transport has made sure that it belongs to no earlier request on the connection.
+    const isOwn = head.requestId === req.requestId || (head.requestId === undefined && head.isNotRun);
+    if (!isOwn) {
+        return "answer to another request";
+    }
+    return undefined;
+}
+
+function isSuccess({ status }: EngineAnswerHead): boolean {
+    return status >= OK_STATUSES.from && status < OK_STATUSES.to;
+}
+
 function describeNotRun(req: EngineRequest, { status, instance }: EngineAnswerHead): ExchangeResult {
     return { kind: "not_run", status, isReplaced: instance !== undefined && instance !== req.target.id };
 }
