A success that is no stream of events never goes on a stream that has begun

Answers with other statuses were kept out already (runRequest.feature). Change: the next answer's media type must be that of the head that the client got; else the exchange is broken, and another engine or a break of the stream follows. Ruled out: a failed answer of an engine before the one that began; only safe routes keep one, and these have no stream. Evidence: 4 rows of runRequest.feature failed before.

--- /dev/null
+++ b/packages/front/src/readMediaType.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { readMediaType } from "./readMediaType.js";
+
+registerTable("readMediaType", readMediaType);
--- a/packages/front/src/relayAnswer.ts
+++ b/packages/front/src/relayAnswer.ts
@@ -1,11 +1,14 @@
 import type { EngineAnswerHead } from "@fulmarcleat/directory";
 import type { ServerResponse } from "node:http";
 import { findEventsEnd } from "./findEventsEnd.js";
+import { readMediaType } from "./readMediaType.js";
 
 /** Streams one engine's answer to the client. */
 export interface AnswerRelay {
     /** Whether anything has been sent to the client. */
     readonly hasStarted: boolean;
+    /** Media type of the answer that began; undefined if it stated none. */
+    readonly mediaType: string | undefined;
     /** Id of the last complete event that was sent to the client. */
     readonly lastEventId: string | undefined;
     /** Whether the last byte received belongs to an event that is not complete. */
@@ -67,6 +70,9 @@
         get hasStarted() {
             return hasStarted;
         },
+        get mediaType() {
+            return head === undefined ? undefined : readMediaType(head);
+        },
         get lastEventId() {
             return lastEventId;
         },
--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -6,6 +6,7 @@
     EngineTransport,
 } from "@fulmarcleat/directory";
 import type { Clock } from "@fulmarcleat/ids";
+import { readMediaType } from "./readMediaType.js";
 import type { AnswerRelay } from "./relayAnswer.js";
 
 /** How one exchange with an engine ended. */
@@ -105,7 +106,7 @@
             head(next) {
                 options.onBytes();
                 restartSilenceTimer();
-                const unfit = findUnfitness(next, req);
+                const unfit = findUnfitness(next, req, relay);
                 if (unfit !== undefined) {
                     exchange.cancel();
                     finish({ kind: "broken", reason: unfit, framing: next.framing });
@@ -179,13 +180,20 @@
 }
 
 /** Returns why an answer can't be taken as this request's; undefined if it can. */
-function findUnfitness(head: EngineAnswerHead, req: EngineRequest): string | undefined {
+function findUnfitness(
+    head: EngineAnswerHead,
+    req: EngineRequest,
+    relay: AnswerRelay | undefined,
+): string | undefined {
     // A refusal may lack an id; the transport has made sure that it belongs to no earlier request on the connection.
     const isOwn = head.requestId === req.requestId || (head.requestId === undefined && head.isNotRun);
     if (!isOwn) {
         return "answer to another request";
     }
-    return undefined;
+    const goesOn = relay?.hasStarted === true && isSuccess(head);
+    return goesOn && readMediaType(head) !== relay.mediaType
+        ? "the answer has another type than the stream"
+        : undefined;
 }
 
 function isSuccess({ status }: EngineAnswerHead): boolean {
--- a/packages/front/src/runRequest.feature
+++ b/packages/front/src/runRequest.feature
@@ -29,3 +29,18 @@
             | case                     | engines  | sent     | end                     |
             | a third engine           | v1 v1 v1 | v1,v1,v1 | relayed                 |
             | no other engine is left  | v1 v1    | v1,v1    | gave_up unknown no_room |
+
+    # Guards against an error's text in the middle of a stream, and a stream that ends in it as if it were complete.
+    Scenario Outline: A success that is no stream never goes on a stream that has begun: <case>
+        Given engines of the versions "<engines>" that <behaviour>
+        And a stream that is new
+        When a client's request for the stream runs 20 times
+        Then each run is sent to versions "<sent>" and ends as "<end>"
+        And each client has received "<received>"
+
+        Examples:
+            | case                             | engines  | behaviour                                                        | sent     | end                     | received                   |
+            | a page, a third engine           | v1 v1 v1 | break off after the first event, then answer with a page once    | v1,v1,v1 | relayed                 | id: 1\\n\\nid: 2\\n\\n |
+            | a page, no other engine is left  | v1 v1    | break off after the first event, then answer with a page once    | v1,v1    | gave_up unknown no_room | id: 1\\n\\n            |
+            | an answer without a type         | v1 v1    | break off after the first event, then answer without a type once | v1,v1    | gave_up unknown no_room | id: 1\\n\\n            |
+            | a page after a part of an event  | v1 v1    | break off inside an event, then answer with a page once          | v1,v1    | gave_up unknown no_room | id: 1\\n\\n            |
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -28,14 +28,34 @@
 
 const SERVICE: Service = { name: brandId<ServiceName>("models"), maxConnections: 10, engine: undefined };
 const EVENTS = ["id: 1\n\n", "id: 2\n\n"];
-/** What an engine does: sends the whole stream, breaks off after so many whole events, or answers with a failure. */
-type Act = { readonly kind: "whole" } | { readonly kind: "break"; readonly events: number } | { readonly kind: "fail" };
+/** What an engine does. */
+type Act =
+    /** Sends the whole stream. */
+    | { readonly kind: "whole" }
+    /** Breaks off after so many whole events. */
+    | { readonly kind: "break"; readonly events: number }
+    /** Answers with a failure. */
+    | { readonly kind: "fail" }
+    /** Answers with success and a body that is no stream. */
+    | { readonly kind: "page"; readonly mediaType: string };
 /** What the first engines of a run do; the others send the whole stream. */
 const ACTS: Readonly<Record<string, readonly Act[]>> = {
     "send the whole stream": [],
     "break off after the first event": [{ kind: "break", events: 1 }],
     "break off before an event": [{ kind: "break", events: 0 }],
     "break off after the first event, then fail once": [{ kind: "break", events: 1 }, { kind: "fail" }],
+    "break off after the first event, then answer with a page once": [
+        { kind: "break", events: 1 },
+        { kind: "page", mediaType: "text/html" },
+    ],
+    "break off after the first event, then answer without a type once": [
+        { kind: "break", events: 1 },
+        { kind: "page", mediaType: "" },
+    ],
+    "break off inside an event, then answer with a page once": [
+        { kind: "break", events: 1.5 },
+        { kind: "page", mediaType: "text/html" },
+    ],
 };
 
 let engines: Map<EngineId, KnownEngine>;
@@ -43,6 +63,7 @@
 let isResumed = false;
 let origin: StreamOrigin | undefined;
 let results: { readonly sent: string; readonly end: string }[] = [];
+let receivedTexts: string[] = [];
 
 Given(/^engines of the versions "(.*)" that (.*)$/, (versions: string, behaviour: string) => {
     ok(behaviour in ACTS);
@@ -76,7 +97,12 @@
     origin = { service: brandId(service), softwareVersion: brandId<SoftwareVersion>(version) };
 });
 
+Then("each client has received {string}", (events: string) => {
+    receivedTexts.forEach(text => strictEqual(text, events.replaceAll("\\n", "\n")));
+});
+
 When("a client's request for the stream runs {int} times", async (count: number) => {
+    receivedTexts = [];
     results = [];
     for (let seed = 0; seed < count; seed += 1) {
         results.push(await runOnce(seed));
@@ -154,11 +180,15 @@
     handleNotice: () => undefined,
 };
 
+/** A page with an empty line, as between two events, and a head in its middle. */
+const PAGE = "<p>overloaded</p>\n\nHTTP/1.1 500 Internal Server Error\r\n\r\n";
+
 function answer(req: EngineRequest, sink: AnswerSink, act: Act): void {
+    const mediaType = act.kind === "page" ? act.mediaType : "text/event-stream";
     const head: EngineAnswerHead = {
         status: act.kind === "fail" ? 500 : 200,
         framing: "chunks",
-        headers: [],
+        headers: mediaType === "" ? [] : ["Content-Type", mediaType],
         requestId: req.requestId,
         isNotRun: false,
         load: undefined,
@@ -174,17 +204,32 @@
             sink.end();
             return;
         case "break":
-            sendEvents(act.events);
+            sendEvents(Math.floor(act.events));
+            if (!Number.isInteger(act.events)) {
+                sink.piece(Buffer.from("id: 2\nda"));
+            }
             sink.fail({ kind: "broken", reason: "ECONNRESET" });
             return;
         case "fail":
             sink.end();
             return;
+        case "page":
+            sink.piece(Buffer.from(PAGE));
+            sink.end();
+            return;
     }
 }
 
 function createRequest(): ClientRequest {
-    const res = { writeHead: () => undefined, write: () => true, end: () => undefined } as unknown as ServerResponse;
+    const at = receivedTexts.push("") - 1;
+    const res = {
+        writeHead: () => undefined,
+        write(bytes: Buffer) {
+            receivedTexts[at] += bytes.toString();
+            return true;
+        },
+        end: () => undefined,
+    } as unknown as ServerResponse;
     return {
         req: { method: "GET", url: "/" },
         res,
