The store has on record which software versions streams can have begun at

Cause: hosts keep in memory where streams began and which versions have left. Change: one host writes each version of a service to the store when it comes, and removes it once it has been gone for 30 s by that host's own clock. A host that has just started and finds nothing on record goes by no version until it has run for 30 s. Ruled out: a wall-clock time in the store (clocks are stepped); a lease (its renewal ends with the hosts).

--- a/packages/directory/src/chooseViewRole.ts
+++ b/packages/directory/src/chooseViewRole.ts
@@ -3,9 +3,9 @@
 /** A host that others may follow. */
 export interface ViewHost {
     readonly host: HostId;
-    readonly domain: FailureDomain | undefined;
+    readonly domain?: FailureDomain | undefined;
     /** Whether it answers hosts that follow it; hosts of former versions don't. */
-    readonly canBeFollowed: boolean;
+    readonly canBeFollowed?: boolean | undefined;
     readonly isLeaving: boolean;
 }
 
@@ -42,7 +42,7 @@
 export function chooseViewRole(self: HostId, hosts: readonly ViewHost[], rank: Rank): ViewRole {
     const domain = hosts.find(({ host }) => host === self)?.domain;
     const neighbours = hosts.filter(other =>
-        domain !== undefined && other.domain === domain && other.canBeFollowed && !other.isLeaving
+        domain !== undefined && other.domain === domain && other.canBeFollowed === true && !other.isLeaving
     );
     if (neighbours.length < MIN_DOMAIN_HOSTS) {
         return { isFollowed: false, sources: [], readers: hosts.length };
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -44,7 +44,7 @@
     parseOwner,
     SYSTEM_PREFIX,
 } from "./hostKeys.js";
-import type { Member } from "./hostKeys.js";
+import type { Member, RecordedVersion, StoredQuarantine } from "./hostKeys.js";
 import { startStoreWatch } from "./startStoreWatch.js";
 import type { StoreWatch } from "./startStoreWatch.js";
 import { startViewFollower } from "./startViewFollower.js";
@@ -58,6 +58,8 @@
     readonly members: ReadonlyMap<HostId, Member>;
     /** Owner keys of the engines. */
     readonly claims: OwnerClaims;
+    /** Software versions of services that are in use, or were until lately, by their keys in the store. */
+    readonly recordedVersions: ReadonlyMap<string, RecordedVersion>;
     /** Prompt parts and requests that are quarantined in the store. */
     readonly quarantined: ReadonlyMap<Suspect, StoredQuarantine>;
     /** Calls a listener when a quarantine is set, renewed or lifted in the store. */
@@ -90,14 +92,6 @@
     stop(): void;
 }
 
-/** A quarantine as the store holds it. */
-export interface StoredQuarantine {
-    /** Revision of its key. */
-    readonly revision: number;
-    /** Clock reading when this host learned of it, in milliseconds. */
-    readonly sinceMs: number;
-}
-
 /** Shortest time between two watch calls for the configuration, in milliseconds. */
 const CONFIG_WATCH_INTERVAL_MS = 60;
 /** Base interval between two watch calls for engines' entries, which change often, in milliseconds. */
@@ -136,6 +130,7 @@
     const members = new Map<HostId, Member>();
     const claims = createOwnerClaims(clock);
     const quarantined = new Map<Suspect, StoredQuarantine>();
+    const recordedVersions = new Map<string, RecordedVersion>();
     const quarantineListeners: ((suspect: Suspect, isSet: boolean) => void)[] = [];
     const releaseListeners: ((release: AdapterRelease) => void)[] = [];
     const removalListeners: ((entry: EngineEntry) => void)[] = [];
@@ -223,6 +218,9 @@
                     quarantineListeners.forEach(listener => listener(key.suspect, true));
                 }
                 return;
+            case "version":
+                recordedVersions.set(item.key, { ...key.version, revision: item.revision });
+                return;
             case "wants":
                 loadRequestListeners.forEach(listener => listener(parseLoadRequests(item.value)));
                 return;
@@ -244,6 +242,9 @@
                     quarantineListeners.forEach(listener => listener(key.suspect, false));
                 }
                 return;
+            case "version":
+                recordedVersions.delete(text);
+                return;
             case "wants":
             case "other":
                 return;
@@ -277,7 +278,11 @@
             const present = new Set(items.map(item => item.key));
             [...members.keys()].filter(host => !present.has(formatMemberKey(host)))
                 .forEach(host => members.delete(host));
-            [...[...claims.current.keys()].map(formatOwnerKey), ...[...quarantined.keys()].map(formatQuarantineKey)]
+            [
+                ...[...claims.current.keys()].map(formatOwnerKey),
+                ...[...quarantined.keys()].map(formatQuarantineKey),
+                ...recordedVersions.keys(),
+            ]
                 .filter(key => !present.has(key))
                 .forEach(removeHostKey);
             items.filter(item => parseHostKey(item.key).kind !== "wants").forEach(applyHostItem);
@@ -306,10 +311,11 @@
         if (!readAges().mayFollow) {
             return { isFollowed: false, sources: [], readers: members.size };
         }
-        const hosts = [...members.values()].map(({ host, domain, canBeFollowed = false, isLeaving }) => (
-            { host, domain, canBeFollowed, isLeaving }
-        ));
-        return chooseViewRole(deployment.host, hosts, (key, names) => rankByRendezvous(hash, key, names));
+        return chooseViewRole(
+            deployment.host,
+            [...members.values()],
+            (key, names) => rankByRendezvous(hash, key, names),
+        );
     };
     const listSources = (): readonly Member[] =>
         readRole().sources.map(host => members.get(host)).filter(member => member !== undefined);
@@ -375,6 +381,7 @@
         members,
         claims,
         quarantined,
+        recordedVersions,
         onQuarantine: listener => void quarantineListeners.push(listener),
         readAgeMs,
         readConfirmedFrom: part => feeds[part].confirmation?.from,
--- a/packages/front/src/createStoreFake.steps.ts
+++ b/packages/front/src/createStoreFake.steps.ts
@@ -18,6 +18,8 @@
     remove(key: string): void;
     /** Keys that exist now, below a prefix. */
     listKeys(prefix: string): readonly string[];
+    /** Returns the revision of a key's last change; undefined if the key doesn't exist. */
+    findRevision(key: string): number | undefined;
     /** Sets how calls are treated from now on. */
     setMode(mode: StoreFakeMode): void;
     /** Lets every call that waits hear nothing for good. */
@@ -167,6 +169,7 @@
         put: (key, value) => void apply({ expect: [], puts: [{ key, value, lease: 0 }], removes: [] }),
         remove: key => void apply({ expect: [], puts: [], removes: [key] }),
         listKeys: prefix => [...items.keys()].filter(key => key.startsWith(prefix)),
+        findRevision: key => items.get(key)?.revision,
         setMode(next) {
             mode = next;
             if (next !== "serving") {
--- a/packages/front/src/createStreamOrigins.feature
+++ b/packages/front/src/createStreamOrigins.feature
@@ -22,6 +22,26 @@
             | at another of many hosts                        | v1 v2   | the stream began at version v1 at host 0 | nothing happens                         | every other host | v1      | 40    |
             | of many hosts, after its first was killed       | v1 v2   | the stream began at version v1 at host 0 | host 0 is killed                        | every other host | v1      | 40    |
 
+    # Guards against a stream that is joined from two versions, since no host is left that knows where it began.
+    Scenario Outline: After a loss of power of all <hosts> hosts: <case>
+        Given <hosts> hosts and engines of the versions "<engines>"
+        And the stream began at version v1 at host 0
+        And <since>
+        And all hosts lose power and run for <ran> s
+        When the client resumes the stream at every other host
+        Then the stream began at "<version>"
+
+        Examples:
+            | case                                     | engines | since                               | ran | version | hosts |
+            | there was only one version               | v1 v1   | nothing happens                     | 0   | v1      | 8     |
+            | two versions are in service              | v1 v2   | nothing happens                     | 0   | unknown | 8     |
+            | the stream's version had just left       | v1 v2   | the engine of v1 leaves 1 s before  | 0   | unknown | 8     |
+            | it had left 29 s before                  | v1 v2   | the engine of v1 leaves 29 s before | 0   | unknown | 8     |
+            | it had left long before                  | v1 v2   | the engine of v1 leaves 31 s before | 0   | v2      | 8     |
+            | the store has nothing on record          | v1 v1   | the versions were never recorded    | 0   | unknown | 8     |
+            | nothing on record, the hosts ran on      | v1 v1   | the versions were never recorded    | 31  | v1      | 8     |
+            | it had just left, of many hosts          | v1 v2   | the engine of v1 leaves 1 s before  | 0   | unknown | 195   |
+
     Scenario: The hosts of a large deployment tell few peers
         Given 40 hosts and engines of the versions "v1 v2"
         When 500 streams begin at host 0
--- a/packages/front/src/createStreamOrigins.steps.ts
+++ b/packages/front/src/createStreamOrigins.steps.ts
@@ -8,7 +8,9 @@
 import { createStreamOrigins } from "./createStreamOrigins.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
 import type { FrontContext } from "./frontContext.js";
-import type { Member } from "./hostKeys.js";
+import { formatVersionKey } from "./hostKeys.js";
+import type { Member, RecordedVersion } from "./hostKeys.js";
+import { RESUMABLE_MS } from "./resumableTime.js";
 
 const STREAM = brandId<RequestId>("r1");
 const SERVICE = { name: brandId<ServiceName>("models") } as Service;
@@ -18,6 +20,9 @@
 let engines: Map<EngineId, KnownEngine>;
 let hosts: Map<HostId, StreamOrigins>;
 let removalListeners: ((entry: EngineEntry) => void)[];
+/** The store's record, which outlives all hosts. */
+let recordedVersions: Map<string, RecordedVersion>;
+let isFirstStart = true;
 let told: HostId[] = [];
 let versions: readonly (string | undefined)[] = [];
 
@@ -42,10 +47,11 @@
 async function startHost(number: number): Promise<void> {
     const host = toHost(number);
     members.set(host, { host, incarnation: brandId<Incarnation>("1"), ip: "127.0.0.1", port: 1, isLeaving: false });
-    const context = { clock, deployment: { host }, hash: await createHasher(), metrics: createMetrics() };
+    const context = { clock, deployment: { host, isFirstStart }, hash: await createHasher(), metrics: createMetrics() };
     const clusterView = {
         engines,
         members,
+        recordedVersions,
         onEngineRemoved: (listener: (entry: EngineEntry) => void) => void removalListeners.push(listener),
     };
     hosts.set(host, createStreamOrigins(context as unknown as FrontContext, clusterView, () => peers));
@@ -68,11 +74,28 @@
             return [id, { entry: { id, service: SERVICE.name, softwareVersion: version } } as unknown as KnownEngine];
         }),
     );
+    isFirstStart = true;
+    recordedVersions = new Map(
+        [...engines.values()].map(({ entry }) => [formatVersionKey(entry), { ...entry, revision: 1 }]),
+    );
     for (let number = 0; number < count; number += 1) {
         await startHost(number);
     }
 });
 
+Given("the versions were never recorded", () => recordedVersions.clear());
+
+Given("all hosts lose power and run for {int} s", async (seconds: number) => {
+    const numbers = [...hosts.keys()].map(host => Number(host.slice("host-".length)));
+    removalListeners = [];
+    isFirstStart = false;
+    hosts.clear();
+    for (const number of numbers) {
+        await startHost(number);
+    }
+    clock.advance(seconds * 1000);
+});
+
 Given("no host has a record of the stream", () => undefined);
 
 Given(/^the stream began at version (\w+) at host (\d+)$/, (version: string, host: string) => {
@@ -100,6 +123,9 @@
         }
     }
     clock.advance(Number(seconds) * 1000);
+    if (Number(seconds) * 1000 >= RESUMABLE_MS) {
+        recordedVersions.delete(formatVersionKey({ service: SERVICE.name, softwareVersion: brandId(version) }));
+    }
 });
 
 Given(/^(\d+) s pass$/, (seconds: string) => clock.advance(Number(seconds) * 1000));
--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -5,6 +5,7 @@
 import type { ClusterView } from "./createClusterView.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
+import { RESUMABLE_MS } from "./resumableTime.js";
 import { sendToPeer } from "./sendToPeer.js";
 
 /** Remembers where streams began, for clients that resume them at any host. */
@@ -28,8 +29,6 @@
     readonly keptUntilMs: number;
 }
 
-/** Longest time after its first event for which a stream may be resumed, in milliseconds. */
-const RECORD_TTL_MS = 30_000;
 /** Most records that a host keeps; the oldest is dropped first. */
 const MAX_RECORDS = 50_000;
 /** Most hosts that copies are spread over, so that no host keeps connections to all others. */
@@ -43,7 +42,8 @@
 
 /**
  * Creates the records of where streams began. They are kept in memory, at the host that served the first event and at
- * two peers that rendezvous hashing of the request's id picks from a bounded set.
+ * two peers that rendezvous hashing of the request's id picks from a bounded set. After a loss of all hosts only the
+ * software versions that the store has on record tell where a stream can have begun.
  *
  * @param context - Clock, hash, metrics and this host's name
  * @param clusterView - Live hosts and engines
@@ -55,18 +55,19 @@
  */
 export function createStreamOrigins(
     context: Pick<FrontContext, "clock" | "deployment" | "hash" | "metrics">,
-    clusterView: Pick<ClusterView, "engines" | "members" | "onEngineRemoved">,
+    clusterView: Pick<ClusterView, "engines" | "members" | "onEngineRemoved" | "recordedVersions">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
 ): StreamOrigins {
     const { clock, deployment, hash, metrics } = context;
     const kept = new Map<RequestId, KeptOrigin>();
     const peerContext = { metrics, readPeers };
+    const startedMs = clock.nowMs();
     let formerVersions: readonly { readonly origin: StreamOrigin; readonly removedAtMs: number }[] = [];
 
     const keep = ({ requestId, service, softwareVersion }: StreamRecord): void => {
         const atMs = clock.nowMs();
         kept.delete(requestId);
-        kept.set(requestId, { origin: { service, softwareVersion }, keptUntilMs: atMs + RECORD_TTL_MS });
+        kept.set(requestId, { origin: { service, softwareVersion }, keptUntilMs: atMs + RESUMABLE_MS });
         for (const [id, { keptUntilMs }] of kept) {
             if (keptUntilMs > atMs && kept.size <= MAX_RECORDS) {
                 break;
@@ -102,12 +103,20 @@
     };
     /** Lists the engines that were removed within the time for which a stream may be resumed. */
     const listFormerVersions = (): typeof formerVersions => {
-        const sinceMs = clock.nowMs() - RECORD_TTL_MS;
+        const sinceMs = clock.nowMs() - RESUMABLE_MS;
         return formerVersions.filter(former => former.removedAtMs >= sinceMs);
     };
+    /** Whether this host knows all software versions that a service has had for as long as a stream may be resumed. */
+    const knowsHistory = (recorded: readonly StreamOrigin[]): boolean =>
+        deployment.isFirstStart || recorded.length > 0 || clock.nowMs() - startedMs >= RESUMABLE_MS;
     /** Returns the only software version that a service has had for as long as a stream may be resumed. */
     const findOnlyVersion = (service: ServiceName): StreamOrigin | undefined => {
+        const recorded = [...clusterView.recordedVersions.values()].filter(version => version.service === service);
+        if (!knowsHistory(recorded)) {
+            return undefined;
+        }
         const origins = [
+            ...recorded,
             ...[...clusterView.engines.values()].map(({ entry }) => entry),
             ...listFormerVersions().map(former => former.origin),
         ].filter(origin => origin.service === service);
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -1,5 +1,13 @@
 import { parseJson } from "@fulmarcleat/http";
-import type { EngineId, FailureDomain, HostId, Incarnation, Suspect } from "@fulmarcleat/ids";
+import type {
+    EngineId,
+    FailureDomain,
+    HostId,
+    Incarnation,
+    ServiceName,
+    SoftwareVersion,
+    Suspect,
+} from "@fulmarcleat/ids";
 import { brandId } from "@fulmarcleat/ids";
 import type { OwnerClaim } from "@fulmarcleat/residency";
 import type { AdapterLoadRequest } from "@fulmarcleat/wire";
@@ -10,6 +18,7 @@
 const MEMBER_PREFIX = `${SYSTEM_PREFIX}member/`;
 const LOAD_REQUEST_PREFIX = `${SYSTEM_PREFIX}want/`;
 const QUARANTINE_PREFIX = `${SYSTEM_PREFIX}quarantine/`;
+const VERSION_PREFIX = `${SYSTEM_PREFIX}version/`;
 const OWNER_PREFIX = `${SYSTEM_PREFIX}owner/`;
 /** Key of the secret with which hosts authenticate to each other. */
 export const PEER_SECRET_KEY = `${SYSTEM_PREFIX}peer-secret`;
@@ -71,12 +80,34 @@
     })),
 });
 
+/** A software version that a service's engines have. */
+export interface ServiceVersion {
+    readonly service: ServiceName;
+    /** Undefined if the engines state none. */
+    readonly softwareVersion: SoftwareVersion | undefined;
+}
+
+/** A software version that the store has on record. */
+export interface RecordedVersion extends ServiceVersion {
+    /** Revision at which the store recorded it. */
+    readonly revision: number;
+}
+
+/** A quarantine as the store holds it. */
+export interface StoredQuarantine {
+    /** Revision of its key. */
+    readonly revision: number;
+    /** Clock reading when this host learned of it, in milliseconds. */
+    readonly sinceMs: number;
+}
+
 /** What a key of the system refers to. */
 export type HostKey =
     | { readonly kind: "member"; readonly host: HostId }
     | { readonly kind: "owner"; readonly engine: EngineId }
     | { readonly kind: "wants"; readonly host: HostId }
     | { readonly kind: "quarantine"; readonly suspect: Suspect }
+    | { readonly kind: "version"; readonly version: ServiceVersion }
     | { readonly kind: "other" };
 
 /**
@@ -101,6 +132,16 @@
     if (key.startsWith(QUARANTINE_PREFIX)) {
         return { kind: "quarantine", suspect: brandId<Suspect>(key.slice(QUARANTINE_PREFIX.length)) };
     }
+    if (key.startsWith(VERSION_PREFIX)) {
+        const [service = "", softwareVersion] = key.slice(VERSION_PREFIX.length).split("/").map(decodeURIComponent);
+        return {
+            kind: "version",
+            version: {
+                service: brandId(service),
+                softwareVersion: softwareVersion === undefined ? undefined : brandId(softwareVersion),
+            },
+        };
+    }
     return { kind: "other" };
 }
 
@@ -143,6 +184,20 @@
     return QUARANTINE_PREFIX + suspect;
 }
 
+/**
+ * Formats the key that says that a software version of a service is in use, or was until lately.
+ *
+ * @param version - Service and software version
+ * @returns the full key
+ *
+ * @example
+ * formatVersionKey({ service: brandId("models"), softwareVersion: brandId("v2") }); // "fulmarcleat/version/models/v2"
+ */
+export function formatVersionKey({ service, softwareVersion }: ServiceVersion): string {
+    const parts = softwareVersion === undefined ? [service] : [service, softwareVersion];
+    return VERSION_PREFIX + parts.map(encodeURIComponent).join("/");
+}
+
 /**
  * Serializes a host's entry.
  *
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -37,6 +37,7 @@
 import { startAdapterTracker } from "./startAdapterTracker.js";
 import { startOwnership } from "./startOwnership.js";
 import { startSession } from "./startSession.js";
+import { startVersionRecords } from "./startVersionRecords.js";
 import { createStoreHealth } from "./storeHealth.js";
 import { watchClientConnections } from "./watchClientConnections.js";
 import { watchSettings } from "./watchSettings.js";
@@ -107,6 +108,7 @@
     const outbox = createLoadRequestOutbox(context, () => session.lease);
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
+    const versionRecords = startVersionRecords(context, health, clusterView);
     const quarantine = createQuarantine(context, clusterView, () => peers, paths);
     const limits = createEngineLimits(context, clusterView, () => peers);
     let sharedKey: string | undefined;
@@ -217,6 +219,7 @@
                 await sleep(clock, STOP_POLL_MS);
                 closeIdleClients();
             }
+            versionRecords.stop();
             clusterView.stop();
             adapters.stop();
             paths.stop();
