--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -307,16 +307,11 @@
         hosts: createKeyFeed(hostKeys),
     };
     const readAges = () => chooseViewAges(context.readBounds().configApplyMs);
-    const readRole = (): ViewRole => {
-        if (!readAges().mayFollow) {
-            return { isFollowed: false, sources: [], readers: members.size };
-        }
-        return chooseViewRole(
-            deployment.host,
-            [...members.values()],
-            (key, names) => rankByRendezvous(hash, key, names),
-        );
-    };
+    const rank = (key: string, hosts: readonly HostId[]) => rankByRendezvous(hash, key, hosts);
+    const readRole = (): ViewRole =>
+        readAges().mayFollow
+            ? chooseViewRole(deployment.host, [...members.values()], rank)
+            : { isFollowed: false, sources: [], readers: members.size };
     const listSources = (): readonly Member[] =>
         readRole().sources.map(host => members.get(host)).filter(member => member !== undefined);
     const follower = startViewFollower(context, {
