The bytes of a refusal are formatted by the platform's stand-ins

Cause: refusalCopies.steps.ts named a header of the platform; its names stay in platform/. Change: formatRefusal.

--- a/packages/front/src/refusalCopies.steps.ts
+++ b/packages/front/src/refusalCopies.steps.ts
@@ -3,6 +3,7 @@
 import { brandId, createSystemClock } from "@fulmarcleat/ids";
 import type { EngineId, RequestId } from "@fulmarcleat/ids";
 import { createEngineTransport } from "@fulmarcleat/platform";
+import { formatRefusal } from "@fulmarcleat/platform-standin";
 import { After, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
@@ -25,8 +26,7 @@
         connections = 0;
         transport = createEngineTransport({ connectTimeoutMs: 1000, idleMs: 4000, idleConnections: 4 });
         const refuse = (requestId: string): string =>
-            `HTTP/1.1 ${status} Refused\r\n${id === "with an id" ? `Request-Id: ${requestId}\r\n` : ""}`
-            + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            formatRefusal(Number(status), id === "with an id" ? requestId : undefined);
         server = createServer(socket => {
             connections += 1;
             let first: string | undefined;
