A host chooses whom it follows only when the hosts have changed

Cause: the role was ranked anew at each poll and each watch call, over all hosts of the failure domain. Change: it is kept until a host's entry changes or goes. Evidence: followViews.feature and chooseViewRole.feature as before.

--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -131,6 +131,8 @@
     const claims = createOwnerClaims(clock);
     const quarantined = new Map<Suspect, StoredQuarantine>();
     const recordedVersions = new Map<string, RecordedVersion>();
+    /** This host's role among its members; undefined once they have changed. */
+    let role: ViewRole | undefined;
     const quarantineListeners: ((suspect: Suspect, isSet: boolean) => void)[] = [];
     const releaseListeners: ((release: AdapterRelease) => void)[] = [];
     const removalListeners: ((entry: EngineEntry) => void)[] = [];
@@ -201,6 +203,7 @@
                 const member = parseMember(key.host, item.value);
                 if (member !== undefined) {
                     members.set(key.host, member);
+                    role = undefined;
                     claims.putMember(member);
                 }
                 return;
@@ -233,6 +236,7 @@
         switch (key.kind) {
             case "member":
                 members.delete(key.host);
+                role = undefined;
                 return;
             case "owner":
                 claims.remove(key.engine);
@@ -276,9 +280,8 @@
     const hostKeys: FeedListener = {
         listed(items) {
             const present = new Set(items.map(item => item.key));
-            [...members.keys()].filter(host => !present.has(formatMemberKey(host)))
-                .forEach(host => members.delete(host));
             [
+                ...[...members.keys()].map(formatMemberKey),
                 ...[...claims.current.keys()].map(formatOwnerKey),
                 ...[...quarantined.keys()].map(formatQuarantineKey),
                 ...recordedVersions.keys(),
@@ -310,7 +313,7 @@
     const rank = (key: string, hosts: readonly HostId[]) => rankByRendezvous(hash, key, hosts);
     const readRole = (): ViewRole =>
         readAges().mayFollow
-            ? chooseViewRole(deployment.host, [...members.values()], rank)
+            ? role ??= chooseViewRole(deployment.host, [...members.values()], rank)
             : { isFollowed: false, sources: [], readers: members.size };
     const listSources = (): readonly Member[] =>
         readRole().sources.map(host => members.get(host)).filter(member => member !== undefined);
