Reproduce: requests go on to engines that say that they leave or ask for a pause

What callers saw: requests at an engine over two seconds after it had said in an answer that it leaves (DRAIN), and requests and repeats at an engine that had answered 503 with a time for which it wants none (BUDGET).

--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -9,7 +9,8 @@
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
 import type { EngineId, HostId, PromptPart, RequestId } from "@fulmarcleat/ids";
-import { ENGINE_PREFIX } from "@fulmarcleat/platform";
+import { ENGINE_PREFIX, parseAnswerHead } from "@fulmarcleat/platform";
+import { listEngineHeaders } from "@fulmarcleat/platform-standin";
 import type { StreamRecord } from "@fulmarcleat/wire";
 import { setImmediate } from "node:timers/promises";
 import type { ClientRequest } from "./clientRequest.js";
@@ -24,7 +25,9 @@
     FleetArrival,
     FleetCrash,
     FleetLimit,
+    FleetNotice,
     FleetRequest,
+    FleetWord,
     FrontFleet,
     FrontFleetOptions,
 } from "./frontFleet.steps.js";
@@ -65,6 +68,9 @@
 const ENTRY_TTL_MS = 3600;
 /** Time until a connection to a stopped engine is refused, in milliseconds. */
 const REFUSED_MS = 2;
+/** Status of an answer, and of a request that is turned away. */
+const SERVED = 200;
+const TURNED_AWAY = 503;
 /** Time in which a plain service answers, in milliseconds. */
 const PLAIN_MS = 20;
 /** Time in which it answers requests that may run once only, in milliseconds; some are in flight at any moment. */
@@ -106,6 +112,8 @@
     const origins = new Map<RequestId, StreamRecord>();
     const handlersByHost = new Map<HostId, PeerHandlers>();
     const arrivals: FleetArrival[] = [];
+    const notices = new Map<EngineId, FleetNotice>();
+    const words: FleetWord[] = [];
     const domains = new Map<HostId, string>();
     const pathRandom = createRandom(options.seed + 1);
     const nameDomain = (number: number): string => DOMAINS[number % (options.domains ?? 1)] ?? "a";
@@ -145,7 +153,30 @@
         limit !== undefined && [...engines.keys()].indexOf(id) < limit.engines
             ? { kind: "rate", perSecond: limit.perSecond }
             : { kind: "none" };
-    const answer = (req: EngineRequest, sink: AnswerSink, engine: SimulatedEngine): void => {
+    /** Builds the head of an engine's answer, with what it says of further work. */
+    const createHead = (
+        host: HostId,
+        { requestId }: EngineRequest,
+        engine: SimulatedEngine,
+        status: number,
+    ): EngineAnswerHead => {
+        const notice = notices.get(engine.id);
+        if (notice !== undefined) {
+            words.push({ engine: engine.id, host, atMs: clock.nowMs(), notice });
+        }
+        const headers = listEngineHeaders({
+            requestId,
+            isNotRun: status === TURNED_AWAY,
+            isLeaving: notice?.kind === "leaving",
+            retryAfter: notice?.kind === "pausing" ? String((notice.untilMs - clock.nowMs()) / MS_PER_S) : undefined,
+        });
+        return { ...parseAnswerHead(status, headers), limit: nameLimit(engine.id) };
+    };
+    const isPausing = ({ id }: SimulatedEngine): boolean => {
+        const notice = notices.get(id);
+        return notice?.kind === "pausing" && notice.untilMs > clock.nowMs();
+    };
+    const answer = (host: HostId, req: EngineRequest, sink: AnswerSink, engine: SimulatedEngine): void => {
         const request = requestsById.get(req.requestId);
         const isInFlight = (): boolean => engine.exchanges.has(sink);
         const sendEvent = (event: number): void => {
@@ -169,15 +200,19 @@
                 }
             });
         const headFor = (framing: AnswerFraming): EngineAnswerHead => ({
-            status: 200,
+            ...createHead(host, req, engine, SERVED),
             framing,
-            headers: [],
-            requestId: req.requestId,
-            isNotRun: false,
-            load: undefined,
-            limit: nameLimit(engine.id),
-            instance: undefined,
         });
+        if (isPausing(engine)) {
+            clock.setTimer(REFUSED_MS, () => {
+                if (isInFlight()) {
+                    engine.exchanges.delete(sink);
+                    sink.head(createHead(host, req, engine, TURNED_AWAY));
+                    sink.end();
+                }
+            });
+            return;
+        }
         if (request !== undefined && request.kind !== "streaming") {
             if (request.isPoison && isPoisonous) {
                 crashAfter(request);
@@ -215,9 +250,9 @@
         const request = requestsById.get(req.requestId);
         request?.reachedMs.push(clock.nowMs());
         request?.sentBy.push(host);
-        arrivals.push({ engine: engine.id, host, atMs: clock.nowMs() });
+        arrivals.push({ engine: engine.id, host, atMs: clock.nowMs(), sentMs: request?.sentMs ?? clock.nowMs() });
         engine.exchanges.add(sink);
-        answer(req, sink, engine);
+        answer(host, req, sink, engine);
         return () => void engine.exchanges.delete(sink);
     };
     const paths = createFleetPaths({
@@ -343,6 +378,9 @@
             return [...runners.keys()];
         },
         setLimit: next => void (limit = next),
+        setNotice: (ids, notice) =>
+            ids.forEach(id => notice === undefined ? notices.delete(id) : notices.set(id, notice)),
+        words,
         stopHost(host) {
             runners.delete(host);
             handlersByHost.delete(host);
--- a/packages/front/src/frontFleet.steps.ts
+++ b/packages/front/src/frontFleet.steps.ts
@@ -71,6 +71,23 @@
     /** The host that sent it. */
     readonly host: HostId;
     readonly atMs: number;
+    /** Clock reading when its client sent it, in milliseconds. */
+    readonly sentMs: number;
+}
+
+/** What engines say in their answers of further work. */
+export type FleetNotice =
+    /** They leave; the store goes on listing them as ready. */
+    | { readonly kind: "leaving" }
+    /** They turn requests away until a clock reading, in milliseconds, and name the time that is left. */
+    | { readonly kind: "pausing"; readonly untilMs: number };
+
+/** An answer with which an engine told a host of further work. */
+export interface FleetWord {
+    readonly engine: EngineId;
+    readonly host: HostId;
+    readonly atMs: number;
+    readonly notice: FleetNotice;
 }
 
 /** An engine's crash under a request. */
@@ -125,6 +142,10 @@
     readonly engineIds: readonly EngineId[];
     /** Sets the limit that the first engines name in their answers from now on; undefined for none. */
     setLimit(limit: FleetLimit | undefined): void;
+    /** Sets what engines say in their answers of further work from now on; undefined for nothing. */
+    setNotice(engines: readonly EngineId[], notice: FleetNotice | undefined): void;
+    /** The answers with which engines told hosts of further work. */
+    readonly words: readonly FleetWord[];
     /** Stops a host: it answers no message, gets no request, and its entry is removed some seconds later. */
     stopHost(host: HostId): void;
     readonly hosts: readonly HostId[];
