Engines that say that they leave, or ask for a pause, get nothing further from the host that they told

Cause: what an engine says of further work in its answers was not read. Only the store's entry closed an engine, and a 503 was retried at the same engine after 45 ms, whatever time it named. Class: each place that chooses an engine, or calls it, asked its own question.

Change: one place says which engines may get work (createEngineClosures): not those that the store lists as leaving, those whose address is another's, those that say that they leave, and those in a pause. The choice of an engine, takeovers, the paths' probes, orders and reports ask it; the transport asks once more when its connection is open. The word holds for the run of the engine, and for this host: it is not passed on, since an answer that is wrong would close a sound engine for all, and each host learns it from its first answer, which the engine still serves. An answer that came through another host names the engine, so that both hosts keep to it. A pause is 503 with a time; each one holds to its own end, ten minutes at most. After it an engine gets one request, and more as it answers. While all engines pause, clients are refused at once and told to return after the pause, spread and the urgent ones first.

Price: nothing is sent for it and nothing waits; a lookup per engine and choice, at 8, 86 and 300 hosts alike.

--- a/packages/directory/src/engineTransport.ts
+++ b/packages/directory/src/engineTransport.ts
@@ -56,8 +56,23 @@
     readonly limit: NamedLimit;
     /** Id of the engine that answers, if it states one. */
     readonly instance: EngineId | undefined;
+    /** What the engine says of further work for it; undefined if it says nothing. */
+    readonly notice: EngineNotice | undefined;
 }
 
+/** What an engine's answer says of further work for it. */
+export interface EngineNotice {
+    /** Whether it leaves. */
+    readonly isLeaving: boolean;
+    /** The time for which it wants nothing more from the host that it answers; undefined if it names none. */
+    readonly pause: NamedPause | undefined;
+}
+
+/** A time for which an engine wants no further requests, as it stands in an answer. */
+export type NamedPause =
+    | { readonly kind: "time"; readonly forMs: number }
+    | { readonly kind: "unreadable"; readonly text: string };
+
 /** How an exchange with an engine ended without a complete answer. */
 export type ExchangeFailure =
     /** Nothing of the request was sent, so it can't have run. */
--- a/packages/dispatch/src/chooseRetryAfter.ts
+++ b/packages/dispatch/src/chooseRetryAfter.ts
@@ -6,6 +6,8 @@
     readonly leftMs: number;
     /** Random number in [0, 1); spreads the retries of clients. */
     readonly draw: number;
+    /** Whether the time is known, such as the end of a pause, and no sooner return can succeed. */
+    readonly isCertain?: boolean;
 }
 
 /** Largest part of the remaining time used as delay; clients don't honour longer delays. */
@@ -26,7 +28,9 @@
  * @example
  * chooseRetryAfter({ readyInMs: 400, leftMs: 4000, draw: 0.5 }); // 500
  */
-export function chooseRetryAfter({ readyInMs, leftMs, draw }: RetryAfterTerms): number {
-    const desiredMs = Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, readyInMs)) * (1 + draw * SPREAD_PART);
+export function chooseRetryAfter({ readyInMs, leftMs, draw, isCertain }: RetryAfterTerms): number {
+    const desiredMs = isCertain === true
+        ? Math.max(MIN_WAIT_MS, readyInMs)
+        : Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, readyInMs)) * (1 + draw * SPREAD_PART);
     return Math.round(Math.max(1, Math.min(desiredMs, leftMs * MAX_REMAINING_PART)));
 }
--- a/packages/front/src/applyAttempt.ts
+++ b/packages/front/src/applyAttempt.ts
@@ -33,6 +33,8 @@
     | "no_path"
     /** All engines have reached the limits that they name. */
     | "limited"
+    /** All engines that it may go to have asked for a pause, or have just come back from one. */
+    | "paused"
     | "overloaded"
     | "refused"
     | "broken"
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -224,7 +224,12 @@
             ? SERVER_ERROR_STATUS.gatewayTimeout
             : SERVER_ERROR_STATUS.badGateway;
         const leftMs = request.deadlineAtMs - clock.nowMs();
-        const retryAfterMs = chooseRetryAfter({ readyInMs: end.readyInMs, leftMs, draw: random.next() });
+        const retryAfterMs = chooseRetryAfter({
+            readyInMs: end.readyInMs,
+            leftMs,
+            draw: random.next(),
+            isCertain: end.reason === "paused",
+        });
         refuse(request.res, request.requestId, {
             status,
             reason: end.reason,
--- a/packages/front/src/createEngineChooser.ts
+++ b/packages/front/src/createEngineChooser.ts
@@ -3,7 +3,7 @@
 import type { ModelEngineOptions, ModelEngineView } from "@fulmarcleat/dispatch";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import type { ClientRequest } from "./clientRequest.js";
-import type { ClusterView } from "./createClusterView.js";
+import type { EngineClosures } from "./createEngineClosures.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { FrontContext } from "./frontContext.js";
 import type { AdapterTracker, RequestedAdapter } from "./startAdapterTracker.js";
@@ -17,7 +17,7 @@
 
 /** Chooses engines for requests. */
 export interface EngineChooser {
-    /** Lists the usable engines of a service. */
+    /** Lists the engines of a service that may get work. */
     list(service: Service): readonly KnownEngine[];
     /** Chooses one of the allowed engines; undefined if none is suitable. */
     choose(request: ClientRequest, allowed: readonly KnownEngine[]): Promise<ChosenEngine | undefined>;
@@ -30,17 +30,17 @@
  * Creates a chooser that uses this host's own measurements and the owners' reports.
  *
  * @param context - Clock, hash, random numbers and policy
- * @param clusterView - Source of the engines
+ * @param closures - Lists the engines that may get work
  * @param loadTracker - Load and health of engines as this host observes them
  * @param adapters - Adapters on engines as their owners report them
  * @returns the chooser
  *
  * @example
- * const chosen = await createEngineChooser(context, clusterView, loadTracker, adapters).choose(request, allowed);
+ * const chosen = await createEngineChooser(context, closures, loadTracker, adapters).choose(request, allowed);
  */
 export function createEngineChooser(
     context: FrontContext,
-    clusterView: ClusterView,
+    closures: Pick<EngineClosures, "listOpen">,
     loadTracker: EngineLoadTracker,
     adapters: AdapterTracker,
 ): EngineChooser {
@@ -84,8 +84,7 @@
         return known === undefined ? undefined : { known, expectedMs: chosen?.expectedMs ?? 0 };
     };
     return {
-        list: service =>
-            [...clusterView.engines.values()].filter(known => known.isUsable && known.entry.service === service.name),
+        list: service => closures.listOpen(service.name),
         choose: async (request, allowed) =>
             request.service.engine === undefined ? choosePlain(allowed) : chooseModel(request, allowed),
     };
--- a/packages/front/src/engineClosures.feature
+++ b/packages/front/src/createEngineClosures.feature
@@ -43,7 +43,7 @@
             | 8     | 3       | 60   | 1500  | messages are late by up to 150 ms |
             | 8     | 2       | 60   | 4000  | store falls silent                |
             | 86    | 6       | 90   | 4000  | messages all arrive               |
-            | 300   | 3       | 90   | 4000  | messages all arrive               |
+            | 300   | 3       | 400  | 4000  | messages all arrive               |
 
     # Guards against clients that wait for engines in a pause, and against clients that are told to return all at once.
     Scenario: Where all engines pause, requests are refused at once and told to return after the pause, urgent ones first
--- a/packages/front/src/createEnginePaths.steps.ts
+++ b/packages/front/src/createEnginePaths.steps.ts
@@ -6,6 +6,7 @@
 import type { EngineReachReply, EngineReachRequest, PeerClient } from "@fulmarcleat/wire";
 import { setImmediate } from "node:timers/promises";
 import type { ClusterView } from "./createClusterView.js";
+import { createEngineClosures } from "./createEngineClosures.js";
 import { createEnginePaths } from "./createEnginePaths.js";
 import type { SurveyedPaths } from "./createEnginePaths.js";
 import type { FrontContext } from "./frontContext.js";
@@ -82,7 +83,14 @@
                 running: 0,
             }),
     } as unknown as PeerClient;
-    paths = createEnginePaths(context, view, () => peers, () => 0, () => undefined);
+    paths = createEnginePaths(
+        context,
+        view,
+        createEngineClosures(context, view),
+        () => peers,
+        () => 0,
+        () => undefined,
+    );
 });
 
 async function advance(lengthMs: number): Promise<void> {
--- a/packages/front/src/createEnginePaths.ts
+++ b/packages/front/src/createEnginePaths.ts
@@ -11,6 +11,7 @@
     PeerClient,
 } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
+import type { EngineClosures } from "./createEngineClosures.js";
 import { createReachSurvey } from "./createReachSurvey.js";
 import type { EnginePaths } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
@@ -64,17 +65,19 @@
  *
  * @param context - Clock, engines' control interface, log, metrics and random numbers
  * @param clusterView - Engines, services and live hosts
+ * @param closures - Lists the engines that may get work
  * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
  * @param readRunning - Returns the number of clients' requests in flight at this host
  * @param onOpen - Called when a connection to an engine could be opened on a path that was probed
  * @returns the paths, all open at first
  *
  * @example
- * const paths = createEnginePaths(context, clusterView, () => peers, () => handler.running, onOpen);
+ * const paths = createEnginePaths(context, clusterView, closures, () => peers, () => handler.running, onOpen);
  */
 export function createEnginePaths(
     context: Pick<FrontContext, "clock" | "control" | "deployment" | "log" | "metrics" | "random">,
     clusterView: Pick<ClusterView, "config" | "engines" | "members" | "onEngineRemoved">,
+    closures: Pick<EngineClosures, "listOpen">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
     readRunning: () => number,
     onOpen: (engine: EngineId) => void,
@@ -102,9 +105,7 @@
         return record && readSuspectSince(record.path, clock.nowMs(), readSilentAfterMs(entry));
     };
     const listUsable = (service?: ServiceName): readonly EngineEntry[] =>
-        [...clusterView.engines.values()]
-            .filter(known => known.isUsable && (service === undefined || known.entry.service === service))
-            .map(known => known.entry);
+        closures.listOpen(service).map(known => known.entry);
     const isServiceSilent = (service: ServiceName): boolean => {
         const engines = listUsable(service);
         return engines.length > 0 && engines.every(entry => readSince(entry) !== undefined);
--- a/packages/front/src/createEnginePreparer.ts
+++ b/packages/front/src/createEnginePreparer.ts
@@ -7,6 +7,7 @@
 import type { RequestEnd, RequestProgress } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { EngineChooser } from "./createEngineChooser.js";
+import type { EngineClosures } from "./createEngineClosures.js";
 import type { EngineLimits, SendPermit } from "./createEngineLimits.js";
 import type { FrontContext } from "./frontContext.js";
 import { giveUp } from "./giveUp.js";
@@ -47,7 +48,7 @@
 const NO_OWNER_RETRY_DELAY_MS = 80;
 /** Refused grants after which a request goes only to engines that name no limit. */
 const MAX_REFUSED_GRANTS = 3;
-/** Delay before a stream that has begun asks again for an engine with room in its limit, in milliseconds. */
+/** Delay before a stream that has begun looks again for an engine that takes a request, in milliseconds. */
 const LIMITED_STREAM_DELAY_MS = 50;
 /** Time that must be left before the deadline for a request to be sent, in milliseconds. */
 export const MIN_REMAINING_MS = 40;
@@ -61,10 +62,11 @@
  * @param chooser - Chooses among engines
  * @param adapters - Adapters on engines and requests to load them
  * @param limits - Limits that engines name
+ * @param closures - Says when engines in a pause take requests again
  * @returns the step
  *
  * @example
- * const preparer = createEnginePreparer(context, chooser, adapters, limits);
+ * const preparer = createEnginePreparer(context, chooser, adapters, limits, closures);
  * const prepared = await preparer.prepare(request, progress, { unownedEngines: new Set(), refusedGrants: 0 }, undefined);
  */
 export function createEnginePreparer(
@@ -72,6 +74,7 @@
     chooser: EngineChooser,
     adapters: AdapterTracker,
     limits: EngineLimits,
+    closures: Pick<EngineClosures, "bookReturn">,
 ): EnginePreparer {
     const { clock, log, metrics } = context;
     const ensureAdapter = async (
@@ -107,18 +110,34 @@
         }
         return "ready";
     };
-    /** Refuses a request whose engines have all reached their limits; a stream that has begun waits. */
-    const waitForLimit = async (
+    /** Refuses a request whose engines take none for a time; a stream that has begun waits. */
+    const waitOrRefuse = async (
         request: ClientRequest,
         progress: RequestProgress,
-        engines: readonly KnownEngine[],
+        reason: "limited" | "paused",
+        bookReturn: () => number,
     ): Promise<PreparedEngine> => {
         if (request.relay?.hasStarted === true) {
             await sleep(clock, LIMITED_STREAM_DELAY_MS);
             return { kind: "again" };
         }
-        const readyInMs = limits.bookReturn(engines.map(({ entry }) => entry));
-        return { kind: "over", end: giveUp(progress, "limited", readyInMs) };
+        return { kind: "over", end: giveUp(progress, reason, bookReturn()) };
+    };
+    /** Ends a request none of whose engines may get work, or lets it wait for those in a pause. */
+    const endWithoutEngine = async (
+        request: ClientRequest,
+        progress: RequestProgress,
+        origin: StreamOrigin | undefined,
+    ): Promise<PreparedEngine> => {
+        const { route, service } = request;
+        const isAllowed = (entry: EngineEntry): boolean =>
+            mayContinue(entry, origin) && !progress.excluded.has(entry.id);
+        const readyInMs = closures.bookReturn(service.name, route.priority, isAllowed);
+        if (readyInMs !== undefined) {
+            return waitOrRefuse(request, progress, "paused", () => readyInMs);
+        }
+        const reason = origin === undefined ? "no_engine" : "version_gone";
+        return { kind: "over", end: giveUp(progress, reason, NO_ENGINE_RETRY_MS) };
     };
     /** Chooses the next engine and makes the adapter available there, or returns why that failed. */
     const prepare = async (
@@ -131,8 +150,8 @@
         const { unownedEngines } = state;
         const isEngineLimitReached = progress.tried.size >= request.route.maxEngines;
         const engines = chooser.list(request.service).filter(({ entry }) => mayContinue(entry, origin));
-        if (engines.length === 0 && origin !== undefined) {
-            return { kind: "over", end: giveUp(progress, "version_gone", NO_ENGINE_RETRY_MS) };
+        if (engines.length === 0) {
+            return endWithoutEngine(request, progress, origin);
         }
         const allowed = engines.filter(({ entry: { id } }) =>
             !progress.excluded.has(id) && !unownedEngines.has(id) && (!isEngineLimitReached || progress.tried.has(id))
@@ -143,7 +162,12 @@
         );
         if (open.length === 0 && allowed.length > 0) {
             state.refusedGrants = 0;
-            return waitForLimit(request, progress, allowed);
+            return waitOrRefuse(
+                request,
+                progress,
+                "limited",
+                () => limits.bookReturn(allowed.map(({ entry }) => entry)),
+            );
         }
         const chosen = await chooser.choose(request, open);
         if (chosen === undefined && unownedEngines.size > 0) {
--- a/packages/front/src/createEngineSender.ts
+++ b/packages/front/src/createEngineSender.ts
@@ -1,7 +1,8 @@
-import type { EngineEntry, KnownEngine } from "@fulmarcleat/directory";
+import type { EngineAnswerHead, EngineEntry, KnownEngine } from "@fulmarcleat/directory";
 import { readSuspectKind } from "@fulmarcleat/dispatch";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
+import type { EngineClosures } from "./createEngineClosures.js";
 import type { EngineLimits, SendPermit } from "./createEngineLimits.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { Quarantine } from "./createQuarantine.js";
@@ -9,6 +10,7 @@
 import type { EnginePaths } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
 import { listSuspects } from "./listSuspects.js";
+import { nameLeavingEngine } from "./nameLeavingEngine.js";
 import type { ExchangeResult } from "./runExchange.js";
 import type { ExchangeEvents, RunningExchange } from "./runWithTakeover.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
@@ -50,10 +52,11 @@
  * @param quarantine - Prompt parts and requests that crash engines
  * @param limits - Limits that engines name
  * @param paths - This host's paths to engines
+ * @param closures - Told what engines say of further work
  * @returns the sender
  *
  * @example
- * const sender = createEngineSender(context, clusterView, loadTracker, adapters, quarantine, limits, paths);
+ * const sender = createEngineSender(context, clusterView, loadTracker, adapters, quarantine, limits, paths, closures);
  * const { result } = sender.send(request, { kind: "engine", known, permit }, events, () => undefined);
  */
 export function createEngineSender(
@@ -64,6 +67,7 @@
     quarantine: Quarantine,
     limits: EngineLimits,
     paths: Pick<EnginePaths, "isPathLost" | "recordBytes" | "recordEnd" | "recordSend">,
+    closures: Pick<EngineClosures, "recordEnd" | "recordNotice" | "recordSend">,
 ): EngineSender {
     const { clock, log } = context;
     /** Records whether a request was answered, or whether the connection broke while its answer was beginning. */
@@ -113,6 +117,7 @@
         const adapter = request.requestedAdapter?.adapter;
         const isModel = request.service.engine !== undefined;
         let firstByteMs: number | undefined;
+        let isAccepted = false;
         request.times.sentMs = sentMs;
         const req = {
             ...buildRequest(request, { id, address: entry.address }, sentMs),
@@ -137,12 +142,16 @@
         adapters.startRequest(id, adapter);
         limits.recordSend(entry, permit);
         paths.recordSend(entry);
+        closures.recordSend(entry);
         const finish = (result: ExchangeResult): ExchangeResult => {
             if (firstByteMs === undefined) {
                 loadTracker.addQueuedTokens(id, -promptTokens);
             }
             loadTracker.finishRequest(id);
             adapters.finishRequest(id, adapter);
+            if (!isAccepted) {
+                closures.recordEnd(entry, sentMs, "failed");
+            }
             paths.recordEnd(entry, describePathEnd(result, firstByteMs !== undefined));
             const health = describeHealth(result, firstByteMs ?? clock.nowMs() - sentMs, clock.nowMs());
             // An engine that other hosts reach is not to blame for a lost path.
@@ -154,7 +163,7 @@
             return result;
         };
         return startExchange(request, req, {
-            transport: context.transport,
+            transport: request.mark === undefined ? context.transport : nameLeavingEngine(context.transport),
             clock,
             silenceFactor: 1,
             events,
@@ -170,6 +179,13 @@
             },
             onHead(head) {
                 limits.recordAnswer(entry, head, sentMs);
+                if (head.notice !== undefined && isFrom(entry, head)) {
+                    closures.recordNotice(entry, head.notice);
+                }
+                if (!head.isNotRun) {
+                    isAccepted = true;
+                    closures.recordEnd(entry, sentMs, "accepted");
+                }
                 if (head.load !== undefined) {
                     loadTracker.recordLoad(id, head.load);
                 }
@@ -180,6 +196,11 @@
     return { send };
 }
 
+/** Whether an answer is from an engine, and not from another one at its address. */
+function isFrom({ id }: EngineEntry, { instance }: EngineAnswerHead): boolean {
+    return instance === undefined || instance === id;
+}
+
 /** Describes what the end of an exchange shows of the path to its engine. */
 function describePathEnd({ kind }: ExchangeResult, wasHeard: boolean): "broken" | "other" | "unsent" {
     return kind === "unsent" || kind === "broken" && !wasHeard ? kind : "other";
--- a/packages/front/src/createFleetForwarding.steps.ts
+++ b/packages/front/src/createFleetForwarding.steps.ts
@@ -123,5 +123,6 @@
         load: undefined,
         limit: { kind: "none" },
         instance: undefined,
+        notice: undefined,
     };
 }
--- a/packages/front/src/createForwardTransport.ts
+++ b/packages/front/src/createForwardTransport.ts
@@ -1,5 +1,13 @@
 import type { AnswerSink, EngineAnswerHead, EngineExchange, EngineRequest, EngineTarget } from "@fulmarcleat/directory";
-import { buildRequestHeaders, createHttpTransport, OUTCOME_HEADER, parseAnswerHead } from "@fulmarcleat/platform";
+import { brandId } from "@fulmarcleat/ids";
+import type { EngineId } from "@fulmarcleat/ids";
+import {
+    buildRequestHeaders,
+    createHttpTransport,
+    LEAVING_ENGINE_HEADER,
+    OUTCOME_HEADER,
+    parseAnswerHead,
+} from "@fulmarcleat/platform";
 import type { ConnectionPoolOptions } from "@fulmarcleat/platform";
 import { MARK_HEADER, MARK_MAC_HEADER } from "./forwardMark.js";
 import type { ForwardMark } from "./forwardMark.js";
@@ -76,9 +84,13 @@
     ];
 }
 
-/** Decodes an answer's head; what it says of an engine's load, limit or id is not of the host that was asked. */
+/**
+ * Decodes an answer's head; what it says of an engine's load, limit or pause is not of the host that was asked. An
+ * engine that says that it leaves is named as the instance.
+ */
 function parseHead(status: number, rawHeaders: readonly string[], req: EngineRequest): EngineAnswerHead {
     const outcome = readHeader(rawHeaders, OUTCOME_HEADER);
+    const leaving = readHeader(rawHeaders, LEAVING_ENGINE_HEADER);
     const head = parseAnswerHead(status, rawHeaders);
     return {
         ...head,
@@ -86,6 +98,7 @@
         isNotRun: outcome === "not_run",
         load: undefined,
         limit: { kind: "none" },
-        instance: undefined,
+        instance: leaving === undefined ? undefined : brandId<EngineId>(leaving),
+        notice: leaving === undefined ? undefined : { isLeaving: true, pause: undefined },
     };
 }
--- a/packages/front/src/createForwarder.steps.ts
+++ b/packages/front/src/createForwarder.steps.ts
@@ -23,6 +23,7 @@
 import type { RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
+import { createEngineClosures } from "./createEngineClosures.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createForwarder } from "./createForwarder.js";
@@ -107,6 +108,7 @@
         load: undefined,
         limit: { kind: "none" },
         instance: undefined,
+        notice: undefined,
     };
 }
 
@@ -190,6 +192,7 @@
         findHelper: (service: ServiceName, excluded: ReadonlySet<EngineId | HostId>) =>
             Promise.resolve(members.find(({ host }) => !excluded.has(host))),
     };
+    const closures = createEngineClosures(context, view);
     return createRequestRunner(
         context,
         view,
@@ -199,7 +202,8 @@
         QUARANTINE as unknown as Quarantine,
         createEngineLimits(context, view, () => undefined),
         paths,
-        createForwarder(context, forwardTransport),
+        closures,
+        createForwarder(context, forwardTransport, closures),
     );
 }
 
--- a/packages/front/src/createForwarder.ts
+++ b/packages/front/src/createForwarder.ts
@@ -3,6 +3,7 @@
 import type { StreamOrigin } from "@fulmarcleat/wire";
 import type { RequestProgress } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
+import type { EngineClosures } from "./createEngineClosures.js";
 import type { ForwardTransport } from "./createForwardTransport.js";
 import { SENDS_HEADER } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
@@ -57,15 +58,17 @@
  *
  * @param context - Clock, log, metrics and this host's name
  * @param transport - Transport between hosts
+ * @param closures - Told which engine says that it leaves in an answer that came through another host
  * @returns the forwarder
  *
  * @example
- * const forwarder = createForwarder(context, transport);
+ * const forwarder = createForwarder(context, transport, closures);
  * const { result } = forwarder.send(request, { kind: "host", member, origin }, state, events, () => undefined);
  */
 export function createForwarder(
     context: Pick<FrontContext, "clock" | "deployment" | "log" | "metrics">,
     transport: Pick<ForwardTransport, "send">,
+    closures: Pick<EngineClosures, "recordNoticeOf">,
 ): Forwarder {
     const { clock, deployment, log, metrics } = context;
     return {
@@ -90,8 +93,12 @@
                 events,
                 onStart,
                 onBytes: () => void (request.times.firstByteMs ??= clock.nowMs()),
-                onHead: ({ headers }) =>
-                    void (refusal = { readyInMs: readRetryAfterMs(headers), sends: readSends(headers) }),
+                onHead({ headers, instance, notice }) {
+                    refusal = { readyInMs: readRetryAfterMs(headers), sends: readSends(headers) };
+                    if (notice !== undefined && instance !== undefined) {
+                        closures.recordNoticeOf(instance, notice);
+                    }
+                },
                 finish(result) {
                     metrics.count("forwards_total", { result: result.kind });
                     if (result.kind !== "not_run") {
--- a/packages/front/src/createOwnerFleet.steps.ts
+++ b/packages/front/src/createOwnerFleet.steps.ts
@@ -7,6 +7,7 @@
 import { CONFIG_KEY, ENGINE_PREFIX } from "@fulmarcleat/platform";
 import { setImmediate } from "node:timers/promises";
 import { createClusterView } from "./createClusterView.js";
+import { createEngineClosures } from "./createEngineClosures.js";
 import { createHostFaults } from "./createHostFaults.steps.js";
 import type { HostFaults } from "./createHostFaults.steps.js";
 import { createOwnerFleetPeers } from "./createOwnerFleetPeers.steps.js";
@@ -260,7 +261,8 @@
         const view = createClusterView(context, health, () => peers.connect(name));
         const session = startSession(context, health, view);
         const paths = { isPathLost: () => cut.has(name) && cut.size < running.size };
-        const ownership = startOwnership(context, health, view, session, paths, () => peers.connect(name));
+        const closures = createEngineClosures(context, view);
+        const ownership = startOwnership(context, health, view, session, paths, closures, () => peers.connect(name));
         peers.serve(name, {
             orderRight: request => ownership.answerOrderRight(request),
             view: request => view.answer(request),
--- a/packages/front/src/createSilentEngines.steps.ts
+++ b/packages/front/src/createSilentEngines.steps.ts
@@ -246,5 +246,6 @@
         load: undefined,
         limit: { kind: "none" },
         instance: undefined,
+        notice: undefined,
     };
 }
--- a/packages/front/src/readRetryAfterMs.ts
+++ b/packages/front/src/readRetryAfterMs.ts
@@ -1,9 +1,8 @@
+import { parseDecimal } from "@fulmarcleat/http";
 import { readHeader } from "./readHeader.js";
 
 /** Milliseconds in a second. */
 const MS_PER_S = 1000;
-/** Seconds as a decimal number without a sign. */
-const SECONDS = /^\d+(\.\d+)?$/;
 
 /**
  * Reads after which time a refused request may be sent again.
@@ -15,6 +14,6 @@
  * readRetryAfterMs(["Retry-After", "0.030"]); // 30
  */
 export function readRetryAfterMs(headers: readonly string[]): number | undefined {
-    const text = readHeader(headers, "retry-after")?.trim() ?? "";
-    return SECONDS.test(text) ? Math.round(Number(text) * MS_PER_S) : undefined;
+    const seconds = parseDecimal(readHeader(headers, "retry-after") ?? "");
+    return seconds && Math.round(seconds * MS_PER_S);
 }
--- a/packages/front/src/relayAnswer.steps.ts
+++ b/packages/front/src/relayAnswer.steps.ts
@@ -18,6 +18,7 @@
     load: undefined,
     limit: { kind: "none" },
     instance: undefined,
+    notice: undefined,
 } satisfies EngineAnswerHead;
 
 Given(/^a relay that sends (all bytes|complete events)$/, (how: string) => {
--- a/packages/front/src/runExchange.steps.ts
+++ b/packages/front/src/runExchange.steps.ts
@@ -113,6 +113,7 @@
         load: undefined,
         limit: { kind: "none" },
         instance: undefined,
+        notice: undefined,
     });
     setTaking = next => {
         isTaking = next;
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -16,6 +16,7 @@
 import type { RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
+import { createEngineClosures } from "./createEngineClosures.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { Quarantine } from "./createQuarantine.js";
@@ -163,6 +164,7 @@
         NO_QUARANTINE,
         createEngineLimits(context, clusterView, () => undefined),
         NO_LOST_PATHS,
+        createEngineClosures(context, clusterView),
         NO_FORWARDER,
     );
     const end = await runner.run(createRequest());
@@ -194,6 +196,7 @@
         load: undefined,
         limit: { kind: "none" },
         instance: undefined,
+        notice: undefined,
     };
     const sendEvents = (until?: number): void =>
         EVENTS.slice(Number(req.lastEventId ?? 0), until).forEach(event => sink.piece(Buffer.from(event)));
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -9,6 +9,7 @@
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import { createEngineChooser } from "./createEngineChooser.js";
+import type { EngineClosures } from "./createEngineClosures.js";
 import type { EngineLimits } from "./createEngineLimits.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createEnginePreparer, MIN_REMAINING_MS, NO_ENGINE_RETRY_MS } from "./createEnginePreparer.js";
@@ -18,12 +19,12 @@
 import type { Forwarder, HelperRefusal, HelperTarget } from "./createForwarder.js";
 import type { Quarantine } from "./createQuarantine.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
-import { FIRST_SERVER_ERROR } from "./describeHealth.js";
 import type { EnginePaths } from "./enginePaths.js";
 import type { ForwardMark } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
 import { giveUp } from "./giveUp.js";
 import { listSuspects } from "./listSuspects.js";
+import { mayFailOver } from "./mayFailOver.js";
 import type { ExchangeResult } from "./runExchange.js";
 import { runWithTakeover, SILENT } from "./runWithTakeover.js";
 import type { ExchangeEvents, RunningExchange } from "./runWithTakeover.js";
@@ -87,6 +88,7 @@
  * @param quarantine - Prompt parts and requests that crash engines
  * @param limits - Limits that engines name
  * @param paths - This host's paths to engines
+ * @param closures - Says which engines may get work
  * @param forwarder - Hands requests to other hosts
  * @returns the runner
  *
@@ -103,12 +105,22 @@
     quarantine: Quarantine,
     limits: EngineLimits,
     paths: EnginePaths,
+    closures: EngineClosures,
     forwarder: Forwarder,
 ): RequestRunner {
     const { clock, log, metrics } = context;
-    const chooser = createEngineChooser(context, clusterView, loadTracker, adapters);
-    const preparer = createEnginePreparer(context, chooser, adapters, limits);
-    const sender = createEngineSender(context, clusterView, loadTracker, adapters, quarantine, limits, paths);
+    const chooser = createEngineChooser(context, closures, loadTracker, adapters);
+    const preparer = createEnginePreparer(context, chooser, adapters, limits, closures);
+    const sender = createEngineSender(
+        context,
+        clusterView,
+        loadTracker,
+        adapters,
+        quarantine,
+        limits,
+        paths,
+        closures,
+    );
     const budgets = new Map<ServiceName, RetryWindow>();
     const getRetryBudget = ({ name }: Service): RetryWindow => {
         const existing = budgets.get(name);
@@ -211,6 +223,10 @@
                     state.preparation.refusedGrants += 1;
                     return { kind: "again" };
                 }
+                // It may have closed while the adapter was loaded or the permit was asked for.
+                if (closures.find(known.entry.id) !== undefined) {
+                    return { kind: "again" };
+                }
                 return { kind: "target", target: { kind: "engine", known, permit } };
             }
         }
@@ -366,7 +382,8 @@
             }
             metrics.count("retries_total", { reason: result.kind });
             progress = addSends(next.progress, state);
-            if (next.pauseMs > 0) {
+            // An engine that takes nothing now isn't waited for: another one gets the request at once.
+            if (next.pauseMs > 0 && closures.find(readTargetId(target)) === undefined) {
                 await sleep(clock, next.pauseMs);
             }
         }
@@ -440,16 +457,3 @@
             return request.route.isResumable;
     }
 }
-
-/** Whether a failed answer of an engine may be replaced: only for safe requests, while another engine is left. */
-function mayFailOver(
-    request: ClientRequest,
-    { head }: BufferedAnswer,
-    tried: ReadonlySet<EngineId>,
-    known: KnownEngine,
-    engines: readonly KnownEngine[],
-): boolean {
-    const used = new Set(tried).add(known.entry.id);
-    return request.route.kind === "safe" && head.status >= FIRST_SERVER_ERROR && used.size < request.route.maxEngines
-        && engines.some(other => !used.has(other.entry.id));
-}
--- a/packages/front/src/silentStream.steps.ts
+++ b/packages/front/src/silentStream.steps.ts
@@ -9,6 +9,7 @@
 import type { RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
+import { createEngineClosures } from "./createEngineClosures.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { Quarantine } from "./createQuarantine.js";
@@ -328,6 +329,7 @@
         NO_QUARANTINE,
         createEngineLimits(context, clusterView, () => undefined),
         NO_LOST_PATHS,
+        createEngineClosures(context, clusterView),
         NO_FORWARDER,
     );
 }
--- a/packages/front/src/startFleetHost.steps.ts
+++ b/packages/front/src/startFleetHost.steps.ts
@@ -15,6 +15,7 @@
 } from "@fulmarcleat/wire";
 import type { ClientRequest } from "./clientRequest.js";
 import { createClusterView } from "./createClusterView.js";
+import { createEngineClosures } from "./createEngineClosures.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createEnginePaths } from "./createEnginePaths.js";
@@ -115,9 +116,11 @@
     };
     const peers = fleet.peers.connect(host);
     const loadTracker = createEngineLoadTracker(clock);
+    const closures = createEngineClosures(context, view);
     const enginePaths = createEnginePaths(
         context,
         view,
+        closures,
         () => peers,
         () => 0,
         engine => loadTracker.recordHealth(engine, { kind: "reached", atMs: clock.nowMs() }),
@@ -145,9 +148,11 @@
         quarantine,
         limits,
         enginePaths,
+        closures,
         createForwarder(
             context,
             createFleetForwarding(host, { clock, forward: fleet.peers.forward, clientRequests: fleet.clientRequests }),
+            closures,
         ),
     );
     fleet.runners.set(host, runner);
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -19,6 +19,8 @@
 import type { Server } from "node:http";
 import { createClientHandler } from "./createClientHandler.js";
 import { createClusterView } from "./createClusterView.js";
+import { createEngineClosures } from "./createEngineClosures.js";
+import type { EngineClosures } from "./createEngineClosures.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createEnginePaths } from "./createEnginePaths.js";
@@ -89,7 +91,7 @@
     readSettings: () => Promise<Deployment>,
 ): Promise<RunningProgram> {
     const settings = { current: deployment };
-    const context = await createContext(deployment, policy, () => settings.current.bounds);
+    const context = await createContext(deployment, policy, () => settings.current.bounds, () => closures);
     const { clock, log, metrics, store, transport } = context;
     log.write("info", 100, { host: deployment.host, isFirstStart: deployment.isFirstStart, policy });
     const health = createStoreHealth(clock, log);
@@ -97,14 +99,16 @@
     const clusterView = createClusterView(context, health, () => peers);
     const session = startSession(context, health, clusterView);
     const loadTracker = createEngineLoadTracker(clock);
+    const closures = createEngineClosures(context, clusterView);
     const paths = createEnginePaths(
         context,
         clusterView,
+        closures,
         () => peers,
         () => handler.running,
         engine => loadTracker.recordHealth(engine, { kind: "reached", atMs: clock.nowMs() }),
     );
-    const ownership = startOwnership(context, health, clusterView, session, paths, () => peers);
+    const ownership = startOwnership(context, health, clusterView, session, paths, closures, () => peers);
     const outbox = createLoadRequestOutbox(context, () => session.lease);
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
     const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
@@ -127,7 +131,8 @@
         quarantine,
         limits,
         paths,
-        createForwarder(context, forwardTransport),
+        closures,
+        createForwarder(context, forwardTransport, closures),
     );
     clusterView.onEngineRemoved(entry => transport.forget({ id: entry.id, address: entry.address }));
     detectPauses(clock, pausedMs => {
@@ -238,6 +243,7 @@
     deployment: Deployment,
     policy: EnginePolicy,
     readBounds: () => DeploymentBounds,
+    readClosures: () => EngineClosures,
 ): Promise<FrontContext> {
     const clock = createSystemClock();
     const incarnation = createId<Incarnation>();
@@ -254,12 +260,15 @@
         readBounds,
         incarnation,
         store: createMetadataStore(deployment.store),
-        control: createEngineControl(),
+        control: createEngineControl({
+            mayCall: ({ id }) => readClosures().find(id)?.kind !== "paused",
+            onNotice: ({ id }, notice) => readClosures().recordNoticeOf(id, notice),
+        }),
         transport: createEngineTransport({
             connectTimeoutMs: CONNECT_TIMEOUT_MS,
             idleMs: ENGINE_IDLE_MS,
             idleConnections: ENGINE_IDLE_CONNECTIONS,
-        }),
+        }, ({ target }) => mayWrite(readClosures().find(target.id))),
         clock,
         random: createRandom(Math.floor(Math.random() * SEED_RANGE)),
         hash: await createHasher(),
@@ -268,6 +277,19 @@
     };
 }
 
+/** Whether a request may still be written to its engine, which may have said something since it was chosen. */
+function mayWrite(closure: ReturnType<EngineClosures["find"]>): boolean {
+    switch (closure?.kind) {
+        case "leaving":
+        case "paused":
+            return false;
+        case "recovering":
+        case "unusable":
+        case undefined:
+            return true;
+    }
+}
+
 /** Applies the client limits of the configuration in effect to the server, now and after each check interval. */
 function refreshLimits(context: FrontContext, server: Server, readConfig: () => ServingConfig | undefined): void {
     const limits = readConfig()?.limits;
--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -6,6 +6,7 @@
 import type { OrderRightReply, OrderRightRequest, PeerClient } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
 import { createEngineClaims } from "./createEngineClaims.js";
+import type { EngineClosures } from "./createEngineClosures.js";
 import { createOwnerTask } from "./createOwnerTask.js";
 import type { OwnerTask } from "./createOwnerTask.js";
 import type { EnginePaths } from "./enginePaths.js";
@@ -66,11 +67,12 @@
  * @param clusterView - Engines, live hosts and owner keys
  * @param session - Supplies this host's lease
  * @param paths - Tells to which engines this host has lost its path; it hands these over
+ * @param closures - Says which engines get no orders
  * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
  * @returns the engines that this host owns
  *
  * @example
- * const ownership = startOwnership(context, health, clusterView, session, paths, () => peers);
+ * const ownership = startOwnership(context, health, clusterView, session, paths, closures, () => peers);
  */
 export function startOwnership(
     context: FrontContext,
@@ -78,6 +80,7 @@
     clusterView: ClusterView,
     session: Session,
     paths: Pick<EnginePaths, "isPathLost">,
+    closures: Pick<EngineClosures, "find">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
 ): Ownership {
     const { clock, deployment, hash, incarnation, log } = context;
@@ -139,7 +142,7 @@
         }
         const mayOrder = (): boolean =>
             hasOrderRight() && claims.read(entry.id)?.revision === fence && !isWaiting && claims.isWaitOver(entry.id)
-            && rejectedFences.get(entry.id) !== fence && !isStopped;
+            && rejectedFences.get(entry.id) !== fence && !isStopped && takesOrders(closures.find(entry.id));
         const task = createOwnerTask(context, {
             entry,
             model,
@@ -348,6 +351,19 @@
     };
 }
 
+/** Whether an engine that may get no requests, or may, takes orders: not while it leaves or pauses. */
+function takesOrders(closure: ReturnType<EngineClosures["find"]>): boolean {
+    switch (closure?.kind) {
+        case "leaving":
+        case "paused":
+        case "unusable":
+            return false;
+        case "recovering":
+        case undefined:
+            return true;
+    }
+}
+
 const HANDOVER_INTERNAL = {
     code: "internal",
     step: "hand engine over",
