A followed view is young enough for engines that leave, too, not for configurations only

What callers saw: nothing yet; found by adding up the age of a follower's knowledge. In a deployment whose time for a leaving engine is shorter than that for a configuration, a host that follows another one which has lost the store went on sending to an engine for the longer time (DRAIN).

Cause: chooseViewAges was given the time for configurations alone; the time for engines wasn't read from the settings.

The sum, for a host that reaches the store while those that it follows fail: killed, frozen or silent: its request is given up after 800 ms, or its last reply is 1,000 ms old; 100 ms to the next look, and a read of the store: about 1.1 s. Cut off from the store and answering: their view counts up to T - 1,000 ms, their answer may have been on its way for 800 ms, which the follower doesn't see; 100 ms and a read: T - 100 ms and a read. T is the shorter time now.

Evidence: 4 of 5 new rows of followViews.feature failed before, at 8, 86 and 300 hosts. One row's time was 2,000 ms at first, for which no host follows another any more; it is 2,400 ms, the shortest with followed views.

--- a/packages/front/src/createClusterView.steps.ts
+++ b/packages/front/src/createClusterView.steps.ts
@@ -14,7 +14,7 @@
 import { createStoreHealth } from "./storeHealth.js";
 
 /** The platform's bounds, in milliseconds. */
-const BOUNDS = { contactMs: 3000, applyMs: 2000, configApplyMs: 2000 } as const;
+const BOUNDS = { contactMs: 3000, applyMs: 2000, configApplyMs: 2000, engineDrainMs: 2000 } as const;
 /** Step of the manual clock between two turns of the event loop, in milliseconds. */
 const STEP_MS = 10;
 const ENGINE = brandId<EngineId>("i-1");
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -15,6 +15,7 @@
     KnownEngine,
     ServingConfig,
     StoreItem,
+    ViewAges,
     ViewRole,
 } from "@fulmarcleat/directory";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
@@ -309,7 +310,10 @@
         engines: createKeyFeed(engineKeys),
         hosts: createKeyFeed(hostKeys),
     };
-    const readAges = () => chooseViewAges(context.readBounds().configApplyMs);
+    const readAges = (): ViewAges => {
+        const { configApplyMs, engineDrainMs } = context.readBounds();
+        return chooseViewAges(Math.min(configApplyMs, engineDrainMs));
+    };
     const rank = (key: string, hosts: readonly HostId[]) => rankByRendezvous(hash, key, hosts);
     const readRole = (): ViewRole =>
         readAges().mayFollow
--- a/packages/front/src/createOwnerFleet.steps.ts
+++ b/packages/front/src/createOwnerFleet.steps.ts
@@ -113,7 +113,7 @@
 const REQUEST_MS = 400;
 /** Time within which all hosts start, so that their watches are out of step, in milliseconds. */
 const START_SPREAD_MS = 1500;
-const BOUNDS = { contactMs: 3000, orderLeaseMs: 3000, configApplyMs: 3000 } as const;
+const BOUNDS = { contactMs: 3000, orderLeaseMs: 3000, configApplyMs: 3000, engineDrainMs: 3000 } as const;
 const MODEL = "base";
 
 /**
--- a/packages/front/src/createViewFleet.steps.ts
+++ b/packages/front/src/createViewFleet.steps.ts
@@ -41,6 +41,8 @@
     readonly domains: number;
     /** Time within which an accepted configuration must be in force, in milliseconds. */
     readonly applyMs: number;
+    /** Time within which an engine that leaves must be known, in milliseconds; `applyMs` if it is left out. */
+    readonly drainMs?: number;
 }
 
 const STEP_MS = 10;
@@ -59,7 +61,9 @@
  * @example
  * const fleet = await createViewFleet({ hosts: 195, domains: 5, applyMs: 4000 });
  */
-export async function createViewFleet({ hosts, domains, applyMs }: ViewFleetOptions): Promise<ViewFleet> {
+export async function createViewFleet(
+    { hosts, domains, applyMs, drainMs = applyMs }: ViewFleetOptions,
+): Promise<ViewFleet> {
     const clock = createManualClock(0);
     const store = createStoreFake(clock);
     const hash = await createHasher();
@@ -97,7 +101,7 @@
             random: createRandom(Number(host.slice("host-".length)) + 1),
             metrics: createMetrics(),
             deployment: { host: brandId<HostId>(host) },
-            readBounds: () => ({ contactMs: CONTACT_MS, configApplyMs: applyMs }),
+            readBounds: () => ({ contactMs: CONTACT_MS, configApplyMs: applyMs, engineDrainMs: drainMs }),
         } as unknown as FrontContext;
         store.put(
             formatMemberKey(brandId(host)),
--- a/packages/front/src/followViews.feature
+++ b/packages/front/src/followViews.feature
@@ -40,6 +40,21 @@
             | 195   | 5       | 4000  | no host reaches another one                                  |
             | 300   | 5       | 4000  | all followed hosts are cut off from the store                |
 
+    # Guards against a view that is young enough for a configuration, but too old for an engine that leaves.
+    Scenario Outline: <hosts> hosts, an engine's leaving due within <drain> ms, changes within <apply> ms: <fault>
+        Given <hosts> hosts in <domains> failure domains, changes due within <apply> ms, an engine's leaving within <drain> ms
+        When <fault>
+        And a configuration is accepted and an engine announces that it leaves
+        Then both are in force <drain> ms later at each host that runs and reaches the store
+
+        Examples:
+            | hosts | domains | apply | drain | fault                                         |
+            | 8     | 1       | 6000  | 2400  | all followed hosts are cut off from the store |
+            | 8     | 1       | 6000  | 3000  | all followed hosts are cut off from the store |
+            | 86    | 4       | 6000  | 3000  | all followed hosts are cut off from the store |
+            | 86    | 4       | 6000  | 3000  | all followed hosts are frozen                 |
+            | 300   | 5       | 6000  | 4000  | all followed hosts are cut off from the store |
+
     Scenario Outline: The store <fault>, and each of <hosts> hosts knows the next change in time
         Given <hosts> hosts in <domains> failure domains that follow the store, changes due within <apply> ms
         When the followed store <fault>
--- a/packages/front/src/followViews.steps.ts
+++ b/packages/front/src/followViews.steps.ts
@@ -23,17 +23,12 @@
 
 Given(
     "{int} hosts in {int} failure domains that follow the store, changes due within {int} ms",
-    async (hosts: number, domains: number, dueMs: number) => {
-        applyMs = dueMs;
-        version = 1;
-        affected = new Set();
-        fleet = await createViewFleet({ hosts, domains, applyMs });
-        putConfig();
-        putEngine("ready");
-        await fleet.advance(READERS_MS);
-        fleet.takeStoreReaders();
-        await fleet.advance(READERS_MS);
-    },
+    (hosts: number, domains: number, dueMs: number) => start(hosts, domains, dueMs, dueMs),
+);
+
+Given(
+    "{int} hosts in {int} failure domains, changes due within {int} ms, an engine's leaving within {int} ms",
+    (hosts: number, domains: number, dueMs: number, drainMs: number) => start(hosts, domains, dueMs, drainMs),
 );
 
 When(
@@ -124,6 +119,18 @@
     },
 );
 
+async function start(hosts: number, domains: number, dueMs: number, drainMs: number): Promise<void> {
+    applyMs = dueMs;
+    version = 1;
+    affected = new Set();
+    fleet = await createViewFleet({ hosts, domains, applyMs, drainMs });
+    putConfig();
+    putEngine("ready");
+    await fleet.advance(READERS_MS);
+    fleet.takeStoreReaders();
+    await fleet.advance(READERS_MS);
+}
+
 /** Plays a fault as a row of the table names it; the hosts whose own path or process fails are left out of the check. */
 function playFault(fault: string): void {
     const readers = fleet.takeStoreReaders();
--- a/packages/front/src/startFleetHost.steps.ts
+++ b/packages/front/src/startFleetHost.steps.ts
@@ -84,6 +84,7 @@
         readBounds: () => ({
             contactMs: 3000,
             configApplyMs: 2000,
+            engineDrainMs: 2000,
             retryRatio: 0.2,
             retryReserve: 56,
             retryWindowMs: 10_000,
