A stopping host looks for requests in flight once more after it has ended its lease

Cause: the host waited until no request was in flight, then ended its lease at the store, a call of some milliseconds, and exited without another look. Class: a check that an await separates from what it allows.

Change: the end of the lease lies between two waits, and the exit follows the last look in the same turn of the event loop.

--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -34,6 +34,7 @@
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStreamOrigins } from "./createStreamOrigins.js";
 import { detectPauses } from "./detectPauses.js";
+import { finishRequests } from "./finishRequests.js";
 import type { FrontContext } from "./frontContext.js";
 import { createRequestRunner } from "./runRequest.js";
 import { startAdapterTracker } from "./startAdapterTracker.js";
@@ -66,8 +67,6 @@
 const DRAIN_NOTICE_MS = 2600;
 /** Time before the platform's stop limit at which remaining requests are ended, in milliseconds. */
 const STOP_MARGIN_MS = 500;
-/** Interval at which a stop checks for requests in flight, in milliseconds. */
-const STOP_POLL_MS = 50;
 /** Largest request head that Node.js accepts, in bytes; the limit in the configuration is checked separately. */
 const MAX_HEADER_BYTES = 65_536;
 /** Interval between two checks of clients' connections against their limits, in milliseconds. */
@@ -219,21 +218,25 @@
             log.write("info", 102, { running: handler.running });
             await Promise.all([session.leave(), ownership.release()]);
             await sleep(clock, Math.max(0, DRAIN_NOTICE_MS - (clock.nowMs() - startedMs)));
-            closeIdleClients();
-            while (handler.running > 0 && clock.nowMs() < limitMs) {
-                await sleep(clock, STOP_POLL_MS);
-                closeIdleClients();
-            }
-            versionRecords.stop();
+            const release = async (): Promise<void> => {
+                versionRecords.stop();
+                if (session.lease !== undefined) {
+                    await store.endLease(session.lease).catch((err: unknown) =>
+                        log.write("warn", 602, { step: "end lease", reason: String(err) })
+                    );
+                }
+            };
+            await finishRequests({
+                clock,
+                countRunning: () => handler.running,
+                closeIdle: closeIdleClients,
+                release,
+                limitMs,
+            });
             clusterView.stop();
             adapters.stop();
             paths.stop();
             turns.stop();
-            if (session.lease !== undefined) {
-                await store.endLease(session.lease).catch((err: unknown) =>
-                    log.write("warn", 602, { step: "end lease", reason: String(err) })
-                );
-            }
             log.write("info", 103, { running: handler.running, tookMs: Math.round(clock.nowMs() - startedMs) });
         },
     };
