Odd entries of other writers name nothing to use, and keep no other entry from being followed

What callers saw: nothing here; a report of another operator (an entry that is very deeply nested, holds a number too large, or a port out of range, and hosts that end again and again or stop following the list).

Could it happen here? The rest, in part: - a key below the versions' prefix that is no valid percent-encoding made each list of the system's keys fail, so that a host which started then never got further; a host that ran lost the changes after it in the same reply; - a member's port out of range was taken, and connections to it throw; - an engine's address that is no IP (`a b:80`, `300.1.1.1:80`, `10.0.0.1#:80`) made the send throw; `1e3` was a port; - slots, times and versions of 1e300 were taken: such an engine seems never to be loaded, or never to be old.

Change: ports, IPs and numbers have bounds where they are decoded; the key that can't be decoded is another writer's; whatever is wrong with one entry, the others are applied, and 213 says which and why.

Not looked at: an engine's own key that becomes unreadable keeps its last readable entry.

--- a/packages/front/src/createClusterView.feature
+++ b/packages/front/src/createClusterView.feature
@@ -20,6 +20,48 @@
             | 300   | silences every open connection            |
             | 300   | answers nothing for 10000 ms              |
 
+    # Guards against one odd entry of another writer that ends the process, or keeps the host from what comes after it.
+    Scenario Outline: A host follows the store past an odd entry: <key>, <content>
+        Given a host among 8 hosts that follows the store
+        When another writer puts <key> with <content>
+        And 1000 ms later a configuration is accepted and an engine announces that it leaves
+        Then both are in force 2000 ms later
+
+        Examples:
+            | key                         | content                                 |
+            | servers/odd                 | a list that is nested 100000 levels deep |
+            | servers/odd                 | models that are nested 100000 levels deep |
+            | servers/odd                 | slots of 1e300                          |
+            | servers/odd                 | an address of 10.0.0.1:99999            |
+            | servers/%zz                 | an address of 10.0.0.1:80               |
+            | op/config                   | a list that is nested 100000 levels deep |
+            | op/version/odd              | a list that is nested 100000 levels deep |
+            | fulmarcleat/member/odd      | a list that is nested 100000 levels deep |
+            | fulmarcleat/member/odd      | a port of 99999                         |
+            | fulmarcleat/version/%zz/%   | nothing                                 |
+            | fulmarcleat/owner/%zz       | a list that is nested 100000 levels deep |
+            | fulmarcleat/%zz             | nothing                                 |
+
+    Scenario Outline: A host starts with an odd entry in the store: <key>, <content>
+        Given another writer has put <key> with <content> before a host among 8 hosts starts
+        When 1000 ms later a configuration is accepted and an engine announces that it leaves
+        Then both are in force 2000 ms later
+
+        Examples:
+            | key                         | content                                 |
+            | servers/odd                 | a list that is nested 100000 levels deep |
+            | servers/odd                 | models that are nested 100000 levels deep |
+            | servers/odd                 | slots of 1e300                          |
+            | servers/odd                 | an address of 10.0.0.1:99999            |
+            | servers/%zz                 | an address of 10.0.0.1:80               |
+            | op/config                   | a list that is nested 100000 levels deep |
+            | op/version/odd              | a list that is nested 100000 levels deep |
+            | fulmarcleat/member/odd      | a list that is nested 100000 levels deep |
+            | fulmarcleat/member/odd      | a port of 99999                         |
+            | fulmarcleat/version/%zz/%   | nothing                                 |
+            | fulmarcleat/owner/%zz       | a list that is nested 100000 levels deep |
+            | fulmarcleat/%zz             | nothing                                 |
+
     # Guards against retries of a watch that are still waiting for the store when it has long returned.
     Scenario Outline: No length of an outage keeps the view of one of <hosts> hosts old
         Then after outages of 100 to 6000 ms the view of one of <hosts> hosts is never older than the bounds allow
--- a/packages/front/src/createClusterView.steps.ts
+++ b/packages/front/src/createClusterView.steps.ts
@@ -37,7 +37,37 @@
     readonly advance: (ms: number) => Promise<void>;
 }
 
-async function follow(hosts: number, seed: number): Promise<Follower> {
+/** Writes an odd entry as a row of the tables names it. */
+function writeOdd(content: string): string {
+    const value = /\S*\d\S*/.exec(content)?.[0] ?? "";
+    const deep = (levels: number): string => "[".repeat(levels) + "]".repeat(levels);
+    const entry = (address: string, slots: string, models: string): string =>
+        `{"service":"models","address":"${address}","zone":"a","slots":${slots},"state":"ready","models":${models}}`;
+    const [first, second] = content.split(" ");
+    switch (first === "a" || first === "an" ? second : first) {
+        case "nothing":
+            return "";
+        case "models":
+            return entry("10.0.0.1:80", "4", deep(Number(value)));
+        case "slots":
+            return entry("10.0.0.1:80", value, "[]");
+        case "address":
+            return entry(value, "4", "[]");
+        case "port":
+            return `{"incarnation":"1","ip":"127.0.0.1","port":${value},"isLeaving":false}`;
+        case "list":
+            return deep(Number(value));
+        default:
+            throw new Error(`unknown entry: ${content}`);
+    }
+}
+
+/** Starts a host, with entries of another writer in the store. */
+async function follow(
+    hosts: number,
+    seed: number,
+    odd: readonly (readonly [string, string])[] = [],
+): Promise<Follower> {
     const clock = createManualClock(0);
     const store = createStoreFake(clock);
     const log = { write: () => undefined };
@@ -51,6 +81,7 @@
         metrics: createMetrics(),
         readBounds: () => BOUNDS,
     } as unknown as FrontContext;
+    odd.forEach(([key, text]) => store.put(key, Buffer.from(text)));
     putConfig(store, 1);
     putEngine(store, ENGINE, "ready");
     for (let number = 0; number < hosts; number += 1) {
@@ -98,6 +129,17 @@
 
 When(/^the store (silences .*|answers nothing .*|rejects .*)$/, (fault: string) => playFault(follower, fault));
 
+Given(
+    /^another writer has put (\S+) with (.*) before a host among (\d+) hosts starts$/,
+    async (key: string, content: string, hosts: string) => {
+        follower = await follow(Number(hosts), 1, [[key, writeOdd(content)]]);
+    },
+);
+
+When(/^another writer puts (\S+) with (.*)$/, (key: string, content: string) => {
+    follower.store.put(key, Buffer.from(writeOdd(content)));
+});
+
 When("{int} ms later a configuration is accepted and an engine announces that it leaves", async (ms: number) => {
     await follower.advance(ms);
     putConfig(follower.store, 2);
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -46,6 +46,7 @@
     SYSTEM_PREFIX,
 } from "./hostKeys.js";
 import type { Member, RecordedVersion, StoredQuarantine } from "./hostKeys.js";
+import { logEngineChanges } from "./logEngineChanges.js";
 import { startStoreWatch } from "./startStoreWatch.js";
 import type { StoreWatch } from "./startStoreWatch.js";
 import { startViewFollower } from "./startViewFollower.js";
@@ -255,9 +256,21 @@
                 return;
         }
     };
+    /** Applies one entry; whatever is wrong with it keeps no other one from being applied. */
+    const applyAlone = (key: string, apply: () => void): void => {
+        try {
+            apply();
+        }
+        catch (err) {
+            log.write("warn", 213, { key, reason: String(err) });
+        }
+    };
     const operatorKeys: FeedListener = {
-        listed: items => items.forEach(applyOperatorItem),
-        changed: events => events.forEach(event => event.kind === "put" && applyOperatorItem(event.item)),
+        listed: items => items.forEach(item => applyAlone(item.key, () => applyOperatorItem(item))),
+        changed: events =>
+            events.forEach(event =>
+                event.kind === "put" && applyAlone(event.item.key, () => applyOperatorItem(event.item))
+            ),
     };
     const engineKeys: FeedListener = {
         listed(items) {
@@ -289,12 +302,17 @@
             ]
                 .filter(key => !present.has(key))
                 .forEach(removeHostKey);
-            items.filter(item => parseHostKey(item.key).kind !== "wants").forEach(applyHostItem);
+            items.filter(item => parseHostKey(item.key).kind !== "wants")
+                .forEach(item => applyAlone(item.key, () => applyHostItem(item)));
             hostKeyLists += 1;
             hostKeysListedMs = clock.nowMs();
         },
         changed: events =>
-            events.forEach(event => event.kind === "put" ? applyHostItem(event.item) : removeHostKey(event.key)),
+            events.forEach(event =>
+                event.kind === "put"
+                    ? applyAlone(event.item.key, () => applyHostItem(event.item))
+                    : applyAlone(event.key, () => removeHostKey(event.key))
+            ),
     };
     /** Clock reading at which the store answered again after its last outage, in milliseconds. */
     let storeReturnedMs: number | undefined;
@@ -423,25 +441,3 @@
 function formatReleaseKey(model: BaseModel, adapter: AdapterName): string {
     return `${model}/${adapter}`;
 }
-
-function logEngineChanges(
-    before: ReadonlyMap<EngineId, KnownEngine>,
-    after: ReadonlyMap<EngineId, KnownEngine>,
-    { log }: FrontContext,
-): void {
-    for (const [id, known] of after) {
-        const former = before.get(id);
-        if (former === undefined || former.entry.bornMs !== known.entry.bornMs) {
-            const { service, address, bornMs } = known.entry;
-            log.write("info", 210, { engine: id, service, ip: address.ip, port: address.port, bornMs });
-        }
-        if (!known.isUsable && former?.isUsable !== false) {
-            log.write("info", 211, { engine: id, leavesInMs: known.entry.leavesInMs });
-        }
-    }
-    for (const id of before.keys()) {
-        if (!after.has(id)) {
-            log.write("info", 212, { engine: id });
-        }
-    }
-}
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -51,12 +51,18 @@
     readonly formerHosts?: OwnerClaim["formerHosts"];
 }
 
+/** Highest TCP port number. */
+const MAX_PORT = 65535;
+/** Longest wait that a host asks for in a load request, in milliseconds. */
+const MAX_WAIT_MS = 600_000;
+
+const portSchema = z.number().int().min(1).max(MAX_PORT);
 const memberSchema = z.object({
     incarnation: z.string(),
-    ip: z.string(),
-    port: z.number(),
+    ip: z.ipv4(),
+    port: portSchema,
     domain: z.string().optional(),
-    forwardPort: z.number().optional(),
+    forwardPort: portSchema.optional(),
     canBeFollowed: z.boolean().optional(),
     isLeaving: z.boolean(),
 });
@@ -73,9 +79,9 @@
         engine: z.string(),
         model: z.string(),
         adapter: z.string(),
-        version: z.number().optional(),
-        dueInMs: z.number(),
-        waitMs: z.number(),
+        version: z.number().int().optional(),
+        dueInMs: z.number().max(MAX_WAIT_MS),
+        waitMs: z.number().max(MAX_WAIT_MS),
         isMissing: z.boolean(),
     })),
 });
@@ -133,16 +139,24 @@
         return { kind: "quarantine", suspect: brandId<Suspect>(key.slice(QUARANTINE_PREFIX.length)) };
     }
     if (key.startsWith(VERSION_PREFIX)) {
-        const [service = "", softwareVersion] = key.slice(VERSION_PREFIX.length).split("/").map(decodeURIComponent);
+        const version = parseVersionKey(key.slice(VERSION_PREFIX.length));
+        return version === undefined ? { kind: "other" } : { kind: "version", version };
+    }
+    return { kind: "other" };
+}
+
+/** Parses the part of a version's key after its prefix; undefined if another writer has put it there. */
+function parseVersionKey(text: string): ServiceVersion | undefined {
+    try {
+        const [service = "", softwareVersion] = text.split("/").map(decodeURIComponent);
         return {
-            kind: "version",
-            version: {
-                service: brandId(service),
-                softwareVersion: softwareVersion === undefined ? undefined : brandId(softwareVersion),
-            },
+            service: brandId(service),
+            softwareVersion: softwareVersion === undefined ? undefined : brandId(softwareVersion),
         };
     }
-    return { kind: "other" };
+    catch {
+        return undefined;
+    }
 }
 
 /**
