A stream without a record goes on only if the store confirms that one version is there

Cause: a host that finds no record of a stream, since it is cut off from the others, took the only version that it knew for the stream's, however old what it knew was. Class: knowledge without an age (as in the stale view of the store).

Change: before that the host asks the store what has changed among the engines; the answer is as of a time after the client came, and an engine is listed before a stream begins there. Without an answer, or with a second version in it, the origin counts as unknown, and the client is told to return. Evidence: 2 of 4 new rows of createStreamOrigins.feature failed before; a host that stood still, or was cut off from the store only, asks the others and went on right before.

--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -34,6 +34,8 @@
 import { answerView } from "./answerView.js";
 import { createOwnerClaims } from "./createOwnerClaims.js";
 import type { OwnerClaims } from "./createOwnerClaims.js";
+import { createViewConfirmation } from "./createViewConfirmation.js";
+import { formatReleaseKey } from "./formatReleaseKey.js";
 import type { FrontContext } from "./frontContext.js";
 import {
     formatMemberKey,
@@ -68,6 +70,8 @@
     onQuarantine(listener: (suspect: Suspect, isSet: boolean) => void): void;
     /** Time since the store last confirmed a part of this view, in milliseconds; undefined before it first did. */
     readAgeMs(part: ViewPart): number | undefined;
+    /** Brings the engines up to date with a call to the store; resolves to whether it has answered. */
+    confirmEngines(): Promise<boolean>;
     /** Returns when the call was sent whose reply last confirmed a part of this view; undefined before the first. */
     readConfirmedFrom(part: ViewPart): ClockReading | undefined;
     /** Whether the system's keys have been listed at least once since the start. */
@@ -404,6 +408,7 @@
         recordedVersions,
         onQuarantine: listener => void quarantineListeners.push(listener),
         readAgeMs,
+        confirmEngines: createViewConfirmation(context, ENGINE_PREFIX, feeds.engines),
         readConfirmedFrom: part => feeds[part].confirmation?.from,
         get hasReadHostKeys() {
             return hostKeyLists > 0;
@@ -437,7 +442,3 @@
         },
     };
 }
-
-function formatReleaseKey(model: BaseModel, adapter: AdapterName): string {
-    return `${model}/${adapter}`;
-}
--- a/packages/front/src/createStreamOrigins.feature
+++ b/packages/front/src/createStreamOrigins.feature
@@ -42,6 +42,21 @@
             | nothing on record, the hosts ran on      | v1 v1   | the versions were never recorded    | 31  | v1      | 8     |
             | it had just left, of many hosts          | v1 v2   | the engine of v1 leaves 1 s before  | 0   | unknown | 195   |
 
+    # Guards against a stream that goes on at another version, since the host that takes it up knows of one version only.
+    Scenario Outline: A host <state> while the version v2 came
+        Given 8 hosts and engines of the versions "v1 v2"
+        And the stream began at version v2 at host 0
+        And host 3 <state> since before the version v2 came
+        When the client resumes the stream at host 3
+        Then the stream began at "<version>"
+
+        Examples:
+            | state                                           | version |
+            | was cut off from the other hosts and the store  | unknown |
+            | was cut off from the other hosts                | unknown |
+            | was cut off from the store                      | v2      |
+            | stood still                                     | v2      |
+
     Scenario: The hosts of a large deployment tell few peers
         Given 40 hosts and engines of the versions "v1 v2"
         When 500 streams begin at host 0
--- a/packages/front/src/createStreamOrigins.steps.ts
+++ b/packages/front/src/createStreamOrigins.steps.ts
@@ -44,17 +44,32 @@
     },
 } as unknown as PeerClient;
 
-async function startHost(number: number): Promise<void> {
+/** What a host is cut off from that hasn't seen the newest version come. */
+interface OutOfStep {
+    readonly isCutFromHosts: boolean;
+    readonly isCutFromStore: boolean;
+}
+
+async function startHost(number: number, outOfStep?: OutOfStep): Promise<void> {
     const host = toHost(number);
+    const ownEngines = outOfStep === undefined ? engines : new Map([...engines].slice(0, 1));
+    const confirmEngines = (): Promise<boolean> => {
+        engines.forEach((known, id) => outOfStep?.isCutFromStore !== true && ownEngines.set(id, known));
+        return Promise.resolve(outOfStep?.isCutFromStore !== true);
+    };
+    const ownPeers = outOfStep?.isCutFromHosts === true
+        ? { request: () => Promise.reject(new Error("no reply")) } as unknown as PeerClient
+        : peers;
     members.set(host, { host, incarnation: brandId<Incarnation>("1"), ip: "127.0.0.1", port: 1, isLeaving: false });
     const context = { clock, deployment: { host, isFirstStart }, hash: await createHasher(), metrics: createMetrics() };
     const clusterView = {
-        engines,
+        engines: ownEngines,
         members,
-        recordedVersions,
+        recordedVersions: outOfStep === undefined ? recordedVersions : new Map([...recordedVersions].slice(0, 1)),
+        confirmEngines,
         onEngineRemoved: (listener: (entry: EngineEntry) => void) => void removalListeners.push(listener),
     };
-    hosts.set(host, createStreamOrigins(context as unknown as FrontContext, clusterView, () => peers));
+    hosts.set(host, createStreamOrigins(context as unknown as FrontContext, clusterView, () => ownPeers));
 }
 
 function killHost(number: string): void {
@@ -128,10 +143,18 @@
     }
 });
 
+Given(/^host (\d+) (.*) since before the version v2 came$/, (host: string, state: string) =>
+    startHost(Number(host), {
+        isCutFromHosts: state.includes("the other hosts"),
+        isCutFromStore: state.includes("the store"),
+    }));
+
 Given(/^(\d+) s pass$/, (seconds: string) => clock.advance(Number(seconds) * 1000));
 
-When(/^the client resumes the stream at (host 0|every other host)$/, async (where: string) => {
-    const asked = [...hosts].filter(([host]) => (host === toHost(0)) === (where === "host 0"));
+When(/^the client resumes the stream at (host \d+|every other host)$/, async (where: string) => {
+    const asked = [...hosts].filter(([host]) =>
+        where === "every other host" ? host !== toHost(0) : host === toHost(where.slice("host ".length))
+    );
     versions = await Promise.all(asked.map(async ([, host]) => (await host.find(STREAM, SERVICE))?.softwareVersion));
 });
 
--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -55,7 +55,7 @@
  */
 export function createStreamOrigins(
     context: Pick<FrontContext, "clock" | "deployment" | "hash" | "metrics">,
-    clusterView: Pick<ClusterView, "engines" | "members" | "onEngineRemoved" | "recordedVersions">,
+    clusterView: Pick<ClusterView, "confirmEngines" | "engines" | "members" | "onEngineRemoved" | "recordedVersions">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
 ): StreamOrigins {
     const { clock, deployment, hash, metrics } = context;
@@ -109,8 +109,15 @@
     /** Whether this host knows all software versions that a service has had for as long as a stream may be resumed. */
     const knowsHistory = (recorded: readonly StreamOrigin[]): boolean =>
         deployment.isFirstStart || recorded.length > 0 || clock.nowMs() - startedMs >= RESUMABLE_MS;
-    /** Returns the only software version that a service has had for as long as a stream may be resumed. */
-    const findOnlyVersion = (service: ServiceName): StreamOrigin | undefined => {
+    /**
+     * Finds the only software version that a service has had for as long as a stream may be resumed. A host that was
+     * out of step may not know the newest one, so the store is asked; it lists an engine before streams begin there.
+     */
+    const findOnlyVersion = async (service: ServiceName): Promise<StreamOrigin | undefined> =>
+        readOnlyVersion(service) !== undefined && await clusterView.confirmEngines()
+            ? readOnlyVersion(service)
+            : undefined;
+    const readOnlyVersion = (service: ServiceName): StreamOrigin | undefined => {
         const recorded = [...clusterView.recordedVersions.values()].filter(version => version.service === service);
         if (!knowsHistory(recorded)) {
             return undefined;
@@ -145,7 +152,7 @@
                 return { service: own.service, softwareVersion: own.softwareVersion };
             }
             const told = requestId === undefined ? undefined : await askPeers(requestId);
-            const found = told ?? findOnlyVersion(service.name);
+            const found = told ?? await findOnlyVersion(service.name);
             const source = told !== undefined ? "peer" : found !== undefined ? "only_version" : "none";
             metrics.count("stream_origins_total", { found: source });
             return found;
