--- a/packages/front/src/createEngineClosures.ts
+++ b/packages/front/src/createEngineClosures.ts
@@ -6,12 +6,15 @@
 import { formatEngineRun } from "./formatEngineRun.js";
 import type { FrontContext } from "./frontContext.js";
 
+/** Why an engine may get no work from this host: what it has said itself, or what the store lists. */
+export type WorkClosure = EngineClosure | { readonly kind: "unusable" };
+
 /** Says which engines may get work from this host. */
 export interface EngineClosures {
     /** Lists the engines that may get work now, of one service or of all. */
     listOpen(service?: ServiceName): readonly KnownEngine[];
     /** Why the engine of an id may get no work; undefined if it may, or isn't known. */
-    find(engine: EngineId): EngineClosure | { readonly kind: "unusable" } | undefined;
+    find(engine: EngineId): WorkClosure | undefined;
     /**
      * Books the return of a client while none of the engines that it may go to is open, but some only pause. Returns
      * the time until then, in milliseconds; undefined if none of them pauses.
@@ -37,6 +40,8 @@
 
 /** Time for which the word of an engine that is not listed is kept, in milliseconds; its entry may return. */
 const UNLISTED_MEMORY_MS = 600_000;
+/** Most characters of a text from an engine that are logged. */
+const MAX_LOGGED_TEXT = 80;
 /** Expected time until an engine that has come back from a pause takes another request, in milliseconds. */
 const RECOVERING_RETRY_MS = 150;
 
@@ -101,7 +106,7 @@
             log.write("warn", 218, { engine: id, text: notice.pause.text.slice(0, MAX_LOGGED_TEXT) });
         }
     };
-    const findClosure = ({ entry, isUsable }: KnownEngine): ReturnType<EngineClosures["find"]> =>
+    const findClosure = ({ entry, isUsable }: KnownEngine): WorkClosure | undefined =>
         isUsable ? findEngineClosure(readStanding(entry), clock.nowMs()) : { kind: "unusable" };
     const list = (service: ServiceName | undefined): readonly KnownEngine[] =>
         [...clusterView.engines.values()].filter(({ entry }) => service === undefined || entry.service === service);
@@ -155,6 +160,3 @@
         recordEnd: (entry, sentMs, end) => update(entry, { kind: end, sentMs }),
     };
 }
-
-/** Most characters of a text from an engine that are logged. */
-const MAX_LOGGED_TEXT = 80;
--- a/packages/front/src/createForwardTransport.feature
+++ b/packages/front/src/createForwardTransport.feature
@@ -48,6 +48,17 @@
             | ran     | 504    |            | false    | undefined |
             | later   | 503    | 1          | false    | 1000      |
 
+    # Guards against a host that passes on an engine's word that it leaves, and goes on sending to it, when a helper asked it.
+    Scenario Outline: An engine that says to the helping host that it <says> is known to the first host as "<known>"
+        Given a helping host whose engine "i-7" says that it <says>
+        When the host hands over a request to it
+        Then the head names "<known>" as the engine that leaves, and clients get the engine's headers only
+
+        Examples:
+            | says   | known |
+            | leaves | i-7   |
+            | stays  | none  |
+
     Scenario Outline: An engine's answer with status <status> is never taken for a promise that the request did not run
         Given a helping host that passes on an engine's answer with status <status>
         When the host hands over a request to it
--- a/packages/front/src/createForwardTransport.steps.ts
+++ b/packages/front/src/createForwardTransport.steps.ts
@@ -1,10 +1,12 @@
+import type { AnswerSink, EngineRequest } from "@fulmarcleat/directory";
 import { brandId } from "@fulmarcleat/ids";
 import type { EngineId, RequestId } from "@fulmarcleat/ids";
-import { parseClientHead } from "@fulmarcleat/platform";
-import { ENGINE_STATE_HEADERS } from "@fulmarcleat/platform-standin";
+import { parseAnswerHead, parseClientHead } from "@fulmarcleat/platform";
+import { ENGINE_STATE_HEADERS, listEngineHeaders } from "@fulmarcleat/platform-standin";
 import { After, deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import type { ServerResponse } from "node:http";
 import { MARK_HEADER, MARK_MAC_HEADER } from "./forwardMark.js";
+import { nameLeavingEngine } from "./nameLeavingEngine.js";
 import { readRetryAfterMs } from "./readRetryAfterMs.js";
 import { LOCAL } from "./startForwardHelper.steps.js";
 import { CLIENT_HEADERS, CLIENT_PATH, MARK, startForwardPair } from "./startForwardPair.steps.js";
@@ -49,6 +51,35 @@
     },
 );
 
+Given(
+    /^a helping host whose engine "(.*)" says that it (leaves|stays)$/,
+    async (engine: string, says: string) => {
+        const sayings = { requestId: "r1", isNotRun: false, isLeaving: says === "leaves", retryAfter: undefined };
+        pair = await startForwardPair(({ res }) => {
+            const sink: Pick<AnswerSink, "head"> = {
+                head: ({ headers }) => void res.writeHead(200, [...headers]).end(),
+            };
+            const transport = nameLeavingEngine({
+                send(req, { head }) {
+                    head(parseAnswerHead(200, listEngineHeaders(sayings)));
+                    return { cancel: () => undefined, resume: () => undefined };
+                },
+            });
+            transport.send({ target: { id: engine } } as unknown as EngineRequest, sink as AnswerSink);
+        });
+    },
+);
+
+Then(
+    "the head names {string} as the engine that leaves, and clients get the engine's headers only",
+    (known: string) => {
+        const { head } = handover;
+        deepStrictEqual([head?.instance ?? "none", head?.notice?.isLeaving === true], [known, known !== "none"]);
+        const names = head?.headers.filter((text, at) => at % 2 === 0).map(name => name.toLowerCase()) ?? [];
+        ok(!names.some(name => name.startsWith("fulmarcleat")), names.join(" "));
+    },
+);
+
 When(/^the host hands over a (\w+) request with (\d+) bytes$/, async (method: string, length: string) => {
     handover = pair.handOver({ method, body: fill(Number(length)) });
     await handover.done;
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -20,7 +20,7 @@
 import { createClientHandler } from "./createClientHandler.js";
 import { createClusterView } from "./createClusterView.js";
 import { createEngineClosures } from "./createEngineClosures.js";
-import type { EngineClosures } from "./createEngineClosures.js";
+import type { EngineClosures, WorkClosure } from "./createEngineClosures.js";
 import { createEngineLimits } from "./createEngineLimits.js";
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import { createEnginePaths } from "./createEnginePaths.js";
@@ -281,7 +281,7 @@
 }
 
 /** Whether a request may still be written to its engine, which may have said something since it was chosen. */
-function mayWrite(closure: ReturnType<EngineClosures["find"]>): boolean {
+function mayWrite(closure: WorkClosure | undefined): boolean {
     switch (closure?.kind) {
         case "leaving":
         case "paused":
--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -6,7 +6,7 @@
 import type { OrderRightReply, OrderRightRequest, PeerClient } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
 import { createEngineClaims } from "./createEngineClaims.js";
-import type { EngineClosures } from "./createEngineClosures.js";
+import type { EngineClosures, WorkClosure } from "./createEngineClosures.js";
 import { createOwnerTask } from "./createOwnerTask.js";
 import type { OwnerTask } from "./createOwnerTask.js";
 import type { EnginePaths } from "./enginePaths.js";
@@ -352,7 +352,7 @@
 }
 
 /** Whether an engine that may get no requests, or may, takes orders: not while it leaves or pauses. */
-function takesOrders(closure: ReturnType<EngineClosures["find"]>): boolean {
+function takesOrders(closure: WorkClosure | undefined): boolean {
     switch (closure?.kind) {
         case "leaving":
         case "paused":
