The run with a front process has so few engines that each of them is asked

With more, the choice may leave an engine out whose first answer was slow, and the check says nothing.

--- a/packages/soak/src/runNotices.ts
+++ b/packages/soak/src/runNotices.ts
@@ -26,9 +26,9 @@
     readonly violations: readonly string[];
 }
 
-/** Engines of the fleet: some with a model, and plain ones after them. */
-const MODEL_ENGINES = 2;
-const PLAIN_ENGINES = 3;
+/** Engines of the fleet: one with a model, and plain ones after it; so few that each of them is asked. */
+const MODEL_ENGINES = 1;
+const PLAIN_ENGINES = 2;
 /** Longest time until the host is ready after its start, in milliseconds. */
 const START_TIMEOUT_MS = 15_000;
 /** Interval between two requests of the clients, in milliseconds. */
@@ -37,11 +37,11 @@
 const LEAD_MS = 1500;
 const LENGTH_MS = 6000;
 const DEADLINE_MS = 3000;
-/** Adapters that clients request; they fit into the slots of one engine. */
+/** Adapters that clients request; they fit into the slots of the engine. */
 const ADAPTERS = 4;
 
 /**
- * Lets one plain engine of a host leave, another one and a model engine pause, while clients send requests. The store
+ * Lets one plain engine of a host leave, the other one and the model engine pause, while clients send requests. The store
  * says nothing of either.
  *
  * @param pauseMs - Length of the pause, in milliseconds
