--- a/packages/front/src/createEngineClosures.ts
+++ b/packages/front/src/createEngineClosures.ts
@@ -66,7 +66,7 @@
     const returnTimes = new Map<ServiceName, ReturnTimes>();
 
     const readStanding = ({ id, bornMs }: EngineEntry): EngineStanding =>
-        records.get(formatEngineRun(id, bornMs))?.standing ?? OPEN_STANDING;
+        (records.size === 0 ? undefined : records.get(formatEngineRun(id, bornMs)))?.standing ?? OPEN_STANDING;
     const isKept = (record: StandingRecord, atMs: number): boolean => {
         const known = clusterView.engines.get(record.entry.id);
         return known === undefined
