--- a/review/lib/front.mjs
+++ b/review/lib/front.mjs
@@ -81,11 +81,13 @@
     const [program, ...args] = readCommand();
     const blocks = await findPorts(count);
     const fronts = [];
-    const start = async (index, isFirstStart) => {
-        const first = blocks[index];
+    const describe = index => {
         const zone = zones[index % zones.length];
         const name = `front-${zone}-${Math.floor(index / zones.length) + 1}`;
-        const file = join(folder, `${name}.json`);
+        return { first: blocks[index], zone, name, file: join(folder, `${name}.json`) };
+    };
+    const writeSettings = async (index, isFirstStart, named) => {
+        const { first, zone, name, file } = describe(index);
         const ip = "127.0.0.1";
         await writeFile(file, JSON.stringify({
             node: name,
@@ -108,7 +110,7 @@
             heartbeatMs: 1200,
             contracts: ["base", "drain", "config", "cost", "retry", "recover", "fleet", "stream", "engine", "platform"],
             faultTolerance: { machines: 1, zones: 0, regions: 0 },
-            bounds,
+            bounds: named,
             platform: {
                 address: `127.0.0.1:${storePort}`,
                 form: "kv",
@@ -119,6 +121,10 @@
                 ttlMinMs: 1000,
             },
         }));
+    };
+    const start = async (index, isFirstStart) => {
+        const { first, name, file } = describe(index);
+        await writeSettings(index, isFirstStart, bounds);
         const { PATH, HOME, LANG } = process.env;
         const child = spawn(program === "node" ? process.execPath : program, args, {
             cwd: ROOT,
@@ -143,6 +149,11 @@
         fronts,
         /** Starts a process anew that has ended, as the platform does. */
         restart: index => start(index, false),
+        /** Changes the bounds in the settings file of a process and tells it so with SIGHUP, as the platform does. */
+        async reload(index, changed) {
+            await writeSettings(index, false, { ...bounds, ...changed });
+            fronts[index].child.kill("SIGHUP");
+        },
         async close() {
             fronts.forEach(({ child }) => child.exitCode === null && child.signalCode === null && child.kill("SIGKILL"));
             await Promise.all(fronts.map(({ exited }) => exited));
