--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -23,7 +23,12 @@
         const text = Object.entries(fields).map(([name, value]) => `${name}=${value}`).join(" ");
         file.write(`${at} ${kind} ${text}\n`);
     };
+    let isOver = false;
     const finish = async (code, reason) => {
+        if (isOver) {
+            return;
+        }
+        isOver = true;
         record("result", { code, reason });
         process.stdout.write(`${reason}\n`);
         await Promise.all(closers.reverse().map(close => close()));
@@ -33,6 +38,9 @@
     const limit = setTimeout(() => void finish(NOT_RUN, "the case took too long"), LIMIT_MS);
     limit.unref();
     ["SIGINT", "SIGTERM"].forEach(signal => process.on(signal, () => void finish(NOT_RUN, `ended by ${signal}`)));
+    ["uncaughtException", "unhandledRejection"].forEach(event =>
+        process.on(event, err => void finish(NOT_RUN, `the case could not run: ${err?.stack ?? err}`))
+    );
     try {
         const { code, reason } = await body({ record, closers, isTroubled });
         clearTimeout(limit);
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -21,6 +21,11 @@
                 res.writeHead(421, { "Not-Executed": "1", "Instance-Id": id, "Content-Length": "0" }).end();
                 return;
             }
+            if (req.url === "/fulmarcleat/report" || requestId === undefined) {
+                const status = requestId === undefined && req.url !== "/fulmarcleat/report" ? 400 : 404;
+                res.writeHead(status, { "Not-Executed": "1", "Content-Length": "0" }).end();
+                return;
+            }
             const body = Buffer.concat(chunks);
             const run = { requestId, engine: id, service, method: req.method, path: req.url, atMs: performance.now() };
             runs.push(run);
