--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,137 +1,110 @@
-// The settings file of a front is changed, with a longer time to stop, and the front is told so; later it is stopped.
+// The store comes back from a copy that is some seconds old; afterwards the operator changes the config.
 import { BROKEN, HELD, runCase, sleep } from "../lib/case.mjs";
 import { createRequestId, sendRequest } from "../lib/client.mjs";
 import { writeConfig } from "../lib/config.mjs";
+import { startPlainEngine } from "../lib/engine.mjs";
 import { BOUNDS, startFronts, waitUntilReady } from "../lib/front.mjs";
-import { startModelEngine } from "../lib/modelEngine.mjs";
 import { startStore } from "../lib/store.mjs";
 
 const ZONES = ["wien-a", "wien-b", "linz-c"];
-const HOST_NAME = "reports.example";
-const MODEL = "m0";
-const GRACE_S = 14;
-/** Time from the reload to the SIGTERM, in milliseconds; longer than the interval at which a process may look itself. */
-const RELOADED_MS = 7000;
-const EVENTS = 100;
-/** Pause between two events, in milliseconds; clients of the route accept 250. */
-const EVENT_INTERVAL_MS = 100;
-const TIMEOUT_MS = 15_000;
-/** Times of the streams' requests, after the SIGTERM, in milliseconds. */
-const SENT_AFTER_MS = [-600, -400, -200, 500, 1000];
-/** Part of the time to stop after which an engine that is still at work excuses a cut. */
-const EXCUSED_FROM = 5 / 6;
+const HOST_NAME = "portal.example";
+const FRONTS = 6;
+const ENGINES_PER_SERVICE = 3;
+/** Age of the copy that the store comes back from, in milliseconds. */
+const COPY_AGE_MS = 8000;
+const AWAY_MS = 1000;
+/** Time in service before the drill, in milliseconds; the copy is of a time when all processes served. */
+const CALM_MS = 10_000;
+/** Time from the store's return to the change of the config; all machines are in touch again by then. */
+const CHANGE_AFTER_MS = BOUNDS.contactMs + 200;
+/** Time for which the config must be in force that is watched, in milliseconds. */
+const WATCHED_MS = 20_000;
+const SEND_INTERVAL_MS = 200;
+/** Allowance for the clients' own clocks, in milliseconds. */
+const MARGIN_MS = 100;
 
-const answerStream = async (req, res, requestId) => {
-    res.writeHead(200, {
-        "Request-Id": requestId,
-        "Response-Seal": `seal.${requestId}`,
-        "Content-Type": "text/event-stream",
-        "Server-Load": "1,0,64",
-    });
-    for (let event = 1; event <= EVENTS && !res.destroyed; event += 1) {
-        res.write(`id: ${event}\ndata: piece ${event} of ${EVENTS}\n\n`);
-        await sleep(EVENT_INTERVAL_MS);
-    }
-    res.end();
-};
+const services = [{ name: "portal-old" }, { name: "portal-new" }];
+const createRoutes = service => [
+    { name: "orders", host: HOST_NAME, pathPrefix: "/orders/", kind: "unsafe", timeoutMs: 800, goalMs: 150, service },
+];
 
 await runCase(import.meta.url, async ({ record, closers, isTroubled }) => {
     const store = await startStore();
     closers.push(() => store.close());
     const runs = [];
-    const engine = { slots: 64, mb: 74_700, adapterSlots: 8, loadsPerS: 2.1 };
-    const model = { name: MODEL, mb: 72_700, loadTimeS: 0.61, adapters: 3000, adapterMb: 66 };
-    writeConfig(store, {
-        version: 1,
-        routes: [{
-            name: "entrance-query",
-            host: HOST_NAME,
-            pathPrefix: "/query/",
-            kind: "streaming",
-            timeoutMs: TIMEOUT_MS,
-            goalMs: 600,
-            gapAimMs: 250,
-            sticky: true,
-            resumable: false,
-            service: "bericht-llm",
-        }],
-        services: [{ name: "bericht-llm", maxConns: 360, engine: { ...engine, models: [model] } }],
-    });
-    for (const zone of ZONES) {
-        const started = await startModelEngine({
-            id: `i-${zone}`,
-            service: "bericht-llm",
-            zone,
-            store,
-            model: MODEL,
-            runs,
-            answer: (...exchange) => void answerStream(...exchange),
-        });
-        closers.push(() => started.close());
+    writeConfig(store, { version: 1, routes: createRoutes("portal-old"), services });
+    for (const { name } of services) {
+        for (let index = 0; index < ENGINES_PER_SERVICE; index += 1) {
+            const zone = ZONES[index % ZONES.length];
+            const engine = await startPlainEngine({ id: `i-${name}-${index}`, service: name, zone, store, runs });
+            closers.push(() => engine.close());
+        }
     }
-    const bounds = { ...BOUNDS, graceS: isTroubled ? BOUNDS.graceS : GRACE_S };
-    const fleet = await startFronts({ count: ZONES.length, zones: ZONES, storePort: store.port, bounds });
+    const fleet = await startFronts({ count: FRONTS, zones: ZONES, storePort: store.port });
     closers.push(() => fleet.close());
     await waitUntilReady(fleet.fronts, 15_000);
-    await sleep(BOUNDS.contactMs);
+    record("ready", { fronts: FRONTS });
+
+    const answers = [];
+    let isSending = true;
+    const sendAll = async front => {
+        while (isSending) {
+            const requestId = createRequestId();
+            const answer = await sendRequest({
+                port: front.port,
+                method: "POST",
+                path: "/orders/1",
+                hostName: HOST_NAME,
+                requestId,
+                deadlineMs: 800,
+                body: "order",
+            });
+            answers.push({ ...answer, front: front.name });
+            await sleep(SEND_INTERVAL_MS);
+        }
+    };
+    const sending = fleet.fronts.map(sendAll);
+    await sleep(CALM_MS);
     if (isTroubled) {
-        await fleet.reload(0, { graceS: GRACE_S });
-        record("reload", { front: fleet.fronts[0].name, formerGraceS: BOUNDS.graceS, graceS: GRACE_S });
+        record("store-away", { revision: store.revision, era: store.era });
+        const { formerRevision, revision } = await store.restore(COPY_AGE_MS, AWAY_MS);
+        record("store-back", { formerRevision, revision, era: store.era });
     }
-    await sleep(RELOADED_MS);
-
-    const [front] = fleet.fronts;
-    const stopMs = performance.now() + 1000;
-    const streams = SENT_AFTER_MS.map(async afterMs => {
-        await sleep(stopMs + afterMs - performance.now());
-        const requestId = createRequestId();
-        return sendRequest({
-            port: front.port,
-            method: "POST",
-            path: "/query/1",
-            hostName: HOST_NAME,
-            requestId,
-            deadlineMs: TIMEOUT_MS,
-            headers: { "Model": MODEL, "Token-Count": `800,${EVENTS * 4}`, "Prompt-Prefix": `${requestId}:800` },
-            body: "how many visitors came in today?",
-        });
-    });
-    await sleep(stopMs - performance.now());
-    front.child.kill("SIGTERM");
-    const termMs = performance.now();
-    record("sigterm", { front: front.name, graceS: GRACE_S });
-    const killing = setTimeout(() => front.child.kill("SIGKILL"), GRACE_S * 1000);
-    const answers = await Promise.all(streams);
-    await front.exited;
-    clearTimeout(killing);
-    const [exit] = front.exits;
-    record("exit", { front: front.name, afterS: ((exit.atMs - termMs) / 1000).toFixed(3), code: exit.code, signal: exit.signal });
+    else {
+        await sleep(AWAY_MS);
+    }
+    await sleep(CHANGE_AFTER_MS);
+    const revision = writeConfig(store, { version: 2, routes: createRoutes("portal-new"), services });
+    const confirmedMs = performance.now();
+    record("config-confirmed", { version: 2, revision });
+    await sleep(BOUNDS.configApplyMs + WATCHED_MS);
+    isSending = false;
+    await Promise.all(sending);
 
-    const ran = new Set(runs.map(({ requestId }) => requestId));
-    const excusedFromMs = termMs + GRACE_S * 1000 * EXCUSED_FROM;
-    const lost = answers.filter(({ requestId, isComplete, endedMs }) =>
-        ran.has(requestId) && !isComplete && endedMs < excusedFromMs
-    );
-    for (const { requestId, sentMs, endedMs, status, isComplete, text } of answers) {
-        record("stream", {
-            requestId,
-            ran: ran.has(requestId),
-            sentAfterMs: Math.round(sentMs - termMs),
-            endedAfterMs: Math.round(endedMs - termMs),
-            status,
-            isComplete,
-            events: text.split("\n\n").length - 1,
-        });
+    const runsById = new Map(runs.map(run => [run.requestId, run]));
+    const boundMs = confirmedMs + BOUNDS.configApplyMs + MARGIN_MS;
+    for (const { front, requestId, sentMs, status, seal } of answers) {
+        const run = runsById.get(requestId);
+        const afterConfirmationMs = Math.round(sentMs - confirmedMs);
+        record("request", { front, requestId, afterConfirmationMs, status, seal, service: run?.service });
+    }
+    const due = answers.filter(({ sentMs }) => sentMs > boundMs);
+    const served = due.filter(({ requestId }) => runsById.has(requestId));
+    const late = served.filter(({ requestId }) => runsById.get(requestId).service === "portal-old");
+    const lastMs = Math.max(0, ...late.map(({ sentMs }) => Math.round(sentMs - confirmedMs)));
+    const fronts = new Set(late.map(({ front }) => front));
+    for (const { name, exits } of fleet.fronts) {
+        record("front", { name, exits: exits.length, late: late.filter(({ front }) => front === name).length });
     }
-    if (!answers.some(({ requestId }) => ran.has(requestId))) {
-        throw new Error("no stream ran");
+    if (served.length === 0) {
+        throw new Error("no request was served after the bound");
     }
-    return lost.length > 0
+    return late.length > 0
         ? {
             code: BROKEN,
-            reason: `LOST: ${lost.length} of ${answers.length} streams that an engine ran were cut before `
-                + `${(GRACE_S * EXCUSED_FROM).toFixed(2)} s after the SIGTERM; the process ended by itself after `
-                + `${((exit.atMs - termMs) / 1000).toFixed(2)} s of ${GRACE_S} with code ${exit.code}`,
+            reason: `CONFIG: ${late.length} of ${served.length} requests that were sent later than `
+                + `${BOUNDS.configApplyMs} ms after the confirmation were run by the old service, by ${fronts.size} of `
+                + `${FRONTS} fronts, the last one sent ${lastMs} ms after it`,
         }
-        : { code: HELD, reason: `no stream was cut; the process ended after ${((exit.atMs - termMs) / 1000).toFixed(2)} s` };
+        : { code: HELD, reason: `all ${served.length} requests after the bound were run by the new service` };
 });
--- a/review/lib/front.mjs
+++ b/review/lib/front.mjs
@@ -60,7 +60,8 @@
 async function findPorts(count) {
     const blocks = [];
     const blockCount = Math.floor((LAST_PORT - FIRST_PORT) / PORTS_PER_FRONT);
-    const start = process.pid % blockCount;
+    // Runs at the same time have process ids close to each other; this keeps their ports apart.
+    const start = process.pid * 61 % blockCount;
     for (let step = 0; step < blockCount && blocks.length < count; step += 1) {
         const first = FIRST_PORT + (start + step) % blockCount * PORTS_PER_FRONT;
         const ports = Array.from({ length: PORTS_PER_FRONT }, (_, offset) => first + offset);
--- a/review/lib/modelEngine.mjs
+++ b/review/lib/modelEngine.mjs
@@ -7,7 +7,7 @@
  * Starts a stand-in of a model engine that holds its base model. It writes its entry to the store, answers reports and
  * orders, and calls `answer(req, res, requestId)` for each request that is meant for it.
  */
-export async function startModelEngine({ id, service, zone, store, model, runs, slots = 64, answer }) {
+export async function startModelEngine({ id, service, zone, store, model, runs, version = "v1", slots = 64, answer }) {
     let timer;
     let isClosed = false;
     const born = Date.now();
@@ -29,7 +29,7 @@
                 return;
             }
             const requestId = req.headers["request-id"];
-            runs.push({ requestId, engine: id, atMs: performance.now() });
+            runs.push({ requestId, engine: id, version, atMs: performance.now() });
             answer(req, res, requestId);
         });
     });
@@ -38,7 +38,7 @@
     const address = `127.0.0.1:${server.address().port}`;
     const writeEntry = () => {
         const state = { state: "ready", coldLeftMs: 0, stage: "both", models, seq: 0, born };
-        store.put(`servers/${id}`, { service, address, zone, version: "v1", slots, ...state });
+        store.put(`servers/${id}`, { service, address, zone, version, slots, ...state });
     };
     const beat = () => {
         if (!isClosed) {
