--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -26,7 +26,10 @@
 /** The name of a service that isn't in the config, cut off in the middle of its last character. */
 const ODD_SERVICE = "archive-🗄".slice(0, -1);
 
-await runCase(import.meta.url, async ({ record, closers, isTroubled }) => {
+/** What was sent, answered and run. */
+const RECORD_FILE = new URL("record.txt", import.meta.url);
+
+await runCase(RECORD_FILE, async ({ record, closers, isTroubled }) => {
     const store = await startStore();
     closers.push(() => store.close());
     const runs = [];
@@ -107,9 +110,21 @@
     const lost = answers.filter(({ requestId, isKept, isComplete, status }) =>
         isKept && status === 0 && !isComplete && ran.has(requestId)
     );
-    for (const { requestId, front, sentMs, endedMs } of lost) {
-        const [sentAfterMs, endedAfterMs] = [sentMs, endedMs].map(atMs => Math.round(atMs - oddMs));
-        record("no-answer", { requestId, front, sentAfterMs, endedAfterMs, ran: true });
+    const engineByRequest = new Map(runs.map(({ requestId, engine }) => [requestId, engine]));
+    const isLost = new Set(lost);
+    for (const answer of answers) {
+        const { requestId, front, isKept, sentMs, endedMs, status, isComplete } = answer;
+        record("request", {
+            requestId,
+            front,
+            isKept,
+            sentAfterMs: Math.round(sentMs - oddMs),
+            endedAfterMs: Math.round(endedMs - oddMs),
+            status,
+            isComplete,
+            engine: engineByRequest.get(requestId),
+            isLost: isLost.has(answer),
+        });
     }
     const countServed = (fromMs, untilMs) => {
         const sent = answers.filter(({ sentMs }) => sentMs >= fromMs && sentMs < untilMs);
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -28,7 +28,10 @@
     { name: "orders", host: HOST_NAME, pathPrefix: "/orders/", kind: "unsafe", timeoutMs: 800, goalMs: 150, service },
 ];
 
-await runCase(import.meta.url, async ({ record, closers, isTroubled }) => {
+/** What was sent, answered and run. */
+const RECORD_FILE = new URL("record.txt", import.meta.url);
+
+await runCase(RECORD_FILE, async ({ record, closers, isTroubled }) => {
     const store = await startStore();
     closers.push(() => store.close());
     const runs = [];
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -88,7 +88,10 @@
 
 const readEvents = text => [...text.matchAll(/^id: (\d+)\ndata: (\S+) \d+\n\n/gm)];
 
-await runCase(import.meta.url, async ({ record, closers, isTroubled }) => {
+/** What was sent, answered and run. */
+const RECORD_FILE = new URL("record.txt", import.meta.url);
+
+await runCase(RECORD_FILE, async ({ record, closers, isTroubled }) => {
     const store = await startStore();
     closers.push(() => store.close());
     const runs = [];
@@ -178,12 +181,17 @@
         const stream = sendStream({ front, requestId: createRequestId(), deadlineMs: BUDGET_MS });
         await sleep(1000);
         stream.cut();
-        return readEvents(stream.text).length > 0;
+        const events = readEvents(stream.text);
+        record("new-stream", { requestId: stream.requestId, status: stream.status, events: events.length });
+        return events.length > 0;
     };
     const begunStreams = Array.from({ length: STREAMS }, (_, index) => begin(index));
     const taken = await Promise.all(first.filter(({ text }) => readEvents(text).length > 0).map(takeUp));
     const begun = await Promise.all(begunStreams);
 
+    runs.forEach(({ requestId, engine: id, version, atMs }) =>
+        record("run", { requestId, engine: id, version, atS: ((atMs - startMs) / 1000).toFixed(1) })
+    );
     const judged = taken.filter(({ lastTryMs }) => lastTryMs >= touchMs);
     const goesOn = judged.filter(({ wentOn }) => wentOn).length;
     const begins = begun.filter(Boolean).length;
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -1,6 +1,4 @@
 import { createWriteStream } from "node:fs";
-import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 
 /** Exit codes of a case. */
 export const HELD = 0;
@@ -10,12 +8,12 @@
 const LIMIT_MS = 115_000;
 
 /**
- * Runs a case: writes `record.txt` beside it, closes what it started, and exits with its result. `body` gets the record,
- * a list of things to close, and whether the disruption is to come.
+ * Runs a case: writes its record to a file, closes what it started, and exits with its result. `body` gets the record, a
+ * list of things to close, and whether the disruption is to come.
  */
-export async function runCase(url, body) {
+export async function runCase(recordFile, body) {
     const startedMs = performance.now();
-    const file = createWriteStream(join(fileURLToPath(new URL(".", url)), "record.txt"));
+    const file = createWriteStream(recordFile);
     const isTroubled = process.env.TROUBLE !== "0";
     const closers = [];
     const record = (kind, fields = {}) => {
