Keep odd names of other writers out, and let an error in a task end neither process nor task

Cause: encodeURIComponent in formatVersionKey throws URIError; it ran in a timer that nothing catches.

Change: names are checked where they are decoded (textSchema). Timers run guarded, repeated tasks set their next turn also after an error, each engine has its own turn.

--- a/packages/events/src/eventCatalogue.ts
+++ b/packages/events/src/eventCatalogue.ts
@@ -13,6 +13,7 @@
     107: "log lines dropped",
     108: "settings reloaded",
     109: "settings rejected",
+    110: "task step failed",
     200: "peer connected",
     201: "peer lost",
     202: "peer refused",
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -19,7 +19,7 @@
     ViewRole,
 } from "@fulmarcleat/directory";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
-import { brandId } from "@fulmarcleat/ids";
+import { brandId, repeat } from "@fulmarcleat/ids";
 import type { AdapterName, BaseModel, ClockReading, EngineId, HostId, Suspect } from "@fulmarcleat/ids";
 import {
     CONFIG_KEY,
@@ -49,6 +49,7 @@
 } from "./hostKeys.js";
 import type { Member, RecordedVersion, StoredQuarantine } from "./hostKeys.js";
 import { logEngineChanges } from "./logEngineChanges.js";
+import { runEach } from "./runEach.js";
 import { startStoreWatch } from "./startStoreWatch.js";
 import type { StoreWatch } from "./startStoreWatch.js";
 import { startViewFollower } from "./startViewFollower.js";
@@ -190,7 +191,7 @@
             logEngineChanges(before, directory.engines, context);
             for (const [id, known] of before) {
                 if (!directory.engines.has(id)) {
-                    removalListeners.forEach(listener => listener(known.entry));
+                    runEach(log, "forget engine", removalListeners, () => id, listener => listener(known.entry));
                 }
             }
         }
@@ -202,6 +203,16 @@
         }
         return entry;
     };
+    const applyEngineItem = (item: StoreItem): void => {
+        const entry = parseEntry(item);
+        if (entry !== undefined) {
+            applyDirectory({ kind: "entry", entry, atMs: clock.nowMs() });
+        }
+    };
+    const removeEngine = (key: string): void => {
+        const engine = brandId<EngineId>(key.slice(ENGINE_PREFIX.length));
+        applyDirectory({ kind: "removed", engine, atMs: clock.nowMs() });
+    };
     const applyHostItem = (item: StoreItem): void => {
         const key = parseHostKey(item.key);
         switch (key.kind) {
@@ -282,17 +293,11 @@
             applyDirectory({ kind: "listed", entries, atMs: clock.nowMs() });
         },
         changed(events) {
-            for (const event of events) {
-                if (event.kind === "removed") {
-                    const engine = brandId<EngineId>(event.key.slice(ENGINE_PREFIX.length));
-                    applyDirectory({ kind: "removed", engine, atMs: clock.nowMs() });
-                    continue;
-                }
-                const entry = parseEntry(event.item);
-                if (entry !== undefined) {
-                    applyDirectory({ kind: "entry", entry, atMs: clock.nowMs() });
-                }
-            }
+            events.forEach(event =>
+                event.kind === "put"
+                    ? applyAlone(event.item.key, () => applyEngineItem(event.item))
+                    : applyAlone(event.key, () => removeEngine(event.key))
+            );
         },
     };
     const hostKeys: FeedListener = {
@@ -385,16 +390,11 @@
             metrics.set("store_view_age_ms", readAgeMs(part) ?? NaN, { part });
         }
     };
-    let isStopped = false;
-    const tick = (): void => {
-        if (!isStopped) {
-            applyDirectory({ kind: "tick", atMs: clock.nowMs() });
-            exposeAges();
-            claims.prune(host => members.has(host), engine => directory.engines.has(engine));
-            clock.setTimer(EXPIRY_CHECK_INTERVAL_MS, tick);
-        }
-    };
-    tick();
+    const cancelExpiry = repeat(clock, EXPIRY_CHECK_INTERVAL_MS, () => {
+        applyDirectory({ kind: "tick", atMs: clock.nowMs() });
+        exposeAges();
+        claims.prune(host => members.has(host), engine => directory.engines.has(engine));
+    });
     return {
         get config() {
             return config;
@@ -436,7 +436,7 @@
             return { parts, storeReturnedAgoMs };
         },
         stop() {
-            isStopped = true;
+            cancelExpiry();
             follower.stop();
             watches.forEach(watch => watch.stop());
         },
--- a/packages/front/src/createEnginePaths.ts
+++ b/packages/front/src/createEnginePaths.ts
@@ -1,7 +1,7 @@
 import type { EngineEntry } from "@fulmarcleat/directory";
 import { chooseUnresponsiveLimit, OPEN_PATH, readSuspectSince, reduceEnginePath } from "@fulmarcleat/dispatch";
 import type { EnginePath, EnginePathMessage } from "@fulmarcleat/dispatch";
-import { sleep } from "@fulmarcleat/ids";
+import { repeat, sleep } from "@fulmarcleat/ids";
 import type { EngineId, HostId, ServiceName } from "@fulmarcleat/ids";
 import type {
     EngineProbeReply,
@@ -87,7 +87,6 @@
     const records = new Map<EngineId, PathRecord>();
     const silentServices = new Set<ServiceName>();
     const proofs = new Map<ServiceName, Promise<void>>();
-    let isStopped = false;
 
     const open = (engine: EngineId): PathRecord => {
         const existing = records.get(engine)
@@ -196,17 +195,13 @@
         }
     };
     const check = (): void => {
-        if (isStopped) {
-            return;
-        }
         const suspects = listUsable().filter(entry => readSince(entry) !== undefined);
         const services = new Set(suspects.map(entry => entry.service));
         probeDue(suspects);
         logServices(services);
         services.forEach(service => void survey.refresh(service));
-        clock.setTimer(CHECK_INTERVAL_MS, check);
     };
-    check();
+    const cancelChecks = repeat(clock, CHECK_INTERVAL_MS, check);
     clusterView.onEngineRemoved(({ id }) => {
         records.delete(id);
         survey.forget(id);
@@ -274,6 +269,6 @@
             const helpers = survey.listHelpers(service).slice(0, TOLD_HELPERS).map(({ host }) => host);
             return { heardAgoMs: readHeardAgoMs(service), helpers, running: readRunning() };
         },
-        stop: () => void (isStopped = true),
+        stop: cancelChecks,
     };
 }
--- a/packages/front/src/createLoopTurns.ts
+++ b/packages/front/src/createLoopTurns.ts
@@ -1,3 +1,4 @@
+import { repeat } from "@fulmarcleat/ids";
 import type { Clock } from "@fulmarcleat/ids";
 
 /** Turns of the event loop, for a process that is so busy that arrived bytes wait for seconds until they are read. */
@@ -33,18 +34,14 @@
 export function createLoopTurns(clock: Clock, defer: (callback: () => void) => void): LoopTurns {
     let behindMs = -Infinity;
     let dueMs = clock.nowMs();
-    let isStopped = false;
     const check = (): void => {
         const nowMs = clock.nowMs();
         if (nowMs - dueMs >= BEHIND_MS) {
             behindMs = nowMs;
         }
         dueMs = nowMs + CHECK_INTERVAL_MS;
-        if (!isStopped) {
-            clock.setTimer(CHECK_INTERVAL_MS, check);
-        }
     };
-    check();
+    const cancelChecks = repeat(clock, CHECK_INTERVAL_MS, check);
     return {
         isBehind() {
             const nowMs = clock.nowMs();
@@ -55,6 +52,6 @@
                 await new Promise<void>(resolve => defer(resolve));
             }
         },
-        stop: () => void (isStopped = true),
+        stop: cancelChecks,
     };
 }
--- a/packages/front/src/createOwnerTask.ts
+++ b/packages/front/src/createOwnerTask.ts
@@ -1,5 +1,6 @@
 import type { EngineEntry, EngineOrder, OrderReply } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
+import { repeat } from "@fulmarcleat/ids";
 import type { AdapterName, BaseModel, HostId } from "@fulmarcleat/ids";
 import {
     applyEngineReport,
@@ -180,13 +181,7 @@
         }
         waiters = remaining;
     };
-    const tick = (): void => {
-        if (!isStopped) {
-            void runSteps();
-            clock.setTimer(WAITER_CHECK_INTERVAL_MS, tick);
-        }
-    };
-    tick();
+    const cancelChecks = repeat(clock, WAITER_CHECK_INTERVAL_MS, () => void runSteps());
     return {
         fence: options.fence,
         get hasOrdered() {
@@ -220,6 +215,7 @@
         },
         stop() {
             isStopped = true;
+            cancelChecks();
             waiters.forEach(waiter => waiter.resolve({ kind: "refused", reason: "not_owner" }));
             waiters = [];
         },
--- a/packages/front/src/detectPauses.ts
+++ b/packages/front/src/detectPauses.ts
@@ -1,3 +1,4 @@
+import { repeat } from "@fulmarcleat/ids";
 import type { Clock } from "@fulmarcleat/ids";
 
 /** Interval between two checks, in milliseconds. */
@@ -16,15 +17,16 @@
  * detectPauses(clock, pausedMs => session.markUnverified());
  */
 export function detectPauses(clock: Clock, onPause: (pausedMs: number) => void): void {
-    const checkedMs = clock.nowMs();
-    const checkedWallMs = clock.wallMs();
-    clock.setTimer(CHECK_INTERVAL_MS, () => {
+    let checkedMs = clock.nowMs();
+    let checkedWallMs = clock.wallMs();
+    repeat(clock, CHECK_INTERVAL_MS, () => {
         const lateMs = clock.nowMs() - checkedMs - CHECK_INTERVAL_MS;
         // The monotonic clock may stop while the host is suspended; the wall clock continues.
         const lateWallMs = clock.wallMs() - checkedWallMs - CHECK_INTERVAL_MS;
+        checkedMs = clock.nowMs();
+        checkedWallMs = clock.wallMs();
         if (Math.max(lateMs, lateWallMs) > MIN_PAUSE_MS) {
             onPause(Math.max(lateMs, lateWallMs));
         }
-        detectPauses(clock, onPause);
     });
 }
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -9,6 +9,7 @@
     Suspect,
 } from "@fulmarcleat/ids";
 import { brandId } from "@fulmarcleat/ids";
+import { isCarriable, textSchema } from "@fulmarcleat/platform";
 import type { OwnerClaim } from "@fulmarcleat/residency";
 import type { AdapterLoadRequest } from "@fulmarcleat/wire";
 import * as z from "zod";
@@ -58,27 +59,27 @@
 
 const portSchema = z.number().int().min(1).max(MAX_PORT);
 const memberSchema = z.object({
-    incarnation: z.string(),
+    incarnation: textSchema,
     ip: z.ipv4(),
     port: portSchema,
-    domain: z.string().optional(),
+    domain: textSchema.optional(),
     forwardPort: portSchema.optional(),
     canBeFollowed: z.boolean().optional(),
     isLeaving: z.boolean(),
 });
 const ownerSchema = z.object({
-    host: z.string(),
-    incarnation: z.string(),
+    host: textSchema,
+    incarnation: textSchema,
     isReleased: z.boolean(),
     hasLostPath: z.boolean().default(false),
     waitsFor: z.enum(["order_lease", "order_right"]).optional(),
-    formerHosts: z.array(z.string()).optional(),
+    formerHosts: z.array(textSchema).optional(),
 });
 const loadRequestsSchema = z.object({
     asks: z.array(z.object({
-        engine: z.string(),
-        model: z.string(),
-        adapter: z.string(),
+        engine: textSchema,
+        model: textSchema,
+        adapter: textSchema,
         version: z.number().int().optional(),
         dueInMs: z.number().max(MAX_WAIT_MS),
         waitMs: z.number().max(MAX_WAIT_MS),
@@ -126,6 +127,9 @@
  * parseHostKey("fulmarcleat/member/front-1"); // { kind: "member", host: "front-1" }
  */
 export function parseHostKey(key: string): HostKey {
+    if (!isCarriable(key)) {
+        return { kind: "other" };
+    }
     if (key.startsWith(MEMBER_PREFIX)) {
         return { kind: "member", host: brandId(key.slice(MEMBER_PREFIX.length)) };
     }
--- a/packages/front/src/startAdapterTracker.ts
+++ b/packages/front/src/startAdapterTracker.ts
@@ -1,8 +1,8 @@
-import type { EngineEntry } from "@fulmarcleat/directory";
+import type { EngineEntry, KnownEngine } from "@fulmarcleat/directory";
 import type { AdapterPresence } from "@fulmarcleat/dispatch";
 import { toServeError } from "@fulmarcleat/errors";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
-import { sleep } from "@fulmarcleat/ids";
+import { repeat, sleep } from "@fulmarcleat/ids";
 import type { AdapterName, BaseModel, EngineId } from "@fulmarcleat/ids";
 import { isNewEnough } from "@fulmarcleat/residency";
 import type {
@@ -19,6 +19,7 @@
 import type { LoadRequestOutbox } from "./createLoadRequestOutbox.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
+import { runEach } from "./runEach.js";
 import type { Ownership } from "./startOwnership.js";
 
 /** The adapter that a request needs. */
@@ -130,7 +131,6 @@
     const { clock, deployment, hash, log, metrics } = context;
     const ownerReports = new Map<EngineId, ReceivedReport>();
     const usageByEngine = new Map<EngineId, OwnUsage>();
-    let isStopped = false;
 
     const getOrCreateUsage = (engine: EngineId): OwnUsage => {
         const existing = usageByEngine.get(engine);
@@ -229,26 +229,24 @@
             usage.isReporting = false;
         }
     };
-    const tick = (): void => {
-        if (isStopped) {
+    const reportIfDue = ({ entry }: KnownEngine): void => {
+        if (clusterView.config?.services.get(entry.service)?.engine === undefined) {
             return;
         }
-        const atMs = clock.nowMs();
-        for (const { entry } of clusterView.engines.values()) {
-            if (clusterView.config?.services.get(entry.service)?.engine === undefined) {
-                continue;
-            }
-            const usage = usageByEngine.get(entry.id);
-            if (usage === undefined || usage.isReporting) {
-                continue;
-            }
-            if (usage.isChanged || usage.total > 0 && atMs - usage.reportedAtMs >= UNCHANGED_REPORT_INTERVAL_MS) {
-                void reportToOwner(entry.id, usage);
-            }
+        const usage = usageByEngine.get(entry.id);
+        if (usage === undefined || usage.isReporting) {
+            return;
+        }
+        const isDue = usage.total > 0 && clock.nowMs() - usage.reportedAtMs >= UNCHANGED_REPORT_INTERVAL_MS;
+        if (usage.isChanged || isDue) {
+            void reportToOwner(entry.id, usage);
         }
-        clock.setTimer(REPORT_INTERVAL_MS, tick);
     };
-    tick();
+    const cancelReports = repeat(
+        clock,
+        REPORT_INTERVAL_MS,
+        () => runEach(log, "report usage", clusterView.engines.values(), ({ entry }) => entry.id, reportIfDue),
+    );
     clusterView.onLoadRequests(loadRequests =>
         loadRequests.filter(loadRequest => ownership.find(loadRequest.engine) !== undefined).forEach(loadRequest =>
             void handleLoadRequest(loadRequest)
@@ -379,7 +377,7 @@
         finishRequest: (engine, adapter) => updateUsage(engine, adapter, -1),
         handleLoadRequest,
         handleUsageReport,
-        stop: () => void (isStopped = true),
+        stop: cancelReports,
     };
 }
 
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -3,7 +3,7 @@
 import { createJsonLog, createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { listen } from "@fulmarcleat/http";
-import { createId, createRandom, createSystemClock, sleep } from "@fulmarcleat/ids";
+import { createId, createRandom, createSystemClock, repeat, sleep } from "@fulmarcleat/ids";
 import type { Incarnation } from "@fulmarcleat/ids";
 import {
     createEngineControl,
@@ -36,6 +36,8 @@
 import { detectPauses } from "./detectPauses.js";
 import { finishRequests } from "./finishRequests.js";
 import type { FrontContext } from "./frontContext.js";
+import { guardClock } from "./guardClock.js";
+import { recordRejection } from "./recordRejection.js";
 import { createRequestRunner } from "./runRequest.js";
 import { startAdapterTracker } from "./startAdapterTracker.js";
 import { startOwnership } from "./startOwnership.js";
@@ -166,7 +168,7 @@
         listen(readiness, { host: deployment.readiness.ip, port: deployment.readiness.port }),
         listen(metricsServer, { host: deployment.ip, port: deployment.metricsPort }),
     ]);
-    refreshLimits(context, clients, () => clusterView.config);
+    repeat(clock, CONNECTION_CHECK_MS, () => applyLimits(clients, clusterView.config));
     void session.peerSecret.then(async peerKey => {
         sharedKey = peerKey;
         const shared = { host: deployment.host, peerKey, clock, metrics, log, silenceMs: PEER_IDLE_MS };
@@ -248,15 +250,17 @@
     readBounds: () => DeploymentBounds,
     readClosures: () => EngineClosures,
 ): Promise<FrontContext> {
-    const clock = createSystemClock();
+    const systemClock = createSystemClock();
     const incarnation = createId<Incarnation>();
     const log = createJsonLog({
         process: deployment.host,
         sink: process.stdout,
-        readWallMs: () => clock.wallMs(),
+        readWallMs: () => systemClock.wallMs(),
         linesPerSecond: LOG_LINES_PER_SECOND,
         capacity: LOG_CAPACITY,
     });
+    const metrics = createMetrics();
+    process.on("unhandledRejection", err => recordRejection({ log, metrics }, err));
     return {
         deployment,
         policy,
@@ -272,11 +276,11 @@
             idleMs: ENGINE_IDLE_MS,
             idleConnections: ENGINE_IDLE_CONNECTIONS,
         }, ({ target }) => mayWrite(readClosures().find(target.id))),
-        clock,
+        clock: guardClock(systemClock, { log, metrics }),
         random: createRandom(Math.floor(Math.random() * SEED_RANGE)),
         hash: await createHasher(),
         log,
-        metrics: createMetrics(),
+        metrics,
     };
 }
 
@@ -293,12 +297,11 @@
     }
 }
 
-/** Applies the client limits of the configuration in effect to the server, now and after each check interval. */
-function refreshLimits(context: FrontContext, server: Server, readConfig: () => ServingConfig | undefined): void {
-    const limits = readConfig()?.limits;
+/** Applies the client limits of the configuration in effect to the server. */
+function applyLimits(server: Server, config: ServingConfig | undefined): void {
+    const limits = config?.limits;
     if (limits !== undefined) {
         server.keepAliveTimeout = limits.idleTimeoutMs;
         server.headersTimeout = limits.headerTimeoutMs;
     }
-    context.clock.setTimer(CONNECTION_CHECK_MS, () => refreshLimits(context, server, readConfig));
 }
--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -1,5 +1,6 @@
 import type { EngineEntry, EngineSpec } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
+import { repeat } from "@fulmarcleat/ids";
 import type { EngineId, HostId } from "@fulmarcleat/ids";
 import { assignOwners, decideEngineClaim, holdsOrderRight, rankSuccessors } from "@fulmarcleat/residency";
 import type { OwnerClaim } from "@fulmarcleat/residency";
@@ -12,6 +13,7 @@
 import type { EnginePaths } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
+import { runEach } from "./runEach.js";
 import type { Session } from "./startSession.js";
 import type { StoreHealth } from "./storeHealth.js";
 
@@ -289,16 +291,15 @@
             const entries = [...clusterView.engines.values()].map(known => known.entry);
             const hosts = [...clusterView.members.values()].filter(member => !member.isLeaving).map(({ host }) => host);
             const owners = assignEngines(entries.filter(findSpec).map(entry => entry.id), hosts);
-            for (const entry of entries) {
+            runEach(log, "assign engine", entries, entry => entry.id, entry => {
                 const spec = findSpec(entry);
                 if (spec !== undefined) {
                     reconcileEngine(entry, spec, owners.get(entry.id) ?? hosts);
                 }
-            }
+            });
         }
-        clock.setTimer(RECONCILE_INTERVAL_MS, reconcile);
     };
-    reconcile();
+    const cancelReconciling = repeat(clock, RECONCILE_INTERVAL_MS, reconcile);
     clusterView.onEngineRemoved(entry => {
         stopOwning(entry.id, "the engine is gone");
         claims.forget(entry.id);
@@ -329,6 +330,7 @@
         },
         async release() {
             isStopped = true;
+            cancelReconciling();
             await Promise.all([...owned].map(async ([engine, { task }]) => {
                 const isReleased = await stopOrders(engine, "the host stops");
                 try {
@@ -345,6 +347,7 @@
         },
         stop() {
             isStopped = true;
+            cancelReconciling();
             claims.stop();
             owned.forEach(({ task }) => task.stop());
         },
--- a/packages/front/src/startVersionRecords.feature
+++ b/packages/front/src/startVersionRecords.feature
@@ -8,6 +8,8 @@
 
         Examples:
             | hosts | case                                  | engines | change                               | after | recorded    | writes |
+            | 8     | a service's name that fits no key     | v1      | an engine of v2 comes after one of an odd service | 1500 | v1 v2 | 2   |
+            | 8     | a service's name too long for a key   | v1      | an engine of v2 comes after one of a long service | 1500 | v1 v2 | 2   |
             | 8     | one version                           | v1 v1   | nothing changes                      | 0     | v1          | 1      |
             | 8     | two versions                          | v1 v2   | nothing changes                      | 0     | v1 v2       | 2      |
             | 8     | a version comes                       | v1      | an engine of v2 comes                | 1500  | v1 v2       | 2      |
--- a/packages/front/src/startVersionRecords.steps.ts
+++ b/packages/front/src/startVersionRecords.steps.ts
@@ -55,6 +55,17 @@
     addEngine("v2");
 });
 
+// Half of a surrogate pair made the timer throw, which ended the process.
+When("an engine of v2 comes after one of an odd service", () => {
+    engines.set(brandId("i-odd"), { entry: { service: brandId("archive-\ud83d"), softwareVersion: "v1" } });
+    addEngine("v2");
+});
+
+When("an engine of v2 comes after one of a long service", () => {
+    engines.set(brandId("i-long"), { entry: { service: brandId("s".repeat(250)), softwareVersion: "v1" } });
+    addEngine("v2");
+});
+
 When("one engine leaves", () => void engines.delete(brandId("i-0")));
 
 When(/^the engines of (v\d+) leave( with a restart)?$/, async (version: string, restart: string | null) => {
--- a/packages/front/src/startVersionRecords.ts
+++ b/packages/front/src/startVersionRecords.ts
@@ -1,10 +1,12 @@
 import type { StoreChange } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
+import { repeat } from "@fulmarcleat/ids";
 import type { ClusterView } from "./createClusterView.js";
 import type { FrontContext } from "./frontContext.js";
 import { formatVersionKey } from "./hostKeys.js";
 import { RESUMABLE_MS } from "./resumableTime.js";
+import { runEach } from "./runEach.js";
 import type { StoreHealth } from "./storeHealth.js";
 
 /** Keeps the store's record of software versions. */
@@ -16,6 +18,8 @@
 const CHECK_INTERVAL_MS = 500;
 /** Time for which the host that ranks one higher is waited for before a host writes itself, in milliseconds. */
 const TURN_MS = 2000;
+/** Longest key that the store takes, in bytes. */
+const MAX_KEY_BYTES = 200;
 /** Most hosts that are waited for. */
 const MAX_TURNS = 4;
 
@@ -40,7 +44,6 @@
     /** Clock readings since which a version's record differs from the engines, in milliseconds. */
     const differsSince = new Map<string, number>();
     const pending = new Set<string>();
-    let isStopped = false;
 
     const readTurnMs = (key: string): number => {
         const hosts = [...clusterView.members.values()].filter(({ isLeaving }) => !isLeaving).map(({ host }) => host);
@@ -73,14 +76,16 @@
         }
     };
     const check = (): void => {
-        if (isStopped) {
-            return;
-        }
-        clock.setTimer(CHECK_INTERVAL_MS, check);
         if (!clusterView.hasReadHostKeys || clusterView.readAgeMs("engines") === undefined) {
             return;
         }
-        const inUse = new Set([...clusterView.engines.values()].map(({ entry }) => formatVersionKey(entry)));
+        const inUse = new Set<string>();
+        runEach(log, STEP, clusterView.engines.values(), ({ entry }) => entry.id, ({ entry }) => {
+            const key = formatVersionKey(entry);
+            if (Buffer.byteLength(key) <= MAX_KEY_BYTES) {
+                inUse.add(key);
+            }
+        });
         const recorded = new Set(clusterView.recordedVersions.keys());
         for (const key of differsSince.keys()) {
             if (inUse.has(key) === recorded.has(key)) {
@@ -94,8 +99,7 @@
             writeInTurn(key, RESUMABLE_MS, { puts: [], removes: [key] })
         );
     };
-    check();
-    return { stop: () => void (isStopped = true) };
+    return { stop: repeat(clock, CHECK_INTERVAL_MS, check) };
 }
 
 /** The key says all. */
--- a/packages/front/src/startViewFollower.ts
+++ b/packages/front/src/startViewFollower.ts
@@ -130,7 +130,15 @@
                 await sleep(clock, NO_SOURCE_INTERVAL_MS);
                 continue;
             }
-            await poll(member);
+            try {
+                await poll(member);
+            }
+            catch (err) {
+                // What a source sends may be unusable; another one is followed meanwhile.
+                log.write("error", 110, { step: INTERNAL.step, name: member.host, reason: String(err) });
+                failedMs.set(member.host, clock.nowMs());
+                follow(undefined, "its reply is unusable");
+            }
             await sleep(clock, Math.max(0, POLL_INTERVAL_MS - (clock.nowMs() - startedMs)));
         }
     };
--- a/packages/front/src/watchSettings.ts
+++ b/packages/front/src/watchSettings.ts
@@ -1,4 +1,5 @@
 import { toServeError } from "@fulmarcleat/errors";
+import { repeat } from "@fulmarcleat/ids";
 import type { Deployment } from "@fulmarcleat/platform";
 import type { FrontContext } from "./frontContext.js";
 import { onReload } from "./onReload.js";
@@ -42,11 +43,7 @@
         }
     };
     onReload(() => void read(true));
-    const poll = (): void => {
-        void read(false);
-        clock.setTimer(POLL_INTERVAL_MS, poll);
-    };
-    clock.setTimer(POLL_INTERVAL_MS, poll);
+    clock.setTimer(POLL_INTERVAL_MS, () => repeat(clock, POLL_INTERVAL_MS, () => void read(false)));
 }
 
 const INTERNAL = { code: "settings_invalid", step: "read settings", peer: "self", outcome: "not_run" } as const;
--- a/packages/ids/src/index.ts
+++ b/packages/ids/src/index.ts
@@ -7,4 +7,5 @@
 export { createRandom } from "./createRandom.js";
 export type { Random } from "./createRandom.js";
 export { createSystemClock } from "./createSystemClock.js";
+export { repeat } from "./repeat.js";
 export { sleep } from "./sleep.js";
