--- a/packages/directory/src/createKeyFeed.feature
+++ b/packages/directory/src/createKeyFeed.feature
@@ -16,6 +16,10 @@
             | an answer of a source that is behind | a=1@1 b=2@5 | 5      | the changes "a=0@3" to 4         | a=1@1 b=2@5  | 5     | 5        | nothing           |
             | a list of a source that is behind   | a=1@1 b=2@5  | 5      | the list "a=0@1" to 4            | a=1@1 b=2@5  | 5     | 5        | nothing           |
             | a list that is ahead                | a=1@1 b=2@5  | 5      | the list "c=1@7" to 7            | c=1@7        | 7     | 5        | the list          |
+            | a list after a return from a copy   | a=1@1 b=2@5  | 5     | the list "c=1@2:3" to 2:4        | c=1@2:3      | 2:4   | 5        | the list          |
+            | a late list of the former epoch     | a=1@2:3      | 2:4   | the list "a=0@7" to 9            | a=1@2:3      | 2:4   | 2:4      | nothing           |
+            | late changes of the former epoch    | a=1@2:3      | 2:4   | the changes "a=0@1:7" to 1:9     | a=1@2:3      | 2:4   | 2:4      | nothing           |
+            | a follower of the former epoch      | a=1@2:3      | 2:4   | the changes "b=1@2:5" to 2:5     | a=1@2:3 b=1@2:5 | 2:5 | 9       | the list          |
             | a follower that knows nothing       | a=1@1        | 1      | the changes "b=1@2" to 2         | a=1@1 b=1@2  | 2     | -1       | the list          |
             | a follower from before the list     | a=1@4        | 4      | the changes "b=1@5" to 5         | a=1@4 b=1@5  | 5     | 3        | the list          |
 
--- a/packages/directory/src/createKeyFeed.ts
+++ b/packages/directory/src/createKeyFeed.ts
@@ -1,4 +1,5 @@
 import type { ClockReading } from "@fulmarcleat/ids";
+import { splitRevision } from "./joinRevision.js";
 import type { StoreEvent, StoreItem } from "./metadataStore.js";
 
 /** When and how the store confirmed what a feed holds. */
@@ -19,8 +20,11 @@
 
 /** Receives the keys below a prefix and their changes. */
 export interface FeedListener {
-    /** Called with all keys, at the start and after missed changes. */
-    listed(items: readonly StoreItem[]): void;
+    /**
+     * Called with all keys, at the start and after missed changes. `isRestored` says that the store has come back from a
+     * copy since the last call: keys may be as they were some time ago, and what was written since may be gone.
+     */
+    listed(items: readonly StoreItem[], isRestored: boolean): void;
     /** Called with changes; each key's newest one counts. */
     changed(events: readonly StoreEvent[]): void;
 }
@@ -94,12 +98,14 @@
             if (revision !== undefined && listedAt < revision) {
                 return;
             }
+            const isRestored = revision !== undefined
+                && splitRevision(listedAt).epoch > splitRevision(revision).epoch;
             items.clear();
             listed.forEach(item => items.set(item.key, item));
             revision = listedAt;
             events = [];
             keptAfter = listedAt;
-            listener.listed(listed);
+            listener.listed(listed, isRestored);
             confirm(next);
             wake();
         },
--- a/packages/directory/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -10,6 +10,8 @@
 export type * from "./engineControl.js";
 export type * from "./engineEntry.js";
 export * from "./engineTransport.js";
+export { joinRevision, splitRevision } from "./joinRevision.js";
+export type { EpochRevision } from "./joinRevision.js";
 export * from "./metadataStore.js";
 export { reduceDirectory } from "./reduceDirectory.js";
 export type { DirectoryMessage, DirectoryState, KnownEngine } from "./reduceDirectory.js";
--- a/packages/directory/src/metadataStore.ts
+++ b/packages/directory/src/metadataStore.ts
@@ -5,7 +5,7 @@
 export interface StoreItem {
     readonly key: string;
     readonly value: Buffer;
-    /** Revision of the key's last change. */
+    /** Joined revision of the key's last change. */
     readonly revision: number;
     /** Lease that the key is attached to; 0 for none. */
     readonly lease: number;
@@ -19,7 +19,7 @@
 /** Result of a watch call. */
 export type WatchReply =
     | { readonly kind: "events"; readonly events: readonly StoreEvent[]; readonly revision: number }
-    /** The history after the requested revision has been compacted. */
+    /** The history after the requested revision is gone: compacted, or of an epoch that a return from a copy has ended. */
     | { readonly kind: "compacted" };
 
 /** Atomic change of several keys, applied as a whole or not at all. */
@@ -38,7 +38,8 @@
     | { readonly kind: "lease_ended" };
 
 /**
- * Client of the platform's key-value store. Calls throw ServeError `kv_unavailable`, with outcome `unknown` if a
+ * Client of the platform's key-value store. Revisions are joined with the store's epoch; a condition on one of a former
+ * epoch is never met, and a lease of a former epoch has ended. Calls throw ServeError `kv_unavailable`, with outcome `unknown` if a
  * write may have taken effect.
  */
 export interface MetadataStore {
--- a/packages/directory/src/reduceDirectory.feature
+++ b/packages/directory/src/reduceDirectory.feature
@@ -15,5 +15,11 @@
             | missing from the list                           | entry:a entry:b listed:b@6                           | 9    | b    | b     |
             | its address belongs to another engine           | entry:a,born=1 replaced:a,born=1@5                   | 9    |      | a     |
             | restarted with the same id                      | entry:a,born=1 replaced:a,born=1@5 entry:a,born=2@6  | 9    | a    | a     |
+            | draining, and the store is back from a copy     | entry:a,born=1 entry:a,draining,born=1@5 returned@9 restored:a,born=1@9 | 10 | | a     |
+            | draining, and again what it wrote before        | entry:a,born=1 entry:a,draining,born=1@5 listed:a,born=1@9 | 10 | a | a     |
+            | gone, and the store is back from a copy         | entry:a,born=1 removed:a@5 returned@9 restored:a,born=1@9 | 10 |      |       |
+            | gone, and it writes again after the return      | entry:a,born=1 removed:a@5 returned@9 restored:a,born=1@9 entry:a,born=1@20 | 30 | a | a |
+            | gone, and started anew after the copy           | entry:a,born=1 removed:a@5 returned@9 restored:a,born=2@9 | 10 | a    | a     |
+            | gone long ago, and in the copy                  | entry:a,born=1 removed:a@5 entry:b removed:b@70000 restored:a,born=1@70001 | 70002 | a | a |
             | an old entry after a new one                    | entry:a,born=2 entry:a,born=1,draining@5             | 9    | a    | a     |
             | a message about an older incarnation            | entry:a,born=2 replaced:a,born=1@5                   | 9    | a    | a     |
--- a/packages/directory/src/reduceDirectory.steps.ts
+++ b/packages/directory/src/reduceDirectory.steps.ts
@@ -5,7 +5,7 @@
 import { reduceDirectory } from "./reduceDirectory.js";
 import type { DirectoryMessage, DirectoryState } from "./reduceDirectory.js";
 
-const EMPTY: DirectoryState = { engines: new Map(), graceUntilMs: 0 };
+const EMPTY: DirectoryState = { engines: new Map(), graceUntilMs: 0, gone: new Map() };
 
 Then(
     /^the directory after (.*) at (\d+) ms uses "(.*)" and knows "(.*)"$/,
@@ -31,7 +31,10 @@
         case "removed":
             return { kind, engine, atMs };
         case "listed":
-            return { kind, entries: [createEntry(engine, false, bornMs)], atMs };
+        case "restored": {
+            const entries = [createEntry(engine, false, bornMs)];
+            return { kind: "listed", entries, isRestored: kind === "restored", atMs };
+        }
         case "returned":
             return { kind: "store_returned", atMs };
         case "replaced":
--- a/packages/directory/src/reduceDirectory.ts
+++ b/packages/directory/src/reduceDirectory.ts
@@ -19,6 +19,14 @@
     readonly engines: ReadonlyMap<EngineId, KnownEngine>;
     /** Until when removed entries may return after a store outage, in milliseconds. */
     readonly graceUntilMs: number;
+    /** Engines that were removed lately, by their id. */
+    readonly gone: ReadonlyMap<EngineId, GoneEngine>;
+}
+
+/** An engine that was removed. */
+export interface GoneEngine {
+    readonly bornMs: number | undefined;
+    readonly atMs: number;
 }
 
 /** Event that changes the known engines. */
@@ -26,7 +34,13 @@
     | { readonly kind: "entry"; readonly entry: EngineEntry; readonly atMs: number }
     | { readonly kind: "removed"; readonly engine: EngineId; readonly atMs: number }
     /** The complete list of entries in the store. */
-    | { readonly kind: "listed"; readonly entries: readonly EngineEntry[]; readonly atMs: number }
+    | {
+        readonly kind: "listed";
+        readonly entries: readonly EngineEntry[];
+        /** Whether the entries are of a copy, so that an engine's last word is what this host has heard since. */
+        readonly isRestored: boolean;
+        readonly atMs: number;
+    }
     /** The store answers again after an outage. */
     | { readonly kind: "store_returned"; readonly atMs: number }
     /** Another engine answered at the address of this engine's incarnation. */
@@ -35,6 +49,8 @@
 
 /** Time after a store outage for expired entries to return, in milliseconds; the platform states about two seconds. */
 const RETURN_GRACE_MS = 2300;
+/** Time for which removed engines are remembered, in milliseconds; longer than the age of any copy of the store. */
+const REMEMBER_GONE_MS = 60_000;
 
 /**
  * Updates the known engines with an event.
@@ -51,15 +67,18 @@
         case "entry":
             return { ...state, engines: putEntry(state.engines, message.entry, message.atMs) };
         case "removed":
-            return { ...state, engines: markMissing(state, [message.engine], message.atMs) };
+            return rememberGone(state, markMissing(state, [message.engine], message.atMs), message.atMs);
         case "listed": {
             const present = new Set(message.entries.map(entry => entry.id));
             const missing = [...state.engines.keys()].filter(id => !present.has(id));
-            const engines = message.entries.reduce(
+            const entries = message.isRestored
+                ? message.entries.map(entry => correctEntry(state, entry)).filter(entry => entry !== undefined)
+                : message.entries;
+            const engines = entries.reduce(
                 (all, entry) => putEntry(all, entry, message.atMs),
                 markMissing(state, missing, message.atMs),
             );
-            return { ...state, engines };
+            return rememberGone(state, engines, message.atMs);
         }
         case "store_returned":
             return { ...state, graceUntilMs: message.atMs + RETURN_GRACE_MS };
@@ -140,5 +159,33 @@
     }
     const engines = new Map(state.engines);
     expired.forEach(([id]) => engines.delete(id));
-    return { ...state, engines };
+    return rememberGone(state, engines, atMs);
+}
+
+/** Corrects an entry of a copy by what was heard of the engine's incarnation since; undefined if it was removed. */
+function correctEntry(state: DirectoryState, entry: EngineEntry): EngineEntry | undefined {
+    const gone = state.gone.get(entry.id);
+    if (gone !== undefined && gone.bornMs === entry.bornMs) {
+        return undefined;
+    }
+    const known = state.engines.get(entry.id);
+    return known?.entry.isDraining === true && known.entry.bornMs === entry.bornMs ? known.entry : entry;
+}
+
+/** Replaces the engines, and remembers those that are no longer among them. */
+function rememberGone(
+    state: DirectoryState,
+    engines: ReadonlyMap<EngineId, KnownEngine>,
+    atMs: number,
+): DirectoryState {
+    const removed = [...state.engines].filter(([id]) => !engines.has(id));
+    if (removed.length === 0) {
+        return { ...state, engines };
+    }
+    const kept = [...state.gone].filter(([, gone]) => atMs - gone.atMs < REMEMBER_GONE_MS);
+    const gone = new Map([
+        ...kept,
+        ...removed.map(([id, { entry }]) => [id, { bornMs: entry.bornMs, atMs }] as const),
+    ]);
+    return { ...state, engines, gone };
 }
--- a/packages/events/src/eventCatalogue.ts
+++ b/packages/events/src/eventCatalogue.ts
@@ -20,6 +20,7 @@
     203: "session lapsed",
     204: "session opened",
     205: "view source changed",
+    206: "peer secret differs",
     210: "engine listed",
     211: "engine draining",
     212: "engine gone",
@@ -67,6 +68,7 @@
     602: "KV write ambiguous",
     603: "KV read failed",
     604: "KV history compacted",
+    605: "store restored",
     700: "operator request refused",
     900: "stand-in fault set",
 } as const satisfies Readonly<Record<number, string>>;
--- a/packages/front/src/answerView.ts
+++ b/packages/front/src/answerView.ts
@@ -1,4 +1,5 @@
-import type { KeyFeed } from "@fulmarcleat/directory";
+import { joinRevision, splitRevision } from "@fulmarcleat/directory";
+import type { KeyFeed, StoreEvent, StoreItem } from "@fulmarcleat/directory";
 import { sleep } from "@fulmarcleat/ids";
 import type { Clock } from "@fulmarcleat/ids";
 import type { ViewPart, ViewPartReply, ViewRequest } from "@fulmarcleat/wire";
@@ -12,7 +13,7 @@
  *
  * @param clock - Source of the time
  * @param feeds - What this host knows of the store
- * @param request - Revisions up to which the other host knows all changes, and its wait
+ * @param request - Revisions up to which the other host knows all changes, with their epochs, and its wait
  * @returns the changes of each part, with their age
  *
  * @example
@@ -24,7 +25,7 @@
     { parts, waitMs }: ViewRequest,
 ): Promise<readonly ViewPartReply[]> {
     const read = (): readonly ViewPartReply[] =>
-        parts.map(({ part, afterRevision }) => readPart(clock, feeds[part], part, afterRevision));
+        parts.map(({ part, ...known }) => readPart(clock, feeds[part], part, known));
     const first = read();
     if (first.some(hasNews) || waitMs <= 0) {
         return first;
@@ -39,18 +40,38 @@
     return reply.kind !== "events" || reply.events.length > 0;
 }
 
-function readPart(clock: Clock, feed: KeyFeed, part: ViewPart, afterRevision: number | undefined): ViewPartReply {
+function readPart(
+    clock: Clock,
+    feed: KeyFeed,
+    part: ViewPart,
+    { afterRevision, epoch }: Omit<ViewRequest["parts"][number], "part">,
+): ViewPartReply {
     const { confirmation } = feed;
-    const changes = feed.read(afterRevision);
+    const own = splitRevision(feed.revision ?? 0);
+    const after = afterRevision === undefined
+        ? undefined
+        : joinRevision({ epoch: epoch ?? own.epoch, revision: afterRevision });
+    const changes = feed.read(after);
     if (changes.kind === "unknown" || confirmation === undefined) {
         return { part, kind: "unknown" };
     }
     const age = {
-        revision: changes.revision,
+        ...own,
         confirmedAgoMs: clock.nowMs() - confirmation.atMs,
         sentAgoMs: Math.max(clock.nowMs() - confirmation.from.nowMs, clock.wallMs() - confirmation.from.wallMs),
     };
     return changes.kind === "events"
-        ? { part, kind: "events", events: changes.events, age }
-        : { part, kind: "list", items: changes.items, age };
+        ? { part, kind: "events", events: changes.events.map(splitEvent), age }
+        : { part, kind: "list", items: changes.items.map(splitItem), age };
+}
+
+/** Gives an item the revision that the store counts, for hosts whose version knows no epochs. */
+function splitItem(item: StoreItem): StoreItem {
+    return { ...item, revision: splitRevision(item.revision).revision };
+}
+
+function splitEvent(event: StoreEvent): StoreEvent {
+    return event.kind === "put"
+        ? { kind: "put", item: splitItem(event.item) }
+        : { ...event, revision: splitRevision(event.revision).revision };
 }
--- a/packages/front/src/confirmCrash.steps.ts
+++ b/packages/front/src/confirmCrash.steps.ts
@@ -64,7 +64,12 @@
             },
             store: createStoreFake(clock),
         } as unknown as FrontContext;
-        const view = { members: new Map(), quarantined: new Map(), onQuarantine: () => undefined };
+        const view = {
+            members: new Map(),
+            quarantined: new Map(),
+            onQuarantine: () => undefined,
+            onQuarantineLost: () => undefined,
+        };
         quarantine = createQuarantine(context, view, () => undefined, {
             async isReachedByOthers(engine, sinceMs) {
                 await sleep(clock, bytes === "nobody knows when" ? Infinity : REPLY_MS);
--- a/packages/front/src/createClusterView.feature
+++ b/packages/front/src/createClusterView.feature
@@ -20,6 +20,41 @@
             | 300   | silences every open connection            |
             | 300   | answers nothing for 10000 ms              |
 
+    # Guards against a host that ignores what the store says after its return, since its revisions are lower than before.
+    Scenario Outline: The store comes back from a copy that is <age> ms old: one of <hosts> hosts
+        Given a host among <hosts> hosts that follows the store
+        When the store comes back from a copy that is <age> ms old, after <writes> changes
+        And <later> ms later a configuration is accepted and an engine announces that it leaves
+        Then both are in force 2000 ms later
+
+        Examples:
+            | hosts | age   | writes | later |
+            | 8     | 3000  | 40     | 0     |
+            | 8     | 8000  | 40     | 3200  |
+            | 8     | 8000  | 3      | 3200  |
+            | 8     | 8000  | 400    | 3200  |
+            | 86    | 8000  | 40     | 3200  |
+            | 300   | 8000  | 40     | 3200  |
+
+    # Guards against what was in force, or known of engines, going back to what the copy says.
+    Scenario Outline: What a copy has lost, and a host knows: <case>
+        Given a host among 8 hosts that follows the store
+        When the store comes back from a copy of the time before <case>
+        Then the host still goes by <case>
+        And also after 500 ms
+        And it does so still when the writers have written again
+
+        Examples:
+            | case                          |
+            | a configuration               |
+            | an engine that leaves         |
+            | an engine that has gone       |
+            | an engine that has come       |
+            | a version of an adapter       |
+            | a host that has come          |
+            | a quarantine                  |
+            | a software version on record  |
+
     # Guards against one odd entry of another writer that ends the process, or keeps the host from what comes after it.
     Scenario Outline: A host follows the store past an odd entry: <key>, <content>
         Given a host among 8 hosts that follows the store
--- a/packages/front/src/createClusterView.steps.ts
+++ b/packages/front/src/createClusterView.steps.ts
@@ -1,8 +1,8 @@
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
-import type { EngineId, Incarnation, ManualClock } from "@fulmarcleat/ids";
-import { CONFIG_KEY, ENGINE_PREFIX } from "@fulmarcleat/platform";
+import type { EngineId, HostId, Incarnation, ManualClock, Suspect } from "@fulmarcleat/ids";
+import { CONFIG_KEY, ENGINE_PREFIX, RELEASE_PREFIX } from "@fulmarcleat/platform";
 import { deepStrictEqual, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { setImmediate } from "node:timers/promises";
 import { createClusterView } from "./createClusterView.js";
@@ -10,7 +10,7 @@
 import { createStoreFake } from "./createStoreFake.steps.js";
 import type { StoreFake } from "./createStoreFake.steps.js";
 import type { FrontContext } from "./frontContext.js";
-import { formatMember, formatMemberKey } from "./hostKeys.js";
+import { formatMember, formatMemberKey, formatQuarantineKey, formatVersionKey } from "./hostKeys.js";
 import { createStoreHealth } from "./storeHealth.js";
 
 /** The platform's bounds, in milliseconds. */
@@ -129,6 +129,110 @@
 
 When(/^the store (silences .*|answers nothing .*|rejects .*)$/, (fault: string) => playFault(follower, fault));
 
+When(
+    "the store comes back from a copy that is {int} ms old, after {int} changes",
+    async (ageMs: number, writes: number) => {
+        const { store, advance } = follower;
+        const restore = store.copy();
+        for (let write = 0; write < writes; write += 1) {
+            store.put("servers/i-2", Buffer.from(String(write)));
+        }
+        await advance(ageMs);
+        store.setMode("silent");
+        await advance(AWAY_MS);
+        restore();
+        store.setMode("serving");
+    },
+);
+
+/** Time for which the store is away before it comes back from a copy, in milliseconds. */
+const AWAY_MS = 1000;
+const NEW_ENGINE = brandId<EngineId>("i-3");
+const LATE_HOST = brandId<HostId>("host-late");
+const SUSPECT = brandId<Suspect>("part");
+const VERSION_KEY = formatVersionKey({ service: brandId("models"), softwareVersion: brandId("v2") });
+
+/** What is written after the copy, and whether a host goes by it. */
+interface LostWrite {
+    readonly write: (store: StoreFake) => void;
+    readonly holds: (view: ClusterView) => boolean;
+}
+
+const LOST_WRITES: Readonly<Record<string, LostWrite>> = {
+    "a configuration": { write: store => putConfig(store, 2), holds: view => view.config?.version === 2 },
+    "an engine that leaves": {
+        write: store => putEngine(store, ENGINE, "draining"),
+        holds: view => view.engines.get(ENGINE)?.isUsable === false,
+    },
+    "an engine that has gone": {
+        write: store => store.remove(ENGINE_PREFIX + ENGINE),
+        holds: view => !view.engines.has(ENGINE),
+    },
+    "an engine that has come": {
+        write: store => putEngine(store, NEW_ENGINE, "ready"),
+        holds: view => view.engines.get(NEW_ENGINE)?.isUsable === true,
+    },
+    "a version of an adapter": {
+        write: store =>
+            store.put(`${RELEASE_PREFIX}m.a`, Buffer.from(JSON.stringify({ model: "m", adapter: "a", version: 7 }))),
+        holds: view => view.findRelease(brandId("m"), brandId("a")) === 7,
+    },
+    "a host that has come": {
+        write: store =>
+            store.put(
+                formatMemberKey(LATE_HOST),
+                formatMember({ incarnation: brandId("1"), ip: "127.0.0.1", port: 1, isLeaving: false }),
+            ),
+        holds: view => view.members.has(LATE_HOST),
+    },
+    "a quarantine": {
+        write: store => store.put(formatQuarantineKey(SUSPECT), Buffer.from("host-1")),
+        holds: view => view.quarantined.has(SUSPECT) || lostQuarantines.includes(SUSPECT),
+    },
+    "a software version on record": {
+        write: store => store.put(VERSION_KEY, Buffer.from("{}")),
+        holds: view => view.recordedVersions.has(VERSION_KEY),
+    },
+};
+
+let lostQuarantines: Suspect[] = [];
+
+When(/^the store comes back from a copy of the time before (.*)$/, async (name: string) => {
+    const { store, view, advance } = follower;
+    lostQuarantines = [];
+    view.onQuarantineLost(suspect => void lostQuarantines.push(suspect));
+    const restore = store.copy();
+    LOST_WRITES[name]?.write(store);
+    await advance(BOUNDS.configApplyMs);
+    strictEqual(LOST_WRITES[name]?.holds(view), true);
+    store.setMode("silent");
+    await advance(AWAY_MS);
+    restore();
+    store.setMode("serving");
+});
+
+let lostName = "";
+
+Then(/^the host still goes by (.*)$/, async (name: string) => {
+    lostName = name;
+    await follower.advance(BOUNDS.configApplyMs);
+    strictEqual(LOST_WRITES[name]?.holds(follower.view), true);
+});
+
+Then("also after {int} ms", async (ms: number) => {
+    await follower.advance(ms);
+    // An entry that lapsed is to be taken as gone two seconds after the store's return, unless it is written again.
+    if (lostName !== "an engine that has come" && lostName !== "a host that has come") {
+        strictEqual(LOST_WRITES[lostName]?.holds(follower.view), true);
+    }
+});
+
+Then("it does so still when the writers have written again", async () => {
+    LOST_WRITES[lostName]?.write(follower.store);
+    await follower.advance(BOUNDS.configApplyMs);
+    strictEqual(LOST_WRITES[lostName]?.holds(follower.view), true);
+});
+
 Given(
     /^another writer has put (\S+) with (.*) before a host among (\d+) hosts starts$/,
     async (key: string, content: string, hosts: string) => {
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -20,7 +20,7 @@
 } from "@fulmarcleat/directory";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import { brandId, repeat } from "@fulmarcleat/ids";
-import type { AdapterName, BaseModel, ClockReading, EngineId, HostId, Suspect } from "@fulmarcleat/ids";
+import type { AdapterName, BaseModel, ClockReading, EngineId, HostId } from "@fulmarcleat/ids";
 import {
     CONFIG_KEY,
     ENGINE_PREFIX,
@@ -30,24 +30,15 @@
     parseServingConfig,
     RELEASE_PREFIX,
 } from "@fulmarcleat/platform";
-import type { AdapterLoadRequest, PeerClient, ViewPart, ViewReply, ViewRequest } from "@fulmarcleat/wire";
+import type { PeerClient, ViewPart, ViewReply, ViewRequest } from "@fulmarcleat/wire";
 import { answerView } from "./answerView.js";
-import { createOwnerClaims } from "./createOwnerClaims.js";
-import type { OwnerClaims } from "./createOwnerClaims.js";
+import { createHostRecords } from "./createHostRecords.js";
+import type { HostRecords } from "./createHostRecords.js";
 import { createViewConfirmation } from "./createViewConfirmation.js";
 import { formatReleaseKey } from "./formatReleaseKey.js";
 import type { FrontContext } from "./frontContext.js";
-import {
-    formatMemberKey,
-    formatOwnerKey,
-    formatQuarantineKey,
-    parseHostKey,
-    parseLoadRequests,
-    parseMember,
-    parseOwner,
-    SYSTEM_PREFIX,
-} from "./hostKeys.js";
-import type { Member, RecordedVersion, StoredQuarantine } from "./hostKeys.js";
+import { SYSTEM_PREFIX } from "./hostKeys.js";
+import type { Member } from "./hostKeys.js";
 import { logEngineChanges } from "./logEngineChanges.js";
 import { runEach } from "./runEach.js";
 import { startStoreWatch } from "./startStoreWatch.js";
@@ -56,19 +47,9 @@
 import type { StoreHealth } from "./storeHealth.js";
 
 /** This host's copy of the configuration, the engines and the other hosts, as read from the store. */
-export interface ClusterView {
+export interface ClusterView extends HostRecords {
     readonly config: ServingConfig | undefined;
     readonly engines: ReadonlyMap<EngineId, KnownEngine>;
-    /** Live hosts, this one included. */
-    readonly members: ReadonlyMap<HostId, Member>;
-    /** Owner keys of the engines. */
-    readonly claims: OwnerClaims;
-    /** Software versions of services that are in use, or were until lately, by their keys in the store. */
-    readonly recordedVersions: ReadonlyMap<string, RecordedVersion>;
-    /** Prompt parts and requests that are quarantined in the store. */
-    readonly quarantined: ReadonlyMap<Suspect, StoredQuarantine>;
-    /** Calls a listener when a quarantine is set, renewed or lifted in the store. */
-    onQuarantine(listener: (suspect: Suspect, isSet: boolean) => void): void;
     /** Time since the store last confirmed a part of this view, in milliseconds; undefined before it first did. */
     readAgeMs(part: ViewPart): number | undefined;
     /** Brings the engines up to date with a call to the store; resolves to whether it has answered. */
@@ -77,10 +58,6 @@
     readConfirmedFrom(part: ViewPart): ClockReading | undefined;
     /** Whether the system's keys have been listed at least once since the start. */
     readonly hasReadHostKeys: boolean;
-    /** How often the system's keys were listed; changes before the last list may have gone unseen. */
-    readonly hostKeyLists: number;
-    /** Clock reading of the last list of the system's keys, in milliseconds; all changes since have been received. */
-    readonly hostKeysListedMs: number;
     /** Returns the newest declared version of an adapter; undefined if none was declared. */
     findRelease(model: BaseModel, adapter: AdapterName): number | undefined;
     /** Records that another engine answers at an engine's address; the entry is unused until the engine restarts. */
@@ -89,8 +66,6 @@
     onRelease(listener: (release: AdapterRelease) => void): void;
     /** Calls a listener with each engine that is removed from the directory. */
     onEngineRemoved(listener: (entry: EngineEntry) => void): void;
-    /** Calls a listener with the load requests that hosts write to the store for engines' owners. */
-    onLoadRequests(listener: (loadRequests: readonly AdapterLoadRequest[]) => void): void;
     /** Whether other hosts follow this host's view. */
     readonly isFollowed: boolean;
     /** Answers another host that follows this host's view. */
@@ -111,6 +86,10 @@
 const HOST_WATCH_INTERVAL_PER_HOST_MS = 6;
 /** Interval between two removals of expired engines, in milliseconds. */
 const EXPIRY_CHECK_INTERVAL_MS = 200;
+/** Time per host over which lists are spread after changes were missed, in milliseconds. */
+const LIST_SPREAD_PER_HOST_MS = 5;
+/** Longest time over which lists are spread, in milliseconds. */
+const MAX_LIST_SPREAD_MS = 500;
 
 /**
  * Keeps the current values of the store's keys in memory: it watches them, or follows another host that does.
@@ -130,20 +109,14 @@
 ): ClusterView {
     const { clock, deployment, hash, log, metrics } = context;
     let config: ServingConfig | undefined;
-    let directory: DirectoryState = { engines: new Map(), graceUntilMs: 0 };
-    let hostKeyLists = 0;
-    let hostKeysListedMs = 0;
+    let directory: DirectoryState = { engines: new Map(), graceUntilMs: 0, gone: new Map() };
     const releases = new Map<string, number>();
-    const members = new Map<HostId, Member>();
-    const claims = createOwnerClaims(clock);
-    const quarantined = new Map<Suspect, StoredQuarantine>();
-    const recordedVersions = new Map<string, RecordedVersion>();
     /** This host's role among its members; undefined once they have changed. */
     let role: ViewRole | undefined;
-    const quarantineListeners: ((suspect: Suspect, isSet: boolean) => void)[] = [];
+    const records = createHostRecords(context, () => void (role = undefined));
+    const { members } = records;
     const releaseListeners: ((release: AdapterRelease) => void)[] = [];
     const removalListeners: ((entry: EngineEntry) => void)[] = [];
-    const loadRequestListeners: ((loadRequests: readonly AdapterLoadRequest[]) => void)[] = [];
     const loggedUnreadableKeys = new Set<string>();
 
     const logUnreadable = (key: string): void => {
@@ -213,64 +186,6 @@
         const engine = brandId<EngineId>(key.slice(ENGINE_PREFIX.length));
         applyDirectory({ kind: "removed", engine, atMs: clock.nowMs() });
     };
-    const applyHostItem = (item: StoreItem): void => {
-        const key = parseHostKey(item.key);
-        switch (key.kind) {
-            case "member": {
-                const member = parseMember(key.host, item.value);
-                if (member !== undefined) {
-                    members.set(key.host, member);
-                    role = undefined;
-                    claims.putMember(member);
-                }
-                return;
-            }
-            case "owner": {
-                const owner = parseOwner(item.value);
-                if (owner !== undefined) {
-                    claims.put(key.engine, { ...owner, revision: item.revision });
-                }
-                return;
-            }
-            case "quarantine":
-                if (quarantined.get(key.suspect)?.revision !== item.revision) {
-                    quarantined.set(key.suspect, { revision: item.revision, sinceMs: clock.nowMs() });
-                    quarantineListeners.forEach(listener => listener(key.suspect, true));
-                }
-                return;
-            case "version":
-                recordedVersions.set(item.key, { ...key.version, revision: item.revision });
-                return;
-            case "wants":
-                loadRequestListeners.forEach(listener => listener(parseLoadRequests(item.value)));
-                return;
-            case "other":
-                return;
-        }
-    };
-    const removeHostKey = (text: string): void => {
-        const key = parseHostKey(text);
-        switch (key.kind) {
-            case "member":
-                members.delete(key.host);
-                role = undefined;
-                return;
-            case "owner":
-                claims.remove(key.engine);
-                return;
-            case "quarantine":
-                if (quarantined.delete(key.suspect)) {
-                    quarantineListeners.forEach(listener => listener(key.suspect, false));
-                }
-                return;
-            case "version":
-                recordedVersions.delete(text);
-                return;
-            case "wants":
-            case "other":
-                return;
-        }
-    };
     /** Applies one entry; whatever is wrong with it keeps no other one from being applied. */
     const applyAlone = (key: string, apply: () => void): void => {
         try {
@@ -288,9 +203,14 @@
             ),
     };
     const engineKeys: FeedListener = {
-        listed(items) {
+        listed(items, isRestored) {
+            if (isRestored) {
+                log.write("warn", 605, { prefix: ENGINE_PREFIX });
+                metrics.count("store_restores_total");
+                recordReturn(clock.nowMs());
+            }
             const entries = items.map(parseEntry).filter(entry => entry !== undefined);
-            applyDirectory({ kind: "listed", entries, atMs: clock.nowMs() });
+            applyDirectory({ kind: "listed", entries, isRestored, atMs: clock.nowMs() });
         },
         changed(events) {
             events.forEach(event =>
@@ -300,29 +220,6 @@
             );
         },
     };
-    const hostKeys: FeedListener = {
-        listed(items) {
-            const present = new Set(items.map(item => item.key));
-            [
-                ...[...members.keys()].map(formatMemberKey),
-                ...[...claims.current.keys()].map(formatOwnerKey),
-                ...[...quarantined.keys()].map(formatQuarantineKey),
-                ...recordedVersions.keys(),
-            ]
-                .filter(key => !present.has(key))
-                .forEach(removeHostKey);
-            items.filter(item => parseHostKey(item.key).kind !== "wants")
-                .forEach(item => applyAlone(item.key, () => applyHostItem(item)));
-            hostKeyLists += 1;
-            hostKeysListedMs = clock.nowMs();
-        },
-        changed: events =>
-            events.forEach(event =>
-                event.kind === "put"
-                    ? applyAlone(event.item.key, () => applyHostItem(event.item))
-                    : applyAlone(event.key, () => removeHostKey(event.key))
-            ),
-    };
     /** Clock reading at which the store answered again after its last outage, in milliseconds. */
     let storeReturnedMs: number | undefined;
     const recordReturn = (atMs: number): void => {
@@ -335,7 +232,7 @@
     const feeds: Readonly<Record<ViewPart, KeyFeed>> = {
         config: createKeyFeed(operatorKeys),
         engines: createKeyFeed(engineKeys),
-        hosts: createKeyFeed(hostKeys),
+        hosts: createKeyFeed(records.listener),
     };
     const readAges = (): ViewAges => {
         const { configApplyMs, engineDrainMs } = context.readBounds();
@@ -366,6 +263,7 @@
             readIntervalMs,
             maxAgeMs: () => context.readBounds().contactMs,
             maxWaitMs: () => readRole().isFollowed ? readAges().maxWaitMs : Infinity,
+            listSpreadMs: () => Math.min(MAX_LIST_SPREAD_MS, members.size * LIST_SPREAD_PER_HOST_MS),
             isFollowing: () => follower.isFollowing(),
         });
     const watches: readonly StoreWatch[] = [
@@ -393,7 +291,7 @@
     const cancelExpiry = repeat(clock, EXPIRY_CHECK_INTERVAL_MS, () => {
         applyDirectory({ kind: "tick", atMs: clock.nowMs() });
         exposeAges();
-        claims.prune(host => members.has(host), engine => directory.engines.has(engine));
+        records.prune(engine => directory.engines.has(engine));
     });
     return {
         get config() {
@@ -403,21 +301,22 @@
             return directory.engines;
         },
         members,
-        claims,
-        quarantined,
-        recordedVersions,
-        onQuarantine: listener => void quarantineListeners.push(listener),
+        claims: records.claims,
+        quarantined: records.quarantined,
+        recordedVersions: records.recordedVersions,
+        onQuarantine: records.onQuarantine,
+        onQuarantineLost: records.onQuarantineLost,
         readAgeMs,
         confirmEngines: createViewConfirmation(context, ENGINE_PREFIX, feeds.engines),
         readConfirmedFrom: part => feeds[part].confirmation?.from,
         get hasReadHostKeys() {
-            return hostKeyLists > 0;
+            return records.hostKeyLists > 0;
         },
         get hostKeyLists() {
-            return hostKeyLists;
+            return records.hostKeyLists;
         },
         get hostKeysListedMs() {
-            return hostKeysListedMs;
+            return records.hostKeysListedMs;
         },
         findRelease: (model, adapter) => releases.get(formatReleaseKey(model, adapter)),
         markReplaced(entry) {
@@ -425,7 +324,7 @@
             applyDirectory({ kind: "replaced", engine: entry.id, bornMs: entry.bornMs });
         },
         onRelease: listener => void releaseListeners.push(listener),
-        onLoadRequests: listener => void loadRequestListeners.push(listener),
+        onLoadRequests: records.onLoadRequests,
         onEngineRemoved: listener => void removalListeners.push(listener),
         get isFollowed() {
             return readRole().isFollowed;
--- a/packages/front/src/createEngineClaims.ts
+++ b/packages/front/src/createEngineClaims.ts
@@ -147,7 +147,9 @@
             return;
         }
         const former = clusterView.claims.current.get(engine);
-        const mayHaveFormerOrders = former === undefined ? !isNeverOwned(engine) : !former.isReleased;
+        const mayHaveFormerOrders = former === undefined
+            ? !isNeverOwned(engine)
+            : !former.isReleased || former.isRestored === true;
         const { orderLeaseMs } = context.readBounds();
         const waitMs = chooseOrderWait(known.former, orderLeaseMs);
         const allowOrders = (): void => {
@@ -219,7 +221,7 @@
     /** Returns what is known of the owners before a claim of this host; undefined while one orders or they are asked. */
     const readFormerOwner = (engine: EngineId): KnownFormerOwner | undefined => {
         const claim = read(engine);
-        if (claim !== undefined) {
+        if (claim !== undefined && claim.isRestored !== true) {
             // Its owner has given the engine up or was this host before a restart; its last order may be a young one.
             const former: FormerOwner = claim.waitsFor === "order_right"
                 ? { kind: "unknown" }
--- a/packages/front/src/createOwnerClaims.ts
+++ b/packages/front/src/createOwnerClaims.ts
@@ -19,6 +19,8 @@
 /** The owner keys, and the changes of the store that they follow. */
 export interface OwnerClaimRecords extends OwnerClaims {
     put(engine: EngineId, claim: OwnerClaim): void;
+    /** Puts a claim from a copy that the store came back from; who owned the engine last is kept apart. */
+    putRestored(engine: EngineId, claim: OwnerClaim): void;
     remove(engine: EngineId): void;
     putMember(member: Member): void;
     /** Forgets hosts and engines that have been gone for longer than any right to order lasts. */
@@ -63,6 +65,14 @@
                 unownedSince.delete(engine);
             }
         },
+        putRestored(engine, claim) {
+            if (!lapsed.has(engine)) {
+                lapsed.set(engine, claim);
+            }
+            current.set(engine, { ...claim, isRestored: true });
+            claimed.set(engine, clock.nowMs());
+            unownedSince.set(engine, clock.nowMs());
+        },
         remove(engine) {
             const claim = current.get(engine);
             if (claim !== undefined && !claim.isReleased) {
--- a/packages/front/src/createQuarantine.ts
+++ b/packages/front/src/createQuarantine.ts
@@ -91,7 +91,7 @@
  */
 export function createQuarantine(
     context: Pick<FrontContext, "clock" | "control" | "deployment" | "hash" | "log" | "metrics" | "store">,
-    clusterView: Pick<ClusterView, "members" | "onQuarantine" | "quarantined">,
+    clusterView: Pick<ClusterView, "members" | "onQuarantine" | "onQuarantineLost" | "quarantined">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
     paths: Pick<EnginePaths, "isReachedByOthers">,
 ): Quarantine {
@@ -322,6 +322,10 @@
             accept(suspect, "store");
         }
     });
+    clusterView.onQuarantineLost(suspect => {
+        unstored.set(suspect, clock.nowMs());
+        void publish(suspect);
+    });
     return {
         find,
         handleCrash,
--- a/packages/front/src/createStoreFake.steps.ts
+++ b/packages/front/src/createStoreFake.steps.ts
@@ -1,4 +1,4 @@
-import { STORE_REPLY_TIMEOUT_MS } from "@fulmarcleat/directory";
+import { joinRevision, splitRevision, STORE_REPLY_TIMEOUT_MS } from "@fulmarcleat/directory";
 import type {
     ChangeReply,
     MetadataStore,
@@ -28,6 +28,8 @@
     revokeLease(key: string): void;
     /** Discards the history of changes. */
     compact(): void;
+    /** Keeps a copy of the store as it is; returns the call that brings it back, with all that was written since lost. */
+    copy(): () => void;
 }
 
 /** A watch that waits at the store. */
@@ -187,6 +189,31 @@
             oldestRevision = revision;
             history = [];
         },
+        copy() {
+            const copied = { items: [...items.values()], ttls: [...leases].map(([id, { ttlMs }]) => [id, ttlMs]) };
+            const copiedRevision = revision;
+            return () => {
+                const { epoch } = splitRevision(revision);
+                const renew = (former: number): number =>
+                    joinRevision({ epoch: epoch + 1, revision: splitRevision(former).revision });
+                watches = [];
+                history = [];
+                revision = renew(copiedRevision);
+                oldestRevision = revision;
+                leases.forEach(lease => lease.cancelEnd());
+                leases.clear();
+                items.clear();
+                // The copy's leases run on, but no host may renew one of a former epoch.
+                copied.ttls.forEach(([id = 0, ttlMs = 0]) => startLease(-id, ttlMs));
+                copied.items.forEach(item =>
+                    items.set(item.key, {
+                        ...item,
+                        revision: renew(item.revision),
+                        lease: item.lease === 0 ? 0 : -item.lease,
+                    })
+                );
+            };
+        },
     };
 }
 
--- a/packages/front/src/createViewFleet.steps.ts
+++ b/packages/front/src/createViewFleet.steps.ts
@@ -24,6 +24,8 @@
     readonly hosts: readonly string[];
     /** Calls of all hosts to the store so far. */
     readonly storeCalls: number;
+    /** Lists among them. */
+    readonly storeLists: number;
     nowMs(): number;
     readDomain(host: string): string;
     /** Returns a running host's view; undefined after its end. */
@@ -74,6 +76,7 @@
     const names = Array.from({ length: hosts }, (value, number) => `host-${number}`);
     const log = { write: () => undefined };
     let storeCalls = 0;
+    let storeLists = 0;
     let readers = new Set<string>();
     const readDomain = (host: string): string => `d${Number(host.slice("host-".length)) % domains}`;
     const count = <T>(host: string, call: () => Promise<T>): Promise<T> => {
@@ -83,7 +86,10 @@
     };
     const countCalls = (host: string, inner: MetadataStore): MetadataStore => ({
         ...inner,
-        list: prefix => count(host, () => inner.list(prefix)),
+        list(prefix) {
+            storeLists += 1;
+            return count(host, () => inner.list(prefix));
+        },
         watch: (prefix, after, waitMs) => count(host, () => inner.watch(prefix, after, waitMs)),
     });
     const startHost = (host: string): void => {
@@ -131,6 +137,9 @@
         get storeCalls() {
             return storeCalls;
         },
+        get storeLists() {
+            return storeLists;
+        },
         nowMs: () => clock.nowMs(),
         readDomain,
         findView: host => views.get(host),
--- a/packages/front/src/followViews.feature
+++ b/packages/front/src/followViews.feature
@@ -67,9 +67,24 @@
             | 85    | 4       | 3000  | answers nothing for 2500 ms       |
             | 85    | 4       | 3000  | answers nothing for 10000 ms      |
             | 85    | 4       | 3000  | forgets its history               |
+            | 8     | 4       | 3000  | comes back from a copy 8000 ms old |
+            | 85    | 4       | 3000  | comes back from a copy 8000 ms old |
+            | 195   | 5       | 4000  | comes back from a copy 8000 ms old |
+            | 300   | 5       | 4000  | comes back from a copy 8000 ms old |
             | 195   | 5       | 4000  | answers nothing for 10000 ms      |
             | 195   | 5       | 4000  | forgets its history               |
 
+    # Guards against lists by all hosts at once, after each of them has noticed by itself that the store is back.
+    Scenario Outline: <hosts> hosts don't all list the store's keys after its return
+        Given <hosts> hosts in <domains> failure domains that follow the store, changes due within <apply> ms
+        When the followed store comes back from a copy 8000 ms old
+        Then within 3000 ms all hosts have made at most <lists> lists in any 100 ms
+
+        Examples:
+            | hosts | domains | apply | lists |
+            | 85    | 4       | 3000  | 85    |
+            | 195   | 5       | 4000  | 195   |
+
     # Guards against a view that goes back when its source changes.
     Scenario: No view goes back while followed hosts come and go
         Given 40 hosts in 4 failure domains that follow the store, changes due within 3000 ms
--- a/packages/front/src/followViews.steps.ts
+++ b/packages/front/src/followViews.steps.ts
@@ -53,6 +53,34 @@
     },
 );
 
+When(/^the followed store comes back from a copy (\d+) ms old$/, async (ageMs: string) => {
+    const restore = fleet.store.copy();
+    for (let write = 0; write < WRITES_AFTER_COPY; write += 1) {
+        fleet.store.put("servers/i-2", Buffer.from(String(write)));
+    }
+    await fleet.advance(Number(ageMs));
+    fleet.store.setMode("silent");
+    await fleet.advance(AWAY_MS);
+    restore();
+    fleet.store.setMode("serving");
+});
+
+/** Changes that the copy lacks, so that revisions go back far. */
+const WRITES_AFTER_COPY = 200;
+/** Time for which the store is away before it comes back from a copy, in milliseconds. */
+const AWAY_MS = 1000;
+
+Then(
+    "within {int} ms all hosts have made at most {int} lists in any 100 ms",
+    async (withinMs: number, most: number) => {
+        for (let passedMs = 0; passedMs < withinMs; passedMs += 100) {
+            const before = fleet.storeLists;
+            await fleet.advance(100);
+            ok(fleet.storeLists - before <= most, `${fleet.storeLists - before} lists after ${passedMs} ms`);
+        }
+    },
+);
+
 When(/^the followed store (answers nothing for .* ms|forgets its history)$/, async (fault: string) => {
     if (fault === "forgets its history") {
         putConfig();
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -96,7 +96,7 @@
 
 /** A software version that the store has on record. */
 export interface RecordedVersion extends ServiceVersion {
-    /** Revision at which the store recorded it. */
+    /** Revision at which the store recorded it; 0 if the store has lost it since. */
     readonly revision: number;
 }
 
--- a/packages/front/src/orderRight.steps.ts
+++ b/packages/front/src/orderRight.steps.ts
@@ -1,5 +1,6 @@
-import { ok, Then, When } from "@fulmarcleat/testing";
+import { ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import type { FleetOrder, OwnerFleet } from "./createOwnerFleet.steps.js";
+import { PEER_SECRET_KEY } from "./hostKeys.js";
 import { readOwnerFleet } from "./startOwnership.steps.js";
 
 /** Delay of orders that arrive after their sender has given up waiting, in milliseconds. */
@@ -133,6 +134,91 @@
     },
 );
 
+When(
+    /^the store is away for (\d+) ms and comes back from a copy (\d+) ms old, since which (.*)$/,
+    async (awayMs: string, ageMs: string, change: string) => {
+        const fleet = readOwnerFleet();
+        const restore = fleet.store.copy();
+        const host = pickOwner(fleet);
+        const { isCut } = playChange(fleet, host, change);
+        await fleet.advance(Number(ageMs));
+        fleet.store.setMode("silent");
+        await fleet.advance(Number(awayMs));
+        restore();
+        fleet.store.setMode("serving");
+        if (isCut) {
+            await fleet.advance(3000);
+            fleet.faults.cutFromStore([]);
+        }
+        await fleet.advance(RESTORE_MS);
+    },
+);
+
+When(
+    "the store comes back from copies {int} ms old, {int} times, each {int} ms after the other",
+    async (ageMs: number, times: number, apartMs: number) => {
+        const fleet = readOwnerFleet();
+        for (let time = 0; time < times; time += 1) {
+            const restore = fleet.store.copy();
+            await fleet.advance(ageMs);
+            restore();
+            await fleet.advance(apartMs);
+        }
+    },
+);
+
+let secret: string | undefined;
+
+When("the store comes back from a copy that lacks the hosts' secret", async () => {
+    const fleet = readOwnerFleet();
+    secret = await readSecret(fleet);
+    fleet.store.remove(PEER_SECRET_KEY);
+    fleet.store.copy()();
+    await fleet.advance(RETURN_MS);
+});
+
+/** Time for a reply of the store, in milliseconds. */
+const LIST_MS = 50;
+
+Then("the store holds the secret of before again", async () => {
+    strictEqual(await readSecret(readOwnerFleet()), secret);
+});
+
+async function readSecret(fleet: OwnerFleet): Promise<string | undefined> {
+    const listed = fleet.store.list(PEER_SECRET_KEY);
+    await fleet.advance(LIST_MS);
+    return (await listed).items[0]?.value.toString();
+}
+
+/** Plays what happens after the copy was made, as a row of the table names it. */
+function playChange(fleet: OwnerFleet, host: string, change: string): { readonly isCut: boolean } {
+    switch (change) {
+        case "nothing has changed":
+            break;
+        case "an owner was killed":
+            fleet.kill(host);
+            break;
+        case "an owner was killed and started again":
+            fleet.restart(host);
+            break;
+        case "an owner has stopped":
+            fleet.stopHost(host);
+            break;
+        case "all hosts have started again":
+            fleet.hosts.forEach(name => fleet.restart(name));
+            break;
+        case "an owner was cut off from the store, and is for 3000 ms more":
+            fleet.faults.cutFromStore([host]);
+            return { isCut: true };
+        default:
+            throw new Error(`unknown change: ${change}`);
+    }
+    return { isCut: false };
+}
+
+/** Time in which all engines have owners again after the store's return, in milliseconds. */
+const RESTORE_MS = 10_000;
+
 /** Time in which a host that is back has taken up its engines, or learned who owns them, in milliseconds. */
 const RETURN_MS = 4000;
 /** Time after which the keys of a host that is gone have ended, in milliseconds. */
--- a/packages/front/src/startSession.ts
+++ b/packages/front/src/startSession.ts
@@ -1,5 +1,6 @@
 import type { MetadataStore } from "@fulmarcleat/directory";
 import { ServeError, toServeError } from "@fulmarcleat/errors";
+import type { EventLog } from "@fulmarcleat/events";
 import { sleep } from "@fulmarcleat/ids";
 import { randomBytes } from "node:crypto";
 import { LEASE_MS } from "./checkDeployment.js";
@@ -84,6 +85,7 @@
             log.write("warn", 203, { lease: currentLease });
             lease = undefined;
             await openSession();
+            await keepPeerSecret(store, await peerSecret, log);
             return;
         }
         isUnverified = false;
@@ -139,6 +141,18 @@
     }
 }
 
+/** Writes the secret that all hosts share again if the store has lost it. */
+async function keepPeerSecret(store: MetadataStore, secret: string, log: EventLog): Promise<void> {
+    const stored = (await store.list(PEER_SECRET_KEY)).items[0]?.value.toString("utf8");
+    if (stored === undefined) {
+        const puts = [{ key: PEER_SECRET_KEY, value: Buffer.from(secret), lease: 0 }];
+        await store.change({ expect: [{ key: PEER_SECRET_KEY, revision: 0 }], puts, removes: [] });
+    }
+    else if (stored !== secret) {
+        log.write("error", 206, {});
+    }
+}
+
 /** Reads the secret that all hosts share; the first host creates it. */
 async function readPeerSecret(store: MetadataStore): Promise<string> {
     const existing = (await store.list(PEER_SECRET_KEY)).items[0];
--- a/packages/front/src/startStoreWatch.ts
+++ b/packages/front/src/startStoreWatch.ts
@@ -16,6 +16,8 @@
     readonly maxAgeMs: () => number;
     /** Returns the longest wait of a call at the store, in milliseconds. */
     readonly maxWaitMs: () => number;
+    /** Returns the time over which hosts spread their lists after changes were missed, in milliseconds. */
+    readonly listSpreadMs: () => number;
     /** Whether the feed is kept up to date from elsewhere, so that the store need not be read. */
     readonly isFollowing: () => boolean;
 }
@@ -41,12 +43,12 @@
  * @returns the running watch
  *
  * @example
- * startStoreWatch(context, health, { prefix: "op/", feed, readIntervalMs, maxAgeMs, maxWaitMs, isFollowing });
+ * startStoreWatch(context, health, { prefix: "op/", feed, readIntervalMs, maxAgeMs, maxWaitMs, listSpreadMs, isFollowing });
  */
 export function startStoreWatch(
     context: FrontContext,
     health: StoreHealth,
-    { prefix, feed, readIntervalMs, maxAgeMs, maxWaitMs, isFollowing }: StoreWatchOptions,
+    { prefix, feed, readIntervalMs, maxAgeMs, maxWaitMs, listSpreadMs, isFollowing }: StoreWatchOptions,
 ): StoreWatch {
     const { clock, log, metrics, random, store } = context;
     let isStopped = false;
@@ -69,6 +71,8 @@
         if (reply.kind === "compacted") {
             log.write("warn", 604, { prefix, afterRevision: feed.revision });
             mustList = true;
+            // Another host's list may come first, and be followed.
+            await sleep(clock, listSpreadMs() * random.next());
             return;
         }
         feed.takeEvents(reply.events, reply.revision, { atMs: clock.nowMs(), from });
--- a/packages/front/src/startVersionRecords.ts
+++ b/packages/front/src/startVersionRecords.ts
@@ -41,7 +41,7 @@
     health: StoreHealth,
     clusterView: Pick<ClusterView, "engines" | "members" | "recordedVersions" | "hasReadHostKeys" | "readAgeMs">,
 ): VersionRecords {
-    /** Clock readings since which a version's record differs from the engines, in milliseconds. */
+    /** Clock readings since which a version's record differs from the engines or is lost, in milliseconds. */
     const differsSince = new Map<string, number>();
     const pending = new Set<string>();
 
@@ -87,15 +87,19 @@
             }
         });
         const recorded = new Set(clusterView.recordedVersions.keys());
+        const lost = new Set(
+            [...clusterView.recordedVersions].filter(([, { revision }]) => revision === 0)
+                .map(([key]) => key),
+        );
         for (const key of differsSince.keys()) {
-            if (inUse.has(key) === recorded.has(key)) {
+            if (inUse.has(key) === recorded.has(key) && !lost.has(key)) {
                 differsSince.delete(key);
             }
         }
-        [...inUse].filter(key => !recorded.has(key)).forEach(key =>
+        [...lost, ...[...inUse].filter(key => !recorded.has(key))].forEach(key =>
             writeInTurn(key, 0, { puts: [{ key, value: NO_VALUE, lease: 0 }], removes: [] })
         );
-        [...recorded].filter(key => !inUse.has(key)).forEach(key =>
+        [...recorded].filter(key => !inUse.has(key) && !lost.has(key)).forEach(key =>
             writeInTurn(key, RESUMABLE_MS, { puts: [], removes: [key] })
         );
     };
--- a/packages/front/src/startViewFollower.ts
+++ b/packages/front/src/startViewFollower.ts
@@ -1,3 +1,4 @@
+import { joinRevision, splitRevision } from "@fulmarcleat/directory";
 import type { StoreEvent, StoreItem, ViewAges } from "@fulmarcleat/directory";
 import { toServeError } from "@fulmarcleat/errors";
 import { sleep } from "@fulmarcleat/ids";
@@ -73,22 +74,27 @@
         if (reply.kind === "unknown") {
             return;
         }
-        const { revision, confirmedAgoMs, sentAgoMs } = reply.age;
+        const { epoch = 0, confirmedAgoMs, sentAgoMs } = reply.age;
+        const revision = joinRevision({ epoch, revision: reply.age.revision });
         const confirmation = {
             atMs: clock.nowMs() - confirmedAgoMs,
             // The other host has read its clock at some time since the request was sent.
             from: { nowMs: sent.nowMs - sentAgoMs, wallMs: sent.wallMs - sentAgoMs },
         };
         if (reply.kind === "list") {
-            feeds[reply.part].takeList(reply.items.map(toItem), revision, confirmation);
+            feeds[reply.part].takeList(reply.items.map(item => toItem(item, epoch)), revision, confirmation);
         }
         else {
-            feeds[reply.part].takeEvents(reply.events.map(toEvent), revision, confirmation);
+            feeds[reply.part].takeEvents(reply.events.map(event => toEvent(event, epoch)), revision, confirmation);
         }
     };
     const ask = async (member: Member): Promise<ViewReply | undefined> => {
         const address = { host: member.host, address: member.ip, port: member.port };
-        const parts = PARTS.map(part => ({ part, afterRevision: feeds[part].revision }));
+        const parts = PARTS.map(part => {
+            const known = feeds[part].revision;
+            const { epoch, revision } = splitRevision(known ?? 0);
+            return { part, epoch, afterRevision: known === undefined ? undefined : revision };
+        });
         try {
             const request = { parts, waitMs: POLL_WAIT_MS };
             return await readPeers()?.request(address, "view", request, POLL_WAIT_MS + REPLY_MS);
@@ -148,11 +154,13 @@
 
 const INTERNAL = { code: "internal", step: "follow view", peer: "self", outcome: "not_run" } as const;
 
-/** Restores an item's value, which arrives as bytes of the frame that it was read from. */
-function toItem(item: StoreItem): StoreItem {
-    return { ...item, value: Buffer.from(item.value) };
+/** Restores an item's joined revision, and its value, which arrives as bytes of the frame that it was read from. */
+function toItem(item: StoreItem, epoch: number): StoreItem {
+    return { ...item, revision: joinRevision({ epoch, revision: item.revision }), value: Buffer.from(item.value) };
 }
 
-function toEvent(event: StoreEvent): StoreEvent {
-    return event.kind === "put" ? { kind: "put", item: toItem(event.item) } : event;
+function toEvent(event: StoreEvent, epoch: number): StoreEvent {
+    return event.kind === "put"
+        ? { kind: "put", item: toItem(event.item, epoch) }
+        : { ...event, revision: joinRevision({ epoch, revision: event.revision }) };
 }
--- a/packages/residency/src/decideEngineClaim.ts
+++ b/packages/residency/src/decideEngineClaim.ts
@@ -18,6 +18,11 @@
     readonly waitsFor?: "order_lease" | "order_right" | undefined;
     /** Hosts that may still have the right to order while the owner waits for its end; empty if they are unknown. */
     readonly formerHosts?: readonly HostId[] | undefined;
+    /**
+     * Whether the claim is from a copy that the store came back from: nobody orders by it, and owners after it may have
+     * been forgotten.
+     */
+    readonly isRestored?: boolean | undefined;
     /** Revision of the claim, which is the fencing token of its holder's orders. */
     readonly revision: number;
 }
@@ -76,6 +81,11 @@
  */
 export function decideEngineClaim(view: EngineClaimView): EngineClaimDecision {
     const { claim, self } = view;
+    if (claim?.isRestored === true) {
+        return view.isPathLost || view.unownedMs < view.rank * RANK_WAIT_MS + FORMER_WAIT_MS
+            ? WAIT
+            : { kind: "claim", expectedRevision: claim.revision, mustWait: !view.checksFences };
+    }
     if (claim !== undefined && !claim.isReleased && !claim.hasLostPath) {
         return claim.host === self ? decideOwnClaim(view, claim) : WAIT;
     }
--- a/packages/wire/src/viewMessages.ts
+++ b/packages/wire/src/viewMessages.ts
@@ -7,8 +7,10 @@
 export interface ViewRequest {
     readonly parts: readonly {
         readonly part: ViewPart;
-        /** Revision up to which the asking host knows all changes; undefined if it knows nothing. */
+        /** Revision, as the store counts it, up to which the asking host knows all changes; undefined if it knows nothing. */
         readonly afterRevision: number | undefined;
+        /** Epoch of that revision; undefined if the sender's version knows none. */
+        readonly epoch?: number | undefined;
     }[];
     /** Longest wait for a change, in milliseconds. */
     readonly waitMs: number;
@@ -16,8 +18,10 @@
 
 /** How old what a host knows of a part is. */
 export interface ViewAge {
-    /** Revision up to which it knows all changes. */
+    /** Revision, as the store counts it, up to which it knows all changes. */
     readonly revision: number;
+    /** Epoch of all revisions of the part; undefined if the sender's version knows none. */
+    readonly epoch?: number | undefined;
     /** Time since the store confirmed it, in milliseconds. */
     readonly confirmedAgoMs: number;
     /** Time since the call was sent that confirmed it, in milliseconds. */
