Keep where streams began in the store while a service has two versions

Cause: streams' origins were in the hosts' memory only; the store told versions, not streams.

Change: while a service has more than one version, one keeper of each stream writes it to the store in batches, under leases that outlive the hosts; hosts read them when neither they nor their peers know a stream.

The row that wanted 'unknown' after 31 s asks for it after 61 s, as the store knows the stream for up to 45 s.

--- /dev/null
+++ b/packages/front/src/createOriginStore.ts
@@ -0,0 +1,170 @@
+import { toServeError } from "@fulmarcleat/errors";
+import type { RequestId } from "@fulmarcleat/ids";
+import type { StreamOrigin, StreamRecord } from "@fulmarcleat/wire";
+import { decodeOrigins, encodeOrigins } from "./encodeOrigins.js";
+import type { FrontContext } from "./frontContext.js";
+import { RESUMABLE_MS } from "./resumableTime.js";
+
+/** Where streams began, kept in the store for the time after a loss of all hosts. */
+export interface OriginStore {
+    /** Adds a stream; the store has it a moment later. */
+    add(record: StreamRecord): void;
+    /** Finds where a stream began; undefined if the store doesn't know, or doesn't answer. */
+    find(requestId: RequestId): Promise<StreamOrigin | undefined>;
+}
+
+/** Streams under one key of the store, which is written again while streams are added. */
+interface Segment {
+    readonly number: number;
+    readonly startedMs: number;
+    readonly records: StreamRecord[];
+    /** Number of records that the store has. */
+    written: number;
+}
+
+/** What the store held when it was last read. */
+interface ReadOrigins {
+    readonly origins: ReadonlyMap<RequestId, StreamOrigin>;
+    readonly atMs: number;
+}
+
+/** Prefix of the keys; apart from those that hosts watch, since only few ever read them. */
+export const ORIGIN_PREFIX = "fulmarcleat-origins/";
+/** Time between two writes for each host that writes, in milliseconds, so that all write 25 times a second. */
+const WRITE_INTERVAL_PER_WRITER_MS = 40;
+/** Shortest time between two writes, in milliseconds. */
+const MIN_WRITE_INTERVAL_MS = 200;
+/** Time after which streams go under a new key, in milliseconds. */
+const SEGMENT_MS = 5000;
+/** Most streams under one key; the oldest ones are dropped first while the store is away. */
+const MAX_SEGMENT_RECORDS = 4000;
+/** Time for which a lease takes new keys, in milliseconds. */
+const LEASE_USE_MS = 10_000;
+/** Shortest time between two reads of what the store holds, in milliseconds. */
+const READ_INTERVAL_MS = 1000;
+
+/**
+ * Creates the store's record of where streams began. Streams are written in batches, under leases that outlive the host
+ * for as long as a stream may be resumed; after a loss of all hosts the last batch is missing.
+ *
+ * @param context - Store, clock, log, metrics and this host's name
+ * @param countWriters - Returns the number of hosts that write such records
+ * @returns the record
+ *
+ * @example
+ * const originStore = createOriginStore(context, () => 6);
+ * originStore.add({ requestId, service, softwareVersion });
+ */
+export function createOriginStore(
+    { clock, deployment, incarnation, log, metrics, store }: Pick<
+        FrontContext,
+        "clock" | "deployment" | "incarnation" | "log" | "metrics" | "store"
+    >,
+    countWriters: () => number,
+): OriginStore {
+    let segment: Segment = { number: 0, startedMs: clock.nowMs(), records: [], written: 0 };
+    let isWriting = false;
+    let lease: { readonly id: number; readonly openedMs: number } | undefined;
+    let last: ReadOrigins | undefined;
+    let reading: Promise<ReadOrigins | undefined> | undefined;
+
+    const readLease = async (): Promise<number> => {
+        if (lease === undefined || clock.nowMs() - lease.openedMs > LEASE_USE_MS) {
+            const openedMs = clock.nowMs();
+            const id = await store.openLease(RESUMABLE_MS + LEASE_USE_MS + SEGMENT_MS);
+            lease = { id, openedMs };
+        }
+        return lease.id;
+    };
+    /** Starts a new key once an old one is written whole, or drops its oldest streams. */
+    const startSegment = (): void => {
+        const { number, records, written, startedMs } = segment;
+        if (written === records.length && clock.nowMs() - startedMs >= SEGMENT_MS) {
+            segment = { number: number + 1, startedMs: clock.nowMs(), records: [], written: 0 };
+        }
+        else if (records.length > MAX_SEGMENT_RECORDS) {
+            const dropped = records.splice(0, records.length - MAX_SEGMENT_RECORDS).length;
+            segment.written = Math.max(0, written - dropped);
+        }
+    };
+    const write = async (): Promise<void> => {
+        const { number, records } = segment;
+        const count = records.length;
+        const key = `${ORIGIN_PREFIX}${deployment.host}/${incarnation}.${number}`;
+        try {
+            const puts = [{ key, value: encodeOrigins(records), lease: await readLease() }];
+            const reply = await store.change({ expect: [], puts, removes: [] });
+            if (reply.kind === "written") {
+                metrics.count("stream_origins_stored_total", {}, count - segment.written);
+                segment.written = count;
+            }
+            else {
+                lease = undefined;
+            }
+        }
+        catch (err) {
+            log.write("warn", 602, { step: toServeError(err, WRITE_INTERNAL).step });
+            // The write may still be carried out, and must not overwrite a later one.
+            segment = { ...segment, number: number + 1, written: 0 };
+        }
+    };
+    const writeLater = (): void => {
+        if (isWriting) {
+            return;
+        }
+        isWriting = true;
+        const intervalMs = Math.max(MIN_WRITE_INTERVAL_MS, countWriters() * WRITE_INTERVAL_PER_WRITER_MS);
+        clock.setTimer(intervalMs, () =>
+            void write().finally(() => {
+                isWriting = false;
+                startSegment();
+                if (segment.written < segment.records.length) {
+                    writeLater();
+                }
+            }));
+    };
+    const read = async (): Promise<ReadOrigins | undefined> => {
+        const atMs = clock.nowMs();
+        try {
+            const { items } = await store.list(ORIGIN_PREFIX);
+            const origins = new Map(items.flatMap(({ key, value }) => {
+                const decoded = decodeOrigins(value);
+                if (decoded === undefined) {
+                    log.write("warn", 213, { key });
+                }
+                return [...decoded ?? []];
+            }));
+            last = { origins, atMs };
+            return last;
+        }
+        catch (err) {
+            log.write("warn", 603, { step: toServeError(err, READ_INTERNAL).step, prefix: ORIGIN_PREFIX });
+            return undefined;
+        }
+        finally {
+            reading = undefined;
+        }
+    };
+    return {
+        add(record) {
+            segment.records.push(record);
+            writeLater();
+        },
+        async find(requestId) {
+            const known = last?.origins.get(requestId);
+            if (known !== undefined || last !== undefined && clock.nowMs() - last.atMs < READ_INTERVAL_MS) {
+                return known;
+            }
+            reading ??= read();
+            return (await reading)?.origins.get(requestId);
+        },
+    };
+}
+
+const WRITE_INTERNAL = {
+    code: "internal",
+    step: "store stream origins",
+    peer: "platform store",
+    outcome: "unknown",
+} as const;
+const READ_INTERNAL = { ...WRITE_INTERNAL, step: "read stream origins", outcome: "not_run" } as const;
--- a/packages/front/src/createStreamOrigins.feature
+++ b/packages/front/src/createStreamOrigins.feature
@@ -18,7 +18,7 @@
             | that no host knows, with one version            | v1 v1   | no host has a record of the stream       | nothing happens                         | every other host | v1      | 8     |
             | that no host knows, after another version left  | v1 v2   | no host has a record of the stream       | the engine of v2 leaves 29 s before     | every other host | unknown | 8     |
             | that no host knows, long after it left          | v1 v2   | no host has a record of the stream       | the engine of v2 leaves 31 s before     | every other host | v1      | 8     |
-            | after its record has expired                    | v1 v2   | the stream began at version v1 at host 0 | 31 s pass                               | every other host | unknown | 8     |
+            | after its record has expired                    | v1 v2   | the stream began at version v1 at host 0 | 61 s pass                               | every other host | unknown | 8     |
             | at another of many hosts                        | v1 v2   | the stream began at version v1 at host 0 | nothing happens                         | every other host | v1      | 40    |
             | of many hosts, after its first was killed       | v1 v2   | the stream began at version v1 at host 0 | host 0 is killed                        | every other host | v1      | 40    |
 
@@ -34,13 +34,24 @@
         Examples:
             | case                                     | engines | since                               | ran | version | hosts |
             | there was only one version               | v1 v1   | nothing happens                     | 0   | v1      | 8     |
-            | two versions are in service              | v1 v2   | nothing happens                     | 0   | unknown | 8     |
-            | the stream's version had just left       | v1 v2   | the engine of v1 leaves 1 s before  | 0   | unknown | 8     |
-            | it had left 29 s before                  | v1 v2   | the engine of v1 leaves 29 s before | 0   | unknown | 8     |
+            | two versions are in service              | v1 v2   | 1 s passes                          | 0   | v1      | 8     |
+            | two versions, many hosts                 | v1 v2   | 1 s passes                          | 0   | v1      | 86    |
+            | two versions, a large deployment         | v1 v2   | 1 s passes                          | 0   | v1      | 195   |
+            | the client comes back after 5 s          | v1 v2   | 1 s passes                          | 5   | v1      | 8     |
+            | the client comes back after 20 s         | v1 v2   | 1 s passes                          | 20  | v1      | 8     |
+            | the client comes back too late           | v1 v2   | 1 s passes                          | 61  | unknown | 8     |
+            | its record had not been written          | v1 v2   | nothing happens                     | 0   | unknown | 8     |
+            | the second version came after it began   | v1      | an engine of v2 comes 2 s before    | 0   | v1      | 8     |
+            | that came just before                    | v1      | an engine of v2 comes 0 s before    | 0   | unknown | 8     |
+            | the store was away for a moment          | v1 v2   | 1 s passes with the store away, and 2 s | 0 | v1    | 8     |
+            | the store doesn't answer                 | v1 v2   | 1 s passes, and the store goes away | 0   | unknown | 8     |
+            | another writer has put odd records       | v1 v2   | 1 s passes beside odd records       | 0   | v1      | 8     |
+            | the stream's version had just left       | v1 v2   | the engine of v1 leaves 1 s before  | 0   | v1      | 8     |
+            | it had left 29 s before                  | v1 v2   | the engine of v1 leaves 29 s before | 0   | v1      | 8     |
             | it had left long before                  | v1 v2   | the engine of v1 leaves 31 s before | 0   | v2      | 8     |
             | the store has nothing on record          | v1 v1   | the versions were never recorded    | 0   | unknown | 8     |
             | nothing on record, the hosts ran on      | v1 v1   | the versions were never recorded    | 31  | v1      | 8     |
-            | it had just left, of many hosts          | v1 v2   | the engine of v1 leaves 1 s before  | 0   | unknown | 195   |
+            | it had just left, of many hosts          | v1 v2   | the engine of v1 leaves 1 s before  | 0   | v1      | 195   |
 
     # Guards against a stream that goes on at another version, since the host that takes it up knows of one version only.
     Scenario Outline: A host <state> while the version v2 came
@@ -67,3 +78,26 @@
         And the stream began at version v1 at host 0
         When the client resumes a stream without naming its first request
         Then the stream began at "unknown"
+
+    # Guards against a store whose writes grow with the number of hosts or streams.
+    Scenario Outline: <hosts> hosts write where streams began, <versions> in service
+        Given <hosts> hosts and engines of the versions "<versions>"
+        When 200 streams begin a second for 10 s
+        Then the hosts have made at most <calls> calls to the store, <bytes> bytes each
+        And after a loss of power at least <known> of the last 1000 streams are known
+
+        Examples:
+            | hosts | versions | calls | bytes | known |
+            | 6     | v1 v1    | 0     | 0     | 0     |
+            | 6     | v1 v2    | 320   | 4000  | 900   |
+            | 86    | v1 v2    | 320   | 4000  | 800   |
+            | 195   | v1 v2    | 320   | 4000  | 800   |
+
+    Scenario: A host that reaches no other one writes to the store itself
+        Given 8 hosts and engines of the versions "v1 v2"
+        And hosts don't reach each other
+        And the stream began at version v1 at host 0
+        And 1 s passes
+        And all hosts lose power and run for 0 s
+        When the client resumes the stream at every other host
+        Then the stream began at "v1"
--- a/packages/front/src/createStreamOrigins.steps.ts
+++ b/packages/front/src/createStreamOrigins.steps.ts
@@ -1,10 +1,22 @@
-import type { EngineEntry, KnownEngine, Service } from "@fulmarcleat/directory";
+import type { EngineEntry, KnownEngine, Service, StoreChange } from "@fulmarcleat/directory";
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock } from "@fulmarcleat/ids";
-import type { EngineId, HostId, Incarnation, ManualClock, RequestId, ServiceName } from "@fulmarcleat/ids";
+import type {
+    EngineId,
+    HostId,
+    Incarnation,
+    ManualClock,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+} from "@fulmarcleat/ids";
 import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import type { PeerClient, StreamOriginRequest, StreamRecord } from "@fulmarcleat/wire";
+import { setImmediate } from "node:timers/promises";
+import { createOriginStore, ORIGIN_PREFIX } from "./createOriginStore.js";
+import { createStoreFake } from "./createStoreFake.steps.js";
+import type { StoreFake } from "./createStoreFake.steps.js";
 import { createStreamOrigins } from "./createStreamOrigins.js";
 import type { StreamOrigins } from "./createStreamOrigins.js";
 import type { FrontContext } from "./frontContext.js";
@@ -24,6 +36,16 @@
 let recordedVersions: Map<string, RecordedVersion>;
 let isFirstStart = true;
 let told: HostId[] = [];
+/** The store, which outlives all hosts too. */
+let store: StoreFake;
+let writtenBytes: number[] = [];
+let began: RequestId[] = [];
+let arePeersCut = false;
+/** Step of the clock between two turns of the event loop, in milliseconds. */
+const STEP_MS = 20;
+/** Time in which a client's question is answered, in milliseconds. */
+const FIND_MS = 1200;
+let incarnations = 0;
 let versions: readonly (string | undefined)[] = [];
 
 const toHost = (number: number | string): HostId => brandId<HostId>(`host-${number}`);
@@ -32,7 +54,7 @@
 const peers = {
     request(to: { readonly host: HostId }, name: string, body: unknown) {
         const host = hosts.get(to.host);
-        if (host === undefined) {
+        if (host === undefined || arePeersCut) {
             return Promise.reject(new Error("connection refused"));
         }
         if (name === "streamStart") {
@@ -61,7 +83,25 @@
         ? { request: () => Promise.reject(new Error("no reply")) } as unknown as PeerClient
         : peers;
     members.set(host, { host, incarnation: brandId<Incarnation>("1"), ip: "127.0.0.1", port: 1, isLeaving: false });
-    const context = { clock, deployment: { host, isFirstStart }, hash: await createHasher(), metrics: createMetrics() };
+    const context = {
+        clock,
+        deployment: { host, isFirstStart },
+        incarnation: brandId<Incarnation>(String(incarnations += 1)),
+        hash: await createHasher(),
+        metrics: createMetrics(),
+        log: { write: () => undefined },
+        store: {
+            ...store,
+            openLease(ttlMs: number) {
+                writtenBytes.push(0);
+                return store.openLease(ttlMs);
+            },
+            change(change: StoreChange) {
+                writtenBytes.push(...change.puts.map(put => put.value.length));
+                return store.change(change);
+            },
+        },
+    } as unknown as FrontContext;
     const clusterView = {
         engines: ownEngines,
         members,
@@ -69,7 +109,15 @@
         confirmEngines,
         onEngineRemoved: (listener: (entry: EngineEntry) => void) => void removalListeners.push(listener),
     };
-    hosts.set(host, createStreamOrigins(context as unknown as FrontContext, clusterView, () => ownPeers));
+    hosts.set(
+        host,
+        createStreamOrigins(
+            context,
+            clusterView,
+            () => ownPeers,
+            countWriters => createOriginStore(context, countWriters),
+        ),
+    );
 }
 
 function killHost(number: string): void {
@@ -79,6 +127,10 @@
 
 Given("{int} hosts and engines of the versions {string}", async (count: number, text: string) => {
     clock = createManualClock(0);
+    store = createStoreFake(clock);
+    writtenBytes = [];
+    began = [];
+    arePeersCut = false;
     told = [];
     members = new Map();
     hosts = new Map();
@@ -98,21 +150,94 @@
     }
 });
 
-Given("the versions were never recorded", () => recordedVersions.clear());
+/** Lets time pass, with the replies of hosts and store. */
+async function advance(ms: number): Promise<void> {
+    for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+        clock.advance(STEP_MS);
+        await setImmediate();
+    }
+}
 
-Given("all hosts lose power and run for {int} s", async (seconds: number) => {
+Given("1 s passes", () => advance(1000));
+
+Given("1 s passes with the store away, and 2 s", async () => {
+    store.setMode("silent");
+    await advance(1000);
+    store.setMode("serving");
+    await advance(2000);
+});
+
+Given("1 s passes, and the store goes away", async () => {
+    await advance(1000);
+    store.setMode("silent");
+});
+
+Given("1 s passes beside odd records", async () => {
+    store.put(`${ORIGIN_PREFIX}odd`, Buffer.from("[[[["));
+    store.put(`${ORIGIN_PREFIX}odd-2`, Buffer.from(JSON.stringify({ groups: [{ service: "\ud83d", ids: [7] }] })));
+    await advance(1000);
+});
+
+Given("an engine of v2 comes {int} s before", async (seconds: number) => {
+    await advance(2000);
+    const id = brandId<EngineId>("i-new");
+    const entry = { id, service: SERVICE.name, softwareVersion: "v2" } as unknown as EngineEntry;
+    engines.set(id, { entry } as unknown as KnownEngine);
+    recordedVersions.set(formatVersionKey(entry), { ...entry, revision: 2 });
+    await advance(seconds * 1000);
+});
+
+When("{int} streams begin a second for {int} s", async (perSecond: number, seconds: number) => {
+    for (let stream = 0; stream < perSecond * seconds; stream += 1) {
+        const requestId = brandId<RequestId>(`${stream}`.padStart(16, "0"));
+        const softwareVersion = brandId<SoftwareVersion>(stream % 2 === 0 ? "v1" : "v2");
+        began.push(requestId);
+        hosts.get(toHost(stream % hosts.size))?.record({ requestId, service: SERVICE.name, softwareVersion });
+        if (stream % 4 === 3) {
+            await advance(4 * 1000 / perSecond);
+        }
+    }
+});
+
+Then("the hosts have made at most {int} calls to the store, {int} bytes each", (calls: number, bytes: number) => {
+    ok(writtenBytes.length <= calls, `${writtenBytes.length} calls`);
+    ok(Math.max(0, ...writtenBytes) <= bytes, `${Math.max(0, ...writtenBytes)} bytes`);
+});
+
+Then(
+    "after a loss of power at least {int} of the last {int} streams are known",
+    async (least: number, count: number) => {
+        await losePower();
+        const host = hosts.get(toHost(0));
+        const found = Promise.all(began.slice(-count).map(async id => await host?.find(id, SERVICE) !== undefined));
+        await advance(FIND_MS);
+        const known = (await found).filter(Boolean).length;
+        ok(least === 0 || known >= least, `${known} are known`);
+    },
+);
+
+async function losePower(): Promise<void> {
     const numbers = [...hosts.keys()].map(host => Number(host.slice("host-".length)));
+    hosts.forEach(host => host.stop());
     removalListeners = [];
     isFirstStart = false;
     hosts.clear();
     for (const number of numbers) {
         await startHost(number);
     }
-    clock.advance(seconds * 1000);
+}
+
+Given("the versions were never recorded", () => recordedVersions.clear());
+
+Given("all hosts lose power and run for {int} s", async (seconds: number) => {
+    await losePower();
+    await advance(seconds * 1000);
 });
 
 Given("no host has a record of the stream", () => undefined);
 
+Given("hosts don't reach each other", () => void (arePeersCut = true));
+
 Given(/^the stream began at version (\w+) at host (\d+)$/, (version: string, host: string) => {
     hosts.get(toHost(host))?.record({
         requestId: STREAM,
@@ -155,7 +280,9 @@
     const asked = [...hosts].filter(([host]) =>
         where === "every other host" ? host !== toHost(0) : host === toHost(where.slice("host ".length))
     );
-    versions = await Promise.all(asked.map(async ([, host]) => (await host.find(STREAM, SERVICE))?.softwareVersion));
+    const found = Promise.all(asked.map(async ([, host]) => (await host.find(STREAM, SERVICE))?.softwareVersion));
+    await advance(FIND_MS);
+    versions = await found;
 });
 
 When("{int} streams begin at host 0", (count: number) => {
--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -1,8 +1,10 @@
 import type { Service } from "@fulmarcleat/directory";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
-import type { RequestId, ServiceName, SoftwareVersion } from "@fulmarcleat/ids";
+import { repeat } from "@fulmarcleat/ids";
+import type { CancelTimer, RequestId, ServiceName, SoftwareVersion } from "@fulmarcleat/ids";
 import type { PeerClient, StreamOrigin, StreamOriginReply, StreamRecord } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
+import type { OriginStore } from "./createOriginStore.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
 import { RESUMABLE_MS } from "./resumableTime.js";
@@ -21,12 +23,15 @@
     keep(record: StreamRecord): void;
     /** Answers another host's question from the records that this host keeps. */
     answer(requestId: RequestId): StreamOriginReply;
+    stop: CancelTimer;
 }
 
 /** A kept record. */
 interface KeptOrigin {
     readonly origin: StreamOrigin;
     readonly keptUntilMs: number;
+    /** Whether the stream began at this host, and the store has not been told. */
+    readonly isUntold: boolean;
 }
 
 /** Most records that a host keeps; the oldest is dropped first. */
@@ -39,24 +44,29 @@
 const COPIES = 2;
 /** Number of peers that are asked; more than keep copies, since hosts join and leave meanwhile. */
 const ASKED_PEERS = 6;
+/** Interval between two looks whether a service has got a second software version, in milliseconds. */
+const CHECK_INTERVAL_MS = 500;
 
 /**
  * Creates the records of where streams began. They are kept in memory, at the host that served the first event and at
- * two peers that rendezvous hashing of the request's id picks from a bounded set. After a loss of all hosts only the
- * software versions that the store has on record tell where a stream can have begun.
+ * two peers that rendezvous hashing of the request's id picks from a bounded set. After a loss of all hosts only the store
+ * tells where a stream can have begun: by the software versions on record if there is one, else by the stream's own
+ * record, which the first of the two peers writes while a service has more than one.
  *
  * @param context - Clock, hash, metrics and this host's name
  * @param clusterView - Live hosts and engines
  * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
+ * @param createStore - Creates the store's record of streams, for a number of hosts that write it
  * @returns the records, empty
  *
  * @example
- * const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
+ * const streamOrigins = createStreamOrigins(context, clusterView, () => peers, count => createOriginStore(context, count));
  */
 export function createStreamOrigins(
     context: Pick<FrontContext, "clock" | "deployment" | "hash" | "metrics">,
     clusterView: Pick<ClusterView, "confirmEngines" | "engines" | "members" | "onEngineRemoved" | "recordedVersions">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
+    createStore: (countWriters: () => number) => OriginStore,
 ): StreamOrigins {
     const { clock, deployment, hash, metrics } = context;
     const kept = new Map<RequestId, KeptOrigin>();
@@ -64,10 +74,11 @@
     const startedMs = clock.nowMs();
     let formerVersions: readonly { readonly origin: StreamOrigin; readonly removedAtMs: number }[] = [];
 
-    const keep = ({ requestId, service, softwareVersion }: StreamRecord): void => {
+    const originStore = createStore(() => Math.min(MAX_KEEPERS, clusterView.members.size));
+    const keep = ({ requestId, service, softwareVersion }: StreamRecord, isUntold: boolean): void => {
         const atMs = clock.nowMs();
         kept.delete(requestId);
-        kept.set(requestId, { origin: { service, softwareVersion }, keptUntilMs: atMs + RESUMABLE_MS });
+        kept.set(requestId, { origin: { service, softwareVersion }, keptUntilMs: atMs + RESUMABLE_MS, isUntold });
         for (const [id, { keptUntilMs }] of kept) {
             if (keptUntilMs > atMs && kept.size <= MAX_RECORDS) {
                 break;
@@ -117,19 +128,42 @@
         readOnlyVersion(service) !== undefined && await clusterView.confirmEngines()
             ? readOnlyVersion(service)
             : undefined;
-    const readOnlyVersion = (service: ServiceName): StreamOrigin | undefined => {
-        const recorded = [...clusterView.recordedVersions.values()].filter(version => version.service === service);
-        if (!knowsHistory(recorded)) {
-            return undefined;
-        }
+    const listRecorded = (service: ServiceName): readonly StreamOrigin[] =>
+        [...clusterView.recordedVersions.values()].filter(version => version.service === service);
+    /** Lists the software versions at which streams of a service can have begun that may still be resumed. */
+    const listVersions = (service: ServiceName): ReadonlySet<SoftwareVersion | undefined> => {
         const origins = [
-            ...recorded,
+            ...listRecorded(service),
             ...[...clusterView.engines.values()].map(({ entry }) => entry),
             ...listFormerVersions().map(former => former.origin),
         ].filter(origin => origin.service === service);
-        const versions = new Set<SoftwareVersion | undefined>(origins.map(origin => origin.softwareVersion));
+        return new Set(origins.map(origin => origin.softwareVersion));
+    };
+    const readOnlyVersion = (service: ServiceName): StreamOrigin | undefined => {
+        const versions = listVersions(service);
         const [softwareVersion] = versions;
-        return versions.size === 1 ? { service, softwareVersion } : undefined;
+        return knowsHistory(listRecorded(service)) && versions.size === 1 ? { service, softwareVersion } : undefined;
+    };
+    /** Writes the streams of before to the store once their service has a second software version. */
+    const storeUntold = (): void => {
+        const untold = [...kept].filter(([, { isUntold }]) => isUntold);
+        const services = new Set(untold.map(([, { origin }]) => origin.service));
+        const mixed = new Set([...services].filter(service => listVersions(service).size > 1));
+        for (const [requestId, { origin, keptUntilMs }] of untold) {
+            if (mixed.has(origin.service) && keptUntilMs > clock.nowMs()) {
+                kept.set(requestId, { origin, keptUntilMs, isUntold: false });
+                originStore.add({ requestId, ...origin });
+            }
+        }
+    };
+    /** Tells the peers that keep copies; the first one, or this host in its place, writes the record to the store. */
+    const tellPeers = async (record: StreamRecord, isToStore: boolean): Promise<void> => {
+        const [first, ...others] = rankPeers(record.requestId, member => !member.isLeaving).slice(0, COPIES);
+        others.forEach(member => void sendToPeer(peerContext, member, "streamStart", record));
+        const reply = first && await sendToPeer(peerContext, first, "streamStart", { ...record, isToStore });
+        if (isToStore && reply === undefined) {
+            originStore.add(record);
+        }
     };
     clusterView.onEngineRemoved(({ service, softwareVersion }) => {
         formerVersions = [...listFormerVersions(), {
@@ -138,12 +172,18 @@
         }];
     });
     return {
-        keep,
+        keep(record) {
+            keep(record, false);
+            if (record.isToStore === true) {
+                originStore.add(record);
+            }
+        },
         answer,
+        stop: repeat(clock, CHECK_INTERVAL_MS, storeUntold),
         record(record) {
-            keep(record);
-            rankPeers(record.requestId, member => !member.isLeaving).slice(0, COPIES)
-                .forEach(member => void sendToPeer(peerContext, member, "streamStart", record));
+            const isMixed = listVersions(record.service).size > 1;
+            keep(record, !isMixed);
+            void tellPeers(record, isMixed);
         },
         async find(requestId, service) {
             const own = requestId === undefined ? undefined : answer(requestId);
@@ -152,8 +192,15 @@
                 return { service: own.service, softwareVersion: own.softwareVersion };
             }
             const told = requestId === undefined ? undefined : await askPeers(requestId);
-            const found = told ?? await findOnlyVersion(service.name);
-            const source = told !== undefined ? "peer" : found !== undefined ? "only_version" : "none";
+            const only = told ?? await findOnlyVersion(service.name);
+            const found = only ?? (requestId === undefined ? undefined : await originStore.find(requestId));
+            const source = told !== undefined
+                ? "peer"
+                : only !== undefined
+                ? "only_version"
+                : found !== undefined
+                ? "store"
+                : "none";
             metrics.count("stream_origins_total", { found: source });
             return found;
         },
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -151,6 +151,7 @@
     } as unknown as AdapterTracker;
     const streamOrigins = {
         record: () => undefined,
+        stop: () => undefined,
         keep: () => undefined,
         answer: () => ({ kind: "unknown" }) as const,
         find: () => Promise.resolve(origin),
--- a/packages/front/src/silentStream.steps.ts
+++ b/packages/front/src/silentStream.steps.ts
@@ -316,6 +316,7 @@
     } as unknown as AdapterTracker;
     const streamOrigins = {
         record: () => undefined,
+        stop: () => undefined,
         keep: () => undefined,
         answer: () => ({ kind: "unknown" }) as const,
         find: () => Promise.resolve(undefined),
--- a/packages/front/src/startFleetHost.steps.ts
+++ b/packages/front/src/startFleetHost.steps.ts
@@ -111,6 +111,7 @@
     } as unknown as AdapterTracker;
     const streamOrigins = {
         record: (record: StreamRecord) => void fleet.origins.set(record.requestId, record),
+        stop: () => undefined,
         keep: () => undefined,
         answer: () => ({ kind: "unknown" }) as const,
         find: (id: RequestId | undefined) => Promise.resolve(id === undefined ? undefined : fleet.origins.get(id)),
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -30,6 +30,7 @@
 import { createIdleCloser } from "./createIdleCloser.js";
 import { createLoadRequestOutbox } from "./createLoadRequestOutbox.js";
 import { createLoopTurns } from "./createLoopTurns.js";
+import { createOriginStore } from "./createOriginStore.js";
 import { createQuarantine } from "./createQuarantine.js";
 import { createRequestDigester } from "./createRequestDigester.js";
 import { createStreamOrigins } from "./createStreamOrigins.js";
@@ -112,7 +113,12 @@
     const ownership = startOwnership(context, health, clusterView, session, paths, closures, () => peers);
     const outbox = createLoadRequestOutbox(context, () => session.lease);
     const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
-    const streamOrigins = createStreamOrigins(context, clusterView, () => peers);
+    const streamOrigins = createStreamOrigins(
+        context,
+        clusterView,
+        () => peers,
+        countWriters => createOriginStore(context, countWriters),
+    );
     const versionRecords = startVersionRecords(context, health, clusterView);
     const quarantine = createQuarantine(context, clusterView, () => peers, paths);
     const limits = createEngineLimits(context, clusterView, () => peers);
@@ -237,6 +243,7 @@
             });
             clusterView.stop();
             adapters.stop();
+            streamOrigins.stop();
             paths.stop();
             turns.stop();
             log.write("info", 103, { running: handler.running, tookMs: Math.round(clock.nowMs() - startedMs) });
--- a/packages/wire/src/streamMessages.ts
+++ b/packages/wire/src/streamMessages.ts
@@ -11,6 +11,8 @@
 export interface StreamRecord extends StreamOrigin {
     /** Id of the request that brought the first event. */
     readonly requestId: RequestId;
+    /** Whether the peer writes it to the store as well; hosts of former versions don't. */
+    readonly isToStore?: boolean | undefined;
 }
 
 /** Asks a peer where a stream began. */
