Answer 404 only while a newer configuration would be known

Cause: a host took the configuration in effect for the newest one, however long ago the store had confirmed it.

Change: beyond configApplyMs less 300 ms the host answers 503, not run, with a time to return; another host may know the route. denials_total counts the answers after which clients give up, by status and reason.

--- a/packages/front/src/createClientHandler.steps.ts
+++ b/packages/front/src/createClientHandler.steps.ts
@@ -47,8 +47,25 @@
     },
 );
 
+Given(
+    "a host whose configuration must be in force within {int} ms, and was confirmed {int} ms ago",
+    (configApplyMs: number, viewAgeMs: number) =>
+        start(BODY.length, () => Promise.reject(new Error("not reached")), { viewAgeMs, configApplyMs }),
+);
+
+When("a request for another route arrives", async () => {
+    // The route's host name is the address.
+    answer = await fetch(`http://localhost:${port}/`, { headers: { "request-id": "r1" } });
+});
+
+Then("the client gets {int}", (status: number) => strictEqual(answer.status, status));
+
 /** Starts the host that serves requests for another one. */
-async function start(bodyBytes: number, run: RequestRunner["run"]): Promise<void> {
+async function start(
+    bodyBytes: number,
+    run: RequestRunner["run"],
+    { viewAgeMs, configApplyMs } = { viewAgeMs: 0, configApplyMs: 2000 },
+): Promise<void> {
     const config = {
         routes: [ROUTE],
         services: new Map([[SERVICE, { name: SERVICE }]]),
@@ -60,8 +77,9 @@
         hash: await createHasher(),
         metrics: createMetrics(),
         log: { write: () => undefined },
+        readBounds: () => ({ configApplyMs }),
     } as unknown as FrontContext;
-    const view = { config, readAgeMs: () => 0 } as unknown as ClusterView;
+    const view = { config, readAgeMs: () => viewAgeMs } as unknown as ClusterView;
     const handler = createClientHandler(context, view, { run }, () => undefined, () => undefined, {
         isBehind: () => false,
         readArrived: () => Promise.resolve(),
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -30,8 +30,12 @@
 const MS_PER_S = 1000;
 /** Longest time to receive a request's body, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000;
+/** Part of the time for a configuration to come into force that a reply of the store may take, in milliseconds. */
+const CONFIG_RESERVE_MS = 300;
 /** Retry-After of a stopping host, in milliseconds; another host can serve the request at once. */
 const STOPPING_RETRY_MS = 30;
+/** Statuses below 500 that clients take as "come again". */
+const RETRIED_STATUSES = new Set([408, 421, 429]);
 const SERVER_ERROR_STATUS = { badGateway: 502, gatewayTimeout: 504 } as const;
 
 /**
@@ -62,6 +66,9 @@
     const forwarded = new WeakSet<ServerResponse>();
     const refuse = (res: ServerResponse, requestId: string, refusal: Refusal): void => {
         metrics.count("refusals_total", { reason: refusal.reason });
+        if (isDenial(refusal.status)) {
+            metrics.count("denials_total", { status: String(refusal.status), reason: refusal.reason });
+        }
         log.write(refusal.status === 404 ? "info" : "warn", refusal.outcome === "not_run" ? 400 : 401, {
             id: requestId,
             status: refusal.status,
@@ -78,10 +85,13 @@
         const startedMs = clock.nowMs();
         const head = parseClientHead(req.rawHeaders);
         const id = head.requestId ?? "none";
-        const plan = planRequest(head, req.url ?? "/", clusterView.config, context.hash);
+        const viewAgeMs = clusterView.readAgeMs("config");
+        const isCurrent = (): boolean =>
+            viewAgeMs !== undefined && viewAgeMs <= context.readBounds().configApplyMs - CONFIG_RESERVE_MS;
+        const plan = planRequest(head, req.url ?? "/", { config: clusterView.config, isCurrent }, context.hash);
         if (plan.kind === "refused") {
             req.resume();
-            const basis = { configVersion: clusterView.config?.version, viewAgeMs: clusterView.readAgeMs("config") };
+            const basis = { configVersion: clusterView.config?.version, viewAgeMs };
             refuse(res, id, { ...plan, outcome: "not_run", heldMs: 0, basis });
             return;
         }
@@ -279,6 +289,11 @@
     };
 }
 
+/** Whether a client gives up on an answer of this status, as it calls the request itself wrong. */
+function isDenial(status: number): boolean {
+    return status >= 300 && status < 500 && !RETRIED_STATUSES.has(status);
+}
+
 /** Formats a request's route and timing as log fields. */
 function describeTimes(
     { route, startedMs, times }: ClientRequest,
--- a/packages/front/src/planRequest.feature
+++ b/packages/front/src/planRequest.feature
@@ -11,6 +11,9 @@
             | no id            | without an id           | 400 bad_request |
             | no route         | for another path        | 404 not_found   |
             | no configuration | without a configuration | 503 not_ready   |
+            | a request, and the host may lack a newer configuration | for a known path by an old configuration | planned |
+            | no route, and the host may lack a newer configuration | for another path by an old configuration | 503 not_ready |
+            | no id, and the host may lack a newer configuration | without an id by an old configuration | 400 bad_request |
 
     # Guards against a resumed stream that goes to another service of a split route than the one that began it.
     Scenario: A client that resumes a stream reaches the service that began it
--- a/packages/front/src/planRequest.steps.ts
+++ b/packages/front/src/planRequest.steps.ts
@@ -28,15 +28,19 @@
 );
 
 When(/^a request (.*) is planned$/, async (request: string) => {
-    const head = request === "without an id" ? { ...HEAD, requestId: undefined } : HEAD;
-    const path = request === "for another path" ? "/other/1" : "/answers/1";
-    plan = planRequest(head, path, request === "without a configuration" ? undefined : config, await createHasher());
+    const head = request.startsWith("without an id") ? { ...HEAD, requestId: undefined } : HEAD;
+    const path = request.startsWith("for another path") ? "/other/1" : "/answers/1";
+    const known = {
+        config: request === "without a configuration" ? undefined : config,
+        isCurrent: () => !request.endsWith("by an old configuration"),
+    };
+    plan = planRequest(head, path, known, await createHasher());
 });
 
 When("{int} streams are begun and resumed by their clients", async (count: number) => {
     const hash = await createHasher();
     const find = (head: ClientHead): string => {
-        const found = planRequest(head, "/answers/1", config, hash);
+        const found = planRequest(head, "/answers/1", { config, isCurrent: () => true }, hash);
         return found.kind === "planned" ? found.service.name : found.reason;
     };
     const ids = Array.from({ length: count }, (value, at) => brandId<RequestId>(`r${at}`));
--- a/packages/front/src/planRequest.ts
+++ b/packages/front/src/planRequest.ts
@@ -22,25 +22,34 @@
         readonly service: Service;
     };
 
-/** Retry-After of a host that has no configuration yet, in milliseconds. */
+/** What a host knows of the configuration. */
+export interface KnownConfig {
+    /** Configuration in effect; undefined before one is known. */
+    readonly config: ServingConfig | undefined;
+    /** Tells whether a newer one that must be in force by now would be known. */
+    readonly isCurrent: () => boolean;
+}
+
+/** Retry-After of a host that has no configuration, or may lack a newer one, in milliseconds. */
 const NO_CONFIG_RETRY_MS = 300;
 
 /**
- * Finds the route and the service of a client's request.
+ * Finds the route and the service of a client's request. A host that may lack a newer configuration doesn't say that
+ * there is none: the client gives up on that answer, while another host may know the route.
  *
  * @param head - Decoded headers of the request
  * @param path - Path and query of the request
- * @param config - Configuration in effect; undefined before one is known
+ * @param known - Configuration in effect, and whether it is current
  * @param hash - Hash function that all hosts share
  * @returns the plan, or a refusal
  *
  * @example
- * const plan = planRequest(head, req.url ?? "/", clusterView.config, hash);
+ * const plan = planRequest(head, req.url ?? "/", { config: clusterView.config, isCurrent: () => true }, hash);
  */
 export function planRequest(
     head: ClientHead,
     path: string,
-    config: ServingConfig | undefined,
+    { config, isCurrent }: KnownConfig,
     hash: Hasher,
 ): RequestPlan {
     if (config === undefined) {
@@ -56,7 +65,7 @@
     const target = route === undefined ? undefined : pickTarget(hash, route.targets, key);
     const service = target === undefined ? undefined : config.services.get(target);
     if (route === undefined || service === undefined) {
-        return refuse("not_found");
+        return isCurrent() ? refuse("not_found") : refuse("not_ready", NO_CONFIG_RETRY_MS);
     }
     return { kind: "planned", requestId, config, route, service };
 }
--- a/packages/front/src/watchClientConnections.ts
+++ b/packages/front/src/watchClientConnections.ts
@@ -57,6 +57,7 @@
         const res = responses.get(socket);
         if (socket.writable && (res === undefined || res.writableFinished || !res.headersSent)) {
             const status = STATUS_BY_CODE[code] ?? BAD_REQUEST;
+            metrics.count("denials_total", { status: String(status), reason: code });
             socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
         }
         socket.destroy();
