Accept only requests that end before a stop, however slow their engine

Cause: canFinishBeforeStop compared usual durations with the time until the stop, once, at the arrival.

Change: the request's own time left decides, at its arrival and at each send; for 3 s after the signal usual durations do for what may be repeated. What waits without having been sent is refused as not run before the limit.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,4 +1,5 @@
 export { canFinishBeforeStop } from "./canFinishBeforeStop.js";
+export type { StopTimes } from "./canFinishBeforeStop.js";
 export { chooseModelEngine } from "./chooseModelEngine.js";
 export type { ModelEngineChoice } from "./chooseModelEngine.js";
 export { choosePlainEngine } from "./choosePlainEngine.js";
--- a/packages/front/src/applyAttempt.ts
+++ b/packages/front/src/applyAttempt.ts
@@ -40,6 +40,8 @@
     | "broken"
     | "no_retry_left"
     | "ended"
+    /** This host stops before the request's end. */
+    | "stopping"
     /** A part of its prompt crashes engines. */
     | "quarantined_prompt"
     /** It crashes engines itself, whatever its prompt. */
--- a/packages/front/src/clientRequest.ts
+++ b/packages/front/src/clientRequest.ts
@@ -23,6 +23,8 @@
     readonly startedMs: number;
     /** Clock reading at the request's deadline, in milliseconds. */
     readonly deadlineAtMs: number;
+    /** Tells whether the request, if it is sent to an engine now, ends before this host stops. */
+    readonly endsBeforeStop: () => boolean;
     /** Aborted when the client disconnects or the deadline passes. */
     readonly signal: AbortSignal;
     /** Clock readings of the last send and of the answer's first byte, in milliseconds. */
--- a/packages/front/src/createClientHandler.feature
+++ b/packages/front/src/createClientHandler.feature
@@ -24,6 +24,32 @@
             | 2701 | 503    |
             | 7000 | 503    |
 
+    # Guards against a request that is taken late in a planned stop, and cut without an answer at its end.
+    Scenario Outline: <kind>, <since> ms after a stop began that ends <until> ms later
+        Given a host that stops since <since> ms, for <until> ms more, and an engine that answers nothing
+        When <kind> with <budget> ms left arrives
+        Then within <until> ms the client gets <status>
+
+        Examples:
+            | since | until | kind               | budget | status |
+            | 6500  | 1000  | an unsafe request  | 3000   | 503    |
+            | 6500  | 1000  | a safe request     | 3000   | 503    |
+            | 3500  | 4000  | a stream           | 15000  | 503    |
+            | 6500  | 1000  | an unsafe request  | 500    | 504    |
+            | 500   | 1000  | an unsafe request  | 3000   | 503    |
+
+    Scenario Outline: A request that waits for an engine when its host stops <when>
+        Given a host that is not stopping, and no engine for <kind>
+        When <kind> with 15000 ms left arrives
+        And the host refuses what waits at the end of its stop
+        Then within 1000 ms the client gets 503
+
+        Examples:
+            | when          | kind              |
+            | and may repeat | a safe request   |
+            | and may not   | an unsafe request |
+            | for a stream  | a stream          |
+
     # Guards against a retry budget that each host on the way grants anew.
     Scenario Outline: A refusal, <outcome> after <sends> sends, states <stated>
         Given a host that gives a request of another host up, <outcome> after <sends> sends
--- a/packages/front/src/createClientHandler.steps.ts
+++ b/packages/front/src/createClientHandler.steps.ts
@@ -9,7 +9,9 @@
 import { After, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
+import { setTimeout } from "node:timers/promises";
 import { createClientHandler } from "./createClientHandler.js";
+import type { ClientHandler, StopMoments } from "./createClientHandler.js";
 import type { ClusterView } from "./createClusterView.js";
 import { SENDS_HEADER } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
@@ -60,6 +62,55 @@
 
 Then("the client gets {int}", (status: number) => strictEqual(answer.status, status));
 
+Given(
+    "a host that stops since {int} ms, for {int} ms more, and an engine that answers nothing",
+    async (sinceMs: number, untilMs: number) => {
+        // An engine that answers nothing holds the request until its deadline.
+        await start(BODY.length, request => {
+            request.times.sentMs = request.startedMs;
+            return new Promise(resolve =>
+                request.signal.addEventListener(
+                    "abort",
+                    () => resolve({ kind: "gave_up", outcome: "unknown", reason: "ended", sends: 1, readyInMs: 0 }),
+                )
+            );
+        });
+        const nowMs = performance.now();
+        stop = { beganMs: nowMs - sinceMs, endsMs: nowMs + untilMs };
+    },
+);
+
+Given(
+    /^a host that is not stopping, and no engine for .*$/,
+    () => start(BODY.length, () => new Promise(() => undefined)),
+);
+
+When(/^(an unsafe request|a safe request|a stream) with (\d+) ms left arrives$/, (kind: string, leftMs: string) => {
+    const name = kind === "a stream" ? "streaming" : kind.split(" ")[1];
+    const headers = { "request-id": "r1", "deadline-ms": leftMs };
+    pending = fetch(`http://${LOCAL}:${port}/${name}/`, { method: "POST", headers, body: BODY });
+});
+
+When("the host refuses what waits at the end of its stop", async () => {
+    while (handler?.running === 0) {
+        await setTimeout(1);
+    }
+    // The body has been read by then.
+    await setTimeout(WAIT_MS);
+    handler?.refuseWaiting();
+});
+
+Then("within {int} ms the client gets {int}", async (ms: number, status: number) => {
+    const late = setTimeout(ms).then(() => undefined);
+    strictEqual((await Promise.race([pending, late]))?.status, status);
+});
+
+/** Time in which a request is read, in milliseconds. */
+const WAIT_MS = 100;
+let stop: StopMoments | undefined;
+let handler: ClientHandler | undefined;
+let pending: Promise<Response>;
+
 /** Starts the host that serves requests for another one. */
 async function start(
     bodyBytes: number,
@@ -67,7 +118,15 @@
     { viewAgeMs, configApplyMs } = { viewAgeMs: 0, configApplyMs: 2000 },
 ): Promise<void> {
     const config = {
-        routes: [ROUTE],
+        routes: [
+            ROUTE,
+            ...["unsafe", "safe", "streaming"].map(kind => ({
+                ...ROUTE,
+                kind,
+                pathPrefix: `/${kind}/`,
+                timeoutMs: 15_000,
+            })),
+        ],
         services: new Map([[SERVICE, { name: SERVICE }]]),
         limits: { bodyBytes },
     } as unknown as ServingConfig;
@@ -80,11 +139,13 @@
         readBounds: () => ({ configApplyMs }),
     } as unknown as FrontContext;
     const view = { config, readAgeMs: () => viewAgeMs } as unknown as ClusterView;
-    const handler = createClientHandler(context, view, { run }, () => undefined, () => undefined, {
+    stop = undefined;
+    const started = createClientHandler(context, view, { run }, () => stop, () => undefined, {
         isBehind: () => false,
         readArrived: () => Promise.resolve(),
     });
-    server = createServer((req, res) => handler.handle(req, res, MARK));
+    handler = started;
+    server = createServer((req, res) => started.handle(req, res, MARK));
     port = await listen(server, { host: LOCAL, port: 0 });
 }
 
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -4,6 +4,7 @@
 import { OUTCOME_HEADER, parseClientHead, promisesNotRun } from "@fulmarcleat/platform";
 import type { ClientHead } from "@fulmarcleat/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { NO_ATTEMPTS } from "./applyAttempt.js";
 import type { RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
@@ -12,9 +13,11 @@
 import { SENDS_HEADER } from "./forwardMark.js";
 import type { ForwardMark } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
+import { giveUp } from "./giveUp.js";
 import { planRequest } from "./planRequest.js";
 import { createAnswerRelay, writeAnswerHead } from "./relayAnswer.js";
 import type { RequestRunner } from "./runRequest.js";
+import { STOPPING_RETRY_MS } from "./stoppingRetry.js";
 
 /** Handles HTTP requests of clients. */
 export interface ClientHandler {
@@ -22,6 +25,15 @@
     handle(req: IncomingMessage, res: ServerResponse, mark?: ForwardMark): void;
     /** Number of requests in flight. */
     readonly running: number;
+    /** Refuses, as not run, the requests that have not been sent to an engine; called at the end of a stop. */
+    refuseWaiting(): void;
+}
+
+/** Clock readings of a stop, in milliseconds. */
+export interface StopMoments {
+    readonly beganMs: number;
+    /** When the process exits, whatever is in flight. */
+    readonly endsMs: number;
 }
 
 /** Time after its deadline at which a request is aborted, in milliseconds; engines may answer right at the deadline. */
@@ -32,8 +44,6 @@
 const BODY_TIMEOUT_MS = 10_000;
 /** Part of the time for a configuration to come into force that a reply of the store may take, in milliseconds. */
 const CONFIG_RESERVE_MS = 300;
-/** Retry-After of a stopping host, in milliseconds; another host can serve the request at once. */
-const STOPPING_RETRY_MS = 30;
 /** Statuses below 500 that clients take as "come again". */
 const RETRIED_STATUSES = new Set([408, 421, 429]);
 const SERVER_ERROR_STATUS = { badGateway: 502, gatewayTimeout: 504 } as const;
@@ -44,7 +54,7 @@
  * @param context - Clock, log and metrics
  * @param clusterView - Source of the configuration in effect and of adapter versions
  * @param runner - Sends requests to engines
- * @param readStopMs - Returns the clock reading at which the process exits; undefined while no stop has begun
+ * @param readStop - Returns when the process exits; undefined while no stop has begun
  * @param digestRequest - Computes the digests of requests
  * @param turns - Tells whether the process is behind in reading what has arrived
  * @returns the handler and the number of requests in flight
@@ -56,13 +66,15 @@
     context: FrontContext,
     clusterView: ClusterView,
     runner: RequestRunner,
-    readStopMs: () => number | undefined,
+    readStop: () => StopMoments | undefined,
     digestRequest: RequestDigester,
     turns: Pick<LoopTurns, "isBehind" | "readArrived">,
 ): ClientHandler {
-    const isStopping = (): boolean => readStopMs() !== undefined;
+    const isStopping = (): boolean => readStop() !== undefined;
     const { clock, log, metrics, random } = context;
     let running = 0;
+    /** Requests in flight, and how each is refused that has not been sent to an engine. */
+    const waiting = new Map<ClientRequest, () => void>();
     const forwarded = new WeakSet<ServerResponse>();
     const refuse = (res: ServerResponse, requestId: string, refusal: Refusal): void => {
         metrics.count("refusals_total", { reason: refusal.reason });
@@ -96,8 +108,17 @@
             return;
         }
         const { config, route, service, requestId } = plan;
-        const stopsAtMs = readStopMs();
-        if (stopsAtMs !== undefined && !canFinishBeforeStop(route.kind, route.timeoutMs, stopsAtMs - startedMs)) {
+        const deadlineAtMs = startedMs + Math.min(head.deadlineMs ?? Infinity, route.timeoutMs);
+        const endsBeforeStop = (): boolean => {
+            const stop = readStop();
+            const nowMs = clock.nowMs();
+            return stop === undefined || canFinishBeforeStop(
+                route.kind,
+                deadlineAtMs + DEADLINE_GRACE_MS - nowMs,
+                { sinceMs: startedMs - stop.beganMs, untilMs: stop.endsMs - nowMs },
+            );
+        };
+        if (!endsBeforeStop()) {
             req.resume();
             const status = toErrorStatus("stopping");
             refuse(res, id, {
@@ -110,7 +131,6 @@
             return;
         }
         const abortController = new AbortController();
-        const deadlineAtMs = startedMs + Math.min(head.deadlineMs ?? Infinity, route.timeoutMs);
         const cancelDeadlineTimer = clock.setTimer(
             deadlineAtMs - startedMs + DEADLINE_GRACE_MS,
             () => abortController.abort(),
@@ -161,12 +181,20 @@
                 }),
                 startedMs,
                 deadlineAtMs,
+                endsBeforeStop,
                 signal: abortController.signal,
                 mark,
                 relay,
                 times: { sentMs: undefined, firstByteMs: undefined },
             };
-            const end = await runner.run(request);
+            const refused = new Promise<RequestEnd>(resolve =>
+                void waiting.set(request, () => {
+                    abortController.abort();
+                    resolve(giveUp(NO_ATTEMPTS, "stopping", STOPPING_RETRY_MS));
+                })
+            );
+            const end = await Promise.race([runner.run(request), refused])
+                .finally(() => waiting.delete(request));
             finishRequest(request, end, hasDisconnected);
         }
         finally {
@@ -254,6 +282,11 @@
         get running() {
             return running;
         },
+        refuseWaiting() {
+            [...waiting].filter(([request]) => request.times.sentMs === undefined).forEach(([, refuseNow]) =>
+                refuseNow()
+            );
+        },
         handle(req, res, mark) {
             running += 1;
             if (mark !== undefined) {
--- a/packages/front/src/createFleetForwarding.steps.ts
+++ b/packages/front/src/createFleetForwarding.steps.ts
@@ -83,6 +83,7 @@
         head: { ...original.head, lastEventId: req.lastEventId },
         startedMs: nowMs,
         deadlineAtMs: nowMs + req.deadlineMs,
+        endsBeforeStop: () => true,
         times: { sentMs: undefined, firstByteMs: undefined },
         relay: original.relay && createAnswerRelay(res, { sendsCompleteEvents: true, isClosing: () => false }),
     };
--- a/packages/front/src/createForwarder.steps.ts
+++ b/packages/front/src/createForwarder.steps.ts
@@ -220,6 +220,7 @@
         digest: undefined,
         startedMs: 0,
         deadlineAtMs: DEADLINE_MS,
+        endsBeforeStop: () => true,
         signal: new AbortController().signal,
         times: { sentMs: undefined, firstByteMs: undefined },
         relay: undefined,
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -250,6 +250,7 @@
         digest: undefined,
         startedMs: 0,
         deadlineAtMs: 1000,
+        endsBeforeStop: () => true,
         signal: new AbortController().signal,
         times: { sentMs: undefined, firstByteMs: undefined },
         relay: createAnswerRelay(res, { sendsCompleteEvents: true, isClosing: () => false }),
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -29,6 +29,7 @@
 import { runWithTakeover, SILENT } from "./runWithTakeover.js";
 import type { ExchangeEvents, RunningExchange } from "./runWithTakeover.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
+import { STOPPING_RETRY_MS } from "./stoppingRetry.js";
 
 /** Where the stream of a request began; undefined until its first event has been sent. */
 interface StreamState {
@@ -240,6 +241,9 @@
         if (request.signal.aborted) {
             return giveUp(progress, "ended", NO_ENGINE_RETRY_MS);
         }
+        if (request.relay?.hasStarted !== true && !request.endsBeforeStop()) {
+            return giveUp(progress, "stopping", STOPPING_RETRY_MS);
+        }
         // The host that a request is handed to spends its own budget and looks for itself.
         if (target.kind === "host") {
             return undefined;
--- a/packages/front/src/silentStream.steps.ts
+++ b/packages/front/src/silentStream.steps.ts
@@ -366,6 +366,7 @@
         digest: undefined,
         startedMs: 0,
         deadlineAtMs: deadlineMs,
+        endsBeforeStop: () => true,
         signal,
         times: { sentMs: undefined, firstByteMs: undefined },
         relay: createAnswerRelay(res, { sendsCompleteEvents: true, isClosing: () => false }),
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -18,6 +18,7 @@
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import { createClientHandler } from "./createClientHandler.js";
+import type { StopMoments } from "./createClientHandler.js";
 import { createClusterView } from "./createClusterView.js";
 import { createEngineClosures } from "./createEngineClosures.js";
 import type { EngineClosures, WorkClosure } from "./createEngineClosures.js";
@@ -70,6 +71,8 @@
 const DRAIN_NOTICE_MS = 2600;
 /** Time before the platform's stop limit at which remaining requests are ended, in milliseconds. */
 const STOP_MARGIN_MS = 500;
+/** Time before that limit at which requests are refused that wait for an engine, in milliseconds. */
+const REFUSAL_MARGIN_MS = 150;
 /** Largest request head that Node.js accepts, in bytes; the limit in the configuration is checked separately. */
 const MAX_HEADER_BYTES = 65_536;
 /** Interval between two checks of clients' connections against their limits, in milliseconds. */
@@ -149,10 +152,10 @@
     watchSettings(context, settings, readSettings);
     let isStopping = false;
     const isReady = (): boolean => !isStopping && clusterView.config !== undefined && clusterView.engines.size > 0;
-    let stopsAtMs: number | undefined;
+    let stop: StopMoments | undefined;
     const digestRequest = createRequestDigester(() => sharedKey);
     const turns = createLoopTurns(clock, setImmediate);
-    const handler = createClientHandler(context, clusterView, runner, () => stopsAtMs, digestRequest, turns);
+    const handler = createClientHandler(context, clusterView, runner, () => stop, digestRequest, turns);
     const clients = createServer({
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
@@ -217,12 +220,14 @@
         });
     });
     return {
+        readStopLimitMs: () => context.readBounds().stopMs,
         describeUnfinished: () => `${handler.running} requests`,
         async stop() {
             const startedMs = clock.nowMs();
             isStopping = true;
             const limitMs = startedMs + context.readBounds().stopMs - STOP_MARGIN_MS;
-            stopsAtMs = limitMs;
+            stop = { beganMs: startedMs, endsMs: limitMs };
+            clock.setTimer(limitMs - startedMs - REFUSAL_MARGIN_MS, () => handler.refuseWaiting());
             log.write("info", 102, { running: handler.running });
             await Promise.all([session.leave(), ownership.release()]);
             await sleep(clock, Math.max(0, DRAIN_NOTICE_MS - (clock.nowMs() - startedMs)));
