--- a/packages/front/src/createForwardTransport.ts
+++ b/packages/front/src/createForwardTransport.ts
@@ -1,14 +1,9 @@
 import type { AnswerSink, EngineAnswerHead, EngineExchange, EngineRequest, EngineTarget } from "@fulmarcleat/directory";
+import { createHttpTransport } from "@fulmarcleat/http";
+import type { ConnectionPoolOptions } from "@fulmarcleat/http";
 import { brandId } from "@fulmarcleat/ids";
 import type { EngineId } from "@fulmarcleat/ids";
-import {
-    buildRequestHeaders,
-    createHttpTransport,
-    LEAVING_ENGINE_HEADER,
-    OUTCOME_HEADER,
-    parseAnswerHead,
-} from "@fulmarcleat/platform";
-import type { ConnectionPoolOptions } from "@fulmarcleat/platform";
+import { buildRequestHeaders, LEAVING_ENGINE_HEADER, OUTCOME_HEADER, parseAnswerHead } from "@fulmarcleat/platform";
 import { MARK_HEADER, MARK_MAC_HEADER } from "./forwardMark.js";
 import type { ForwardMark } from "./forwardMark.js";
 import { readHeader } from "./readHeader.js";
--- a/platform/src/createConnectionPool.ts
+++ b/packages/http/src/createConnectionPool.ts
@@ -1,6 +1,6 @@
 import type { EngineTarget } from "@fulmarcleat/directory";
-import { buildResetConnector } from "@fulmarcleat/http";
 import { Client } from "undici";
+import { buildResetConnector } from "./buildResetConnector.js";
 
 /** One connection to an engine; it carries one request at a time. */
 export interface PooledConnection {
