--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -23,15 +23,16 @@
     keep(record: StreamRecord): void;
     /** Answers another host's question from the records that this host keeps. */
     answer(requestId: RequestId): StreamOriginReply;
-    stop: CancelTimer;
+    /** Stops looking for second software versions. */
+    readonly stop: CancelTimer;
 }
 
 /** A kept record. */
 interface KeptOrigin {
     readonly origin: StreamOrigin;
     readonly keptUntilMs: number;
-    /** Whether the stream began at this host, and the store has not been told. */
-    readonly isUntold: boolean;
+    /** whether the stream began at this host, and the store has no record of it. */
+    readonly isUnstored: boolean;
 }
 
 /** Most records that a host keeps; the oldest is dropped first. */
@@ -75,10 +76,10 @@
     let formerVersions: readonly { readonly origin: StreamOrigin; readonly removedAtMs: number }[] = [];
 
     const originStore = createStore(() => Math.min(MAX_KEEPERS, clusterView.members.size));
-    const keep = ({ requestId, service, softwareVersion }: StreamRecord, isUntold: boolean): void => {
+    const keep = ({ requestId, service, softwareVersion }: StreamRecord, isUnstored: boolean): void => {
         const atMs = clock.nowMs();
         kept.delete(requestId);
-        kept.set(requestId, { origin: { service, softwareVersion }, keptUntilMs: atMs + RESUMABLE_MS, isUntold });
+        kept.set(requestId, { origin: { service, softwareVersion }, keptUntilMs: atMs + RESUMABLE_MS, isUnstored });
         for (const [id, { keptUntilMs }] of kept) {
             if (keptUntilMs > atMs && kept.size <= MAX_RECORDS) {
                 break;
@@ -145,13 +146,13 @@
         return knowsHistory(listRecorded(service)) && versions.size === 1 ? { service, softwareVersion } : undefined;
     };
     /** Writes the streams of before to the store once their service has a second software version. */
-    const storeUntold = (): void => {
-        const untold = [...kept].filter(([, { isUntold }]) => isUntold);
-        const services = new Set(untold.map(([, { origin }]) => origin.service));
+    const storeEarlier = (): void => {
+        const unstored = [...kept].filter(([, { isUnstored }]) => isUnstored);
+        const services = new Set(unstored.map(([, { origin }]) => origin.service));
         const mixed = new Set([...services].filter(service => listVersions(service).size > 1));
-        for (const [requestId, { origin, keptUntilMs }] of untold) {
+        for (const [requestId, { origin, keptUntilMs }] of unstored) {
             if (mixed.has(origin.service) && keptUntilMs > clock.nowMs()) {
-                kept.set(requestId, { origin, keptUntilMs, isUntold: false });
+                kept.set(requestId, { origin, keptUntilMs, isUnstored: false });
                 originStore.add({ requestId, ...origin });
             }
         }
@@ -179,7 +180,7 @@
             }
         },
         answer,
-        stop: repeat(clock, CHECK_INTERVAL_MS, storeUntold),
+        stop: repeat(clock, CHECK_INTERVAL_MS, storeEarlier),
         record(record) {
             const isMixed = listVersions(record.service).size > 1;
             keep(record, !isMixed);
