Let hosts that the store turns away learn from any host that it answers

What callers saw: 404 for routes of newer configurations (DENIED), and old services, at hosts that the store turned away while it served others; views up to 9.6 s old on the grown site, where configApplyMs + maxStretchMs are 9 s.

Cause: such a host asked nobody but the two hosts that read the store for its failure domain. They may be turned away as well, a host that is itself followed had nobody to ask, and in fleets with few hosts a failure domain no host had.

Change: while its own calls to the store fail and it has nobody to follow, a host asks any other host for its view, in an order of its own, one each 500 ms until one has a view younger than the time for changes to be in force. It goes on calling the store, and hands on what it has learned.

--- a/packages/directory/src/chooseViewAges.ts
+++ b/packages/directory/src/chooseViewAges.ts
@@ -4,6 +4,8 @@
     readonly mayFollow: boolean;
     /** Age of a followed host's view from which the host that follows it reads the store itself, in milliseconds. */
     readonly maxFollowedMs: number;
+    /** Age up to which another host's view helps a host that the store doesn't answer, in milliseconds. */
+    readonly maxHelperMs: number;
     /** Longest wait of a followed host's own watch at the store, in milliseconds. */
     readonly maxWaitMs: number;
 }
@@ -26,10 +28,10 @@
  * @returns the ages
  *
  * @example
- * chooseViewAges(4000); // { mayFollow: true, maxFollowedMs: 3000, maxWaitMs: 1700 }
+ * chooseViewAges(4000); // { mayFollow: true, maxFollowedMs: 3000, maxHelperMs: 4000, maxWaitMs: 1700 }
  */
 export function chooseViewAges(applyMs: number): ViewAges {
     const maxFollowedMs = applyMs - FALL_BACK_MS;
     const maxWaitMs = maxFollowedMs - CYCLE_RESERVE_MS;
-    return { mayFollow: maxWaitMs >= MIN_WAIT_MS, maxFollowedMs, maxWaitMs };
+    return { mayFollow: maxWaitMs >= MIN_WAIT_MS, maxFollowedMs, maxHelperMs: applyMs, maxWaitMs };
 }
--- a/packages/directory/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -13,6 +13,7 @@
 export { joinRevision, splitRevision } from "./joinRevision.js";
 export type { EpochRevision } from "./joinRevision.js";
 export * from "./metadataStore.js";
+export { rankViewHelpers } from "./rankViewHelpers.js";
 export { reduceDirectory } from "./reduceDirectory.js";
 export type { DirectoryMessage, DirectoryState, KnownEngine } from "./reduceDirectory.js";
 export type * from "./servingConfig.js";
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -3,6 +3,7 @@
     chooseViewRole,
     chooseWatchInterval,
     createKeyFeed,
+    rankViewHelpers,
     reduceDirectory,
 } from "@fulmarcleat/directory";
 import type {
@@ -243,11 +244,20 @@
         readAges().mayFollow
             ? role ??= chooseViewRole(deployment.host, [...members.values()], rank)
             : { isFollowed: false, sources: [], readers: members.size };
-    const listSources = (): readonly Member[] =>
-        readRole().sources.map(host => members.get(host)).filter(member => member !== undefined);
+    const findMembers = (hosts: readonly HostId[]): readonly Member[] =>
+        hosts.map(host => members.get(host)).filter(member => member !== undefined);
+    const listSources = (): readonly Member[] => findMembers(readRole().sources);
+    /** The watches of the parts, once they run. */
+    const watches: StoreWatch[] = [];
+    /** Lists the hosts to ask while the store doesn't answer this one; none while it does. */
+    const listHelpers = (): readonly Member[] =>
+        watches.some(watch => watch.isFailing)
+            ? findMembers(rankViewHelpers(deployment.host, [...members.values()], rank))
+            : [];
     const follower = startViewFollower(context, {
         feeds,
         listSources,
+        listHelpers,
         readPeers,
         readAges,
         onStoreReturned: agoMs => recordReturn(clock.nowMs() - agoMs),
@@ -266,7 +276,7 @@
             listSpreadMs: () => Math.min(MAX_LIST_SPREAD_MS, members.size * LIST_SPREAD_PER_HOST_MS),
             isFollowing: () => follower.isFollowing(),
         });
-    const watches: readonly StoreWatch[] = [
+    watches.push(
         watchPart("config", OPERATOR_PREFIX, () => CONFIG_WATCH_INTERVAL_MS),
         watchPart(
             "engines",
@@ -278,7 +288,7 @@
             SYSTEM_PREFIX,
             () => chooseWatchInterval(countReaders(), HOST_WATCH_INTERVAL_MS, HOST_WATCH_INTERVAL_PER_HOST_MS),
         ),
-    ];
+    );
     const readAgeMs = (part: ViewPart): number | undefined => {
         const { confirmation } = feeds[part];
         return confirmation === undefined ? undefined : Math.round(clock.nowMs() - confirmation.atMs);
--- a/packages/front/src/createHostFaults.steps.ts
+++ b/packages/front/src/createHostFaults.steps.ts
@@ -6,6 +6,8 @@
 export interface HostFaults {
     /** Cuts exactly these hosts off from the store; what they had sent before gets no reply either. */
     cutFromStore(hosts: readonly string[]): void;
+    /** Lets the store reject the calls of exactly these hosts. */
+    turnAway(hosts: readonly string[]): void;
     /** Freezes exactly these hosts; their timers and replies wait until they run again. */
     freeze(hosts: readonly string[]): void;
     /** Freezes exactly these hosts and stops their monotonic clocks, as a suspended machine does. */
@@ -21,6 +23,9 @@
     wrapStore(host: string, store: MetadataStore): MetadataStore;
 }
 
+/** Time until the store rejects a call, in milliseconds. */
+const REFUSAL_MS = 5;
+
 /** Readings of a host's clock at the last change of its rate. */
 interface HostClock {
     rate: number;
@@ -40,6 +45,7 @@
  */
 export function createHostFaults(clock: Clock): HostFaults {
     let storeCut: ReadonlySet<string> = new Set();
+    let turnedAway: ReadonlySet<string> = new Set();
     let frozen: ReadonlySet<string> = new Set();
     let suspended: ReadonlySet<string> = new Set();
     const clocks = new Map<string, HostClock>();
@@ -71,6 +77,7 @@
     };
     return {
         cutFromStore: hosts => void (storeCut = new Set(hosts)),
+        turnAway: hosts => void (turnedAway = new Set(hosts)),
         freeze(hosts) {
             frozen = new Set(hosts);
             thaw();
@@ -102,8 +109,16 @@
                     if (storeCut.has(host)) {
                         return;
                     }
+                    if (turnedAway.has(host)) {
+                        clock.setTimer(
+                            REFUSAL_MS,
+                            () => runWhenThawed(host, () => reject(new Error("the store rejected the call"))),
+                        );
+                        return;
+                    }
                     call().then(
-                        reply => !storeCut.has(host) && runWhenThawed(host, () => resolve(reply)),
+                        reply =>
+                            !storeCut.has(host) && !turnedAway.has(host) && runWhenThawed(host, () => resolve(reply)),
                         (err: unknown) => runWhenThawed(host, () => reject(err as Error)),
                     );
                 });
--- a/packages/front/src/createViewFleet.steps.ts
+++ b/packages/front/src/createViewFleet.steps.ts
@@ -3,6 +3,7 @@
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock, createRandom } from "@fulmarcleat/ids";
 import type { FailureDomain, HostId, Incarnation } from "@fulmarcleat/ids";
+import type { PeerClient } from "@fulmarcleat/wire";
 import { setImmediate } from "node:timers/promises";
 import { createClusterView } from "./createClusterView.js";
 import type { ClusterView } from "./createClusterView.js";
@@ -26,6 +27,8 @@
     readonly storeCalls: number;
     /** Lists among them. */
     readonly storeLists: number;
+    /** Requests of all hosts to other hosts so far. */
+    readonly peerAsks: number;
     nowMs(): number;
     readDomain(host: string): string;
     /** Returns a running host's view; undefined after its end. */
@@ -77,6 +80,7 @@
     const log = { write: () => undefined };
     let storeCalls = 0;
     let storeLists = 0;
+    let peerAsks = 0;
     let readers = new Set<string>();
     const readDomain = (host: string): string => `d${Number(host.slice("host-".length)) % domains}`;
     const count = <T>(host: string, call: () => Promise<T>): Promise<T> => {
@@ -92,6 +96,15 @@
         },
         watch: (prefix, after, waitMs) => count(host, () => inner.watch(prefix, after, waitMs)),
     });
+    const connectPeers = (host: string): Pick<PeerClient, "request"> => {
+        const inner = peers.connect(host);
+        return {
+            request(...ask) {
+                peerAsks += 1;
+                return inner.request(...ask);
+            },
+        };
+    };
     const startHost = (host: string): void => {
         let isRunning = true;
         const ownClock = faults.wrapClock(host);
@@ -120,7 +133,8 @@
                 isLeaving: false,
             }),
         );
-        const view = createClusterView(context, createStoreHealth(runningClock, log), () => peers.connect(host));
+        const client = connectPeers(host);
+        const view = createClusterView(context, createStoreHealth(runningClock, log), () => client);
         peers.serve(host, { view: request => view.answer(request) });
         views.set(host, view);
         stops.set(host, () => {
@@ -140,6 +154,9 @@
         get storeLists() {
             return storeLists;
         },
+        get peerAsks() {
+            return peerAsks;
+        },
         nowMs: () => clock.nowMs(),
         readDomain,
         findView: host => views.get(host),
--- a/packages/front/src/followViews.feature
+++ b/packages/front/src/followViews.feature
@@ -89,3 +89,36 @@
     Scenario: No view goes back while followed hosts come and go
         Given 40 hosts in 4 failure domains that follow the store, changes due within 3000 ms
         Then in 12 random sequences of cuts and freezes no host's configuration goes back
+
+    # Guards against hosts whose configuration stays old while the store turns them away and serves others (DENIED, CONFIG).
+    Scenario Outline: <hosts> hosts, changes due within <apply> ms: the store <fault> <which>
+        Given <hosts> hosts in <domains> failure domains that follow the store, changes due within <apply> ms
+        When the store <fault> <which>
+        And a configuration is accepted and an engine announces that it leaves
+        Then both are in force <bound> ms later at each host that runs
+
+        Examples:
+            | hosts | domains | apply | bound | fault         | which                |
+            | 6     | 3       | 2000  | 7000  | turns away    | a third of the hosts |
+            | 8     | 4       | 2000  | 7000  | turns away    | all hosts but one    |
+            | 8     | 4       | 2000  | 7000  | is silent for | a third of the hosts |
+            | 86    | 4       | 3000  | 9000  | turns away    | a third of the hosts |
+            | 86    | 4       | 3000  | 9000  | turns away    | all followed hosts   |
+            | 86    | 4       | 3000  | 9000  | turns away    | all hosts but one    |
+            | 86    | 4       | 3000  | 9000  | is silent for | all hosts but one    |
+            | 195   | 5       | 4000  | 12000 | turns away    | all followed hosts   |
+            | 300   | 5       | 4000  | 12000 | turns away    | a third of the hosts |
+            | 300   | 5       | 4000  | 12000 | is silent for | all hosts but one    |
+
+    # Guards against hosts that ask each other for what none of them can know.
+    Scenario Outline: The store is silent for all of <hosts> hosts
+        Given <hosts> hosts in <domains> failure domains that follow the store, changes due within <apply> ms
+        When the store is silent for all hosts
+        And 10000 ms pass in the fleet
+        Then each host has asked other hosts at most <asks> times a second
+
+        Examples:
+            | hosts | domains | apply | asks |
+            | 8     | 4       | 2000  | 3    |
+            | 86    | 4       | 3000  | 3    |
+            | 300   | 5       | 4000  | 3    |
--- a/packages/front/src/followViews.steps.ts
+++ b/packages/front/src/followViews.steps.ts
@@ -20,6 +20,9 @@
 let version = 1;
 let affected: ReadonlySet<string> = new Set();
 let callsPerS = 0;
+/** Requests of hosts to other hosts before the fault, and when it began, in milliseconds. */
+let asksBefore = 0;
+let askedSinceMs = 0;
 
 Given(
     "{int} hosts in {int} failure domains that follow the store, changes due within {int} ms",
@@ -53,6 +56,22 @@
     },
 );
 
+When(
+    /^the store (turns away|is silent for) (a third of the hosts|all followed hosts|all hosts but one|all hosts)$/,
+    async (fault: string, which: string) => {
+        const hosts = listNamed(which);
+        if (fault === "turns away") {
+            fleet.faults.turnAway(hosts);
+        }
+        else {
+            fleet.faults.cutFromStore(hosts);
+        }
+        await fleet.advance(FAULT_LEAD_MS);
+        asksBefore = fleet.peerAsks;
+        askedSinceMs = fleet.nowMs();
+    },
+);
+
 When(/^the followed store comes back from a copy (\d+) ms old$/, async (ageMs: string) => {
     const restore = fleet.store.copy();
     for (let write = 0; write < WRITES_AFTER_COPY; write += 1) {
@@ -104,6 +123,11 @@
     ok(callsPerS <= most, `${callsPerS} calls`);
 });
 
+Then("each host has asked other hosts at most {int} times a second", (most: number) => {
+    const perS = (fleet.peerAsks - asksBefore) / fleet.hosts.length / ((fleet.nowMs() - askedSinceMs) / 1000);
+    ok(perS <= most, `${perS} times`);
+});
+
 Then("each host's view is at most {int} ms old", (most: number) => {
     const ages = fleet.hosts.flatMap(host =>
         (["config", "engines", "hosts"] as const).map(part => fleet.findView(host)?.readAgeMs(part) ?? Infinity)
@@ -113,12 +137,12 @@
 
 Then("both are in force {int} ms later at each host that runs and reaches the store", async (ms: number) => {
     await fleet.advance(ms);
-    const late = fleet.hosts.filter(host => {
-        const view = fleet.findView(host);
-        return view !== undefined && !affected.has(host)
-            && (view.config?.version !== version || view.engines.get(ENGINE)?.isUsable !== false);
-    });
-    deepStrictEqual(late, []);
+    deepStrictEqual(listLate().filter(host => !affected.has(host)), []);
+});
+
+Then("both are in force {int} ms later at each host that runs", async (ms: number) => {
+    await fleet.advance(ms);
+    deepStrictEqual(listLate(), []);
 });
 
 Then(
@@ -190,6 +214,28 @@
     }
 }
 
+/** Lists the running hosts that lack the newest configuration, or take the engine that leaves for one to use. */
+function listLate(): readonly string[] {
+    return fleet.hosts.filter(host => {
+        const view = fleet.findView(host);
+        return view !== undefined
+            && (view.config?.version !== version || view.engines.get(ENGINE)?.isUsable !== false);
+    });
+}
+
+function listNamed(which: string): readonly string[] {
+    switch (which) {
+        case "a third of the hosts":
+            return fleet.hosts.filter((host, at) => at % 3 === 0);
+        case "all followed hosts":
+            return listFollowed(fleet.takeStoreReaders());
+        case "all hosts but one":
+            return fleet.hosts.slice(1);
+        default:
+            return fleet.hosts;
+    }
+}
+
 /** Lists the hosts that others follow: those that read the store, and those that do once these are gone. */
 function listFollowed(readers: readonly string[]): readonly string[] {
     const followed = fleet.hosts.filter(host => fleet.findView(host)?.isFollowed === true);
--- a/packages/front/src/startStoreWatch.ts
+++ b/packages/front/src/startStoreWatch.ts
@@ -24,6 +24,8 @@
 
 /** A running watch. */
 export interface StoreWatch {
+    /** Whether the last call to the store failed; false while another source keeps the feed up to date. */
+    readonly isFailing: boolean;
     stop(): void;
 }
 
@@ -52,6 +54,7 @@
 ): StoreWatch {
     const { clock, log, metrics, random, store } = context;
     let isStopped = false;
+    let isFailing = false;
     /** Whether the next call lists the keys, since changes are no longer kept. */
     let mustList = true;
     const read = async (isFirst: boolean): Promise<void> => {
@@ -84,6 +87,7 @@
             if (feed.revision !== undefined && isFollowing()) {
                 mustList = false;
                 isFirst = true;
+                isFailing = false;
                 await sleep(clock, FOLLOW_CHECK_INTERVAL_MS);
                 continue;
             }
@@ -91,6 +95,7 @@
             try {
                 await read(isFirst);
                 isFirst = false;
+                isFailing = false;
                 pauseMs = INITIAL_RETRY_DELAY_MS;
                 await sleep(clock, readIntervalMs());
             }
@@ -108,13 +113,19 @@
                 });
                 health.recordCall(false, step);
                 isFirst = true;
+                isFailing = true;
                 await sleep(clock, pauseMs * (0.5 + random.next()));
                 pauseMs = Math.min(MAX_RETRY_DELAY_MS, pauseMs * 2);
             }
         }
     };
     void run();
-    return { stop: () => void (isStopped = true) };
+    return {
+        get isFailing() {
+            return isFailing;
+        },
+        stop: () => void (isStopped = true),
+    };
 }
 
 const INTERNAL = { code: "internal", step: "follow keys", peer: "self", outcome: "not_run" } as const;
--- a/packages/front/src/startViewFollower.ts
+++ b/packages/front/src/startViewFollower.ts
@@ -20,6 +20,8 @@
     readonly feeds: ViewFeeds;
     /** Returns the hosts to follow, the preferred one first; none if this host reads the store itself. */
     readonly listSources: () => readonly Member[];
+    /** Returns the hosts to ask while the store doesn't answer this one, the preferred one first; none while it does. */
+    readonly listHelpers: () => readonly Member[];
     /** Returns the client for requests to other hosts; undefined until it is connected. */
     readonly readPeers: () => Pick<PeerClient, "request"> | undefined;
     readonly readAges: () => ViewAges;
@@ -37,37 +39,50 @@
 const FAILED_MS = 2000;
 /** Interval between two looks for a host to follow while there is none, in milliseconds. */
 const NO_SOURCE_INTERVAL_MS = 200;
+/** Interval between requests to hosts whose views were no younger, in milliseconds; it bounds them during an outage. */
+const HELPER_INTERVAL_MS = 500;
 
 const PARTS = ["config", "engines", "hosts"] as const;
 
+/** A host whose view is asked for. */
+interface Candidate {
+    readonly member: Member;
+    /** A source is followed instead of the store, a helper while the store doesn't answer. */
+    readonly kind: "source" | "helper";
+}
+
 /**
  * Follows the view that another host has of the store. If that host falls silent or its view grows too old, the next one
- * is followed; if none is left, this host reads the store itself until one replies again.
+ * is followed; if none is left, this host reads the store itself until one replies again. While the store doesn't answer
+ * it either, it learns from any host that the store has answered lately, and goes on calling the store.
  *
  * @param context - Clock, metrics and log
  * @param options - Feeds, hosts to follow and the ages that are allowed
  * @returns the running follower
  *
  * @example
- * const follower = startViewFollower(context, { feeds, listSources, readPeers, readAges, onStoreReturned });
+ * const follower = startViewFollower(context, { feeds, listSources, listHelpers, readPeers, readAges, onStoreReturned });
  */
 export function startViewFollower(
     { clock, log, metrics }: Pick<FrontContext, "clock" | "log" | "metrics">,
-    { feeds, listSources, readPeers, readAges, onStoreReturned }: ViewFollowerOptions,
+    { feeds, listSources, listHelpers, readPeers, readAges, onStoreReturned }: ViewFollowerOptions,
 ): ViewFollower {
     const failedMs = new Map<HostId, number>();
     let source: HostId | undefined;
+    let sourceKind: Candidate["kind"] = "source";
     let repliedMs = -Infinity;
     let isStopped = false;
 
     const isYoung = (): boolean =>
         PARTS.every(part => clock.nowMs() - (feeds[part].confirmation?.atMs ?? -Infinity) <= readAges().maxFollowedMs);
     const isFollowing = (): boolean =>
-        source !== undefined && clock.nowMs() - repliedMs <= POLL_WAIT_MS + REPLY_MS + POLL_INTERVAL_MS && isYoung();
-    const follow = (host: HostId | undefined, reason: string): void => {
-        if (host !== source) {
-            log.write("info", 205, { peer: host, former: source, reason });
+        source !== undefined && sourceKind === "source"
+        && clock.nowMs() - repliedMs <= POLL_WAIT_MS + REPLY_MS + POLL_INTERVAL_MS && isYoung();
+    const follow = (host: HostId | undefined, reason: string, kind: Candidate["kind"] = "source"): void => {
+        if (host !== source || kind !== sourceKind) {
+            log.write("info", 205, { peer: host, former: source, reason, kind });
             source = host;
+            sourceKind = kind;
         }
     };
     const take = (reply: ViewPartReply, sent: ClockReading): void => {
@@ -88,7 +103,7 @@
             feeds[reply.part].takeEvents(reply.events.map(event => toEvent(event, epoch)), revision, confirmation);
         }
     };
-    const ask = async (member: Member): Promise<ViewReply | undefined> => {
+    const ask = async (member: Member, waitMs: number): Promise<ViewReply | undefined> => {
         const address = { host: member.host, address: member.ip, port: member.port };
         const parts = PARTS.map(part => {
             const known = feeds[part].revision;
@@ -96,17 +111,17 @@
             return { part, epoch, afterRevision: known === undefined ? undefined : revision };
         });
         try {
-            const request = { parts, waitMs: POLL_WAIT_MS };
-            return await readPeers()?.request(address, "view", request, POLL_WAIT_MS + REPLY_MS);
+            return await readPeers()?.request(address, "view", { parts, waitMs }, waitMs + REPLY_MS);
         }
         catch (err) {
             metrics.count("peer_failures_total", { step: toServeError(err, INTERNAL).step });
             return undefined;
         }
     };
-    const poll = async (member: Member): Promise<void> => {
+    const poll = async ({ member, kind }: Candidate): Promise<void> => {
         const sent = { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
-        const reply = await ask(member);
+        // A helper whose view may be old is asked for what it knows now, so that the next one is asked soon.
+        const reply = await ask(member, kind === "source" || member.host === source ? POLL_WAIT_MS : 0);
         if (reply === undefined) {
             failedMs.set(member.host, clock.nowMs());
             follow(undefined, "no reply");
@@ -117,35 +132,48 @@
         }
         reply.parts.forEach(part => take(part, sent));
         metrics.count("view_replies_total", {});
-        const { maxFollowedMs } = readAges();
-        if (reply.parts.every(part => part.kind !== "unknown" && part.age.confirmedAgoMs <= maxFollowedMs)) {
+        const maxAgeMs = kind === "source" ? readAges().maxFollowedMs : readAges().maxHelperMs;
+        if (reply.parts.every(part => part.kind !== "unknown" && part.age.confirmedAgoMs <= maxAgeMs)) {
             repliedMs = clock.nowMs();
-            follow(member.host, "its view is young");
+            follow(member.host, kind === "source" ? "its view is young" : "the store does not answer", kind);
         }
         else {
             failedMs.set(member.host, clock.nowMs());
             follow(undefined, "its view is old");
         }
     };
+    const choose = (): Candidate | undefined => {
+        const nowMs = clock.nowMs();
+        const mayAsk = ({ host }: Member): boolean => nowMs - (failedMs.get(host) ?? -Infinity) >= FAILED_MS;
+        const followed = listSources().find(mayAsk);
+        if (followed !== undefined) {
+            return { member: followed, kind: "source" };
+        }
+        const helpers = listHelpers().filter(mayAsk);
+        const helper = helpers.find(({ host }) => host === source) ?? helpers[0];
+        return helper === undefined ? undefined : { member: helper, kind: "helper" };
+    };
     const run = async (): Promise<void> => {
         while (!isStopped) {
             const startedMs = clock.nowMs();
-            const member = listSources().find(({ host }) => startedMs - (failedMs.get(host) ?? -Infinity) >= FAILED_MS);
-            if (member === undefined) {
+            const candidate = choose();
+            if (candidate === undefined) {
                 follow(undefined, "no host to follow");
                 await sleep(clock, NO_SOURCE_INTERVAL_MS);
                 continue;
             }
+            const { host } = candidate.member;
             try {
-                await poll(member);
+                await poll(candidate);
             }
             catch (err) {
                 // What a source sends may be unusable; another one is followed meanwhile.
-                log.write("error", 110, { step: INTERNAL.step, name: member.host, reason: String(err) });
-                failedMs.set(member.host, clock.nowMs());
+                log.write("error", 110, { step: INTERNAL.step, name: host, reason: String(err) });
+                failedMs.set(host, clock.nowMs());
                 follow(undefined, "its reply is unusable");
             }
-            await sleep(clock, Math.max(0, POLL_INTERVAL_MS - (clock.nowMs() - startedMs)));
+            const intervalMs = candidate.kind === "helper" && host !== source ? HELPER_INTERVAL_MS : POLL_INTERVAL_MS;
+            await sleep(clock, Math.max(0, intervalMs - (clock.nowMs() - startedMs)));
         }
     };
     void run();
