Let hosts with the fastest links read the store for the others

In the seconds after each new configuration up to 46 of 78 followers heard nothing for 800 ms (event 205, no reply), gave the reply up halfway, and asked the next host for all of it again.

Cause: the followed hosts are chosen by name only, and their replies to some twelve followers each leave over one link. Engines' entries wait behind a configuration there.

Change: a host's entry names the rate of its link, as its settings state it; the hosts of a failure domain with the fastest links are followed, and among equal ones rendezvous order decides as before. Hosts of former versions name no rate and come last.

--- a/packages/directory/src/chooseViewRole.steps.ts
+++ b/packages/directory/src/chooseViewRole.steps.ts
@@ -34,6 +34,21 @@
     hosts = [...hosts, excluded];
 });
 
+When(
+    "{int} of each failure domain have links of {int} Mbit\\/s, and the others of {int}",
+    (fast: number, fastMbps: number, slowMbps: number) => {
+        const domains = new Set(hosts.map(({ domain }) => domain)).size;
+        hosts = hosts.map((host, at) => ({ ...host, linkMbps: at < fast * domains ? fastMbps : slowMbps }));
+    },
+);
+
+Then("{int} hosts with faster links are followed", (expected: number) => {
+    const mostMbps = Math.max(...hosts.map(({ linkMbps }) => linkMbps ?? 0));
+    const leastMbps = Math.min(...hosts.map(({ linkMbps }) => linkMbps ?? 0));
+    const followed = hosts.filter(({ host }) => chooseViewRole(host, hosts, rank).isFollowed);
+    strictEqual(followed.filter(({ linkMbps }) => mostMbps > leastMbps && linkMbps === mostMbps).length, expected);
+});
+
 Then(
     "{int} of them read the store, and each other one follows hosts of its own failure domain",
     (readers: number) => {
--- a/packages/directory/src/chooseViewRole.ts
+++ b/packages/directory/src/chooseViewRole.ts
@@ -6,6 +6,8 @@
     readonly domain?: FailureDomain | undefined;
     /** Whether it answers hosts that follow it; hosts of former versions don't. */
     readonly canBeFollowed?: boolean | undefined;
+    /** Rate of its link, in Mbit/s; undefined if it is unknown. */
+    readonly linkMbps?: number | undefined;
     readonly isLeaving: boolean;
 }
 
@@ -29,7 +31,8 @@
 
 /**
  * Chooses how a host learns what has changed in the store, so that the number of hosts that read the store itself grows
- * with the failure domains and not with the hosts.
+ * with the failure domains and not with the hosts. Hosts with the fastest links are followed, since their replies to all
+ * others leave over them.
  *
  * @param self - The host
  * @param hosts - All live hosts, this one included
@@ -47,9 +50,16 @@
     if (neighbours.length < MIN_DOMAIN_HOSTS) {
         return { isFollowed: false, sources: [], readers: hosts.length };
     }
-    const sources = rank(`view of ${domain}`, neighbours.map(({ host }) => host)).slice(0, SOURCES);
+    const ranked = rank(`view of ${domain}`, neighbours.map(({ host }) => host));
+    const sources = preferFastLinks(ranked, neighbours).slice(0, SOURCES);
     const readers = SOURCES * new Set(hosts.map(other => other.domain)).size;
     return sources.includes(self)
         ? { isFollowed: true, sources: [], readers }
         : { isFollowed: false, sources: rank(`view of ${self}`, sources), readers };
 }
+
+/** Moves hosts with faster links to the front; hosts with equal ones stay in their order. */
+function preferFastLinks(ranked: readonly HostId[], hosts: readonly ViewHost[]): readonly HostId[] {
+    const rates = new Map(hosts.map(({ host, linkMbps }) => [host, linkMbps ?? 0]));
+    return [...ranked].sort((a, b) => (rates.get(b) ?? 0) - (rates.get(a) ?? 0));
+}
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -36,6 +36,8 @@
     readonly forwardPort?: number | undefined;
     /** Whether the host answers others that follow its view of the store; hosts of former versions don't. */
     readonly canBeFollowed?: boolean | undefined;
+    /** Rate of the host's link, in Mbit/s; undefined if it is unknown, or a former version has written the entry. */
+    readonly linkMbps?: number | undefined;
     readonly isLeaving: boolean;
 }
 
@@ -65,6 +67,7 @@
     domain: textSchema.optional(),
     forwardPort: portSchema.optional(),
     canBeFollowed: z.boolean().optional(),
+    linkMbps: z.number().positive().optional(),
     isLeaving: z.boolean(),
 });
 const ownerSchema = z.object({
@@ -226,8 +229,9 @@
  * formatMember({ incarnation, ip: "10.0.0.1", port: 7000, domain: brandId("a"), isLeaving: false });
  */
 export function formatMember(member: Omit<Member, "host">): Buffer {
-    const { incarnation, ip, port, domain, forwardPort, canBeFollowed, isLeaving } = member;
-    return Buffer.from(JSON.stringify({ incarnation, ip, port, domain, forwardPort, canBeFollowed, isLeaving }));
+    const { incarnation, ip, port, domain, forwardPort, canBeFollowed, linkMbps, isLeaving } = member;
+    const value = { incarnation, ip, port, domain, forwardPort, canBeFollowed, linkMbps, isLeaving };
+    return Buffer.from(JSON.stringify(value));
 }
 
 /**
@@ -294,7 +298,7 @@
     if (!parsed.success) {
         return undefined;
     }
-    const { incarnation, ip, port, domain, forwardPort, canBeFollowed, isLeaving } = parsed.data;
+    const { incarnation, ip, port, domain, forwardPort, canBeFollowed, linkMbps, isLeaving } = parsed.data;
     return {
         host,
         incarnation: brandId(incarnation),
@@ -303,6 +307,7 @@
         domain: domain === undefined ? undefined : brandId(domain),
         forwardPort,
         canBeFollowed,
+        linkMbps,
         isLeaving,
     };
 }
--- a/packages/front/src/startSession.ts
+++ b/packages/front/src/startSession.ts
@@ -52,7 +52,7 @@
         resolveSecret = resolve;
     });
     const writeMember = async (currentLease: number): Promise<void> => {
-        const { ip, peerPort: port, domain, forwardPort } = deployment;
+        const { ip, peerPort: port, domain, forwardPort, linkMbps } = deployment;
         const value = formatMember({
             incarnation: context.incarnation,
             ip,
@@ -60,6 +60,7 @@
             domain,
             forwardPort,
             canBeFollowed: true,
+            linkMbps,
             isLeaving,
         });
         const puts = [{ key: formatMemberKey(deployment.host), value, lease: currentLease }];
