Refer hosts to the store for what a followed host's link can't carry to all of them

Cause: a followed host sends all of a new configuration to each of its followers. A reply that takes longer than 800 ms is given up with its connection, and asked for anew at the next host, while what is smaller and more urgent waits behind it.

Change: a follower says how many bytes it can take within the time for a reply, and the followed host how many its link carries to all. A larger part isn't handed on but named; the follower lists it from the store, and goes on following the other parts. It is listed, since the store's changes hold a value once for each version. A host that the store turns away takes any number of bytes. Former versions name no limit, and get all.

Calls: one list a follower for each large configuration, none otherwise.

--- a/packages/directory/src/chooseViewRole.ts
+++ b/packages/directory/src/chooseViewRole.ts
@@ -19,6 +19,8 @@
     readonly sources: readonly HostId[];
     /** Number of hosts that read the store while none of them fails. */
     readonly readers: number;
+    /** Number of hosts that follow this one while none of the followed hosts fails; rounded up. */
+    readonly followers: number;
 }
 
 /** Ranks names for a key; the same in all hosts. */
@@ -48,14 +50,14 @@
         domain !== undefined && other.domain === domain && other.canBeFollowed === true && !other.isLeaving
     );
     if (neighbours.length < MIN_DOMAIN_HOSTS) {
-        return { isFollowed: false, sources: [], readers: hosts.length };
+        return { isFollowed: false, sources: [], readers: hosts.length, followers: 0 };
     }
     const ranked = rank(`view of ${domain}`, neighbours.map(({ host }) => host));
     const sources = preferFastLinks(ranked, neighbours).slice(0, SOURCES);
     const readers = SOURCES * new Set(hosts.map(other => other.domain)).size;
     return sources.includes(self)
-        ? { isFollowed: true, sources: [], readers }
-        : { isFollowed: false, sources: rank(`view of ${self}`, sources), readers };
+        ? { isFollowed: true, sources: [], readers, followers: Math.ceil((neighbours.length - SOURCES) / SOURCES) }
+        : { isFollowed: false, sources: rank(`view of ${self}`, sources), readers, followers: 0 };
 }
 
 /** Moves hosts with faster links to the front; hosts with equal ones stay in their order. */
--- a/packages/front/src/answerView.ts
+++ b/packages/front/src/answerView.ts
@@ -13,7 +13,8 @@
  *
  * @param clock - Source of the time
  * @param feeds - What this host knows of the store
- * @param request - Revisions up to which the other host knows all changes, with their epochs, and its wait
+ * @param request - Revisions up to which the other host knows all changes, with their epochs, its wait and its limit
+ * @param maxBytes - Most bytes of a part that this host's link carries to a host that can read the store itself
  * @returns the changes of each part, with their age
  *
  * @example
@@ -22,10 +23,12 @@
 export async function answerView(
     clock: Clock,
     feeds: ViewFeeds,
-    { parts, waitMs }: ViewRequest,
+    { parts, waitMs, maxBytes: askedBytes }: ViewRequest,
+    maxBytes = Infinity,
 ): Promise<readonly ViewPartReply[]> {
+    const limit = askedBytes === undefined ? Infinity : Math.min(askedBytes, maxBytes);
     const read = (): readonly ViewPartReply[] =>
-        parts.map(({ part, ...known }) => readPart(clock, feeds[part], part, known));
+        parts.map(({ part, ...known }) => limitReply(readPart(clock, feeds[part], part, known), limit));
     const first = read();
     if (first.some(hasNews) || waitMs <= 0) {
         return first;
@@ -65,6 +68,25 @@
         : { part, kind: "list", items: changes.items.map(splitItem), age };
 }
 
+/** Leaves out values that would keep the links busy for too long. */
+function limitReply(reply: ViewPartReply, maxBytes: number): ViewPartReply {
+    switch (reply.kind) {
+        case "events":
+            return sumBytes(reply.events.map(event => event.kind === "put" ? event.item : undefined)) <= maxBytes
+                ? reply
+                : { part: reply.part, kind: "large", age: reply.age };
+        case "list":
+            return sumBytes(reply.items) <= maxBytes ? reply : { part: reply.part, kind: "large", age: reply.age };
+        case "large":
+        case "unknown":
+            return reply;
+    }
+}
+
+function sumBytes(items: readonly (StoreItem | undefined)[]): number {
+    return items.reduce((sum, item) => sum + (item?.value.length ?? 0), 0);
+}
+
 /** Gives an item the revision that the store counts, for hosts whose version knows no epochs. */
 function splitItem(item: StoreItem): StoreItem {
     return { ...item, revision: splitRevision(item.revision).revision };
--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -2,6 +2,7 @@
     chooseViewAges,
     chooseViewRole,
     chooseWatchInterval,
+    computeLinkBytes,
     createKeyFeed,
     rankViewHelpers,
     reduceDirectory,
@@ -44,7 +45,7 @@
 import { runEach } from "./runEach.js";
 import { startStoreWatch } from "./startStoreWatch.js";
 import type { StoreWatch } from "./startStoreWatch.js";
-import { startViewFollower } from "./startViewFollower.js";
+import { startViewFollower, VIEW_REPLY_MS } from "./startViewFollower.js";
 import type { StoreHealth } from "./storeHealth.js";
 
 /** This host's copy of the configuration, the engines and the other hosts, as read from the store. */
@@ -235,6 +236,8 @@
         engines: createKeyFeed(engineKeys),
         hosts: createKeyFeed(records.listener),
     };
+    /** Bytes that this host's link carries within the time for a reply to a host that follows it. */
+    const linkBytes = computeLinkBytes(deployment.linkMbps, VIEW_REPLY_MS);
     const readAges = (): ViewAges => {
         const { configApplyMs, engineDrainMs } = context.readBounds();
         return chooseViewAges(Math.min(configApplyMs, engineDrainMs));
@@ -243,21 +246,23 @@
     const readRole = (): ViewRole =>
         readAges().mayFollow
             ? role ??= chooseViewRole(deployment.host, [...members.values()], rank)
-            : { isFollowed: false, sources: [], readers: members.size };
+            : { isFollowed: false, sources: [], readers: members.size, followers: 0 };
     const findMembers = (hosts: readonly HostId[]): readonly Member[] =>
         hosts.map(host => members.get(host)).filter(member => member !== undefined);
     const listSources = (): readonly Member[] => findMembers(readRole().sources);
     /** The watches of the parts, once they run. */
     const watches: StoreWatch[] = [];
+    const isStoreFailing = (): boolean => watches.some(watch => watch.isFailing);
     /** Lists the hosts to ask while the store doesn't answer this one; none while it does. */
     const listHelpers = (): readonly Member[] =>
-        watches.some(watch => watch.isFailing)
+        isStoreFailing()
             ? findMembers(rankViewHelpers(deployment.host, [...members.values()], rank))
             : [];
     const follower = startViewFollower(context, {
         feeds,
         listSources,
         listHelpers,
+        readMaxBytes: () => isStoreFailing() ? undefined : linkBytes,
         readPeers,
         readAges,
         onStoreReturned: agoMs => recordReturn(clock.nowMs() - agoMs),
@@ -274,7 +279,8 @@
             maxAgeMs: () => context.readBounds().contactMs,
             maxWaitMs: () => readRole().isFollowed ? readAges().maxWaitMs : Infinity,
             listSpreadMs: () => Math.min(MAX_LIST_SPREAD_MS, members.size * LIST_SPREAD_PER_HOST_MS),
-            isFollowing: () => follower.isFollowing(),
+            isFollowing: () => follower.isFollowing(part),
+            isLarge: () => follower.isLarge(part),
         });
     watches.push(
         watchPart("config", OPERATOR_PREFIX, () => CONFIG_WATCH_INTERVAL_MS),
@@ -340,7 +346,8 @@
             return readRole().isFollowed;
         },
         async answer(request) {
-            const parts = await answerView(clock, feeds, request);
+            const maxBytes = linkBytes / Math.max(1, readRole().followers);
+            const parts = await answerView(clock, feeds, request, maxBytes);
             const storeReturnedAgoMs = storeReturnedMs === undefined ? undefined : clock.nowMs() - storeReturnedMs;
             return { parts, storeReturnedAgoMs };
         },
--- a/packages/front/src/createOwnerFleetPeers.steps.ts
+++ b/packages/front/src/createOwnerFleetPeers.steps.ts
@@ -25,21 +25,31 @@
  *
  * @param clock - True time
  * @param faults - Tells which hosts are frozen
+ * @param sendReply - Carries a reply over both hosts' links while it is awaited; takes no time by default
  * @returns the paths, all open
  *
  * @example
  * const peers = createOwnerFleetPeers(clock, faults);
  */
-export function createOwnerFleetPeers(clock: Clock, faults: HostFaults): OwnerFleetPeers {
+export function createOwnerFleetPeers(
+    clock: Clock,
+    faults: HostFaults,
+    sendReply?: (from: string, to: string, reply: unknown, isAwaited: () => boolean) => Promise<void>,
+): OwnerFleetPeers {
     const served = new Map<string, OwnerPeerHandlers | undefined>();
     let cut: ReadonlySet<string> = new Set();
     const connect = (from: string) => ({
         request: (to: { readonly host: string }, name: string, body: unknown, timeoutMs: number) =>
             new Promise((resolve, reject) => {
+                let isAwaited = true;
                 const isCut = cut.has(from) || cut.has(to.host);
                 clock.setTimer(
                     timeoutMs,
-                    () => void faults.whenRunning(from).then(() => reject(new Error("no reply"))),
+                    () =>
+                        void faults.whenRunning(from).then(() => {
+                            isAwaited = false;
+                            reject(new Error("no reply"));
+                        }),
                 );
                 clock.setTimer(DELAY_MS, () => {
                     if (isCut) {
@@ -52,6 +62,7 @@
                     void faults.whenRunning(to.host)
                         .then(() => served.get(to.host)?.[name]?.(body as never))
                         .then(async reply => {
+                            await sendReply?.(to.host, from, reply, () => isAwaited);
                             await faults.whenRunning(from);
                             resolve(reply);
                         }, reject);
--- a/packages/front/src/createViewFleet.steps.ts
+++ b/packages/front/src/createViewFleet.steps.ts
@@ -9,6 +9,7 @@
 import type { ClusterView } from "./createClusterView.js";
 import { createHostFaults } from "./createHostFaults.steps.js";
 import type { HostFaults } from "./createHostFaults.steps.js";
+import { createHostLinks } from "./createHostLinks.steps.js";
 import { createOwnerFleetPeers } from "./createOwnerFleetPeers.steps.js";
 import type { OwnerFleetPeers } from "./createOwnerFleetPeers.steps.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
@@ -48,6 +49,8 @@
     readonly applyMs: number;
     /** Time within which an engine that leaves must be known, in milliseconds; `applyMs` if it is left out. */
     readonly drainMs?: number;
+    /** Returns the rate of a host's link, in Mbit/s; links carry any number of bytes at once by default. */
+    readonly readLinkMbps?: (host: string) => number;
 }
 
 const STEP_MS = 10;
@@ -56,6 +59,10 @@
 /** Time after the last start until all hosts have found whom they follow, in milliseconds. */
 const SETTLE_MS = 5000;
 const CONTACT_MS = 4000;
+/** Bytes of an item or a change beside its key and value. */
+const ITEM_BYTES = 100;
+/** Bytes of base64 text for each byte of a value. */
+const STORE_BYTES_PER_BYTE = 4 / 3;
 
 /**
  * Starts hosts in memory with the store, their views and the paths between them as in production.
@@ -67,13 +74,18 @@
  * const fleet = await createViewFleet({ hosts: 195, domains: 5, applyMs: 4000 });
  */
 export async function createViewFleet(
-    { hosts, domains, applyMs, drainMs = applyMs }: ViewFleetOptions,
+    { hosts, domains, applyMs, drainMs = applyMs, readLinkMbps }: ViewFleetOptions,
 ): Promise<ViewFleet> {
     const clock = createManualClock(0);
     const store = createStoreFake(clock);
     const hash = await createHasher();
     const faults = createHostFaults(clock);
-    const peers = createOwnerFleetPeers(clock, faults);
+    const links = readLinkMbps === undefined ? undefined : createHostLinks(clock, readLinkMbps);
+    const sendReply = links === undefined
+        ? undefined
+        : (from: string, to: string, reply: unknown, isAwaited: () => boolean): Promise<void> =>
+            links.send(from, to, measureBytes(reply), isAwaited);
+    const peers = createOwnerFleetPeers(clock, faults, sendReply);
     const views = new Map<string, ClusterView>();
     const stops = new Map<string, () => void>();
     const names = Array.from({ length: hosts }, (value, number) => `host-${number}`);
@@ -88,13 +100,19 @@
         readers.add(host);
         return call();
     };
+    /** Receives a reply of the store over the host's link; the client waits as long as bytes arrive. */
+    const receive = async <T>(host: string, call: Promise<T>): Promise<T> => {
+        const reply = await call;
+        await links?.send(undefined, host, measureBytes(reply) * STORE_BYTES_PER_BYTE, () => true);
+        return reply;
+    };
     const countCalls = (host: string, inner: MetadataStore): MetadataStore => ({
         ...inner,
         list(prefix) {
             storeLists += 1;
-            return count(host, () => inner.list(prefix));
+            return count(host, () => receive(host, inner.list(prefix)));
         },
-        watch: (prefix, after, waitMs) => count(host, () => inner.watch(prefix, after, waitMs)),
+        watch: (prefix, after, waitMs) => count(host, () => receive(host, inner.watch(prefix, after, waitMs))),
     });
     const connectPeers = (host: string): Pick<PeerClient, "request"> => {
         const inner = peers.connect(host);
@@ -119,7 +137,7 @@
             hash,
             random: createRandom(Number(host.slice("host-".length)) + 1),
             metrics: createMetrics(),
-            deployment: { host: brandId<HostId>(host) },
+            deployment: { host: brandId<HostId>(host), linkMbps: readLinkMbps?.(host) },
             readBounds: () => ({ contactMs: CONTACT_MS, configApplyMs: applyMs, engineDrainMs: drainMs }),
         } as unknown as FrontContext;
         store.put(
@@ -130,6 +148,7 @@
                 port: 1,
                 domain: brandId<FailureDomain>(readDomain(host)),
                 canBeFollowed: true,
+                linkMbps: readLinkMbps?.(host),
                 isLeaving: false,
             }),
         );
@@ -180,3 +199,15 @@
     await fleet.advance(START_SPREAD_MS + SETTLE_MS);
     return fleet;
 }
+
+/** Measures a reply of the store, or of another host, by the keys and values in it. */
+function measureBytes(reply: unknown): number {
+    if (typeof reply !== "object" || reply === null) {
+        return 0;
+    }
+    if (Buffer.isBuffer(reply)) {
+        return reply.length;
+    }
+    const own = "key" in reply ? ITEM_BYTES : 0;
+    return Object.values(reply).reduce((sum: number, value) => sum + measureBytes(value), own);
+}
--- a/packages/front/src/followViews.feature
+++ b/packages/front/src/followViews.feature
@@ -122,3 +122,19 @@
             | 8     | 4       | 2000  | 3    |
             | 86    | 4       | 3000  | 3    |
             | 300   | 5       | 4000  | 3    |
+
+    # Guards against a large configuration that fills the links of followed hosts, so that others hear of no engine (DRAIN).
+    Scenario Outline: <hosts> hosts, <fast> of each failure domain with fast links: <versions> configurations of <kb> KB
+        Given <hosts> hosts in <domains> failure domains, <fast> of each with links of 140 Mbit/s and the others of 7
+        When <versions> configurations of <kb> KB are accepted, one each 500 ms, and an engine announces that it leaves
+        Then both are in force 3000 ms later at each host that runs
+
+        Examples:
+            | hosts | domains | fast | versions | kb  |
+            | 84    | 3       | 2    | 1        | 300 |
+            | 84    | 3       | 2    | 8        | 600 |
+            | 84    | 3       | 2    | 1        | 900 |
+            | 84    | 3       | 0    | 1        | 600 |
+            | 84    | 3       | 0    | 8        | 100 |
+            | 195   | 5       | 2    | 1        | 900 |
+            | 300   | 5       | 2    | 8        | 300 |
--- a/packages/front/src/followViews.steps.ts
+++ b/packages/front/src/followViews.steps.ts
@@ -10,6 +10,9 @@
 const READERS_MS = 3000;
 /** Interval between two changes of a load, in milliseconds. */
 const CHANGE_INTERVAL_MS = 100;
+/** Time for changes in a fleet whose links are limited, in milliseconds. */
+const LARGE_APPLY_MS = 3000;
+const BYTES_PER_KB = 1000;
 /** Longest fault of a random sequence, in milliseconds. */
 const MAX_FAULT_MS = 3000;
 /** Time within which a fault's effect begins before a change is accepted, in milliseconds. */
@@ -34,6 +37,26 @@
     (hosts: number, domains: number, dueMs: number, drainMs: number) => start(hosts, domains, dueMs, drainMs),
 );
 
+Given(
+    "{int} hosts in {int} failure domains, {int} of each with links of {int} Mbit\\/s and the others of {int}",
+    async (hosts: number, domains: number, fast: number, fastMbps: number, slowMbps: number) => {
+        const readLinkMbps = (host: string): number =>
+            Number(host.slice("host-".length)) < fast * domains ? fastMbps : slowMbps;
+        await start(hosts, domains, LARGE_APPLY_MS, LARGE_APPLY_MS, readLinkMbps);
+    },
+);
+
+When(
+    "{int} configurations of {int} KB are accepted, one each {int} ms, and an engine announces that it leaves",
+    async (versions: number, kb: number, intervalMs: number) => {
+        for (let count = 0; count < versions; count += 1) {
+            await fleet.advance(count === 0 ? 0 : intervalMs);
+            putConfig(kb * BYTES_PER_KB);
+        }
+        putEngine("draining");
+    },
+);
+
 When(
     /^(nothing changes|an engine's entry changes each 100 ms) for (\d+) ms$/,
     async (changes: string, forMs: string) => {
@@ -171,11 +194,18 @@
     },
 );
 
-async function start(hosts: number, domains: number, dueMs: number, drainMs: number): Promise<void> {
+async function start(
+    hosts: number,
+    domains: number,
+    dueMs: number,
+    drainMs: number,
+    readLinkMbps?: (host: string) => number,
+): Promise<void> {
     applyMs = dueMs;
     version = 1;
     affected = new Set();
-    fleet = await createViewFleet({ hosts, domains, applyMs, drainMs });
+    const options = { hosts, domains, applyMs, drainMs };
+    fleet = await createViewFleet(readLinkMbps === undefined ? options : { ...options, readLinkMbps });
     putConfig();
     putEngine("ready");
     await fleet.advance(READERS_MS);
@@ -243,10 +273,11 @@
     return followed;
 }
 
-function putConfig(): void {
+function putConfig(bytes = 0): void {
     version += 1;
     const limits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 20_000 };
-    fleet.store.put(CONFIG_KEY, Buffer.from(JSON.stringify({ version, routes: [], services: [], limits })));
+    const text = JSON.stringify({ version, routes: [], services: [], limits });
+    fleet.store.put(CONFIG_KEY, Buffer.from(text.padEnd(bytes)));
 }
 
 function putEngine(state: string): void {
--- a/packages/front/src/startStoreWatch.ts
+++ b/packages/front/src/startStoreWatch.ts
@@ -20,6 +20,8 @@
     readonly listSpreadMs: () => number;
     /** Whether the feed is kept up to date from elsewhere, so that the store need not be read. */
     readonly isFollowing: () => boolean;
+    /** Whether the keys are to be listed, since their changes are many times larger than what is in the store. */
+    readonly isLarge: () => boolean;
 }
 
 /** A running watch. */
@@ -45,12 +47,12 @@
  * @returns the running watch
  *
  * @example
- * startStoreWatch(context, health, { prefix: "op/", feed, readIntervalMs, maxAgeMs, maxWaitMs, listSpreadMs, isFollowing });
+ * startStoreWatch(context, health, { prefix: "op/", feed, readIntervalMs, maxAgeMs, ...sources });
  */
 export function startStoreWatch(
     context: FrontContext,
     health: StoreHealth,
-    { prefix, feed, readIntervalMs, maxAgeMs, maxWaitMs, listSpreadMs, isFollowing }: StoreWatchOptions,
+    { prefix, feed, readIntervalMs, maxAgeMs, maxWaitMs, listSpreadMs, isFollowing, isLarge }: StoreWatchOptions,
 ): StoreWatch {
     const { clock, log, metrics, random, store } = context;
     let isStopped = false;
@@ -59,7 +61,8 @@
     let mustList = true;
     const read = async (isFirst: boolean): Promise<void> => {
         const from = { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
-        if (mustList || feed.revision === undefined) {
+        // The changes since hold a value once for each version of it, a list only the newest one.
+        if (mustList || feed.revision === undefined || isLarge()) {
             const { items, revision } = await store.list(prefix);
             health.recordCall(true, "list keys");
             mustList = false;
--- a/packages/front/src/startViewFollower.ts
+++ b/packages/front/src/startViewFollower.ts
@@ -3,15 +3,17 @@
 import { toServeError } from "@fulmarcleat/errors";
 import { sleep } from "@fulmarcleat/ids";
 import type { ClockReading, HostId } from "@fulmarcleat/ids";
-import type { PeerClient, ViewPartReply, ViewReply } from "@fulmarcleat/wire";
+import type { PeerClient, ViewPart, ViewPartReply, ViewReply } from "@fulmarcleat/wire";
 import type { ViewFeeds } from "./answerView.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
 
 /** Follows the view of another host instead of the store. */
 export interface ViewFollower {
-    /** Whether what this host follows is young enough that it need not read the store itself. */
-    isFollowing(): boolean;
+    /** Whether what this host follows is young enough that it need not read the part from the store itself. */
+    isFollowing(part: ViewPart): boolean;
+    /** Whether the part has changed by more than another host hands on, so that it must be read from the store. */
+    isLarge(part: ViewPart): boolean;
     stop(): void;
 }
 
@@ -22,6 +24,8 @@
     readonly listSources: () => readonly Member[];
     /** Returns the hosts to ask while the store doesn't answer this one, the preferred one first; none while it does. */
     readonly listHelpers: () => readonly Member[];
+    /** Returns the most bytes of a part to take from another host; undefined if the store can't be read instead. */
+    readonly readMaxBytes: () => number | undefined;
     /** Returns the client for requests to other hosts; undefined until it is connected. */
     readonly readPeers: () => Pick<PeerClient, "request"> | undefined;
     readonly readAges: () => ViewAges;
@@ -32,7 +36,7 @@
 /** Longest wait of a request at the followed host, in milliseconds. */
 const POLL_WAIT_MS = 500;
 /** Time beyond that wait after which the followed host counts as silent, in milliseconds. */
-const REPLY_MS = 300;
+export const VIEW_REPLY_MS = 300;
 /** Shortest time between two requests, in milliseconds; changes in between arrive together. */
 const POLL_INTERVAL_MS = 200;
 /** Time for which a host that did not reply, or whose view was too old, is not followed, in milliseconds. */
@@ -61,11 +65,11 @@
  * @returns the running follower
  *
  * @example
- * const follower = startViewFollower(context, { feeds, listSources, listHelpers, readPeers, readAges, onStoreReturned });
+ * const follower = startViewFollower(context, { feeds, listSources, listHelpers, readMaxBytes, ...callbacks });
  */
 export function startViewFollower(
     { clock, log, metrics }: Pick<FrontContext, "clock" | "log" | "metrics">,
-    { feeds, listSources, listHelpers, readPeers, readAges, onStoreReturned }: ViewFollowerOptions,
+    { feeds, listSources, listHelpers, readMaxBytes, readPeers, readAges, onStoreReturned }: ViewFollowerOptions,
 ): ViewFollower {
     const failedMs = new Map<HostId, number>();
     let source: HostId | undefined;
@@ -75,9 +79,12 @@
 
     const isYoung = (): boolean =>
         PARTS.every(part => clock.nowMs() - (feeds[part].confirmation?.atMs ?? -Infinity) <= readAges().maxFollowedMs);
-    const isFollowing = (): boolean =>
-        source !== undefined && sourceKind === "source"
-        && clock.nowMs() - repliedMs <= POLL_WAIT_MS + REPLY_MS + POLL_INTERVAL_MS && isYoung();
+    /** Revisions of parts that were too large to be handed on, to be read from the store. */
+    const largeRevisions = new Map<ViewPart, number>();
+    const isLarge = (part: ViewPart): boolean => (feeds[part].revision ?? 0) < (largeRevisions.get(part) ?? 0);
+    const isFollowing = (part: ViewPart): boolean =>
+        !isLarge(part) && source !== undefined && sourceKind === "source"
+        && clock.nowMs() - repliedMs <= POLL_WAIT_MS + VIEW_REPLY_MS + POLL_INTERVAL_MS && isYoung();
     const follow = (host: HostId | undefined, reason: string, kind: Candidate["kind"] = "source"): void => {
         if (host !== source || kind !== sourceKind) {
             log.write("info", 205, { peer: host, former: source, reason, kind });
@@ -91,6 +98,10 @@
         }
         const { epoch = 0, confirmedAgoMs, sentAgoMs } = reply.age;
         const revision = joinRevision({ epoch, revision: reply.age.revision });
+        if (reply.kind === "large") {
+            largeRevisions.set(reply.part, revision);
+            return;
+        }
         const confirmation = {
             atMs: clock.nowMs() - confirmedAgoMs,
             // The other host has read its clock at some time since the request was sent.
@@ -111,7 +122,8 @@
             return { part, epoch, afterRevision: known === undefined ? undefined : revision };
         });
         try {
-            return await readPeers()?.request(address, "view", { parts, waitMs }, waitMs + REPLY_MS);
+            const request = { parts, waitMs, maxBytes: readMaxBytes() };
+            return await readPeers()?.request(address, "view", request, waitMs + VIEW_REPLY_MS);
         }
         catch (err) {
             metrics.count("peer_failures_total", { step: toServeError(err, INTERNAL).step });
@@ -177,7 +189,7 @@
         }
     };
     void run();
-    return { isFollowing, stop: () => void (isStopped = true) };
+    return { isFollowing, isLarge, stop: () => void (isStopped = true) };
 }
 
 const INTERNAL = { code: "internal", step: "follow view", peer: "self", outcome: "not_run" } as const;
--- a/packages/wire/src/viewMessages.ts
+++ b/packages/wire/src/viewMessages.ts
@@ -14,6 +14,11 @@
     }[];
     /** Longest wait for a change, in milliseconds. */
     readonly waitMs: number;
+    /**
+     * Most bytes of values in a part; the asking host reads larger ones from the store. Undefined if it takes any number,
+     * or if its version doesn't know of larger ones.
+     */
+    readonly maxBytes?: number | undefined;
 }
 
 /** How old what a host knows of a part is. */
@@ -38,6 +43,8 @@
     }
     /** All keys, since the changes after the asked revision are no longer kept. */
     | { readonly part: ViewPart; readonly kind: "list"; readonly items: readonly StoreItem[]; readonly age: ViewAge }
+    /** The values are larger than the asking host takes, or than this host's link carries to all that ask it. */
+    | { readonly part: ViewPart; readonly kind: "large"; readonly age: ViewAge }
     /** The host has not read the part itself. */
     | { readonly part: ViewPart; readonly kind: "unknown" };
 
