--- a/packages/directory/src/chooseViewRole.ts
+++ b/packages/directory/src/chooseViewRole.ts
@@ -1,4 +1,5 @@
 import type { FailureDomain, HostId } from "@fulmarcleat/ids";
+import { preferFastLinks } from "./preferFastLinks.js";
 
 /** A host that others may follow. */
 export interface ViewHost {
@@ -59,9 +60,3 @@
         ? { isFollowed: true, sources: [], readers, followers: Math.ceil((neighbours.length - SOURCES) / SOURCES) }
         : { isFollowed: false, sources: rank(`view of ${self}`, sources), readers, followers: 0 };
 }
-
-/** Moves hosts with faster links to the front; hosts with equal ones stay in their order. */
-function preferFastLinks(ranked: readonly HostId[], hosts: readonly ViewHost[]): readonly HostId[] {
-    const rates = new Map(hosts.map(({ host, linkMbps }) => [host, linkMbps ?? 0]));
-    return [...ranked].sort((a, b) => (rates.get(b) ?? 0) - (rates.get(a) ?? 0));
-}
--- a/packages/directory/src/rankViewHelpers.ts
+++ b/packages/directory/src/rankViewHelpers.ts
@@ -1,9 +1,10 @@
 import type { HostId } from "@fulmarcleat/ids";
 import type { Rank, ViewHost } from "./chooseViewRole.js";
+import { preferFastLinks } from "./preferFastLinks.js";
 
 /**
- * Ranks the hosts that a host may ask for their views while the store doesn't answer it. Each host ranks them in an order
- * of its own, so that those that the store still answers share the requests.
+ * Ranks the hosts that a host may ask for their views while the store doesn't answer it. Those with the fastest
+ * links come first; among equal ones each host has an order of its own, so that they share the requests.
  *
  * @param self - The host that asks
  * @param hosts - All live hosts, this one included
@@ -15,5 +16,5 @@
  */
 export function rankViewHelpers(self: HostId, hosts: readonly ViewHost[], rank: Rank): readonly HostId[] {
     const others = hosts.filter(other => other.host !== self && other.canBeFollowed === true && !other.isLeaving);
-    return rank(`help for ${self}`, others.map(({ host }) => host));
+    return preferFastLinks(rank(`help for ${self}`, others.map(({ host }) => host)), others);
 }
--- a/packages/front/src/followViews.feature
+++ b/packages/front/src/followViews.feature
@@ -138,3 +138,16 @@
             | 84    | 3       | 0    | 8        | 100 |
             | 195   | 5       | 2    | 1        | 900 |
             | 300   | 5       | 2    | 8        | 300 |
+
+    # Guards against helpers whose replies are given up halfway.
+    Scenario Outline: The store turns away <which>, and a configuration of <kb> KB comes over slow links
+        Given <hosts> hosts in <domains> failure domains, 2 of each with links of 140 Mbit/s and the others of 7
+        When the store turns away <which>
+        And 1 configurations of <kb> KB are accepted, one each 1000 ms, and an engine announces that it leaves
+        Then both are in force 9000 ms later at each host that runs
+
+        Examples:
+            | hosts | domains | which                | kb  |
+            | 84    | 3       | a third of the hosts | 300 |
+            | 84    | 3       | a third of the hosts | 900 |
+            | 84    | 3       | all followed hosts   | 900 |
--- a/packages/front/src/startViewFollower.ts
+++ b/packages/front/src/startViewFollower.ts
@@ -37,6 +37,8 @@
 const POLL_WAIT_MS = 500;
 /** Time beyond that wait after which the followed host counts as silent, in milliseconds. */
 export const VIEW_REPLY_MS = 300;
+/** The same at a helper, in milliseconds: a value of the store's largest size takes longer over a slow link. */
+const HELPER_REPLY_MS = 1500;
 /** Shortest time between two requests, in milliseconds; changes in between arrive together. */
 const POLL_INTERVAL_MS = 200;
 /** Time for which a host that did not reply, or whose view was too old, is not followed, in milliseconds. */
@@ -114,7 +116,10 @@
             feeds[reply.part].takeEvents(reply.events.map(event => toEvent(event, epoch)), revision, confirmation);
         }
     };
-    const ask = async (member: Member, waitMs: number): Promise<ViewReply | undefined> => {
+    const ask = async ({ member, kind }: Candidate): Promise<ViewReply | undefined> => {
+        // A helper whose view may be old is asked for what it knows now, so that the next one is asked soon.
+        const waitMs = kind === "source" || member.host === source ? POLL_WAIT_MS : 0;
+        const replyMs = kind === "source" ? VIEW_REPLY_MS : HELPER_REPLY_MS;
         const address = { host: member.host, address: member.ip, port: member.port };
         const parts = PARTS.map(part => {
             const known = feeds[part].revision;
@@ -123,17 +128,17 @@
         });
         try {
             const request = { parts, waitMs, maxBytes: readMaxBytes() };
-            return await readPeers()?.request(address, "view", request, waitMs + VIEW_REPLY_MS);
+            return await readPeers()?.request(address, "view", request, waitMs + replyMs);
         }
         catch (err) {
             metrics.count("peer_failures_total", { step: toServeError(err, INTERNAL).step });
             return undefined;
         }
     };
-    const poll = async ({ member, kind }: Candidate): Promise<void> => {
+    const poll = async (candidate: Candidate): Promise<void> => {
+        const { member, kind } = candidate;
         const sent = { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
-        // A helper whose view may be old is asked for what it knows now, so that the next one is asked soon.
-        const reply = await ask(member, kind === "source" || member.host === source ? POLL_WAIT_MS : 0);
+        const reply = await ask(candidate);
         if (reply === undefined) {
             failedMs.set(member.host, clock.nowMs());
             follow(undefined, "no reply");
@@ -156,12 +161,14 @@
     };
     const choose = (): Candidate | undefined => {
         const nowMs = clock.nowMs();
-        const mayAsk = ({ host }: Member): boolean => nowMs - (failedMs.get(host) ?? -Infinity) >= FAILED_MS;
+        const readFailedMs = ({ host }: Member): number => failedMs.get(host) ?? -Infinity;
+        const mayAsk = (member: Member): boolean => nowMs - readFailedMs(member) >= FAILED_MS;
         const followed = listSources().find(mayAsk);
         if (followed !== undefined) {
             return { member: followed, kind: "source" };
         }
-        const helpers = listHelpers().filter(mayAsk);
+        // Those that could not help are asked again only after all others.
+        const helpers = listHelpers().filter(mayAsk).sort((a, b) => compare(readFailedMs(a), readFailedMs(b)));
         const helper = helpers.find(({ host }) => host === source) ?? helpers[0];
         return helper === undefined ? undefined : { member: helper, kind: "helper" };
     };
@@ -194,6 +201,11 @@
 
 const INTERNAL = { code: "internal", step: "follow view", peer: "self", outcome: "not_run" } as const;
 
+/** Orders numbers, infinite ones too. */
+function compare(a: number, b: number): number {
+    return a === b ? 0 : a < b ? -1 : 1;
+}
+
 /** Restores an item's joined revision, and its value, which arrives as bytes of the frame that it was read from. */
 function toItem(item: StoreItem, epoch: number): StoreItem {
     return { ...item, revision: joinRevision({ epoch, revision: item.revision }), value: Buffer.from(item.value) };
