--- a/packages/front/src/startViewFollower.ts
+++ b/packages/front/src/startViewFollower.ts
@@ -101,7 +101,10 @@
         const { epoch = 0, confirmedAgoMs, sentAgoMs } = reply.age;
         const revision = joinRevision({ epoch, revision: reply.age.revision });
         if (reply.kind === "large") {
-            largeRevisions.set(reply.part, revision);
+            if ((largeRevisions.get(reply.part) ?? 0) < revision) {
+                largeRevisions.set(reply.part, revision);
+                metrics.count("view_large_parts_total", { part: reply.part });
+            }
             return;
         }
         const confirmation = {
@@ -149,6 +152,9 @@
         }
         reply.parts.forEach(part => take(part, sent));
         metrics.count("view_replies_total", {});
+        if (kind === "helper") {
+            metrics.count("view_helper_replies_total", {});
+        }
         const maxAgeMs = kind === "source" ? readAges().maxFollowedMs : readAges().maxHelperMs;
         if (reply.parts.every(part => part.kind !== "unknown" && part.age.confirmedAgoMs <= maxAgeMs)) {
             repliedMs = clock.nowMs();
