--- a/packages/soak/src/planFaults.ts
+++ b/packages/soak/src/planFaults.ts
@@ -11,7 +11,7 @@
         readonly mode: "delayed" | "silent" | "deaf" | "refused";
     }
     | { readonly kind: "store_reset" | "engine_reset"; readonly index: number }
-    | { readonly kind: "store_refuses" | "store_compacts" }
+    | { readonly kind: "store_refuses" | "store_compacts" | "store_restores" }
     | { readonly kind: "engine_crash" | "engine_leaves" | "engine_fails"; readonly index: number }
     | { readonly kind: "new_config" | "new_version" }
     | { readonly kind: "hosts_cut"; readonly hosts: readonly number[]; readonly mode: CutMode }
@@ -64,7 +64,12 @@
     "new_version",
 ];
 /** All kinds of faults. */
-export const FAULT_KINDS: readonly FaultKind[] = [...BASIC_FAULT_KINDS, "hosts_cut", "engine_silent"];
+export const FAULT_KINDS: readonly FaultKind[] = [
+    ...BASIC_FAULT_KINDS,
+    "hosts_cut",
+    "engine_silent",
+    "store_restores",
+];
 
 /**
  * Plans a random sequence of faults; the same seed gives the same plan.
@@ -112,6 +117,7 @@
             return { kind, index: draw(engines) };
         case "store_refuses":
         case "store_compacts":
+        case "store_restores":
         case "new_config":
         case "new_version":
             return { kind };
--- a/packages/soak/src/runSoak.feature
+++ b/packages/soak/src/runSoak.feature
@@ -18,6 +18,12 @@
         When the soak of seed 3 runs for 6 s with engines of 2 software versions
         Then the soak reports no violation
 
+    # Guards against hosts that take what a copy of the store holds for news, or go on with what it has lost.
+    Scenario: The store comes back from copies, beside kills, pauses and a cut store
+        Given the front program is bundled
+        When the soak of seed 5 runs for 6 s with store_restores,new_config,kill,pause,store_link
+        Then the soak reports no violation
+
     Scenario: The log of a host traces a request by its id
         Given the front program is bundled
         When a soak fleet of 2 hosts serves a "streaming" request
--- a/packages/soak/src/runSoak.steps.ts
+++ b/packages/soak/src/runSoak.steps.ts
@@ -12,7 +12,8 @@
 import { Agent } from "node:http";
 import { setTimeout } from "node:timers/promises";
 import type { LogLine } from "./createFrontProcess.js";
-import { BASIC_FAULT_KINDS } from "./planFaults.js";
+import { BASIC_FAULT_KINDS, FAULT_KINDS } from "./planFaults.js";
+import type { FaultKind } from "./planFaults.js";
 import { runSoak } from "./runSoak.js";
 import type { SoakReport } from "./runSoak.js";
 import { sendRequest } from "./sendRequest.js";
@@ -42,18 +43,17 @@
 When(
     "the soak of seed {int} runs for {int} s with engines of {int} software versions",
     { timeout: STEP_TIMEOUT_MS },
-    async (seed: number, seconds: number, softwareVersions: number) => {
-        report = await runSoak({
-            seed,
-            hosts: 3,
-            domains: 1,
-            modelEngines: 3,
-            plainEngines: 2,
-            softwareVersions,
-            lengthMs: seconds * 1000,
-            clients: 6,
-            kinds: BASIC_FAULT_KINDS,
-        });
+    (seed: number, seconds: number, softwareVersions: number) =>
+        runSeed(seed, seconds, softwareVersions, BASIC_FAULT_KINDS),
+);
+
+When(
+    /^the soak of seed (\d+) runs for (\d+) s with ([a-z_,]+)$/,
+    { timeout: STEP_TIMEOUT_MS },
+    (seed: string, seconds: string, kinds: string) => {
+        const drawn = FAULT_KINDS.filter(kind => kinds.split(",").includes(kind));
+        strictEqual(drawn.join().length, kinds.length);
+        return runSeed(Number(seed), Number(seconds), 1, drawn);
     },
 );
 
@@ -117,3 +117,22 @@
         generation: { model: MODEL, adapter: "a7", events: 5 },
     };
 }
+
+async function runSeed(
+    seed: number,
+    seconds: number,
+    softwareVersions: number,
+    kinds: readonly FaultKind[],
+): Promise<void> {
+    report = await runSoak({
+        seed,
+        hosts: 3,
+        domains: 1,
+        modelEngines: 3,
+        plainEngines: 2,
+        softwareVersions,
+        lengthMs: seconds * 1000,
+        clients: 6,
+        kinds,
+    });
+}
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -169,7 +169,7 @@
 }
 
 async function injectFault(fleet: SoakFleet, fault: Fault, forMs: number, random: Random): Promise<void> {
-    fleet.recordFault(forMs);
+    fleet.recordFault(fault.kind === "store_restores" ? forMs + STORE_AWAY_MS : forMs);
     switch (fault.kind) {
         case "kill":
         case "stop": {
@@ -217,6 +217,15 @@
         case "store_compacts":
             fleet.store.compact();
             return;
+        case "store_restores": {
+            const restore = fleet.store.copy();
+            await wait(forMs);
+            fleet.store.setMode("refusing");
+            await wait(STORE_AWAY_MS);
+            restore();
+            fleet.store.setMode("serving");
+            return;
+        }
         case "engine_crash":
             fleet.getEngine(fault.index)?.crash();
             await wait(forMs);
@@ -252,6 +261,9 @@
     }
 }
 
+/** Time for which the store is away before it comes back from a copy, in milliseconds. */
+const STORE_AWAY_MS = 300;
+
 /** Time that a draining engine keeps serving, in milliseconds; the platform states 2 and 3 s. */
 const ENGINE_DRAIN_MS = 3000;
 
