Model: let the store return from a copy

The model of orders on the platform gains the steps of a copy and of its return under the next epoch, at any state; hosts go on by what they know. Claims and fencing tokens are decided by the production code (decideEngineClaim, joinRevision).

The defect of tokens without their epoch is found: two hosts order by one token.

--- a/packages/spec/src/explorePlatformOwnership.ts
+++ b/packages/spec/src/explorePlatformOwnership.ts
@@ -10,6 +10,7 @@
     delayedOrders: 1,
     lapses: 1,
     restarts: 0,
+    restores: 0,
     runs: 1,
     orders: 4,
     checksFences: true,
@@ -18,12 +19,18 @@
     "orders without their count",
     "unanswered orders count",
     "no report after a claim",
+    "revisions without their epoch",
 ];
 const CASES: readonly { readonly name: string; readonly overrides: Partial<PlatformOwnershipBounds> }[] = [
     { name: "lapse, late order, run, fences checked", overrides: {} },
     { name: "lapse, late order, run, fences ignored", overrides: { checksFences: false } },
     { name: "lapse, two late orders, fences checked", overrides: { delayedOrders: 2, runs: 0 } },
     { name: "engine restart, late order, fences ignored", overrides: { restarts: 1, checksFences: false, runs: 0 } },
+    { name: "return from a copy, lapse, late order, fences checked", overrides: { restores: 1, orders: 2, runs: 0 } },
+    {
+        name: "two returns from copies, late order, fences ignored",
+        overrides: { restores: 2, orders: 2, runs: 0, lapses: 0, checksFences: false },
+    },
     {
         name: "two places, late order, run, fences checked",
         overrides: { adapterSlots: 2, adapters: ["1", "2", "3"], orders: 3 },
@@ -38,7 +45,8 @@
         defects: at === 0
             ? DEFECTS.map((defect): NamedDefect => ({
                 name: defect,
-                explore: () => explorePlatformOwnership({ defect, checksFences: false, orders: 5, lapses: 2 }),
+                explore: () =>
+                    explorePlatformOwnership({ defect, checksFences: false, orders: 5, lapses: 2, restores: 1 }),
             }))
             : [],
     }),
--- a/packages/spec/src/platformOwnershipModel.ts
+++ b/packages/spec/src/platformOwnershipModel.ts
@@ -8,7 +8,9 @@
     /** An unanswered order counts as accepted. */
     | "unanswered orders count"
     /** A new owner sends orders based on its last known state of the engine. */
-    | "no report after a claim";
+    | "no report after a claim"
+    /** Fencing tokens don't tell revisions of a copy of the store from those that were given out before. */
+    | "revisions without their epoch";
 
 /** Bounds of an exploration. */
 export interface PlatformOwnershipBounds {
@@ -22,6 +24,8 @@
     readonly lapses: number;
     /** Maximum number of engine restarts. */
     readonly restarts: number;
+    /** Maximum number of returns of the store from a copy. */
+    readonly restores: number;
     /** Maximum number of runs on the engine. */
     readonly runs: number;
     /** Maximum number of orders in one trace. */
@@ -60,7 +64,16 @@
 /** State of the platform model: two hosts, the store, one engine and delayed orders. */
 export interface PlatformOwnershipModel {
     readonly hosts: Readonly<Record<PlatformHost, HostModel>>;
-    readonly store: { readonly owner: PlatformHost | "nobody"; readonly revision: number };
+    readonly store: {
+        readonly owner: PlatformHost | "nobody";
+        readonly revision: number;
+        /** Number of returns from a copy so far. */
+        readonly epoch: number;
+        /** Whether the owner's claim is from a copy, so that nobody orders by it. */
+        readonly isRestored: boolean;
+        /** The copy from which the store may return; undefined if there is none. */
+        readonly copy: { readonly owner: PlatformHost | "nobody"; readonly revision: number } | undefined;
+    };
     readonly engine: {
         readonly incarnation: number;
         readonly seq: number;
@@ -96,5 +109,5 @@
     | { readonly type: "deliver"; readonly at: number }
     /** A request on the adapter starts or ends. */
     | { readonly type: "run" | "end"; readonly adapter: string }
-    /** The owner's lease expires, or the engine restarts. */
-    | { readonly type: "lapse" | "restart" };
+    /** The owner's lease expires, the engine restarts, or the store is copied or returns from its copy. */
+    | { readonly type: "lapse" | "restart" | "copy" | "restore" };
--- a/packages/spec/src/platformOwnershipSpecification.ts
+++ b/packages/spec/src/platformOwnershipSpecification.ts
@@ -1,3 +1,4 @@
+import { joinRevision } from "@fulmarcleat/directory";
 import type { EngineReport, OrderReply } from "@fulmarcleat/directory";
 import { brandId } from "@fulmarcleat/ids";
 import type { AdapterName, BaseModel, HostId, Incarnation } from "@fulmarcleat/ids";
@@ -45,7 +46,7 @@
         name: `orders on the platform, fences ${bounds.checksFences ? "checked" : "ignored"}`,
         initial: {
             hosts: { a: INITIAL_HOST, b: INITIAL_HOST },
-            store: { owner: "nobody", revision: 1 },
+            store: { owner: "nobody", revision: 1, epoch: 0, isRestored: false, copy: undefined },
             engine: { incarnation: 1, seq: 0, highestFence: 0, loaded: [], inUse: [] },
             delayedOrders: [],
             lapses: 0,
@@ -108,6 +109,9 @@
     if (model.restarts < bounds.restarts) {
         events.push({ type: "restart" });
     }
+    if (model.store.epoch < bounds.restores) {
+        events.push({ type: model.store.copy === undefined ? "copy" : "restore" });
+    }
     return events;
 }
 
@@ -122,7 +126,8 @@
         incarnation: brandId<Incarnation>("1"),
         isReleased: false,
         hasLostPath: false,
-        revision: store.revision,
+        isRestored: store.isRestored,
+        revision: joinRevision(store),
     };
     const decision = decideEngineClaim({
         self: brandId<HostId>(host),
@@ -149,12 +154,16 @@
     switch (event.type) {
         case "claim": {
             const revision = store.revision + 1;
+            const fence = bounds.defect === "revisions without their epoch"
+                ? revision
+                : joinRevision({ epoch: store.epoch, revision });
             const isStale = bounds.defect === "no report after a claim";
             const former = hosts[event.host];
             const next: HostModel = isStale && former.seq >= 0
-                ? { ...former, seq: engine.seq, fence: revision }
-                : { ...INITIAL_HOST, fence: revision };
-            return { ...model, store: { owner: event.host, revision }, hosts: { ...hosts, [event.host]: next } };
+                ? { ...former, seq: engine.seq, fence }
+                : { ...INITIAL_HOST, fence };
+            const claimed = { ...store, owner: event.host, revision, isRestored: false };
+            return { ...model, store: claimed, hosts: { ...hosts, [event.host]: next } };
         }
         case "act":
             return runOwner(model, event, bounds);
@@ -175,7 +184,11 @@
             return { ...model, engine: { ...engine, inUse, loaded } };
         }
         case "lapse":
-            return { ...model, lapses: model.lapses + 1, store: { ...store, owner: "nobody" } };
+            return { ...model, lapses: model.lapses + 1, store: { ...store, owner: "nobody", isRestored: false } };
+        case "copy":
+            return { ...model, store: { ...store, copy: { owner: store.owner, revision: store.revision } } };
+        case "restore":
+            return { ...model, store: restoreStore(store) };
         case "restart": {
             const restarted = { incarnation: engine.incarnation + 1, seq: 0, highestFence: 0, loaded: [], inUse: [] };
             // Hosts detect the restart by the engine's directory entry and reset their view.
@@ -188,6 +201,12 @@
     }
 }
 
+/** What hosts know isn't touched: each goes on by its old claim until it orders, or claims anew. */
+function restoreStore({ epoch, copy }: PlatformOwnershipModel["store"]): PlatformOwnershipModel["store"] {
+    const { owner, revision } = copy ?? { owner: "nobody", revision: 1 };
+    return { owner, revision, epoch: epoch + 1, isRestored: owner !== "nobody", copy: undefined };
+}
+
 function runOwner(
     model: PlatformOwnershipModel,
     { host, wanted: adapter, reply }: Extract<PlatformOwnershipEvent, { type: "act" }>,
