--- a/packages/directory/src/computeLinkBytes.ts
+++ b/packages/directory/src/computeLinkBytes.ts
@@ -1,4 +1,4 @@
-/** Bytes that a link of 1 Mbit/s carries in a millisecond. */
+/** Bytes that a link of one megabit a second carries in a millisecond. */
 const BYTES_PER_MS = 125;
 
 /**
