Hand on engines' entries and hosts' keys however many they are

Found by reading: 120 engines whose entries change all the time are more than a followed host's link of 7 Mbit/s carries to 29 followers in 300 ms, so that each of 300 hosts listed them from the store again and again (242.5 calls a second; 60 are allowed).

Only the operator's keys are referred to the store now; the other parts are urgent, and many small values don't shrink by being listed.

--- a/packages/front/src/answerView.ts
+++ b/packages/front/src/answerView.ts
@@ -7,6 +7,9 @@
 /** The feeds of the parts of the store that hosts follow. */
 export type ViewFeeds = Readonly<Record<ViewPart, KeyFeed>>;
 
+/** The part whose values may be large; those of the others are small, urgent and many. */
+const LARGE_PART: ViewPart = "config";
+
 /**
  * Answers a host that follows this one's view of the store, at once if there is something new, else at the next change
  * or after its wait.
@@ -14,7 +17,7 @@
  * @param clock - Source of the time
  * @param feeds - What this host knows of the store
  * @param request - Revisions up to which the other host knows all changes, with their epochs, its wait and its limit
- * @param maxBytes - Most bytes of a part that this host's link carries to a host that can read the store itself
+ * @param maxBytes - Most bytes of the operator's keys that this host's link carries to a host that can read the store
  * @returns the changes of each part, with their age
  *
  * @example
@@ -28,7 +31,9 @@
 ): Promise<readonly ViewPartReply[]> {
     const limit = askedBytes === undefined ? Infinity : Math.min(askedBytes, maxBytes);
     const read = (): readonly ViewPartReply[] =>
-        parts.map(({ part, ...known }) => limitReply(readPart(clock, feeds[part], part, known), limit));
+        parts.map(({ part, ...known }) =>
+            limitReply(readPart(clock, feeds[part], part, known), part === LARGE_PART ? limit : Infinity)
+        );
     const first = read();
     if (first.some(hasNews) || waitMs <= 0) {
         return first;
--- a/packages/front/src/followViews.feature
+++ b/packages/front/src/followViews.feature
@@ -151,3 +151,14 @@
             | 84    | 3       | a third of the hosts | 300 |
             | 84    | 3       | a third of the hosts | 900 |
             | 84    | 3       | all followed hosts   | 900 |
+
+    # Guards against hosts that read urgent, small values from the store, because many of them together are large.
+    Scenario Outline: <hosts> hosts on slow links while the entries of <engines> engines change all the time
+        Given <hosts> hosts in <domains> failure domains, 0 of each with links of 140 Mbit/s and the others of 7
+        When the entries of <engines> engines change each 1200 ms for 6000 ms
+        Then all hosts together have made at most <calls> calls a second to the store
+
+        Examples:
+            | hosts | domains | engines | calls |
+            | 86    | 3       | 45      | 60    |
+            | 300   | 5       | 120     | 60    |
--- a/packages/front/src/followViews.steps.ts
+++ b/packages/front/src/followViews.steps.ts
@@ -13,6 +13,9 @@
 /** Time for changes in a fleet whose links are limited, in milliseconds. */
 const LARGE_APPLY_MS = 3000;
 const BYTES_PER_KB = 1000;
+/** Time between two groups of changed entries, in milliseconds, and the size of an entry. */
+const ENTRY_STEP_MS = 100;
+const ENTRY_BYTES = 600;
 /** Longest fault of a random sequence, in milliseconds. */
 const MAX_FAULT_MS = 3000;
 /** Time within which a fault's effect begins before a change is accepted, in milliseconds. */
@@ -142,6 +145,22 @@
     putEngine("draining");
 });
 
+When(
+    "the entries of {int} engines change each {int} ms for {int} ms",
+    async (engines: number, intervalMs: number, forMs: number) => {
+        const callsBefore = fleet.storeCalls;
+        for (let passedMs = 0; passedMs < forMs; passedMs += ENTRY_STEP_MS) {
+            const perStep = engines * ENTRY_STEP_MS / intervalMs;
+            for (let index = 0; index < perStep; index += 1) {
+                const name = `i-entry-${Math.round(passedMs / ENTRY_STEP_MS * perStep + index) % engines}`;
+                fleet.store.put(ENGINE_PREFIX + name, Buffer.from(formatEntry("ready").padEnd(ENTRY_BYTES)));
+            }
+            await fleet.advance(ENTRY_STEP_MS);
+        }
+        callsPerS = (fleet.storeCalls - callsBefore) / (forMs / 1000);
+    },
+);
+
 Then("all hosts together have made at most {int} calls a second to the store", (most: number) => {
     ok(callsPerS <= most, `${callsPerS} calls`);
 });
@@ -281,6 +300,9 @@
 }
 
 function putEngine(state: string): void {
-    const entry = { service: "models", address: "127.0.0.1:1", zone: "a", slots: 4, state, born: 1 };
-    fleet.store.put(ENGINE_PREFIX + ENGINE, Buffer.from(JSON.stringify(entry)));
+    fleet.store.put(ENGINE_PREFIX + ENGINE, Buffer.from(formatEntry(state)));
+}
+
+function formatEntry(state: string): string {
+    return JSON.stringify({ service: "models", address: "127.0.0.1:1", zone: "a", slots: 4, state, born: 1 });
 }
--- a/packages/front/src/startViewFollower.ts
+++ b/packages/front/src/startViewFollower.ts
@@ -24,7 +24,7 @@
     readonly listSources: () => readonly Member[];
     /** Returns the hosts to ask while the store doesn't answer this one, the preferred one first; none while it does. */
     readonly listHelpers: () => readonly Member[];
-    /** Returns the most bytes of a part to take from another host; undefined if the store can't be read instead. */
+    /** Returns the most bytes of the operator's keys to take from another host; undefined if the store can't be read. */
     readonly readMaxBytes: () => number | undefined;
     /** Returns the client for requests to other hosts; undefined until it is connected. */
     readonly readPeers: () => Pick<PeerClient, "request"> | undefined;
--- a/packages/wire/src/viewMessages.ts
+++ b/packages/wire/src/viewMessages.ts
@@ -15,8 +15,8 @@
     /** Longest wait for a change, in milliseconds. */
     readonly waitMs: number;
     /**
-     * Most bytes of values in a part; the asking host reads larger ones from the store. Undefined if it takes any number,
-     * or if its version doesn't know of larger ones.
+     * Most bytes of the operator's values; the asking host reads more from the store. Undefined if it takes any number, or
+     * if its version doesn't know of the limit.
      */
     readonly maxBytes?: number | undefined;
 }
