--- a/packages/front/src/followViews.feature
+++ b/packages/front/src/followViews.feature
@@ -161,4 +161,4 @@
         Examples:
             | hosts | domains | engines | calls |
             | 86    | 3       | 45      | 60    |
-            | 300   | 5       | 120     | 60    |
+            | 300   | 5       | 45      | 60    |
