Two rows on large values over slow links stand again, as known faults

A value of 900 KB, and eight of 600 KB, 500 ms apart, come later than 3 s (configApplyMs) where all links have 7 Mbit/s: 35 and 84 of 84 hosts late.

--- a/packages/front/src/followViews.feature
+++ b/packages/front/src/followViews.feature
@@ -136,6 +136,8 @@
             | 84    | 3       | 2    | 1        | 900 |
             | 84    | 3       | 0    | 1        | 600 |
             | 84    | 3       | 0    | 8        | 100 |
+            | 84    | 3       | 0    | 1        | 900 |
+            | 84    | 3       | 0    | 8        | 600 |
             | 195   | 5       | 2    | 1        | 900 |
             | 300   | 5       | 2    | 8        | 300 |
 
