Hold a stream's first event until its record is in the store, while two versions serve

What callers saw: all hosts were lost 0.3 s after 24 streams had begun, while engines of two software versions served.

Cause: records of streams were written in batches, each 240 ms with 6 hosts and 640 ms with 16 writers, later while a process is behind. Callers had events of streams that the store knew nothing of.

Change: a first event is held until its stream's record is stored, 500 ms at most and only while the store answers in time. Two writers (one more for each hundred hosts) write at once after a pause, 80 ms apart at most times.

Why it works: whoever has an event has a record in the store.

Two checks replaced: a host that is cut off from the others now finds the record in the store and must name its version; the fake store of hosts without power or without a path to it is now really out of reach.

--- a/packages/front/src/createEngineSender.ts
+++ b/packages/front/src/createEngineSender.ts
@@ -25,12 +25,12 @@
 
 /** Sends requests to engines and records what the exchanges show. */
 export interface EngineSender {
-    /** Sends a request to an engine; `onStart` is called when the client gets the first bytes of its answer. */
+    /** Sends a request to an engine; `onStart` is called before the client gets the first bytes of its answer. */
     send(
         request: ClientRequest,
         target: EngineSendTarget,
         events: ExchangeEvents,
-        onStart: () => void,
+        onStart: () => Promise<void> | undefined,
     ): RunningExchange;
 }
 
@@ -109,7 +109,7 @@
         request: ClientRequest,
         { known, permit }: EngineSendTarget,
         events: ExchangeEvents,
-        onStart: () => void,
+        onStart: () => Promise<void> | undefined,
     ): RunningExchange => {
         const { entry } = known;
         const sentMs = clock.nowMs();
--- a/packages/front/src/createForwarder.ts
+++ b/packages/front/src/createForwarder.ts
@@ -40,13 +40,13 @@
 
 /** Hands clients' requests to other hosts. */
 export interface Forwarder {
-    /** Hands a request to another host; `onStart` is called when the client gets the first bytes of its answer. */
+    /** Hands a request to another host; `onStart` is called before the client gets the first bytes of its answer. */
     send(
         request: ClientRequest,
         target: HelperTarget,
         state: ForwardState,
         events: ExchangeEvents,
-        onStart: () => void,
+        onStart: () => Promise<void> | undefined,
     ): RunningExchange;
 }
 
--- a/packages/front/src/createOriginStore.ts
+++ b/packages/front/src/createOriginStore.ts
@@ -7,8 +7,8 @@
 
 /** Where streams began, kept in the store for the time after a loss of all hosts. */
 export interface OriginStore {
-    /** Adds a stream; the store has it a moment later. */
-    add(record: StreamRecord): void;
+    /** Adds a stream; resolves to whether its first write succeeded. A failed one is repeated under another key. */
+    add(record: StreamRecord): Promise<boolean>;
     /** Finds where a stream began; undefined if the store doesn't know, or doesn't answer. */
     find(requestId: RequestId): Promise<StreamOrigin | undefined>;
 }
@@ -18,6 +18,8 @@
     readonly number: number;
     readonly startedMs: number;
     readonly records: StreamRecord[];
+    /** Told whether the next write, which holds all records so far, succeeded. */
+    readonly listeners: ((isStored: boolean) => void)[];
     /** Number of records that the store has. */
     written: number;
 }
@@ -30,12 +32,10 @@
 
 /** Prefix of the keys; apart from those that hosts watch, since only few ever read them. */
 export const ORIGIN_PREFIX = "fulmarcleat-origins/";
-/** Time between two writes for each host that writes, in milliseconds, so that all write 25 times a second. */
-const WRITE_INTERVAL_PER_WRITER_MS = 40;
-/** Shortest time between two writes, in milliseconds. */
-const MIN_WRITE_INTERVAL_MS = 200;
 /** Time after which streams go under a new key, in milliseconds. */
-const SEGMENT_MS = 5000;
+const SEGMENT_MS = 2500;
+/** Number of streams after which the next ones go under a new key, since each write holds all streams of its key. */
+const FULL_SEGMENT_RECORDS = 1000;
 /** Most streams under one key; the oldest ones are dropped first while the store is away. */
 const MAX_SEGMENT_RECORDS = 4000;
 /** Time for which a lease takes new keys, in milliseconds. */
@@ -45,25 +45,34 @@
 
 /**
  * Creates the store's record of where streams began. Streams are written in batches, under leases that outlive the host
- * for as long as a stream may be resumed; after a loss of all hosts the last batch is missing.
+ * for as long as a stream may be resumed. The first stream after a pause is written at once, so that a caller that holds
+ * an event until its stream is stored waits for the store's reply only.
  *
  * @param context - Store, clock, log, metrics and this host's name
- * @param countWriters - Returns the number of hosts that write such records
+ * @param readIntervalMs - Returns the shortest time between the starts of two writes of this host, in milliseconds
  * @returns the record
  *
  * @example
- * const originStore = createOriginStore(context, () => 6);
- * originStore.add({ requestId, service, softwareVersion });
+ * const originStore = createOriginStore(context, () => 80);
+ * const isStored = await originStore.add({ requestId, service, softwareVersion });
  */
 export function createOriginStore(
     { clock, deployment, incarnation, log, metrics, store }: Pick<
         FrontContext,
         "clock" | "deployment" | "incarnation" | "log" | "metrics" | "store"
     >,
-    countWriters: () => number,
+    readIntervalMs: () => number,
 ): OriginStore {
-    let segment: Segment = { number: 0, startedMs: clock.nowMs(), records: [], written: 0 };
+    const createSegment = (number: number): Segment => ({
+        number,
+        startedMs: clock.nowMs(),
+        records: [],
+        listeners: [],
+        written: 0,
+    });
+    let segment = createSegment(0);
     let isWriting = false;
+    let lastWriteMs = -Infinity;
     let lease: { readonly id: number; readonly openedMs: number } | undefined;
     let last: ReadOrigins | undefined;
     let reading: Promise<ReadOrigins | undefined> | undefined;
@@ -76,11 +85,11 @@
         }
         return lease.id;
     };
-    /** Starts a new key once an old one is written whole, or drops its oldest streams. */
+    /** Starts a new key, with the streams that have come since the last write, or drops an old one's oldest streams. */
     const startSegment = (): void => {
-        const { number, records, written, startedMs } = segment;
-        if (written === records.length && clock.nowMs() - startedMs >= SEGMENT_MS) {
-            segment = { number: number + 1, startedMs: clock.nowMs(), records: [], written: 0 };
+        const { number, records, listeners, written, startedMs } = segment;
+        if (written >= FULL_SEGMENT_RECORDS || written > 0 && clock.nowMs() - startedMs >= SEGMENT_MS) {
+            segment = { ...createSegment(number + 1), records: records.slice(written), listeners };
         }
         else if (records.length > MAX_SEGMENT_RECORDS) {
             const dropped = records.splice(0, records.length - MAX_SEGMENT_RECORDS).length;
@@ -90,6 +99,9 @@
     const write = async (): Promise<void> => {
         const { number, records } = segment;
         const count = records.length;
+        const listeners = segment.listeners.splice(0);
+        let isStored = false;
+        lastWriteMs = clock.nowMs();
         const key = `${ORIGIN_PREFIX}${deployment.host}/${incarnation}.${number}`;
         try {
             const puts = [{ key, value: encodeOrigins(records), lease: await readLease() }];
@@ -97,6 +109,7 @@
             if (reply.kind === "written") {
                 metrics.count("stream_origins_stored_total", {}, count - segment.written);
                 segment.written = count;
+                isStored = true;
             }
             else {
                 lease = undefined;
@@ -107,14 +120,15 @@
             // The write may still be carried out, and must not overwrite a later one.
             segment = { ...segment, number: number + 1, written: 0 };
         }
+        listeners.forEach(tell => tell(isStored));
     };
     const writeLater = (): void => {
         if (isWriting) {
             return;
         }
         isWriting = true;
-        const intervalMs = Math.max(MIN_WRITE_INTERVAL_MS, countWriters() * WRITE_INTERVAL_PER_WRITER_MS);
-        clock.setTimer(intervalMs, () =>
+        const waitMs = Math.max(0, lastWriteMs + readIntervalMs() - clock.nowMs());
+        clock.setTimer(waitMs, () =>
             void write().finally(() => {
                 isWriting = false;
                 startSegment();
@@ -148,7 +162,9 @@
     return {
         add(record) {
             segment.records.push(record);
+            const stored = new Promise<boolean>(resolve => void segment.listeners.push(resolve));
             writeLater();
+            return stored;
         },
         async find(requestId) {
             const known = last?.origins.get(requestId);
--- a/packages/front/src/createStreamOrigins.feature
+++ b/packages/front/src/createStreamOrigins.feature
@@ -53,6 +53,40 @@
             | nothing on record, the hosts ran on      | v1 v1   | the versions were never recorded    | 31  | v1      | 8     |
             | it had just left, of many hosts          | v1 v2   | the engine of v1 leaves 1 s before  | 0   | v1      | 195   |
 
+    # Guards against a stream that its client can't resume, since all hosts were lost between its first event and the
+    # write of its record: none of 24 went on if the hosts were killed 0.3 s after the streams began.
+    Scenario Outline: After a loss of all <hosts> hosts <ms> ms after a first event reached its client, "<versions>"
+        Given <hosts> hosts and engines of the versions "<versions>"
+        And the first event of a stream of version v1 has reached its client from host 0<trouble>
+        And all hosts lose power <ms> ms later
+        When the client resumes the stream at every other host
+        Then the stream began at "<began>"
+        And the event was held for at most <held> ms
+
+        Examples:
+            | hosts | versions | ms  | trouble                 | began   | held |
+            | 6     | v1 v2    | 0   |                         | v1      | 120  |
+            | 6     | v1 v2    | 50  |                         | v1      | 120  |
+            | 6     | v1 v2    | 240 |                         | v1      | 120  |
+            | 6     | v1 v2    | 640 |                         | v1      | 120  |
+            | 6     | v1 v2 v3 | 0   |                         | v1      | 120  |
+            | 86    | v1 v2    | 0   |                         | v1      | 120  |
+            | 86    | v1 v2    | 240 |                         | v1      | 120  |
+            | 300   | v1 v2    | 0   |                         | v1      | 120  |
+            | 300   | v1 v2 v3 | 50  |                         | v1      | 120  |
+            | 6     | v1 v2    | 0   | , the hosts behind      | v1      | 500  |
+            | 86    | v1 v2    | 0   | , a writer gone         | v1      | 500  |
+            | 6     | v1 v1    | 0   |                         | v1      | 0    |
+            | 6     | v1 v2    | 0   | , the store away        | unknown | 520  |
+            | 6     | v1 v2    | 0   | , the store rejecting   | unknown | 520  |
+            | 6     | v1 v2    | 0   | , the store turned back | unknown | 120  |
+
+    # Guards against events that are late for all callers, since each waits for a store that is away.
+    Scenario: While the store is away only the first of many streams is held
+        Given 6 hosts and engines of the versions "v1 v2"
+        When 8 streams begin while the store is away
+        Then the event was held for at most 520 ms
+
     # Guards against a stream that goes on at another version, since the host that takes it up knows of one version only.
     Scenario Outline: A host <state> while the version v2 came
         Given 8 hosts and engines of the versions "v1 v2"
@@ -64,7 +98,7 @@
         Examples:
             | state                                           | version |
             | was cut off from the other hosts and the store  | unknown |
-            | was cut off from the other hosts                | unknown |
+            | was cut off from the other hosts                | v2      |
             | was cut off from the store                      | v2      |
             | stood still                                     | v2      |
 
--- a/packages/front/src/createStreamOrigins.steps.ts
+++ b/packages/front/src/createStreamOrigins.steps.ts
@@ -46,6 +46,10 @@
 /** Time in which a client's question is answered, in milliseconds. */
 const FIND_MS = 1200;
 let incarnations = 0;
+/** Number of losses of power so far; a host of before one sends nothing more. */
+let powerLosses = 0;
+/** Time for which first events were held, in milliseconds. */
+let heldMs = 0;
 let versions: readonly (string | undefined)[] = [];
 
 const toHost = (number: number | string): HostId => brandId<HostId>(`host-${number}`);
@@ -59,8 +63,9 @@
         }
         if (name === "streamStart") {
             told.push(to.host);
-            host.keep(body as StreamRecord);
-            return Promise.resolve({ done: true });
+            return host.keep(body as StreamRecord).then(isStored =>
+                isStored ? { done: true } : Promise.reject(new Error("the store has not taken the record"))
+            );
         }
         return Promise.resolve(host.answer((body as StreamOriginRequest).requestId));
     },
@@ -74,6 +79,7 @@
 
 async function startHost(number: number, outOfStep?: OutOfStep): Promise<void> {
     const host = toHost(number);
+    const ownLosses = powerLosses;
     const ownEngines = outOfStep === undefined ? engines : new Map([...engines].slice(0, 1));
     const confirmEngines = (): Promise<boolean> => {
         engines.forEach((known, id) => outOfStep?.isCutFromStore !== true && ownEngines.set(id, known));
@@ -92,11 +98,16 @@
         log: { write: () => undefined },
         store: {
             ...store,
+            list: (prefix: string) =>
+                outOfStep?.isCutFromStore === true ? Promise.reject(new Error("no reply")) : store.list(prefix),
             openLease(ttlMs: number) {
                 writtenBytes.push(0);
                 return store.openLease(ttlMs);
             },
             change(change: StoreChange) {
+                if (ownLosses !== powerLosses) {
+                    return new Promise(() => undefined);
+                }
                 writtenBytes.push(...change.puts.map(put => put.value.length));
                 return store.change(change);
             },
@@ -115,7 +126,7 @@
             context,
             clusterView,
             () => ownPeers,
-            countWriters => createOriginStore(context, countWriters),
+            readIntervalMs => createOriginStore(context, readIntervalMs),
         ),
     );
 }
@@ -160,6 +171,70 @@
 
 Given("1 s passes", () => advance(1000));
 
+/** Lets streams of the same moment begin at many hosts, as records of others must not delay one for long. */
+function startOthers(perHost: number): void {
+    hosts.forEach((host, name) => {
+        for (let stream = 0; stream < perHost; stream += 1) {
+            const requestId = brandId<RequestId>(`${name}-${stream}`);
+            void host.record({ requestId, service: SERVICE.name, softwareVersion: brandId("v2") });
+        }
+    });
+}
+
+Given(
+    /^the first event of a stream of version (\w+) has reached its client from host (\d+)(.*)$/,
+    async (version: string, host: string, trouble: string) => {
+        startOthers(4);
+        const copy = store.copy();
+        const events = hosts.get(toHost(host))?.record({
+            requestId: STREAM,
+            service: SERVICE.name,
+            softwareVersion: brandId(version),
+        });
+        let hasReached = events === undefined;
+        void events?.then(() => {
+            hasReached = true;
+        });
+        const modes = { ", the store away": "silent", ", the store rejecting": "rejecting" } as const;
+        const mode = Object.entries(modes).find(([text]) => text === trouble)?.[1];
+        store.setMode(mode ?? "serving");
+        if (trouble === ", a writer gone") {
+            told.filter(name => name !== toHost(0)).forEach(name => killHost(name.slice("host-".length)));
+        }
+        // A process that is behind runs none of its timers meanwhile.
+        clock.advance(trouble === ", the hosts behind" ? 400 : 0);
+        for (heldMs = 0; !hasReached && heldMs < 2000; heldMs += STEP_MS) {
+            await advance(STEP_MS);
+        }
+        ok(hasReached, "the event is still held");
+        if (trouble === ", the store turned back") {
+            copy();
+        }
+        store.setMode("serving");
+    },
+);
+
+Given("all hosts lose power {int} ms later", async (laterMs: number) => {
+    await advance(laterMs);
+    await losePower();
+});
+
+Then("the event was held for at most {int} ms", (mostMs: number) => ok(heldMs <= mostMs, `held for ${heldMs} ms`));
+
+When("{int} streams begin while the store is away", async (count: number) => {
+    store.setMode("silent");
+    heldMs = 0;
+    for (let stream = 0; stream < count; stream += 1) {
+        const requestId = brandId<RequestId>(`away-${stream}`);
+        const startedMs = clock.nowMs();
+        const held = hosts.get(toHost(0))?.record({ requestId, service: SERVICE.name, softwareVersion: undefined });
+        void held?.then(() => {
+            heldMs += clock.nowMs() - startedMs;
+        });
+        await advance(1000);
+    }
+});
+
 Given("1 s passes with the store away, and 2 s", async () => {
     store.setMode("silent");
     await advance(1000);
@@ -192,7 +267,7 @@
         const requestId = brandId<RequestId>(`${stream}`.padStart(16, "0"));
         const softwareVersion = brandId<SoftwareVersion>(stream % 2 === 0 ? "v1" : "v2");
         began.push(requestId);
-        hosts.get(toHost(stream % hosts.size))?.record({ requestId, service: SERVICE.name, softwareVersion });
+        void hosts.get(toHost(stream % hosts.size))?.record({ requestId, service: SERVICE.name, softwareVersion });
         if (stream % 4 === 3) {
             await advance(4 * 1000 / perSecond);
         }
@@ -219,6 +294,7 @@
 async function losePower(): Promise<void> {
     const numbers = [...hosts.keys()].map(host => Number(host.slice("host-".length)));
     hosts.forEach(host => host.stop());
+    powerLosses += 1;
     removalListeners = [];
     isFirstStart = false;
     hosts.clear();
@@ -239,7 +315,7 @@
 Given("hosts don't reach each other", () => void (arePeersCut = true));
 
 Given(/^the stream began at version (\w+) at host (\d+)$/, (version: string, host: string) => {
-    hosts.get(toHost(host))?.record({
+    void hosts.get(toHost(host))?.record({
         requestId: STREAM,
         service: SERVICE.name,
         softwareVersion: brandId(version),
@@ -288,7 +364,7 @@
 When("{int} streams begin at host 0", (count: number) => {
     for (let stream = 0; stream < count; stream += 1) {
         const requestId = brandId<RequestId>(`r${stream}`);
-        hosts.get(toHost(0))?.record({ requestId, service: SERVICE.name, softwareVersion: undefined });
+        void hosts.get(toHost(0))?.record({ requestId, service: SERVICE.name, softwareVersion: undefined });
     }
     strictEqual(told.length, 2 * count);
 });
--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -1,7 +1,7 @@
 import type { Service } from "@fulmarcleat/directory";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import { repeat } from "@fulmarcleat/ids";
-import type { CancelTimer, RequestId, ServiceName, SoftwareVersion } from "@fulmarcleat/ids";
+import type { CancelTimer, HostId, RequestId, ServiceName, SoftwareVersion } from "@fulmarcleat/ids";
 import type { PeerClient, StreamOrigin, StreamOriginReply, StreamRecord } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
 import type { OriginStore } from "./createOriginStore.js";
@@ -12,15 +12,18 @@
 
 /** Remembers where streams began, for clients that resume them at any host. */
 export interface StreamOrigins {
-    /** Records where a stream began, at this host and at the peers that other hosts ask first. */
-    record(record: StreamRecord): void;
+    /**
+     * Records where a stream began, at this host and at the peers that other hosts ask first. Its first event is to be
+     * held until the returned promise resolves; undefined if it can be sent at once.
+     */
+    record(record: StreamRecord): Promise<void> | undefined;
     /**
      * Finds where a stream began; undefined if it can't be known.
      * `requestId` is the request that brought its first event; undefined if the client names none.
      */
     find(requestId: RequestId | undefined, service: Service): Promise<StreamOrigin | undefined>;
-    /** Keeps another host's record. */
-    keep(record: StreamRecord): void;
+    /** Keeps another host's record; resolves to false if the store was to have it and doesn't. */
+    keep(record: StreamRecord): Promise<boolean>;
     /** Answers another host's question from the records that this host keeps. */
     answer(requestId: RequestId): StreamOriginReply;
     /** Stops looking for second software versions. */
@@ -45,6 +48,22 @@
 const COPIES = 2;
 /** Number of peers that are asked; more than keep copies, since hosts join and leave meanwhile. */
 const ASKED_PEERS = 6;
+/** Fewest hosts that write to the store; one more takes over its share when one is lost. */
+const MIN_WRITERS = 2;
+/** Number of hosts for each further one that writes to the store, so that no host gets too many records. */
+const HOSTS_PER_WRITER = 100;
+/** Shortest time between two writes of one of these hosts, in milliseconds; two write 25 times a second. */
+const WRITE_INTERVAL_MS = 80;
+/** Shortest time between two writes of a host that reaches no writer, in milliseconds. */
+const MIN_UNREACHED_INTERVAL_MS = 200;
+/** The same time for each host that may be in its place, in milliseconds. */
+const UNREACHED_INTERVAL_PER_KEEPER_MS = 40;
+/** Longest wait until a peer has stored a record, in milliseconds: two writes, and a peer that is behind. */
+const STORE_TIMEOUT_MS = 400;
+/** Longest time for which a first event is held until its record is stored, in milliseconds. */
+const MAX_HOLD_MS = 500;
+/** Time within which a record must be stored for the next first events to be held, in milliseconds. */
+const HOLDING_REPLY_MS = 250;
 /** Interval between two looks whether a service has got a second software version, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
 
@@ -52,22 +71,23 @@
  * Creates the records of where streams began. They are kept in memory, at the host that served the first event and at
  * two peers that rendezvous hashing of the request's id picks from a bounded set. After a loss of all hosts only the store
  * tells where a stream can have begun: by the software versions on record if there is one, else by the stream's own
- * record, which the first of the two peers writes while a service has more than one.
+ * record, which one of few writers stores while a service has more than one. A stream's first event is held until then,
+ * so that whoever has received it can resume the stream; while the store is away or slow nothing is held.
  *
  * @param context - Clock, hash, metrics and this host's name
  * @param clusterView - Live hosts and engines
  * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
- * @param createStore - Creates the store's record of streams, for a number of hosts that write it
+ * @param createStore - Creates the store's record of streams, for an interval between two writes
  * @returns the records, empty
  *
  * @example
- * const streamOrigins = createStreamOrigins(context, clusterView, () => peers, count => createOriginStore(context, count));
+ * const streamOrigins = createStreamOrigins(context, clusterView, () => peers, interval => createOriginStore(context, interval));
  */
 export function createStreamOrigins(
     context: Pick<FrontContext, "clock" | "deployment" | "hash" | "metrics">,
     clusterView: Pick<ClusterView, "confirmEngines" | "engines" | "members" | "onEngineRemoved" | "recordedVersions">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
-    createStore: (countWriters: () => number) => OriginStore,
+    createStore: (readIntervalMs: () => number) => OriginStore,
 ): StreamOrigins {
     const { clock, deployment, hash, metrics } = context;
     const kept = new Map<RequestId, KeptOrigin>();
@@ -75,7 +95,16 @@
     const startedMs = clock.nowMs();
     let formerVersions: readonly { readonly origin: StreamOrigin; readonly removedAtMs: number }[] = [];
 
-    const originStore = createStore(() => Math.min(MAX_KEEPERS, clusterView.members.size));
+    let isHolding = true;
+
+    const originStore = createStore(() =>
+        listWriters().includes(deployment.host)
+            ? WRITE_INTERVAL_MS
+            : Math.max(
+                MIN_UNREACHED_INTERVAL_MS,
+                Math.min(MAX_KEEPERS, clusterView.members.size) * UNREACHED_INTERVAL_PER_KEEPER_MS,
+            )
+    );
     const keep = ({ requestId, service, softwareVersion }: StreamRecord, isUnstored: boolean): void => {
         const atMs = clock.nowMs();
         kept.delete(requestId);
@@ -102,10 +131,50 @@
             .map(host => clusterView.members.get(host))
             .filter(member => member !== undefined);
     };
+    /** Lists the hosts that write to the store, in the order that all hosts share. */
+    const listWriters = (): readonly HostId[] => {
+        const hosts = [...clusterView.members.values()].filter(({ isLeaving }) => !isLeaving).map(({ host }) => host);
+        const count = Math.min(MAX_KEEPERS, Math.max(MIN_WRITERS, Math.ceil(hosts.length / HOSTS_PER_WRITER)));
+        return rankByRendezvous(hash, KEEPERS_KEY, hosts).slice(0, count);
+    };
+    /** Finds the peer that writes a stream's record to the store; undefined if that is this host. */
+    const findWriter = (requestId: RequestId): Member | undefined => {
+        const [writer] = rankByRendezvous(hash, requestId, listWriters());
+        return writer === undefined || writer === deployment.host ? undefined : clusterView.members.get(writer);
+    };
+    /** Has a stream's record stored by its writer, or by this host in its place; resolves when the store has it. */
+    const store = async (record: StreamRecord, writer: Member | undefined): Promise<boolean> => {
+        if (writer === undefined) {
+            return originStore.add(record);
+        }
+        const request = { ...record, isToStore: true };
+        const reply = await sendToPeer(peerContext, writer, "streamStart", request, STORE_TIMEOUT_MS);
+        return reply?.done ?? originStore.add(record);
+    };
+    /** Waits until a record is stored, or for as long as an event is held at most. */
+    const holdUntilStored = async (isStored: Promise<boolean>): Promise<void> => {
+        const sinceMs = clock.nowMs();
+        let cancelLimit: CancelTimer = () => undefined;
+        const limit = new Promise<boolean>(resolve => {
+            cancelLimit = clock.setTimer(MAX_HOLD_MS, () => resolve(false));
+        });
+        const settled = isStored.then(isDone => {
+            isHolding = isDone && clock.nowMs() - sinceMs <= HOLDING_REPLY_MS;
+            return isDone;
+        });
+        if (!await Promise.race([settled, limit])) {
+            isHolding = false;
+            metrics.count("stream_events_unstored_total");
+        }
+        cancelLimit();
+        metrics.record("stream_event_hold", Math.round(clock.nowMs() - sinceMs));
+    };
     /** Asks peers for a stream's origin; the first one that knows it wins. */
     const askPeers = async (requestId: RequestId): Promise<StreamOrigin | undefined> => {
-        const asked = rankPeers(requestId, () => true).slice(0, ASKED_PEERS);
-        const replies = asked.map(async member => {
+        const writer = findWriter(requestId);
+        const ranked = rankPeers(requestId, () => true).slice(0, ASKED_PEERS);
+        const asked = new Set(writer === undefined ? ranked : [...ranked, writer]);
+        const replies = [...asked].map(async member => {
             const reply = await sendToPeer(peerContext, member, "streamOrigin", { requestId });
             return reply?.kind === "known" ? reply : Promise.reject(new Error(`${member.host} keeps no record`));
         });
@@ -153,19 +222,10 @@
         for (const [requestId, { origin, keptUntilMs }] of unstored) {
             if (mixed.has(origin.service) && keptUntilMs > clock.nowMs()) {
                 kept.set(requestId, { origin, keptUntilMs, isUnstored: false });
-                originStore.add({ requestId, ...origin });
+                void originStore.add({ requestId, ...origin });
             }
         }
     };
-    /** Tells the peers that keep copies; the first one, or this host in its place, writes the record to the store. */
-    const tellPeers = async (record: StreamRecord, isToStore: boolean): Promise<void> => {
-        const [first, ...others] = rankPeers(record.requestId, member => !member.isLeaving).slice(0, COPIES);
-        others.forEach(member => void sendToPeer(peerContext, member, "streamStart", record));
-        const reply = first && await sendToPeer(peerContext, first, "streamStart", { ...record, isToStore });
-        if (isToStore && reply === undefined) {
-            originStore.add(record);
-        }
-    };
     clusterView.onEngineRemoved(({ service, softwareVersion }) => {
         formerVersions = [...listFormerVersions(), {
             origin: { service, softwareVersion },
@@ -173,18 +233,25 @@
         }];
     });
     return {
-        keep(record) {
+        async keep(record) {
             keep(record, false);
-            if (record.isToStore === true) {
-                originStore.add(record);
-            }
+            return record.isToStore === true ? originStore.add(record) : true;
         },
         answer,
         stop: repeat(clock, CHECK_INTERVAL_MS, storeEarlier),
         record(record) {
             const isMixed = listVersions(record.service).size > 1;
             keep(record, !isMixed);
-            void tellPeers(record, isMixed);
+            const writer = isMixed ? findWriter(record.requestId) : undefined;
+            rankPeers(record.requestId, member => !member.isLeaving)
+                .filter(member => member !== writer)
+                .slice(0, writer === undefined ? COPIES : COPIES - 1)
+                .forEach(member => void sendToPeer(peerContext, member, "streamStart", record));
+            if (!isMixed) {
+                return undefined;
+            }
+            const held = holdUntilStored(store(record, writer));
+            return isHolding ? held : undefined;
         },
         async find(requestId, service) {
             const own = requestId === undefined ? undefined : answer(requestId);
--- a/packages/front/src/relayAnswer.feature
+++ b/packages/front/src/relayAnswer.feature
@@ -36,3 +36,20 @@
             | case                                | first       | headers            |
             | the first engine sent a whole event | id: 1\\n\\n | Response-Seal: one |
             | the first engine sent part of one   | id: 1       | Response-Seal: two |
+
+    # Guards against an event that a client has received before it is known for good where its stream began.
+    Scenario Outline: The first event is held until its stream is recorded: <case>
+        Given a relay that sends complete events
+        When the first event "id: 1\\n\\n" is held, and "<rest>" follows
+        Then the client has received "" and the last event id is "<last>"
+        And the relay has asked for more bytes 0 times
+        When the hold ends
+        Then the client has received "<sent>" and the last event id is "<last>"
+        And the relay has asked for more bytes 1 times
+        And the answer <state>
+
+        Examples:
+            | case                              | rest                           | sent                               | last | state     |
+            | nothing follows                   | nothing                        | id: 1\\n\\n                        | 1    | goes on   |
+            | more events follow                | id: 2\\n\\n, id: 3\\n\\n       | id: 1\\n\\nid: 2\\n\\nid: 3\\n\\n | 3    | goes on   |
+            | its engine ends it meanwhile      | id: 2\\n\\n, the end           | id: 1\\n\\nid: 2\\n\\n             | 2    | has ended |
--- a/packages/front/src/relayAnswer.steps.ts
+++ b/packages/front/src/relayAnswer.steps.ts
@@ -1,6 +1,7 @@
 import type { EngineAnswerHead } from "@fulmarcleat/directory";
 import { Given, strictEqual, Then, When } from "@fulmarcleat/testing";
 import type { ServerResponse } from "node:http";
+import { setImmediate } from "node:timers/promises";
 import { createAnswerRelay } from "./relayAnswer.js";
 import type { AnswerRelay } from "./relayAnswer.js";
 
@@ -8,6 +9,9 @@
 let relay: AnswerRelay;
 let sent = "";
 let sentHeaders: readonly string[] = [];
+let isResponseEnded = false;
+let drained = 0;
+let finishHold: () => void = () => undefined;
 
 const HEAD = {
     status: 200,
@@ -23,7 +27,13 @@
 
 Given(/^a relay that sends (all bytes|complete events)$/, (how: string) => {
     sent = "";
+    isResponseEnded = false;
+    drained = 0;
     const res = {
+        destroyed: false,
+        end() {
+            isResponseEnded = true;
+        },
         writeHead(status: number, headers: readonly string[]) {
             sentHeaders = headers;
         },
@@ -56,6 +66,33 @@
     },
 );
 
+When("the first event {string} is held, and {string} follows", (first: string, rest: string) => {
+    const hold = new Promise<void>(resolve => {
+        finishHold = resolve;
+    });
+    const beforeStart = (): Promise<void> => hold;
+    relay.begin(HEAD);
+    relay.write(Buffer.from(unescapeLines(first)), beforeStart);
+    relay.onDrain(() => void (drained += 1));
+    for (const text of rest.split(", ").filter(each => each !== "nothing")) {
+        if (text === "the end") {
+            relay.end();
+        }
+        else {
+            relay.write(Buffer.from(unescapeLines(text)), beforeStart);
+        }
+    }
+});
+
+When("the hold ends", async () => {
+    finishHold();
+    await setImmediate();
+});
+
+Then(/^the answer (has ended|goes on)$/, (state: string) => strictEqual(isResponseEnded, state === "has ended"));
+
+Then("the relay has asked for more bytes {int} times", (count: number) => strictEqual(drained, count));
+
 Then("the client has received the headers {string}", (expected: string) => {
     const lines = sentHeaders.flatMap((text, at) => at % 2 === 0 ? [`${text}: ${sentHeaders[at + 1] ?? ""}`] : []);
     strictEqual(lines.join(", "), expected);
--- a/packages/front/src/relayAnswer.ts
+++ b/packages/front/src/relayAnswer.ts
@@ -5,7 +5,7 @@
 
 /** Streams one engine's answer to the client. */
 export interface AnswerRelay {
-    /** Whether anything has been sent to the client. */
+    /** Whether anything has been sent to the client, or is held for it. */
     readonly hasStarted: boolean;
     /** Media type of the answer that began; undefined if it stated none. */
     readonly mediaType: string | undefined;
@@ -15,9 +15,12 @@
     readonly isInsideEvent: boolean;
     /** Sets the head of the answer, until bytes have been sent; later heads of a resumed stream are ignored. */
     begin(head: EngineAnswerHead): void;
-    /** Writes bytes to the client; returns false while the client's buffer is full. */
-    write(bytes: Buffer): boolean;
-    /** Calls a listener once when the client's buffer accepts bytes again. */
+    /**
+     * Writes bytes to the client; returns false while the client's buffer is full or bytes are held.
+     * `beforeStart` is called before the first bytes are sent; they are held until a promise that it returns resolves.
+     */
+    write(bytes: Buffer, beforeStart?: () => Promise<void> | undefined): boolean;
+    /** Calls a listener once when the relay accepts bytes again. */
     onDrain(listener: () => void): void;
     /** Sends the remaining bytes and ends the response. */
     end(): void;
@@ -35,6 +38,13 @@
     readonly isClosing: () => boolean;
 }
 
+/** What is sent to the client once its first bytes are no longer held. */
+interface HeldAnswer {
+    readonly chunks: Buffer[];
+    readonly drainListeners: (() => void)[];
+    isEnded: boolean;
+}
+
 /** Length of the longest text and line ends that the next byte may turn into the end of an event: `a\r\n\r`. */
 const MAX_OPEN_END_BYTES = 4;
 const LINE_ENDS: ReadonlySet<number> = new Set(Buffer.from("\r\n"));
@@ -55,6 +65,18 @@
     let hasStarted = false;
     let lastEventId: string | undefined;
     let partial: Buffer = Buffer.alloc(0);
+    let held: HeldAnswer | undefined;
+    const release = ({ chunks, drainListeners, isEnded }: HeldAnswer): void => {
+        held = undefined;
+        if (res.destroyed) {
+            return;
+        }
+        const canTakeMore = res.write(Buffer.concat(chunks));
+        if (isEnded) {
+            res.end();
+        }
+        drainListeners.forEach(listener => canTakeMore ? listener() : res.once("drain", listener));
+    };
     const writeHeadOnce = (): void => {
         if (!hasStarted && head !== undefined) {
             hasStarted = true;
@@ -62,8 +84,18 @@
             writeAnswerHead(res, forwarded, options.isClosing());
         }
     };
-    const write = (bytes: Buffer): boolean => {
+    const write = (bytes: Buffer, beforeStart?: () => Promise<void> | undefined): boolean => {
+        const ready = hasStarted ? undefined : beforeStart?.();
         writeHeadOnce();
+        if (ready !== undefined) {
+            const started: HeldAnswer = { chunks: [], drainListeners: [], isEnded: false };
+            held = started;
+            void ready.finally(() => release(started));
+        }
+        if (held !== undefined) {
+            held.chunks.push(bytes);
+            return false;
+        }
         return res.write(bytes);
     };
     return {
@@ -84,27 +116,39 @@
                 head = next;
             }
         },
-        write(bytes) {
+        write(bytes, beforeStart) {
             const all = partial.length === 0 ? bytes : Buffer.concat([partial, bytes]);
             const complete = all.subarray(0, findEventsEnd(all));
             partial = all.subarray(complete.length);
             if (!options.sendsCompleteEvents) {
                 partial = partial.subarray(-MAX_OPEN_END_BYTES);
-                return write(bytes);
+                return write(bytes, beforeStart);
             }
             if (complete.length === 0) {
                 return true;
             }
             lastEventId = findLastEventId(complete) ?? lastEventId;
-            return write(complete);
+            return write(complete, beforeStart);
+        },
+        onDrain(listener) {
+            if (held === undefined) {
+                res.once("drain", listener);
+            }
+            else {
+                held.drainListeners.push(listener);
+            }
         },
-        onDrain: listener => void res.once("drain", listener),
         end() {
             if (options.sendsCompleteEvents && partial.length > 0) {
                 write(partial);
             }
             writeHeadOnce();
-            res.end();
+            if (held === undefined) {
+                res.end();
+            }
+            else {
+                held.isEnded = true;
+            }
         },
         abort: () => void res.destroy(),
         discardPartialEvent: () => void (partial = Buffer.alloc(0)),
--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -46,8 +46,11 @@
     readonly onSilent: () => void;
     /** Called when an answer is to be relayed, before any of it is. */
     readonly onAccept: () => void;
-    /** Called when the client gets the first bytes of its answer; not called if an earlier exchange has sent some. */
-    readonly onStart: () => void;
+    /**
+     * Called before the client gets the first bytes of its answer, which are held until a returned promise resolves; not
+     * called if an earlier exchange has sent some.
+     */
+    readonly onStart: () => Promise<void> | undefined;
     /** Called whenever bytes arrive from the engine. */
     readonly onBytes: () => void;
     /** Called once with the answer's head. */
@@ -124,11 +127,7 @@
                 options.onBytes();
                 restartSilenceTimer();
                 if (isRelayed && relay !== undefined) {
-                    const hadStarted = relay.hasStarted;
-                    const canTakeMore = relay.write(bytes);
-                    if (!hadStarted && relay.hasStarted) {
-                        options.onStart();
-                    }
+                    const canTakeMore = relay.write(bytes, options.onStart);
                     if (!canTakeMore) {
                         // The engine can't send while the client takes nothing.
                         cancelSilenceTimer();
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -152,7 +152,7 @@
     const streamOrigins = {
         record: () => undefined,
         stop: () => undefined,
-        keep: () => undefined,
+        keep: () => Promise.resolve(true),
         answer: () => ({ kind: "unknown" }) as const,
         find: () => Promise.resolve(origin),
     };
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -156,13 +156,15 @@
                 return;
         }
     };
-    /** Records where a stream begins when its first event has been sent to the client. */
-    const startStream = ({ requestId, route }: ClientRequest, { entry }: KnownEngine, stream: StreamState): void => {
+    /** Records where a stream begins, before its first event is sent; that is held until the promise resolves. */
+    const startStream = (
+        { requestId, route }: ClientRequest,
+        { entry }: KnownEngine,
+        stream: StreamState,
+    ): Promise<void> | undefined => {
         const { service, softwareVersion } = entry;
         stream.origin ??= { service, softwareVersion };
-        if (route.isResumable) {
-            streamOrigins.record({ requestId, service, softwareVersion });
-        }
+        return route.isResumable ? streamOrigins.record({ requestId, service, softwareVersion }) : undefined;
     };
     const recordResult = (
         request: ClientRequest,
--- a/packages/front/src/sendToPeer.ts
+++ b/packages/front/src/sendToPeer.ts
@@ -10,7 +10,7 @@
     readonly readPeers: () => Pick<PeerClient, "request"> | undefined;
 }
 
-/** Longest wait for a peer, in milliseconds. */
+/** Longest wait for a peer that answers at once, in milliseconds. */
 const PEER_TIMEOUT_MS = 200;
 
 /**
@@ -20,6 +20,7 @@
  * @param member - Peer to send to
  * @param name - Name of the exchange
  * @param body - The request
+ * @param timeoutMs - Longest wait for the reply, in milliseconds
  * @returns the reply; undefined if there is none in time
  *
  * @example
@@ -30,9 +31,10 @@
     { host, ip, port }: Member,
     name: Name,
     body: RequestOf<Name>,
+    timeoutMs: number = PEER_TIMEOUT_MS,
 ): Promise<ReplyOf<Name> | undefined> {
     try {
-        return await readPeers()?.request({ host, address: ip, port }, name, body, PEER_TIMEOUT_MS);
+        return await readPeers()?.request({ host, address: ip, port }, name, body, timeoutMs);
     }
     catch (err) {
         metrics.count("peer_failures_total", { step: toServeError(err, INTERNAL).step });
--- a/packages/front/src/silentStream.steps.ts
+++ b/packages/front/src/silentStream.steps.ts
@@ -317,7 +317,7 @@
     const streamOrigins = {
         record: () => undefined,
         stop: () => undefined,
-        keep: () => undefined,
+        keep: () => Promise.resolve(true),
         answer: () => ({ kind: "unknown" }) as const,
         find: () => Promise.resolve(undefined),
     };
--- a/packages/front/src/startExchange.ts
+++ b/packages/front/src/startExchange.ts
@@ -13,8 +13,8 @@
     /** Factor on the time for which a stream's receiver may be silent; 1 for an engine. */
     readonly silenceFactor: number;
     readonly events: ExchangeEvents;
-    /** Called when the client gets the first bytes of its answer. */
-    readonly onStart: () => void;
+    /** Called before the client gets the first bytes of its answer, which are held until a returned promise resolves. */
+    readonly onStart: () => Promise<void> | undefined;
     /** Called whenever bytes arrive. */
     readonly onBytes: () => void;
     /** Called once with the answer's head. */
--- a/packages/front/src/startFleetHost.steps.ts
+++ b/packages/front/src/startFleetHost.steps.ts
@@ -112,7 +112,7 @@
     const streamOrigins = {
         record: (record: StreamRecord) => void fleet.origins.set(record.requestId, record),
         stop: () => undefined,
-        keep: () => undefined,
+        keep: () => Promise.resolve(true),
         answer: () => ({ kind: "unknown" }) as const,
         find: (id: RequestId | undefined) => Promise.resolve(id === undefined ? undefined : fleet.origins.get(id)),
     };
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -1,5 +1,6 @@
 import type { ServingConfig } from "@fulmarcleat/directory";
 import type { EnginePolicy } from "@fulmarcleat/dispatch";
+import { ServeError } from "@fulmarcleat/errors";
 import { createJsonLog, createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { listen } from "@fulmarcleat/http";
@@ -120,7 +121,7 @@
         context,
         clusterView,
         () => peers,
-        countWriters => createOriginStore(context, countWriters),
+        readIntervalMs => createOriginStore(context, readIntervalMs),
     );
     const versionRecords = startVersionRecords(context, health, clusterView);
     const quarantine = createQuarantine(context, clusterView, () => peers, paths);
@@ -187,9 +188,11 @@
             listen: { host: deployment.ip, port: deployment.peerPort },
             handlers: {
                 adapterLoad: loadRequest => adapters.handleLoadRequest(loadRequest),
-                streamStart(record) {
-                    streamOrigins.keep(record);
-                    return Promise.resolve({ done: true });
+                async streamStart(record) {
+                    if (!await streamOrigins.keep(record)) {
+                        throw new ServeError("the store has not taken the record", UNSTORED_ORIGIN);
+                    }
+                    return { done: true };
                 },
                 streamOrigin: ({ requestId }) => Promise.resolve(streamOrigins.answer(requestId)),
                 engineCrash: report => Promise.resolve(quarantine.handleCrash(report)),
@@ -309,6 +312,13 @@
     }
 }
 
+const UNSTORED_ORIGIN = {
+    code: "internal",
+    step: "store stream origin",
+    peer: "platform store",
+    outcome: "unknown",
+} as const;
+
 /** Applies the client limits of the configuration in effect to the server. */
 function applyLimits(server: Server, config: ServingConfig | undefined): void {
     const limits = config?.limits;
