Learn how long adapter loads take from requests that came too early

Requests waited 350 ms at an engine that loads its model, then asked it again.

Cause: loads were taken to last 255 ms, on deployments where they take 288 ms; each early request made the owner read the engine's report before it ordered anything more.

Change: an owner expects loads as late as requests have shown, and tells other hosts; adapters that it unloaded recently are expected in a tenth of the time; reports to hosts name the wait of engines whose orders go unanswered; a request that finds no room goes to other engines first.

--- a/packages/front/src/createEnginePreparer.ts
+++ b/packages/front/src/createEnginePreparer.ts
@@ -25,7 +25,7 @@
 
 /** State of one request over its preparations. */
 export interface PreparationState {
-    /** Engines whose owners did not answer. */
+    /** Engines whose owners did not answer, or had no room for the adapter in time. */
     readonly unownedEngines: Set<EngineId>;
     /** Number of grants that were refused. */
     refusedGrants: number;
@@ -192,8 +192,8 @@
         switch (await ensureAdapter(request, known, progress.isMissing)) {
             case "ready":
                 return { kind: "chosen", known, permit };
+            // Asked again at once, the same engine would take the rest of the request's time.
             case "no_room":
-                return { kind: "again" };
             case "no_owner":
                 unownedEngines.add(known.entry.id);
                 return { kind: "again" };
--- a/packages/residency/src/applyEngineReport.ts
+++ b/packages/residency/src/applyEngineReport.ts
@@ -31,6 +31,7 @@
             demand: previous?.demand ?? 0,
             demandAtMs: previous?.demandAtMs ?? atMs,
             sinceMs: previous?.sinceMs ?? atMs,
+            load: previous?.load,
         });
     };
     model?.adapters.forEach(held => addResident(held, { kind: "present" }));
--- a/packages/residency/src/applyOrderReply.ts
+++ b/packages/residency/src/applyOrderReply.ts
@@ -1,11 +1,20 @@
 import type { EngineOrder, OrderReply } from "@fulmarcleat/directory";
 import type { AdapterName } from "@fulmarcleat/ids";
+import { DEFAULT_LOAD_MS } from "./residencyState.js";
 import type { ResidencyState, Resident } from "./residencyState.js";
 
 /** Longest lag of an engine's report behind its orders, in milliseconds; the platform states some hundred. */
 const REPORT_LAG_MS = 300;
 /** Pause after an engine rejected an order with an unexpected status, in milliseconds. */
 const REJECTED_PAUSE_MS = 250;
+/** Part of the usual time that a load takes if the engine held the adapter recently; the platform states a tenth. */
+const COPY_LOAD_PART = 0.1;
+/** Added to that time for the order's way, in milliseconds. */
+const COPY_LOAD_MARGIN_MS = 10;
+/** Unloaded adapters that an engine is expected to have copies of, for each of its adapter slots. */
+const COPIES_PER_SLOT = 3;
+/** Factor on the learned duration at each load, so that it follows loads that have become faster again. */
+const LOAD_DECAY = 0.995;
 
 /**
  * Applies an engine's reply to an order to its owner's state.
@@ -25,6 +34,10 @@
     reply: OrderReply,
     atMs: number,
 ): ResidencyState {
+    return { ...applyReply(state, order, reply, atMs), isOrderUnanswered: reply.kind === "unknown" };
+}
+
+function applyReply(state: ResidencyState, order: EngineOrder, reply: OrderReply, atMs: number): ResidencyState {
     switch (reply.kind) {
         case "accepted":
             return applyAccepted({ ...state, seq: (state.seq ?? 0) + 1 }, order, atMs);
@@ -48,12 +61,17 @@
             return { ...state, modelPhase: "loading", reportFromMs: atMs + REPORT_LAG_MS };
         case "load_adapter": {
             const previous = state.residents.get(order.adapter);
-            return putResident(state, order.adapter, {
+            const isFromCopy = previous === undefined && state.unloaded.has(order.adapter)
+                && (order.version === undefined || state.unloaded.get(order.adapter) === order.version);
+            const loadMs = Math.max(DEFAULT_LOAD_MS, state.loadMs * LOAD_DECAY);
+            const readyAtMs = atMs + (isFromCopy ? loadMs * COPY_LOAD_PART + COPY_LOAD_MARGIN_MS : loadMs);
+            return putResident({ ...state, loadMs }, order.adapter, {
                 version: order.version,
-                phase: { kind: "loading", readyAtMs: atMs + state.loadMs },
+                phase: { kind: "loading", readyAtMs },
                 demand: previous?.demand ?? 1,
                 demandAtMs: previous?.demandAtMs ?? atMs,
-                sinceMs: atMs + state.loadMs,
+                sinceMs: readyAtMs,
+                load: { orderedAtMs: atMs, isFromCopy },
             });
         }
         case "unload_adapter": {
@@ -87,11 +105,24 @@
         case "unload_adapter": {
             const residents = new Map(state.residents);
             residents.delete(order.adapter);
-            return { ...state, residents, seq: state.seq === undefined ? undefined : state.seq + 1 };
+            const unloaded = addUnloaded(state, order.adapter);
+            return { ...state, residents, unloaded, seq: state.seq === undefined ? undefined : state.seq + 1 };
         }
     }
 }
 
+/** Remembers an unloaded adapter; engines evict the copy first that was used least recently. */
+function addUnloaded(state: ResidencyState, adapter: AdapterName): ReadonlyMap<AdapterName, number | undefined> {
+    const unloaded = new Map(state.unloaded);
+    unloaded.delete(adapter);
+    unloaded.set(adapter, state.residents.get(adapter)?.version);
+    const oldest = unloaded.keys().next();
+    if (unloaded.size > state.slots * COPIES_PER_SLOT && oldest.done !== true) {
+        unloaded.delete(oldest.value);
+    }
+    return unloaded;
+}
+
 function putResident(state: ResidencyState, adapter: AdapterName, resident: Resident): ResidencyState {
     return { ...state, residents: new Map(state.residents).set(adapter, resident) };
 }
--- a/packages/residency/src/describeResidency.ts
+++ b/packages/residency/src/describeResidency.ts
@@ -3,6 +3,11 @@
 import type { ResidencyState } from "./residencyState.js";
 import { sumUsage } from "./sumUsage.js";
 
+/** Expected time until an engine answers orders again that has not answered the last one, in milliseconds. */
+const UNANSWERED_WAIT_MS = 1000;
+/** Expected time until an owner may order that has to read its engine's report first, in milliseconds. */
+const REPORT_WAIT_MS = 200;
+
 /**
  * Creates the owner report that other hosts receive on an engine.
  *
@@ -30,6 +35,11 @@
         adapters,
         load: usage.total,
         queuedTokens: usage.queuedTokens,
-        placeWaitMs: estimatePlaceWait(state, usage, atMs),
+        placeWaitMs: estimatePlaceWait(state, usage, atMs) + estimateOrderWait(state),
     };
 }
+
+/** Estimates how long the owner can't send a new order, in milliseconds. */
+function estimateOrderWait({ isOrderUnanswered, seq }: ResidencyState): number {
+    return isOrderUnanswered ? UNANSWERED_WAIT_MS : seq === undefined ? REPORT_WAIT_MS : 0;
+}
--- a/packages/residency/src/reduceResidency.ts
+++ b/packages/residency/src/reduceResidency.ts
@@ -1,7 +1,7 @@
 import type { AdapterName, HostId } from "@fulmarcleat/ids";
 import { decayDemand } from "./decayDemand.js";
 import { isNewEnough } from "./isNewEnough.js";
-import type { HostUsage, LoadRequest, ResidencyState } from "./residencyState.js";
+import type { AcceptedLoad, HostUsage, LoadRequest, ResidencyState, Resident } from "./residencyState.js";
 
 /** What hosts report to an engine's owner. */
 export type OwnerMessage =
@@ -13,6 +13,10 @@
 
 /** Time after the expected end of a load for which a missing adapter is tolerated, in milliseconds. */
 const LATE_LOAD_MS = 1500;
+/** Time until a load that is late is expected to be done, in milliseconds. */
+const LATE_STEP_MS = 25;
+/** Longest duration of a load that is learned, in milliseconds. */
+const MAX_LOAD_MS = 1000;
 
 /**
  * Applies a host's report or a tick of the clock to an engine's state.
@@ -68,12 +72,41 @@
     if (resident === undefined) {
         return state;
     }
+    if (resident.phase.kind === "loading" && atMs < resident.phase.readyAtMs) {
+        return state;
+    }
+    const { load } = resident;
+    if (load !== undefined && resident.phase.kind !== "leaving" && atMs < load.orderedAtMs + state.loadMs + LATE_LOAD_MS) {
+        return extendLoad(state, adapter, resident, load, atMs);
+    }
     if (resident.phase.kind === "loading" && atMs < resident.phase.readyAtMs + LATE_LOAD_MS) {
         return state;
     }
     return { ...state, seq: undefined };
 }
 
+/** Expects a load later that requests have come too early for, and learns its duration. */
+function extendLoad(
+    state: ResidencyState,
+    adapter: AdapterName,
+    resident: Resident,
+    { orderedAtMs, isFromCopy }: AcceptedLoad,
+    atMs: number,
+): ResidencyState {
+    const tookMs = atMs - orderedAtMs + LATE_STEP_MS;
+    const loadMs = isFromCopy ? state.loadMs : Math.min(MAX_LOAD_MS, Math.max(state.loadMs, tookMs));
+    const readyAtMs = Math.max(atMs + LATE_STEP_MS, isFromCopy ? orderedAtMs + loadMs : 0);
+    const residents = new Map(state.residents).set(adapter, {
+        ...resident,
+        phase: { kind: "loading", readyAtMs },
+        sinceMs: readyAtMs,
+        load: { orderedAtMs, isFromCopy: false },
+    });
+    const unloaded = new Map(state.unloaded);
+    unloaded.delete(adapter);
+    return { ...state, loadMs, residents, unloaded };
+}
+
 /** Marks loads as done once their expected time is over, and removes load requests that are satisfied or expired. */
 function applyTick(state: ResidencyState, atMs: number): ResidencyState {
     const residents = new Map(state.residents);
--- a/packages/residency/src/residencyState.ts
+++ b/packages/residency/src/residencyState.ts
@@ -16,6 +16,15 @@
     readonly demandAtMs: number;
     /** When the adapter became present or is expected to be, in milliseconds. */
     readonly sinceMs: number;
+    /** The load order that the engine accepted last; undefined if this owner has ordered none. */
+    readonly load?: AcceptedLoad | undefined;
+}
+
+/** A load order that an engine has accepted. */
+export interface AcceptedLoad {
+    readonly orderedAtMs: number;
+    /** Whether the engine was expected to have a copy of the adapter, which loads faster. */
+    readonly isFromCopy: boolean;
 }
 
 /** A pending load request: requests wait for the adapter. */
@@ -49,8 +58,12 @@
     readonly residents: ReadonlyMap<AdapterName, Resident>;
     readonly loadRequests: ReadonlyMap<AdapterName, LoadRequest>;
     readonly usageByHost: ReadonlyMap<HostId, HostUsage>;
-    /** Usual duration of an adapter load, in milliseconds. */
+    /** Duration of an adapter load as learned from requests that came too early, in milliseconds. */
     readonly loadMs: number;
+    /** Adapters that this owner has unloaded, with their versions, the last one at the end; they load faster. */
+    readonly unloaded: ReadonlyMap<AdapterName, number | undefined>;
+    /** Whether the engine has not answered the last order, so that no other one can be sent. */
+    readonly isOrderUnanswered: boolean;
 }
 
 /**
@@ -74,8 +87,10 @@
         loadRequests: new Map(),
         usageByHost: new Map(),
         loadMs: DEFAULT_LOAD_MS,
+        unloaded: new Map(),
+        isOrderUnanswered: false,
     };
 }
 
 /** Assumed duration of an adapter load before the first one, in milliseconds; the deployments state 250. */
-const DEFAULT_LOAD_MS = 255;
+export const DEFAULT_LOAD_MS = 255;
