--- a/packages/directory/src/engineTransport.ts
+++ b/packages/directory/src/engineTransport.ts
@@ -26,6 +26,8 @@
     readonly running: number;
     readonly waiting: number;
     readonly slots: number;
+    /** How long work takes on the engine's machine at present, 100 = as usual; undefined if it does not say. */
+    readonly workPercent: number | undefined;
 }
 
 /** What an engine's answer says of the rate of requests that it takes from all hosts together. */
--- a/packages/directory/src/servingConfig.ts
+++ b/packages/directory/src/servingConfig.ts
@@ -49,6 +49,10 @@
     readonly models: readonly ModelSpec[];
     /** Maximum number of loads from the weight store started per second, over all engines. */
     readonly loadsPerSecond: number;
+    /** Tokens in one event of a stream; undefined if the configuration does not state it. */
+    readonly eventTokens: number | undefined;
+    /** KV cache capacity of one engine, in tokens; undefined if the configuration does not state it. */
+    readonly memoryTokens: number | undefined;
 }
 
 /** Group of engines that serve the same requests. */
--- a/packages/dispatch/src/engineView.ts
+++ b/packages/dispatch/src/engineView.ts
@@ -1,6 +1,20 @@
 import type { EngineId, FailureDomain } from "@fulmarcleat/ids";
 import type { EngineHealth } from "./reduceHealth.js";
 
+/** Speed of an engine, as hosts have learned it; without the present slowdown, which is stated apart. */
+export interface EnginePace {
+    /** Prompt tokens that the engine processes per millisecond. */
+    readonly promptTokensPerMs: number;
+    /** Usual time between two events of a stream while the engine processes no prompt, in milliseconds. */
+    readonly eventMs: number;
+    /** Time to the first byte at the idle engine for a prompt without tokens, in milliseconds. */
+    readonly idleFirstByteMs: number;
+    /** Usual duration of a plain service's request at the engine while slots are free, in milliseconds. */
+    readonly workMs: number;
+    /** Present factor on all durations, from the load header; 1 if work takes as long as usual or it is unknown. */
+    readonly slowdown: number;
+}
+
 /** State of an engine that a host uses to choose one. */
 export interface EngineView {
     readonly id: EngineId;
@@ -15,6 +29,8 @@
     readonly isUnresponsive: boolean;
     /** Time until the engine stops, in milliseconds; undefined if it announced none. */
     readonly leavesInMs: number | undefined;
+    /** Speed of the engine; undefined for services whose engines don't state how long work takes. */
+    readonly pace?: EnginePace | undefined;
 }
 
 /** Presence of a request's adapter on an engine. */
--- a/packages/front/src/createFleetRequest.steps.ts
+++ b/packages/front/src/createFleetRequest.steps.ts
@@ -11,7 +11,15 @@
 /** The services of a fleet that has two. */
 export const MODEL_SERVICE: Service = {
     ...SERVICE,
-    engine: { batchSlots: 64, memoryMb: 80_000, adapterSlots: 8, models: [], loadsPerSecond: 4 },
+    engine: {
+        batchSlots: 64,
+        memoryMb: 80_000,
+        adapterSlots: 8,
+        models: [],
+        loadsPerSecond: 4,
+        eventTokens: undefined,
+        memoryTokens: undefined,
+    },
 };
 export const PLAIN_SERVICE: Service = { ...SERVICE, name: brandId<ServiceName>("plain") };
 /** Share of the requests to each of two services, and of the plain one's requests that may run once only. */
