Add the cost of a generation at engines whose speed is known

First byte from the engine's own speed, streams that pause too long beside its prompt, memory for tokens, and a home for prompts with the same shared parts. Without a learned speed nothing changes.

--- a/packages/directory/src/servingConfig.ts
+++ b/packages/directory/src/servingConfig.ts
@@ -21,6 +21,8 @@
     readonly timeoutMs: number;
     /** Time within which the answer, or a stream's first event, is on time, in milliseconds. */
     readonly goalMs: number;
+    /** Longest pause between two events with which a stream is on time, in milliseconds; undefined if none is stated. */
+    readonly pauseGoalMs?: number | undefined;
     /** 0 is the most urgent. */
     readonly priority: number;
     readonly targets: readonly RouteTarget[];
--- a/packages/dispatch/src/createModelCost.ts
+++ b/packages/dispatch/src/createModelCost.ts
@@ -1,6 +1,7 @@
 import type { EngineId } from "@fulmarcleat/ids";
 import type { EnginePolicy } from "./enginePolicy.js";
 import type { ModelEngineView } from "./engineView.js";
+import { estimateEffect } from "./estimateEffect.js";
 import { estimateFirstByte } from "./estimateFirstByte.js";
 import { estimateOutage } from "./estimateOutage.js";
 
@@ -41,6 +42,7 @@
         switch (policy) {
             case "expected_wait":
                 return estimateFirstByte(view, atMs, loadMs)
+                    + estimateEffect(view)
                     + (view.presence.kind === "absent" ? ADAPTER_SLOT_MS + rank * RANK_MS : 0);
             case "least_loaded":
                 return estimateOutage(view, atMs) + view.load;
--- a/packages/dispatch/src/engineView.ts
+++ b/packages/dispatch/src/engineView.ts
@@ -49,4 +49,18 @@
 /** State of a model engine that a host uses to choose one. */
 export interface ModelEngineView extends EngineView {
     readonly presence: AdapterPresence;
+    /** What the request would do at the engine; undefined for engines whose speed is not learned. */
+    readonly work?: GenerationWork | undefined;
+}
+
+/** Work of one generation at one engine. */
+export interface GenerationWork {
+    /** Prompt tokens that the engine would have to process; those that it has kept are left out. */
+    readonly promptTokens: number;
+    /** Tokens in one event of a stream. */
+    readonly eventTokens: number;
+    /** Longest pause between two events with which a stream is on time, in milliseconds. */
+    readonly maxPauseMs: number;
+    /** Tokens that the requests in flight at the engine hold in its memory with this one, as a part of the memory. */
+    readonly memoryPart: number;
 }
--- a/packages/dispatch/src/estimateFirstByte.ts
+++ b/packages/dispatch/src/estimateFirstByte.ts
@@ -1,6 +1,7 @@
 import type { AdapterPresence, ModelEngineView } from "./engineView.js";
 import { estimateEngineCost } from "./estimateEngineCost.js";
 import type { CostScale } from "./estimateEngineCost.js";
+import { estimatePacedFirstByte } from "./estimatePacedFirstByte.js";
 
 const MODEL_SCALE: CostScale = { idleFirstByteMs: 60, failureMs: 1500, delayPerRequestMs: 7 };
 /** Cost of an engine that has no owner to order loads, in milliseconds. */
@@ -18,7 +19,10 @@
  * const expectedMs = estimateFirstByte(view, clock.nowMs(), 250);
  */
 export function estimateFirstByte(view: ModelEngineView, atMs: number, loadMs: number): number {
-    return estimateEngineCost(view, MODEL_SCALE, atMs) + estimateAdapterWait(view.presence, loadMs);
+    const engineMs = view.pace === undefined
+        ? estimateEngineCost(view, MODEL_SCALE, atMs)
+        : estimatePacedFirstByte(view, view.pace, atMs);
+    return engineMs + estimateAdapterWait(view.presence, loadMs);
 }
 
 function estimateAdapterWait(presence: AdapterPresence, loadMs: number): number {
--- a/packages/front/src/createEngineChooser.ts
+++ b/packages/front/src/createEngineChooser.ts
@@ -1,7 +1,8 @@
 import type { KnownEngine, Service } from "@fulmarcleat/directory";
 import { chooseModelEngine, choosePlainEngine, chooseUnresponsiveLimit, pickCandidates } from "@fulmarcleat/dispatch";
-import type { ModelEngineOptions, ModelEngineView } from "@fulmarcleat/dispatch";
+import type { GenerationWork, ModelEngineOptions, ModelEngineView } from "@fulmarcleat/dispatch";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
+import type { EngineId } from "@fulmarcleat/ids";
 import type { ClientRequest } from "./clientRequest.js";
 import type { EngineClosures } from "./createEngineClosures.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
@@ -25,6 +26,10 @@
 
 /** Typical time to load an adapter, in milliseconds; the deployments state 250 to 288. */
 const TYPICAL_LOAD_MS = 260;
+/** Part of a prompt's shared tokens that its home among the engines is expected to have kept. */
+const KEPT_PART = 0.6;
+/** Longest pause between two events that is assumed for routes that state none, in milliseconds. */
+const USUAL_PAUSE_GOAL_MS = 400;
 
 /**
  * Creates a chooser that uses this host's own measurements and the owners' reports.
@@ -58,14 +63,44 @@
         const queuedTokens = Math.max(view.queuedTokens, adapters.countQueuedTokens(known.entry.id) ?? 0);
         return { ...view, load, queuedTokens, presence: adapters.find(known.entry, requestedAdapter) };
     };
+    /**
+     * Finds the engine that all hosts send prompts with the same shared parts to, among those with the adapter: engines
+     * keep what they have read of a prompt for the same adapter only.
+     */
+    const findHome = (
+        { head: { sharedParts }, requestedAdapter }: ClientRequest,
+        views: readonly ModelEngineView[],
+    ): EngineId | undefined => {
+        const holders = views.filter(({ presence }) => presence.kind !== "absent").map(({ id }) => id);
+        const key = `${requestedAdapter?.adapter ?? ""} ${sharedParts?.join(" ") ?? ""}`;
+        return sharedParts === undefined ? undefined : rankByRendezvous(hash, key, holders)[0];
+    };
+    /** Adds the work of a request to the views of engines whose speed is known. */
+    const addWork = (request: ClientRequest, views: readonly ModelEngineView[]): readonly ModelEngineView[] => {
+        const { head: { sharedTokens, tokens }, route, service: { engine: spec } } = request;
+        if (spec?.eventTokens === undefined || views.every(({ pace }) => pace === undefined)) {
+            return views;
+        }
+        const home = findHome(request, views);
+        const { eventTokens } = spec;
+        const promptTokens = tokens?.prompt ?? 0;
+        const createWork = (id: EngineId): GenerationWork => ({
+            promptTokens: promptTokens - (id === home ? sharedTokens * KEPT_PART : 0),
+            eventTokens,
+            maxPauseMs: route.pauseGoalMs ?? USUAL_PAUSE_GOAL_MS,
+            memoryPart: 0,
+        });
+        return views.map(view => view.pace === undefined ? view : { ...view, work: createWork(view.id) });
+    };
     const chooseModel = async (
-        { requestId, requestedAdapter }: ClientRequest,
+        request: ClientRequest,
         allowed: readonly KnownEngine[],
     ): Promise<ChosenEngine | undefined> => {
+        const { requestId, requestedAdapter } = request;
         const byId = new Map(allowed.map(known => [known.entry.id, known]));
         const order = rankByRendezvous(hash, requestedAdapter?.adapter ?? requestId, [...byId.keys()]);
         const describe = (engines: readonly KnownEngine[]): ModelEngineOptions => ({
-            engines: engines.map(known => viewModelEngine(known, requestedAdapter)),
+            engines: addWork(request, engines.map(known => viewModelEngine(known, requestedAdapter))),
             order,
             atMs: clock.nowMs(),
             loadMs: TYPICAL_LOAD_MS,
--- a/packages/front/src/createOwnerTask.ts
+++ b/packages/front/src/createOwnerTask.ts
@@ -15,6 +15,7 @@
 import type { HostUsage, LoadRequest, ResidencyState } from "@fulmarcleat/residency";
 import type { AdapterLoadReply, OwnerReport } from "@fulmarcleat/wire";
 import type { FrontContext } from "./frontContext.js";
+import type { LoadTimes } from "./performance/createLoadTimes.js";
 
 /** Settings of an engine's owner task. */
 export interface OwnerTaskOptions {
@@ -26,6 +27,8 @@
     readonly fence: number;
     /** Whether this host may send orders now. */
     readonly mayOrder: () => boolean;
+    /** How long adapter loads take. */
+    readonly loadTimes: LoadTimes;
     /** Called when the engine rejects an order because it has received a higher fencing token. */
     readonly onFenced: () => void;
 }
@@ -79,7 +82,7 @@
  * @returns the running task
  *
  * @example
- * const owner = createOwnerTask(context, { entry, model, slots: 8, fence, mayOrder, onFenced });
+ * const owner = createOwnerTask(context, { entry, model, slots: 8, fence, mayOrder, loadTimes, onFenced });
  */
 export function createOwnerTask(context: FrontContext, options: OwnerTaskOptions): OwnerTask {
     const { clock, control, log, metrics } = context;
@@ -126,7 +129,7 @@
             reply: reply.kind,
         });
         hasUnansweredOrder = reply.kind === "unknown" || hasUnansweredOrder && !ENDS_FORMER_ORDERS.has(reply.kind);
-        state = applyOrderReply(state, order, reply, clock.nowMs());
+        state = applyOrderReply({ ...state, loadMs: options.loadTimes.readMs() }, order, reply, clock.nowMs());
         if (reply.kind === "fenced") {
             options.onFenced();
         }
@@ -194,6 +197,7 @@
             state = reduceResidency(state, { kind: "want", adapter, want: loadRequest });
             if (isMissing) {
                 state = reduceResidency(state, { kind: "missing", adapter, atMs: clock.nowMs() });
+                options.loadTimes.learn(state.loadMs);
             }
             return new Promise(resolve => {
                 waiters.push({ adapter, version: loadRequest.version, untilMs: loadRequest.untilMs, resolve });
--- a/packages/front/src/startAdapterTracker.ts
+++ b/packages/front/src/startAdapterTracker.ts
@@ -19,6 +19,7 @@
 import type { LoadRequestOutbox } from "./createLoadRequestOutbox.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
+import type { LoadTimes } from "./performance/createLoadTimes.js";
 import { runEach } from "./runEach.js";
 import type { Ownership } from "./startOwnership.js";
 
@@ -115,6 +116,7 @@
  * @param loadTracker - Prompt tokens that wait for processing on each engine
  * @param outbox - Passes load requests through the store if the owner is unreachable
  * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
+ * @param loadTimes - Told how long adapter loads take at other hosts' engines
  * @returns the tracker
  *
  * @example
@@ -127,6 +129,7 @@
     loadTracker: EngineLoadTracker,
     outbox: LoadRequestOutbox,
     readPeers: () => PeerClient | undefined,
+    loadTimes: Pick<LoadTimes, "learn"> = { learn: () => undefined },
 ): AdapterTracker {
     const { clock, deployment, hash, log, metrics } = context;
     const ownerReports = new Map<EngineId, ReceivedReport>();
@@ -170,6 +173,9 @@
         return member === undefined ? undefined : toAddress(member);
     };
     const recordOwnerReport = (engine: EngineId, report: OwnerReport): void => {
+        if (report.loadMs !== undefined) {
+            loadTimes.learn(report.loadMs);
+        }
         ownerReports.set(engine, { report, atMs: clock.nowMs() });
     };
     const handleUsageReport = async (usageReport: HostUsageReport): Promise<HostUsageReply> => {
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -14,6 +14,7 @@
 } from "@fulmarcleat/platform";
 import type { Deployment, DeploymentBounds } from "@fulmarcleat/platform";
 import type { RunningProgram } from "@fulmarcleat/program";
+import { DEFAULT_LOAD_MS } from "@fulmarcleat/residency";
 import { createPeerClient, createPeerServer } from "@fulmarcleat/wire";
 import type { PeerClient } from "@fulmarcleat/wire";
 import { createServer } from "node:http";
@@ -40,6 +41,7 @@
 import { finishRequests } from "./finishRequests.js";
 import type { FrontContext } from "./frontContext.js";
 import { guardClock } from "./guardClock.js";
+import { createLoadTimes } from "./performance/createLoadTimes.js";
 import { recordRejection } from "./recordRejection.js";
 import { createRequestRunner } from "./runRequest.js";
 import { startAdapterTracker } from "./startAdapterTracker.js";
@@ -114,9 +116,18 @@
         () => handler.running,
         engine => loadTracker.recordHealth(engine, { kind: "reached", atMs: clock.nowMs() }),
     );
-    const ownership = startOwnership(context, health, clusterView, session, paths, closures, () => peers);
+    const loadTimes = createLoadTimes(clock, DEFAULT_LOAD_MS);
+    const ownership = startOwnership(context, health, clusterView, session, paths, closures, () => peers, loadTimes);
     const outbox = createLoadRequestOutbox(context, () => session.lease);
-    const adapters = startAdapterTracker(context, clusterView, ownership, loadTracker, outbox, () => peers);
+    const adapters = startAdapterTracker(
+        context,
+        clusterView,
+        ownership,
+        loadTracker,
+        outbox,
+        () => peers,
+        loadTimes,
+    );
     const streamOrigins = createStreamOrigins(
         context,
         clusterView,
--- a/packages/front/src/startOwnership.ts
+++ b/packages/front/src/startOwnership.ts
@@ -2,7 +2,13 @@
 import { toServeError } from "@fulmarcleat/errors";
 import { repeat } from "@fulmarcleat/ids";
 import type { EngineId, HostId } from "@fulmarcleat/ids";
-import { assignOwners, decideEngineClaim, holdsOrderRight, rankSuccessors } from "@fulmarcleat/residency";
+import {
+    assignOwners,
+    decideEngineClaim,
+    DEFAULT_LOAD_MS,
+    holdsOrderRight,
+    rankSuccessors,
+} from "@fulmarcleat/residency";
 import type { OwnerClaim } from "@fulmarcleat/residency";
 import type { OrderRightReply, OrderRightRequest, PeerClient } from "@fulmarcleat/wire";
 import type { ClusterView } from "./createClusterView.js";
@@ -13,6 +19,8 @@
 import type { EnginePaths } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
+import { createLoadTimes } from "./performance/createLoadTimes.js";
+import type { LoadTimes } from "./performance/createLoadTimes.js";
 import { runEach } from "./runEach.js";
 import type { Session } from "./startSession.js";
 import type { StoreHealth } from "./storeHealth.js";
@@ -71,6 +79,7 @@
  * @param paths - Tells to which engines this host has lost its path; it hands these over
  * @param closures - Says which engines get no orders
  * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
+ * @param loadTimes - How long adapter loads take, shared with the other hosts' reports
  * @returns the engines that this host owns
  *
  * @example
@@ -84,6 +93,7 @@
     paths: Pick<EnginePaths, "isPathLost">,
     closures: Pick<EngineClosures, "find">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
+    loadTimes: LoadTimes = createLoadTimes(context.clock, DEFAULT_LOAD_MS),
 ): Ownership {
     const { clock, deployment, hash, incarnation, log } = context;
     const claims = createEngineClaims(context, health, clusterView, session, readPeers);
@@ -151,6 +161,7 @@
             slots: spec.adapterSlots,
             fence,
             mayOrder,
+            loadTimes,
             onFenced: () => void rejectedFences.set(entry.id, fence),
         });
         owned.set(entry.id, { task, bornMs: entry.bornMs, formerSettled });
--- a/packages/residency/src/applyOrderReply.ts
+++ b/packages/residency/src/applyOrderReply.ts
@@ -1,6 +1,5 @@
 import type { EngineOrder, OrderReply } from "@fulmarcleat/directory";
 import type { AdapterName } from "@fulmarcleat/ids";
-import { DEFAULT_LOAD_MS } from "./residencyState.js";
 import type { ResidencyState, Resident } from "./residencyState.js";
 
 /** Longest lag of an engine's report behind its orders, in milliseconds; the platform states some hundred. */
@@ -13,8 +12,6 @@
 const COPY_LOAD_MARGIN_MS = 10;
 /** Unloaded adapters that an engine is expected to have copies of, for each of its adapter slots. */
 const COPIES_PER_SLOT = 3;
-/** Factor on the learned duration at each load, so that it follows loads that have become faster again. */
-const LOAD_DECAY = 0.995;
 
 /**
  * Applies an engine's reply to an order to its owner's state.
@@ -63,9 +60,9 @@
             const previous = state.residents.get(order.adapter);
             const isFromCopy = previous === undefined && state.unloaded.has(order.adapter)
                 && (order.version === undefined || state.unloaded.get(order.adapter) === order.version);
-            const loadMs = Math.max(DEFAULT_LOAD_MS, state.loadMs * LOAD_DECAY);
-            const readyAtMs = atMs + (isFromCopy ? loadMs * COPY_LOAD_PART + COPY_LOAD_MARGIN_MS : loadMs);
-            return putResident({ ...state, loadMs }, order.adapter, {
+            const durationMs = isFromCopy ? state.loadMs * COPY_LOAD_PART + COPY_LOAD_MARGIN_MS : state.loadMs;
+            const readyAtMs = atMs + durationMs;
+            return putResident(state, order.adapter, {
                 version: order.version,
                 phase: { kind: "loading", readyAtMs },
                 demand: previous?.demand ?? 1,
--- a/packages/residency/src/describeResidency.ts
+++ b/packages/residency/src/describeResidency.ts
@@ -1,5 +1,6 @@
 import type { OwnerReport, ReportedAdapter } from "@fulmarcleat/wire";
 import { estimatePlaceWait } from "./estimatePlaceWait.js";
+import { DEFAULT_LOAD_MS } from "./residencyState.js";
 import type { ResidencyState } from "./residencyState.js";
 import { sumUsage } from "./sumUsage.js";
 
@@ -36,6 +37,7 @@
         load: usage.total,
         queuedTokens: usage.queuedTokens,
         placeWaitMs: estimatePlaceWait(state, usage, atMs) + estimateOrderWait(state),
+        ...(state.loadMs > DEFAULT_LOAD_MS ? { loadMs: Math.round(state.loadMs) } : {}),
     };
 }
 
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -16,6 +16,6 @@
 export type { PlacedHost } from "./rankSuccessors.js";
 export { reduceResidency } from "./reduceResidency.js";
 export type { OwnerMessage } from "./reduceResidency.js";
-export { createResidencyState } from "./residencyState.js";
+export { createResidencyState, DEFAULT_LOAD_MS } from "./residencyState.js";
 export type { HostUsage, LoadRequest, ResidencyState, Resident, ResidentPhase } from "./residencyState.js";
 export { sumUsage } from "./sumUsage.js";
--- a/packages/residency/src/residencyState.ts
+++ b/packages/residency/src/residencyState.ts
@@ -58,7 +58,7 @@
     readonly residents: ReadonlyMap<AdapterName, Resident>;
     readonly loadRequests: ReadonlyMap<AdapterName, LoadRequest>;
     readonly usageByHost: ReadonlyMap<HostId, HostUsage>;
-    /** Duration of an adapter load as learned from requests that came too early, in milliseconds. */
+    /** Expected duration of an adapter load, in milliseconds; grows when requests come too early. */
     readonly loadMs: number;
     /** Adapters that this owner has unloaded, with their versions, the last one at the end; they load faster. */
     readonly unloaded: ReadonlyMap<AdapterName, number | undefined>;
@@ -92,5 +92,5 @@
     };
 }
 
-/** Assumed duration of an adapter load before the first one, in milliseconds; the deployments state 250. */
+/** Assumed duration of an adapter load before the first one, in milliseconds; the deployments state 250 to 288. */
 export const DEFAULT_LOAD_MS = 255;
--- a/packages/wire/src/residencyMessages.ts
+++ b/packages/wire/src/residencyMessages.ts
@@ -57,8 +57,10 @@
     readonly load: number;
     /** Prompt tokens of requests that have not received a first byte, over all hosts. */
     readonly queuedTokens: number;
-    /** Expected time until an adapter slot is free, in milliseconds. */
+    /** Expected time until an adapter slot is free and the owner can order a load, in milliseconds. */
     readonly placeWaitMs: number;
+    /** Learned duration of an adapter load, in milliseconds; absent while loads take no longer than usual. */
+    readonly loadMs?: number | undefined;
 }
 
 /** An owner's reply to a usage report. */
