--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -19,7 +19,7 @@
 export type { ReturnTimes } from "./createReturnTimes.js";
 export { parseEnginePolicy } from "./enginePolicy.js";
 export type { EnginePolicy } from "./enginePolicy.js";
-export type { AdapterPresence, EnginePace, EngineView, ModelEngineView } from "./engineView.js";
+export type { AdapterPresence, EnginePace, EngineView, GenerationWork, ModelEngineView } from "./engineView.js";
 export { findCheapest } from "./findCheapest.js";
 export { matchRoute } from "./matchRoute.js";
 export { mergeLimit } from "./mergeLimit.js";
--- a/packages/front/src/createOwnerTask.ts
+++ b/packages/front/src/createOwnerTask.ts
@@ -8,6 +8,7 @@
     createResidencyState,
     describeResidency,
     isNewEnough,
+    isStalled,
     planOrder,
     reduceResidency,
     sumUsage,
@@ -255,5 +256,6 @@
         const inMs = resident.phase.kind === "loading" ? Math.max(0, resident.phase.readyAtMs - atMs) : 0;
         return { kind: "ready", inMs };
     }
-    return waiter.untilMs <= atMs ? { kind: "refused", reason: "no_room" } : undefined;
+    // A request that waited for such an engine would lose the time in which another one could serve it.
+    return waiter.untilMs <= atMs || isStalled(state) ? { kind: "refused", reason: "no_room" } : undefined;
 }
--- a/packages/residency/src/describeResidency.ts
+++ b/packages/residency/src/describeResidency.ts
@@ -1,9 +1,12 @@
 import type { OwnerReport, ReportedAdapter } from "@fulmarcleat/wire";
 import { estimatePlaceWait } from "./estimatePlaceWait.js";
+import { isStalled } from "./isStalled.js";
 import { DEFAULT_LOAD_MS } from "./residencyState.js";
 import type { ResidencyState } from "./residencyState.js";
 import { sumUsage } from "./sumUsage.js";
 
+/** Expected time until an engine has loaded its model, in milliseconds. */
+const MODEL_WAIT_MS = 3000;
 /** Expected time until an engine answers orders again that has not answered the last one, in milliseconds. */
 const UNANSWERED_WAIT_MS = 1000;
 /** Expected time until an owner may order that has to read its engine's report first, in milliseconds. */
@@ -42,6 +45,10 @@
 }
 
 /** Estimates how long the owner can't send a new order, in milliseconds. */
-function estimateOrderWait({ isOrderUnanswered, seq }: ResidencyState): number {
-    return isOrderUnanswered ? UNANSWERED_WAIT_MS : seq === undefined ? REPORT_WAIT_MS : 0;
+function estimateOrderWait(state: ResidencyState): number {
+    const { modelPhase, seq } = state;
+    if (modelPhase === "absent" || modelPhase === "loading") {
+        return MODEL_WAIT_MS;
+    }
+    return isStalled(state) ? UNANSWERED_WAIT_MS : seq === undefined ? REPORT_WAIT_MS : 0;
 }
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -8,6 +8,7 @@
 export { describeResidency } from "./describeResidency.js";
 export { holdsOrderRight } from "./holdsOrderRight.js";
 export { isNewEnough } from "./isNewEnough.js";
+export { isStalled } from "./isStalled.js";
 export { joinFormerOwners } from "./joinFormerOwners.js";
 export type { FormerOwnerReply, JoinOptions } from "./joinFormerOwners.js";
 export { planOrder } from "./planOrder.js";
--- a/packages/residency/src/reduceResidency.steps.ts
+++ b/packages/residency/src/reduceResidency.steps.ts
@@ -40,6 +40,10 @@
 
 When("a request finds it missing at {int} ms", reportMissing);
 
+When("its model is being loaded", () => {
+    state = { ...state, modelPhase: "loading" };
+});
+
 When("an order at {int} ms gets the reply {string}", (atMs: number, kind: "conflict" | "unknown") => {
     state = applyOrderReply(state, LOAD, { kind }, atMs);
 });
