--- a/packages/directory/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -5,6 +5,7 @@
 export type { ViewHost, ViewRole } from "./chooseViewRole.js";
 export { chooseWatchInterval } from "./chooseWatchInterval.js";
 export { chooseWatchWait } from "./chooseWatchWait.js";
+export type * from "./clientAccount.js";
 export { computeLinkBytes } from "./computeLinkBytes.js";
 export { createKeyFeed } from "./createKeyFeed.js";
 export type { Confirmation, FeedChanges, FeedListener, KeyFeed } from "./createKeyFeed.js";
--- a/packages/directory/src/servingConfig.ts
+++ b/packages/directory/src/servingConfig.ts
@@ -1,4 +1,5 @@
-import type { BaseModel, ServiceName } from "@fulmarcleat/ids";
+import type { AccountName, BaseModel, ServiceName } from "@fulmarcleat/ids";
+import type { ClientAccount } from "./clientAccount.js";
 
 /** Kind of a route: `safe` requests may run again, `unsafe` at most once; `streaming` ones answer with events. */
 export type RouteKind = "safe" | "unsafe" | "streaming";
@@ -28,6 +29,8 @@
     readonly maxEngines: number;
     /** Whether an interrupted stream may resume on another engine. */
     readonly isResumable: boolean;
+    /** Whether requests need no API key although the configuration has accounts. */
+    readonly isAnonymous: boolean;
 }
 
 /** Base model that a service's engines may load. */
@@ -74,4 +77,6 @@
     readonly routes: readonly Route[];
     readonly services: ReadonlyMap<ServiceName, Service>;
     readonly limits: ClientLimits;
+    /** Client accounts by name; undefined if the configuration has none, so that requests need no API key. */
+    readonly accounts: ReadonlyMap<AccountName, ClientAccount> | undefined;
 }
--- a/packages/front/src/clientRequest.ts
+++ b/packages/front/src/clientRequest.ts
@@ -1,4 +1,4 @@
-import type { Route, Service } from "@fulmarcleat/directory";
+import type { ClientAccount, Route, Service } from "@fulmarcleat/directory";
 import type { RequestDigest, RequestId } from "@fulmarcleat/ids";
 import type { ClientHead } from "@fulmarcleat/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -14,6 +14,10 @@
     readonly head: ClientHead;
     readonly route: Route;
     readonly service: Service;
+    /** The client's account; undefined without accounts in the configuration, and on anonymous routes. */
+    readonly account: ClientAccount | undefined;
+    /** 0 is the most urgent: the account's priority, or the route's if the account has none. */
+    readonly priority: number;
     /** The adapter that the request needs; undefined if it names none or its service runs no model. */
     readonly requestedAdapter: RequestedAdapter | undefined;
     readonly body: Buffer;
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -171,6 +171,8 @@
                 head,
                 route,
                 service,
+                account: undefined,
+                priority: route.priority,
                 requestedAdapter: service.engine === undefined ? undefined : requestedAdapter,
                 body,
                 digest: digestRequest({
--- a/packages/ids/src/brandId.ts
+++ b/packages/ids/src/brandId.ts
@@ -11,6 +11,10 @@
 export type BaseModel = Branded<"BaseModel">;
 /** Name of a client account (caller). */
 export type CallerName = Branded<"CallerName">;
+/** Name of a client account of the platform's configuration. */
+export type AccountName = Branded<"AccountName">;
+/** API key of a client account; a secret that is never logged and never leaves the host that received it. */
+export type ApiKey = Branded<"ApiKey">;
 /** Name of an operator. */
 export type OperatorName = Branded<"OperatorName">;
 /** Name of an upstream, a group of engines. */
