--- /dev/null
+++ b/packages/accounts/src/choosePriority.steps.ts
@@ -0,0 +1,4 @@
+import { registerTable } from "@fulmarcleat/testing";
+import { choosePriority } from "./choosePriority.js";
+
+registerTable("choosePriority", choosePriority);
