--- a/packages/directory/src/engineTransport.ts
+++ b/packages/directory/src/engineTransport.ts
@@ -1,4 +1,4 @@
-import type { EngineId, RequestId } from "@fulmarcleat/ids";
+import type { AccountName, EngineId, RequestId } from "@fulmarcleat/ids";
 import type { EngineTarget } from "./engineControl.js";
 
 /** Request that is sent to an engine. */
@@ -13,6 +13,8 @@
     readonly body: Buffer;
     /** Time within which the engine must finish, in milliseconds. */
     readonly deadlineMs: number;
+    /** Account that the engine is told of; undefined without one, and for a request to another host. */
+    readonly account: AccountName | undefined;
     /** 0 is served first, 9 last; undefined for a plain service. */
     readonly urgency: number | undefined;
     /** Required version of the adapter or model; undefined for any. */
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -4,6 +4,9 @@
 import { OUTCOME_HEADER, parseClientHead, promisesNotRun } from "@fulmarcleat/platform";
 import type { ClientHead } from "@fulmarcleat/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { createAccountRecords } from "./accounts/createAccountRecords.js";
+import { createRequestPlanner } from "./accounts/createRequestPlanner.js";
+import { removeCredentials } from "./accounts/removeCredentials.js";
 import { NO_ATTEMPTS } from "./applyAttempt.js";
 import type { RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
@@ -14,7 +17,7 @@
 import type { ForwardMark } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
 import { giveUp } from "./giveUp.js";
-import { planRequest } from "./planRequest.js";
+import type { RequestPlan } from "./planRequest.js";
 import { createAnswerRelay, writeAnswerHead } from "./relayAnswer.js";
 import type { RequestRunner } from "./runRequest.js";
 import { STOPPING_RETRY_MS } from "./stoppingRetry.js";
@@ -42,8 +45,6 @@
 const MS_PER_S = 1000;
 /** Longest time to receive a request's body, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000;
-/** Part of the time for a configuration to come into force that a reply of the store may take, in milliseconds. */
-const CONFIG_RESERVE_MS = 300;
 /** Statuses below 500 that clients take as "come again". */
 const RETRIED_STATUSES = new Set([408, 421, 429]);
 const SERVER_ERROR_STATUS = { badGateway: 502, gatewayTimeout: 504 } as const;
@@ -76,13 +77,17 @@
     /** Requests in flight, and how each is refused that has not been sent to an engine. */
     const waiting = new Map<ClientRequest, () => void>();
     const forwarded = new WeakSet<ServerResponse>();
+    const plan = createRequestPlanner(context, clusterView);
+    const accounts = createAccountRecords(metrics);
     const refuse = (res: ServerResponse, requestId: string, refusal: Refusal): void => {
         metrics.count("refusals_total", { reason: refusal.reason });
+        accounts.countRefusal(res, refusal.reason);
         if (isDenial(refusal.status)) {
             metrics.count("denials_total", { status: String(refusal.status), reason: refusal.reason });
         }
         log.write(refusal.status === 404 ? "info" : "warn", refusal.outcome === "not_run" ? 400 : 401, {
             id: requestId,
+            account: accounts.find(res),
             status: refusal.status,
             reason: refusal.reason,
             outcome: refusal.outcome,
@@ -93,21 +98,28 @@
         });
         writeRefusal(res, refusal, { isClosing: isStopping(), isForwarded: forwarded.has(res) });
     };
+    const refuseUnplanned = (
+        req: IncomingMessage,
+        res: ServerResponse,
+        requestId: string,
+        refusal: Extract<RequestPlan, { kind: "refused" }>,
+        heldMs: number,
+    ): void => {
+        req.resume();
+        const basis = { configVersion: clusterView.config?.version, viewAgeMs: clusterView.readAgeMs("config") };
+        refuse(res, requestId, { ...refusal, outcome: "not_run", heldMs, basis });
+    };
     const serve = async (req: IncomingMessage, res: ServerResponse, mark: ForwardMark | undefined): Promise<void> => {
         const startedMs = clock.nowMs();
         const head = parseClientHead(req.rawHeaders);
         const id = head.requestId ?? "none";
-        const viewAgeMs = clusterView.readAgeMs("config");
-        const isCurrent = (): boolean =>
-            viewAgeMs !== undefined && viewAgeMs <= context.readBounds().configApplyMs - CONFIG_RESERVE_MS;
-        const plan = planRequest(head, req.url ?? "/", { config: clusterView.config, isCurrent }, context.hash);
-        if (plan.kind === "refused") {
-            req.resume();
-            const basis = { configVersion: clusterView.config?.version, viewAgeMs };
-            refuse(res, id, { ...plan, outcome: "not_run", heldMs: 0, basis });
+        const planned = plan(head, req.url ?? "/", mark, clusterView.config);
+        if (planned.kind === "refused") {
+            refuseUnplanned(req, res, id, planned, 0);
             return;
         }
-        const { config, route, service, requestId } = plan;
+        const { config, route, service, requestId } = planned;
+        accounts.set(res, planned.account?.name);
         const deadlineAtMs = startedMs + Math.min(head.deadlineMs ?? Infinity, route.timeoutMs);
         const endsBeforeStop = (): boolean => {
             const stop = readStop();
@@ -153,6 +165,17 @@
                 peer: "caller",
             } as const;
             const body = hasBody(req) ? await readBody(req, limits) : Buffer.alloc(0);
+            // The key may have been removed or moved to another account while the body arrived.
+            const admitted =
+                body.length === 0 || planned.account === undefined && clusterView.config?.accounts === undefined
+                    ? planned
+                    : plan(head, req.url ?? "/", mark, config);
+            accounts.set(res, admitted.kind === "planned" ? admitted.account?.name : undefined);
+            if (admitted.kind === "refused") {
+                refuseUnplanned(req, res, id, admitted, Math.round(clock.nowMs() - startedMs));
+                return;
+            }
+            const { account, priority } = admitted;
             if (turns.isBehind()) {
                 // The client may have left while its request waited to be read.
                 await turns.readArrived();
@@ -168,11 +191,11 @@
                 req,
                 res,
                 requestId,
-                head,
+                head: removeCredentials(head, account !== undefined || clusterView.config?.accounts !== undefined),
                 route,
                 service,
-                account: undefined,
-                priority: route.priority,
+                account,
+                priority,
                 requestedAdapter: service.engine === undefined ? undefined : requestedAdapter,
                 body,
                 digest: digestRequest({
@@ -215,6 +238,7 @@
                 const { status, framing } = end.result;
                 log.write("info", 406, {
                     id: request.requestId,
+                    account: request.account?.name,
                     status,
                     tookMs,
                     framing,
@@ -225,6 +249,7 @@
             case "answer":
                 log.write("info", 406, {
                     id: request.requestId,
+                    account: request.account?.name,
                     status: end.result.head.status,
                     tookMs,
                     framing: end.result.head.framing,
@@ -249,6 +274,7 @@
             metrics.count("streams_cut_total", { reason: end.reason });
             log.write("warn", 401, {
                 id: request.requestId,
+                account: request.account?.name,
                 reason: end.reason,
                 outcome: end.outcome,
                 heldMs,
@@ -304,6 +330,7 @@
                     metrics.count("streams_cut_total", { reason: failure.code });
                     log.write("error", 401, {
                         id: parseClientHead(req.rawHeaders).requestId ?? "none",
+                        account: accounts.find(res),
                         reason: failure.message,
                         step: failure.step,
                         outcome: failure.outcome,
--- a/packages/front/src/createEnginePreparer.ts
+++ b/packages/front/src/createEnginePreparer.ts
@@ -129,10 +129,10 @@
         progress: RequestProgress,
         origin: StreamOrigin | undefined,
     ): Promise<PreparedEngine> => {
-        const { route, service } = request;
+        const { priority, service } = request;
         const isAllowed = (entry: EngineEntry): boolean =>
             mayContinue(entry, origin) && !progress.excluded.has(entry.id);
-        const readyInMs = closures.bookReturn(service.name, route.priority, isAllowed);
+        const readyInMs = closures.bookReturn(service.name, priority, isAllowed);
         if (readyInMs !== undefined) {
             return waitOrRefuse(request, progress, "paused", () => readyInMs);
         }
@@ -146,7 +146,7 @@
         state: PreparationState,
         origin: StreamOrigin | undefined,
     ): Promise<PreparedEngine> => {
-        const { priority } = request.route;
+        const { priority } = request;
         const { unownedEngines } = state;
         const isEngineLimitReached = progress.tried.size >= request.route.maxEngines;
         const engines = chooser.list(request.service).filter(({ entry }) => mayContinue(entry, origin));
@@ -217,7 +217,7 @@
         expectedMs,
         waitedMs: nowMs - request.startedMs,
         goalMs: request.route.goalMs,
-        priority: request.route.priority,
+        priority: request.priority,
         leftMs: request.deadlineAtMs - nowMs,
     };
 }
--- a/packages/front/src/createEngineSender.ts
+++ b/packages/front/src/createEngineSender.ts
@@ -121,12 +121,14 @@
         request.times.sentMs = sentMs;
         const req = {
             ...buildRequest(request, { id, address: entry.address }, sentMs),
-            urgency: isModel ? Math.min(LEAST_URGENT_RANK, Math.max(0, request.route.priority)) : undefined,
+            urgency: isModel ? Math.min(LEAST_URGENT_RANK, Math.max(0, request.priority)) : undefined,
+            account: request.account?.name,
             version: request.requestedAdapter?.version,
         };
         log.write("info", 405, {
             id: request.requestId,
             engine: id,
+            account: request.account?.name,
             adapter,
             sharedParts: request.head.sharedParts?.join(","),
             digest: request.digest,
--- a/packages/front/src/createForwarder.steps.ts
+++ b/packages/front/src/createForwarder.steps.ts
@@ -78,7 +78,7 @@
         const runner = await createRunner(() => false, () => NO_EXCHANGE);
         void runner.run({
             ...createRequest(),
-            route: { kind: "streaming", isResumable: true, maxEngines: 2, goalMs, priority: 0 } as unknown as Route,
+            route: { kind: "streaming", isResumable: true, maxEngines: 2, goalMs } as unknown as Route,
         });
         await advance(silentMs);
     },
@@ -213,7 +213,8 @@
         res: {},
         requestId: brandId<RequestId>("r1"),
         head: { forwarded: [] },
-        route: { kind: "unsafe", isResumable: false, maxEngines: 2, goalMs: 100, priority: 0 },
+        route: { kind: "unsafe", isResumable: false, maxEngines: 2, goalMs: 100 },
+        priority: 0,
         service: { name: SERVICE, maxConnections: 10, engine: undefined },
         requestedAdapter: undefined,
         body: Buffer.alloc(0),
--- a/packages/front/src/createForwarder.ts
+++ b/packages/front/src/createForwarder.ts
@@ -80,6 +80,7 @@
                 from: deployment.host,
                 sends: progress.sends,
                 ...(isCounted ? { isCounted: true as const } : {}),
+                ...(request.account === undefined ? {} : { account: request.account.name }),
                 tried: [...progress.tried],
                 origin,
             };
--- a/packages/front/src/forwardMark.ts
+++ b/packages/front/src/forwardMark.ts
@@ -1,4 +1,4 @@
-import type { EngineId, HostId } from "@fulmarcleat/ids";
+import type { AccountName, EngineId, HostId } from "@fulmarcleat/ids";
 import type { StreamOrigin } from "@fulmarcleat/wire";
 
 /** What a host states of a client's request that it hands to another host. */
@@ -9,6 +9,8 @@
     readonly sends: number;
     /** Whether the retry budget of a host before counts the request already; left out if none does. */
     readonly isCounted?: true;
+    /** Account whose key the host has checked; left out without one. */
+    readonly account?: AccountName;
     /** Engines that the request has been tried at. */
     readonly tried: readonly EngineId[];
     /** Where the stream began; undefined if the client has received nothing of it. */
--- a/packages/front/src/planRequest.steps.ts
+++ b/packages/front/src/planRequest.steps.ts
@@ -9,6 +9,9 @@
 
 const HEAD = { hostName: "h", requestId: brandId<RequestId>("r1") } as ClientHead;
 
+/** Terms of a configuration without accounts that was just confirmed. */
+const NO_ACCOUNTS = { index: undefined, confirmedAgoMs: 0, maxConfirmedAgoMs: undefined };
+
 let config: ServingConfig;
 let plan: RequestPlan;
 let begunAt: readonly string[] = [];
@@ -33,14 +36,21 @@
     const known = {
         config: request === "without a configuration" ? undefined : config,
         isCurrent: () => !request.endsWith("by an old configuration"),
+        ...NO_ACCOUNTS,
     };
-    plan = planRequest(head, path, known, await createHasher());
+    plan = planRequest(head, path, known, await createHasher(), undefined);
 });
 
 When("{int} streams are begun and resumed by their clients", async (count: number) => {
     const hash = await createHasher();
     const find = (head: ClientHead): string => {
-        const found = planRequest(head, "/answers/1", { config, isCurrent: () => true }, hash);
+        const found = planRequest(
+            head,
+            "/answers/1",
+            { config, isCurrent: () => true, ...NO_ACCOUNTS },
+            hash,
+            undefined,
+        );
         return found.kind === "planned" ? found.service.name : found.reason;
     };
     const ids = Array.from({ length: count }, (value, at) => brandId<RequestId>(`r${at}`));
--- a/packages/front/src/planRequest.ts
+++ b/packages/front/src/planRequest.ts
@@ -1,12 +1,15 @@
-import type { Route, Service, ServingConfig } from "@fulmarcleat/directory";
+import { authenticateRequest, choosePriority } from "@fulmarcleat/accounts";
+import type { AuthenticationTerms } from "@fulmarcleat/accounts";
+import type { ClientAccount, Route, Service, ServingConfig } from "@fulmarcleat/directory";
 import { matchRoute, pickTarget } from "@fulmarcleat/dispatch";
 import { toErrorStatus } from "@fulmarcleat/errors";
 import type { ErrorCode } from "@fulmarcleat/errors";
 import type { Hasher } from "@fulmarcleat/hashing";
 import type { RequestId } from "@fulmarcleat/ids";
 import type { ClientHead } from "@fulmarcleat/platform";
+import type { ForwardMark } from "./forwardMark.js";
 
-/** The route and service of a request, or why it is refused. */
+/** The route, service and account of a request, or why it is refused. */
 export type RequestPlan =
     | {
         readonly kind: "refused";
@@ -20,38 +23,43 @@
         readonly config: ServingConfig;
         readonly route: Route;
         readonly service: Service;
+        /** Account of the request; undefined if it needs none. */
+        readonly account: ClientAccount | undefined;
+        /** 0 is the most urgent. */
+        readonly priority: number;
     };
 
 /** What a host knows of the configuration. */
-export interface KnownConfig {
+export interface KnownConfig extends Omit<AuthenticationTerms, "isAnonymous"> {
     /** Configuration in effect; undefined before one is known. */
     readonly config: ServingConfig | undefined;
-    /** Tells whether a newer one that must be in force by now would be known. */
-    readonly isCurrent: () => boolean;
 }
 
-/** Retry-After of a host that has no configuration, or may lack a newer one, in milliseconds. */
+/** Retry-After of a host that has no configuration, or whose version may be too old to decide, in milliseconds. */
 const NO_CONFIG_RETRY_MS = 300;
 
 /**
- * Finds the route and the service of a client's request. A host that may lack a newer configuration doesn't say that
- * there is none: the client gives up on that answer, while another host may know the route.
+ * Finds the route, the service and the account of a client's request. A host that may lack a newer configuration
+ * doesn't say that there is no such route or key: the client gives up on that answer, while another host may know it.
  *
  * @param head - Decoded headers of the request
  * @param path - Path and query of the request
- * @param known - Configuration in effect, and whether it is current
+ * @param known - Configuration in effect, its accounts, and whether it is current
  * @param hash - Hash function that all hosts share
+ * @param mark - What another host states that has handed the request to this one
  * @returns the plan, or a refusal
  *
  * @example
- * const plan = planRequest(head, req.url ?? "/", { config: clusterView.config, isCurrent: () => true }, hash);
+ * const plan = planRequest(head, req.url ?? "/", known, hash, undefined);
  */
 export function planRequest(
     head: ClientHead,
     path: string,
-    { config, isCurrent }: KnownConfig,
+    known: KnownConfig,
     hash: Hasher,
+    mark: Pick<ForwardMark, "account"> | undefined,
 ): RequestPlan {
+    const { config } = known;
     if (config === undefined) {
         return refuse("not_ready", NO_CONFIG_RETRY_MS);
     }
@@ -65,9 +73,23 @@
     const target = route === undefined ? undefined : pickTarget(hash, route.targets, key);
     const service = target === undefined ? undefined : config.services.get(target);
     if (route === undefined || service === undefined) {
-        return isCurrent() ? refuse("not_found") : refuse("not_ready", NO_CONFIG_RETRY_MS);
+        return known.isCurrent() ? refuse("not_found") : refuse("not_ready", NO_CONFIG_RETRY_MS);
+    }
+    const forwarded = mark === undefined ? undefined : { account: mark.account };
+    const { isAnonymous } = route;
+    const authentication = authenticateRequest({ apiKey: head.apiKey, forwarded }, { ...known, isAnonymous });
+    switch (authentication.kind) {
+        case "unauthenticated":
+            return refuse("unauthenticated");
+        case "undecided":
+            return refuse("not_ready", NO_CONFIG_RETRY_MS);
+        case "account":
+        case "no_account": {
+            const account = authentication.kind === "account" ? authentication.account : undefined;
+            const priority = choosePriority(account, route);
+            return { kind: "planned", requestId, config, route, service, account, priority };
+        }
     }
-    return { kind: "planned", requestId, config, route, service };
 }
 
 function refuse(code: ErrorCode, retryAfterMs?: number): RequestPlan {
--- a/packages/front/src/refusalCopies.steps.ts
+++ b/packages/front/src/refusalCopies.steps.ts
@@ -116,6 +116,7 @@
         headers: ["Host", "h", "Request-Id", id],
         body: Buffer.from("{}"),
         deadlineMs: 1000,
+        account: undefined,
         urgency: undefined,
         version: undefined,
         lastEventId: undefined,
--- a/packages/front/src/runExchange.steps.ts
+++ b/packages/front/src/runExchange.steps.ts
@@ -177,6 +177,7 @@
         headers: ["Host", "h", "Request-Id", REQUEST_ID],
         body: Buffer.alloc(0),
         deadlineMs: 1000,
+        account: undefined,
         urgency: undefined,
         version: undefined,
         lastEventId: undefined,
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -221,7 +221,7 @@
             }
             case "chosen": {
                 const { known } = prepared;
-                const permit = await limits.acquire(known.entry, request.route.priority, prepared.permit);
+                const permit = await limits.acquire(known.entry, request.priority, prepared.permit);
                 if (permit.kind === "refused") {
                     state.preparation.refusedGrants += 1;
                     return { kind: "again" };
--- a/packages/front/src/startExchange.ts
+++ b/packages/front/src/startExchange.ts
@@ -29,7 +29,7 @@
  * @param request - The client's request
  * @param target - Engine or host that gets it
  * @param sentMs - Clock reading of the send, in milliseconds
- * @returns the request, without urgency and version
+ * @returns the request, without account, urgency and version
  *
  * @example
  * const req = buildRequest(request, { id, address }, clock.nowMs());
@@ -43,6 +43,7 @@
         headers: request.head.forwarded,
         body: request.body,
         deadlineMs: request.deadlineAtMs - sentMs,
+        account: undefined,
         urgency: undefined,
         version: undefined,
         lastEventId: request.relay?.lastEventId ?? request.head.lastEventId,
--- a/packages/front/src/startForwardPair.steps.ts
+++ b/packages/front/src/startForwardPair.steps.ts
@@ -114,6 +114,7 @@
         headers: CLIENT_HEADERS,
         body: Buffer.alloc(0),
         deadlineMs: 5000,
+        account: undefined,
         urgency: 3,
         version: 2,
         lastEventId: undefined,
--- a/packages/front/src/verifyForwardMark.ts
+++ b/packages/front/src/verifyForwardMark.ts
@@ -1,5 +1,6 @@
 import { parseJson } from "@fulmarcleat/http";
 import { brandId } from "@fulmarcleat/ids";
+import type { AccountName } from "@fulmarcleat/ids";
 import { isSameMac } from "@fulmarcleat/wire";
 import * as z from "zod";
 import { computeMarkMac } from "./computeMarkMac.js";
@@ -14,6 +15,7 @@
     from: z.string().min(1),
     sends: z.int().nonnegative(),
     isCounted: z.literal(true).optional(),
+    account: z.string().min(1).optional(),
     tried: z.array(z.string()),
     origin: z.object({ service: z.string(), softwareVersion: z.string().optional() }).optional(),
 });
@@ -48,6 +50,7 @@
         from: brandId(data.from),
         sends: data.sends,
         ...(data.isCounted === true ? { isCounted: true } : {}),
+        ...(data.account === undefined ? {} : { account: brandId<AccountName>(data.account) }),
         tried: data.tried.map(id => brandId(id)),
         origin: data.origin && {
             service: brandId(data.origin.service),
