--- a/packages/front/src/createEngineChooser.ts
+++ b/packages/front/src/createEngineChooser.ts
@@ -26,6 +26,11 @@
 
 /** Typical time to load an adapter, in milliseconds; the deployments state 250 to 288. */
 const TYPICAL_LOAD_MS = 260;
+/**
+ * Age above which the report of an engine whose speed is known is renewed before a choice, in milliseconds; an engine
+ * that shares its machine gets several prompts in a second, each of which takes some hundred milliseconds.
+ */
+const PACED_REPORT_AGE_MS = 200;
 /** Part of a prompt's shared tokens that its home among the engines is expected to have kept. */
 const KEPT_PART = 0.6;
 /** Longest pause between two events that is assumed for routes that state none, in milliseconds. */
@@ -109,7 +114,8 @@
         const first = describe(allowed);
         const candidates = pickCandidates(first, () => random.next());
         const ids = candidates.map(view => view.id);
-        const hasUpdates = await adapters.refresh(ids);
+        const isPaced = candidates.some(({ pace }) => pace !== undefined);
+        const hasUpdates = await adapters.refresh(ids, isPaced ? PACED_REPORT_AGE_MS : undefined);
         const chosen = chooseModelEngine(
             hasUpdates
                 ? describe(allowed.filter(({ entry }) => ids.includes(entry.id)))
--- a/packages/front/src/startAdapterTracker.ts
+++ b/packages/front/src/startAdapterTracker.ts
@@ -42,10 +42,10 @@
 /** Tracks which adapters engines hold and requests adapters from engines' owners. */
 export interface AdapterTracker {
     /**
-     * Requests new owner reports for engines whose last report is too old.
+     * Requests new owner reports for engines whose last report is older than `maxAgeMs`, in milliseconds.
      * Returns whether any was requested; if an owner is slow to answer, its last report is used.
      */
-    refresh(engines: readonly EngineId[]): Promise<boolean>;
+    refresh(engines: readonly EngineId[], maxAgeMs?: number): Promise<boolean>;
     /** Returns whether an engine holds an adapter, according to its owner's last report. */
     find(entry: EngineEntry, requestedAdapter: RequestedAdapter | undefined): AdapterPresence;
     /** Requests in flight on an engine over all hosts, as its owner reports. */
@@ -306,20 +306,20 @@
         };
         return task.requestLoad(loadRequest.adapter, pendingLoad, loadRequest.isMissing);
     };
-    const isStale = (engine: EngineId, atMs: number): boolean => {
-        if (atMs - (ownerReports.get(engine)?.atMs ?? -Infinity) <= MAX_REPORT_AGE_MS) {
+    const isStale = (engine: EngineId, atMs: number, maxAgeMs: number): boolean => {
+        if (atMs - (ownerReports.get(engine)?.atMs ?? -Infinity) <= maxAgeMs) {
             return false;
         }
         const owner = findOwner(engine);
         return owner !== undefined && !outbox.isUnreachable(owner.host);
     };
     return {
-        async refresh(engines) {
+        async refresh(engines, maxAgeMs = MAX_REPORT_AGE_MS) {
             const atMs = clock.nowMs();
             const stale: Promise<void>[] = [];
             for (const engine of engines) {
                 const usage = getOrCreateUsage(engine);
-                if (!usage.isReporting && isStale(engine, atMs)) {
+                if (!usage.isReporting && isStale(engine, atMs, maxAgeMs)) {
                     stale.push(reportToOwner(engine, usage));
                 }
             }
--- a/packages/residency/src/describeResidency.ts
+++ b/packages/residency/src/describeResidency.ts
@@ -7,8 +7,8 @@
 
 /** Expected time until an engine has loaded its model, in milliseconds. */
 const MODEL_WAIT_MS = 3000;
-/** Expected time until an engine answers orders again that has not answered the last one, in milliseconds. */
-const UNANSWERED_WAIT_MS = 1000;
+/** Expected time until an order is answered that has been sent again without a reply, in milliseconds. */
+const UNANSWERED_WAIT_MS = 200;
 /** Expected time until an owner may order that has to read its engine's report first, in milliseconds. */
 const REPORT_WAIT_MS = 200;
 
@@ -46,9 +46,8 @@
 
 /** Estimates how long the owner can't send a new order, in milliseconds. */
 function estimateOrderWait(state: ResidencyState): number {
-    const { modelPhase, seq } = state;
-    if (modelPhase === "absent" || modelPhase === "loading") {
+    if (isStalled(state)) {
         return MODEL_WAIT_MS;
     }
-    return isStalled(state) ? UNANSWERED_WAIT_MS : seq === undefined ? REPORT_WAIT_MS : 0;
+    return state.isOrderUnanswered ? UNANSWERED_WAIT_MS : state.seq === undefined ? REPORT_WAIT_MS : 0;
 }
--- a/packages/residency/src/reduceResidency.feature
+++ b/packages/residency/src/reduceResidency.feature
@@ -30,6 +30,6 @@
         Examples:
             | case                                 | event                                        | wait |
             | the engine answers                   | nothing happens                              | 0    |
-            | it has not answered the last order   | an order at 1000 ms gets the reply "unknown" | 1000 |
+            | it has not answered the last order   | an order at 1000 ms gets the reply "unknown" | 200  |
             | the report has to be read first      | an order at 1000 ms gets the reply "conflict" | 200 |
             | it has restarted and loads its model | its model is being loaded                    | 3000 |
