--- a/packages/front/src/startAdapterTracker.feature
+++ b/packages/front/src/startAdapterTracker.feature
@@ -16,13 +16,14 @@
 
     Scenario Outline: A load is expected to take longer if the engine's owner is unreachable
         Given an adapter tracker on host "b" that knows "<owner>" as the owner of "i-1" and <state>
-        Then an absent adapter has an expected wait of <wait> ms for a slot, and loads <can> be requested
+        Then an absent adapter of <engine> has an expected wait of <wait> ms for a slot, and loads <can> be requested
 
         Examples:
-            | owner | state             | wait | can   |
-            | c     | reaches it        | 0    | can   |
-            | c     | does not reach it | 1000 | can   |
-            |       | reaches it        | 0    | can't |
+            | owner | state             | engine                      | wait | can   |
+            | c     | reaches it        | an engine                   | 0    | can   |
+            | c     | does not reach it | an engine                   | 1000 | can   |
+            |       | reaches it        | an engine                   | 0    | can't |
+            | c     | reaches it        | an engine without its model | 1000 | can   |
 
     Scenario: A host sends usage reports only for the engines that it uses
         Given an adapter tracker on host "b" with 42 engines owned by "c"
--- a/packages/front/src/startAdapterTracker.steps.ts
+++ b/packages/front/src/startAdapterTracker.steps.ts
@@ -71,10 +71,11 @@
 );
 
 Then(
-    /^an absent adapter has an expected wait of (\d+) ms for a slot, and loads (can|can't) be requested$/,
-    (placeWaitMs: string, can: string) => {
+    /^an absent adapter of (an engine|an engine without its model) has an expected wait of (\d+) ms for a slot, and loads (can|can't) be requested$/,
+    (kind: string, placeWaitMs: string, can: string) => {
         const { model, adapter, version } = LOAD_REQUEST;
-        const presence = tracker.find({ id: ENGINE, models: [] } as unknown as EngineEntry, {
+        const models = kind === "an engine" ? [{ model, version: undefined, adapters: [] }] : [];
+        const presence = tracker.find({ id: ENGINE, models } as unknown as EngineEntry, {
             model,
             adapter,
             version,
--- a/packages/front/src/startAdapterTracker.ts
+++ b/packages/front/src/startAdapterTracker.ts
@@ -98,6 +98,8 @@
 const MAX_REFRESH_WAIT_MS = 25;
 /** How long an owner report is used, in milliseconds. */
 const REPORT_VALID_MS = 4000;
+/** Expected wait until an engine that has started again has loaded its model, in milliseconds. */
+const MODEL_WAIT_MS = 1000;
 /** Expected wait until an older version that requests are using can be replaced, in milliseconds. */
 const REPLACE_WAIT_MS = 2000;
 /** Longest time until a peer answers, in milliseconds; the wait of a load request at its owner is added. */
@@ -430,11 +432,12 @@
     requestedAdapter: RequestedAdapter,
     absent: { readonly placeWaitMs: number; readonly canLoad: boolean },
 ): AdapterPresence {
-    const held = entry.models.find(model => model.model === requestedAdapter.model)?.adapters
-        .find(adapter => adapter.adapter === requestedAdapter.adapter);
+    const model = entry.models.find(({ model: name }) => name === requestedAdapter.model);
+    const held = model?.adapters.find(adapter => adapter.adapter === requestedAdapter.adapter);
+    const modelWaitMs = model === undefined ? MODEL_WAIT_MS : 0;
     return held !== undefined && isNewEnough(held.version, requestedAdapter.version)
         ? { kind: "present" }
-        : { kind: "absent", ...absent };
+        : { kind: "absent", ...absent, placeWaitMs: absent.placeWaitMs + modelWaitMs };
 }
 
 /** Records a load that was just accepted, so that the next request counts on it before the next owner report. */
