--- a/features/listConstants.ts
+++ b/features/listConstants.ts
@@ -1,7 +1,14 @@
 import { readdirSync, readFileSync } from "node:fs";
 
 const ROOT = new URL("../", import.meta.url).pathname;
-const FOLDERS = ["packages/directory", "packages/dispatch", "packages/front", "packages/residency", "platform"];
+const FOLDERS = [
+    "packages/directory",
+    "packages/dispatch",
+    "packages/front",
+    "packages/performance",
+    "packages/residency",
+    "platform",
+];
 const CONSTANT = /(?:\/\*\*([^/]*?)\*\/\n)?(?:export )?const ([A-Z][A-Z0-9_]+) = ([\d_.]+);/g;
 
 /** Holds a numeric constant of the platform path. */
@@ -25,7 +32,7 @@
  */
 export function listConstants(): readonly NumericConstant[] {
     return FOLDERS.flatMap(folder =>
-        readdirSync(`${ROOT}${folder}/src`, { encoding: "utf8" })
+        readdirSync(`${ROOT}${folder}/src`, { encoding: "utf8", recursive: true })
             .filter(file => file.endsWith(".ts") && !file.endsWith(".steps.ts"))
             .sort()
             .flatMap(file => listConstantsOfFile(`${folder}/src/${file}`))
