--- a/packages/events/src/eventCatalogue.ts
+++ b/packages/events/src/eventCatalogue.ts
@@ -42,6 +42,7 @@
     309: "engine report read",
     310: "adapter load requested",
     311: "former owner asked",
+    312: "engine speeds learned",
     400: "request refused",
     401: "request failed",
     402: "request retried",
--- a/packages/front/src/createEngineLoadTracker.ts
+++ b/packages/front/src/createEngineLoadTracker.ts
@@ -2,9 +2,12 @@
 import { reduceHealth, UNKNOWN_HEALTH } from "@fulmarcleat/dispatch";
 import type { EngineHealth, EngineView, HealthMessage } from "@fulmarcleat/dispatch";
 import type { Clock, EngineId } from "@fulmarcleat/ids";
+import type { PerformanceTracker } from "./performance/createPerformanceTracker.js";
 
 /** Load and health of the engines that one host sends requests to. */
 export interface EngineLoadTracker {
+    /** Speed of the engines. */
+    readonly performance: PerformanceTracker;
     /** Records that a request was sent to an engine. */
     startRequest(engine: EngineId): void;
     /** Records that bytes arrived from an engine. */
@@ -38,12 +41,13 @@
  * Creates a tracker for the load and health of engines.
  *
  * @param clock - Source of the monotonic time
+ * @param performance - Speed of the engines
  * @returns the tracker, empty at first
  *
  * @example
- * const loadTracker = createEngineLoadTracker(clock);
+ * const loadTracker = createEngineLoadTracker(clock, createPerformanceTracker(context));
  */
-export function createEngineLoadTracker(clock: Clock): EngineLoadTracker {
+export function createEngineLoadTracker(clock: Clock, performance: PerformanceTracker): EngineLoadTracker {
     const records = new Map<EngineId, EngineRecord>();
     const getOrCreateRecord = (engine: EngineId): EngineRecord => {
         const existing = records.get(engine);
@@ -61,6 +65,7 @@
         return record;
     };
     return {
+        performance,
         startRequest(engine) {
             const record = getOrCreateRecord(engine);
             if (record.inFlight === 0) {
@@ -93,6 +98,7 @@
             const others = record.reportedLoad !== undefined && atMs - record.reportedLoad.atMs < LOAD_REPORT_VALID_MS
                 ? record.reportedLoad.others
                 : 0;
+            const pace = performance.readPace(entry);
             return {
                 id: entry.id,
                 domain: entry.domain,
@@ -102,8 +108,12 @@
                 health: record.health,
                 isUnresponsive: record.inFlight > 0 && atMs - record.noBytesSinceMs > unresponsiveAfterMs,
                 leavesInMs: leavesAtMs === undefined ? undefined : leavesAtMs - atMs,
+                ...(pace === undefined ? {} : { pace }),
             };
         },
-        remove: engine => void records.delete(engine),
+        remove(engine) {
+            records.delete(engine);
+            performance.remove(engine);
+        },
     };
 }
--- a/packages/front/src/createEngineSender.ts
+++ b/packages/front/src/createEngineSender.ts
@@ -1,5 +1,6 @@
 import type { EngineAnswerHead, EngineEntry, KnownEngine } from "@fulmarcleat/directory";
 import { readSuspectKind } from "@fulmarcleat/dispatch";
+import type { EngineId } from "@fulmarcleat/ids";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import type { EngineClosures } from "./createEngineClosures.js";
@@ -11,6 +12,7 @@
 import type { FrontContext } from "./frontContext.js";
 import { listSuspects } from "./listSuspects.js";
 import { nameLeavingEngine } from "./nameLeavingEngine.js";
+import { observeExchange } from "./performance/observeExchange.js";
 import type { ExchangeResult } from "./runExchange.js";
 import type { ExchangeEvents, RunningExchange } from "./runWithTakeover.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
@@ -70,6 +72,7 @@
     closures: Pick<EngineClosures, "recordEnd" | "recordNotice" | "recordSend">,
 ): EngineSender {
     const { clock, log } = context;
+    const { performance } = loadTracker;
     /** Records whether a request was answered, or whether the connection broke while its answer was beginning. */
     const recordSuspects = (
         entry: EngineEntry,
@@ -105,6 +108,8 @@
                 return;
         }
     };
+    const countTokensAhead = (engine: EngineId): number =>
+        Math.max(loadTracker.countQueuedTokens(engine), adapters.countQueuedTokens(engine) ?? 0);
     const send = (
         request: ClientRequest,
         { known, permit }: EngineSendTarget,
@@ -137,6 +142,17 @@
             resumes: request.head.resumedRequestId,
         });
         const promptTokens = isModel ? request.head.tokens?.prompt ?? 0 : 0;
+        const transport = request.mark === undefined ? context.transport : nameLeavingEngine(context.transport);
+        const observed = performance.isLearning(entry.service)
+            ? observeExchange(transport, {
+                entry,
+                isModel,
+                isStream: request.route.kind === "streaming",
+                isResumed: req.lastEventId !== undefined,
+                tokens: promptTokens + countTokensAhead(id),
+                clock,
+            }, performance)
+            : transport;
         loadTracker.addQueuedTokens(id, promptTokens);
         loadTracker.startRequest(id);
         adapters.startRequest(id, adapter);
@@ -163,7 +179,7 @@
             return result;
         };
         return startExchange(request, req, {
-            transport: request.mark === undefined ? context.transport : nameLeavingEngine(context.transport),
+            transport: observed,
             clock,
             silenceFactor: 1,
             events,
@@ -188,6 +204,9 @@
                 }
                 if (head.load !== undefined) {
                     loadTracker.recordLoad(id, head.load);
+                    if (isFrom(entry, head)) {
+                        performance.recordLoad(entry, request.service, head.load);
+                    }
                 }
             },
             finish,
--- a/packages/front/src/createForwarder.steps.ts
+++ b/packages/front/src/createForwarder.steps.ts
@@ -33,6 +33,7 @@
 import type { ForwardMark } from "./forwardMark.js";
 import { SENDS_HEADER } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
+import { createPerformanceTracker } from "./performance/createPerformanceTracker.js";
 import { createRequestRunner } from "./runRequest.js";
 import type { RequestRunner } from "./runRequest.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
@@ -196,7 +197,7 @@
     return createRequestRunner(
         context,
         view,
-        createEngineLoadTracker(clock),
+        createEngineLoadTracker(clock, createPerformanceTracker(context)),
         ADAPTERS as unknown as AdapterTracker,
         {} as StreamOrigins,
         QUARANTINE as unknown as Quarantine,
--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -32,6 +32,7 @@
     FrontFleetOptions,
 } from "./frontFleet.steps.js";
 import { formatMemberKey } from "./hostKeys.js";
+import type { PerformanceTracker } from "./performance/createPerformanceTracker.js";
 import type { RequestRunner } from "./runRequest.js";
 import { startFleetHost } from "./startFleetHost.steps.js";
 
@@ -117,6 +118,7 @@
     const domains = new Map<HostId, string>();
     const pathRandom = createRandom(options.seed + 1);
     const nameDomain = (number: number): string => DOMAINS[number % (options.domains ?? 1)] ?? "a";
+    const performances = new Map<HostId, PerformanceTracker>();
     let limit: FleetLimit | undefined;
     const requests: MutableRequest[] = [];
     const requestsById = new Map<RequestId, MutableRequest>();
@@ -170,7 +172,9 @@
             isLeaving: notice?.kind === "leaving",
             retryAfter: notice?.kind === "pausing" ? String((notice.untilMs - clock.nowMs()) / MS_PER_S) : undefined,
         });
-        return { ...parseAnswerHead(status, headers), limit: nameLimit(engine.id) };
+        const { workPercent } = options;
+        const load = workPercent === undefined ? [] : ["Server-Load", `1,0,64,${workPercent}`];
+        return { ...parseAnswerHead(status, [...headers, ...load]), limit: nameLimit(engine.id) };
     };
     const isPausing = ({ id }: SimulatedEngine): boolean => {
         const notice = notices.get(id);
@@ -275,7 +279,7 @@
         const domain = nameDomain(number);
         domains.set(host, domain);
         startFleetHost(
-            { clock, store, hash, paths, peers, handlersByHost, runners, clientRequests, origins },
+            { clock, store, hash, paths, peers, handlersByHost, runners, clientRequests, origins, performances },
             { host, domain, random: createRandom(options.seed * 1000 + number) },
         );
     };
@@ -403,6 +407,7 @@
         cutHosts: paths.cut,
         healHosts: paths.heal,
         handovers: peers.handovers,
+        performances,
         readDomain: host => domains.get(host) ?? "",
         async addHost() {
             startHost(runners.size);
--- a/packages/front/src/createOwnerTask.ts
+++ b/packages/front/src/createOwnerTask.ts
@@ -13,8 +13,9 @@
     sumUsage,
 } from "@fulmarcleat/residency";
 import type { HostUsage, LoadRequest, ResidencyState } from "@fulmarcleat/residency";
-import type { AdapterLoadReply, OwnerReport } from "@fulmarcleat/wire";
+import type { AdapterLoadReply, ObservedPerformance, OwnerReport } from "@fulmarcleat/wire";
 import type { FrontContext } from "./frontContext.js";
+import { createOwnerPerformance } from "./performance/createOwnerPerformance.js";
 
 /** Settings of an engine's owner task. */
 export interface OwnerTaskOptions {
@@ -39,8 +40,13 @@
     requestLoad(adapter: AdapterName, loadRequest: LoadRequest, isMissing: boolean): Promise<AdapterLoadReply>;
     /** Requests a newly declared version of an adapter if the engine holds an older one. */
     refreshAdapter(adapter: AdapterName, version: number): void;
-    /** Records a host's requests in flight and returns the owner report. */
-    recordHostUsage(host: HostId, usage: HostUsage, started: readonly AdapterName[]): OwnerReport;
+    /** Records a host's requests in flight and what it observed at the engine, and returns the owner report. */
+    recordHostUsage(
+        host: HostId,
+        usage: HostUsage,
+        started: readonly AdapterName[],
+        seen: ObservedPerformance | undefined,
+    ): OwnerReport;
     /** Stops sending orders and refuses the waiting load requests. */
     stop(): void;
     /**
@@ -85,6 +91,7 @@
     const { clock, control, log, metrics } = context;
     const target = { id: options.entry.id, address: options.entry.address };
     let state: ResidencyState = createResidencyState(options.model, options.slots);
+    const performance = createOwnerPerformance(clock);
     let waiters: Waiter[] = [];
     let isRunningSteps = false;
     let lastOrder = Promise.resolve(true);
@@ -209,9 +216,13 @@
                 void runSteps();
             }
         },
-        recordHostUsage(host, usage, started) {
+        recordHostUsage(host, usage, started, seen) {
             state = reduceResidency(state, { kind: "use", host, use: usage, started });
-            return describeResidency(state, clock.nowMs());
+            if (seen !== undefined) {
+                performance.add(seen);
+            }
+            const pace = performance.describe();
+            return { ...describeResidency(state, clock.nowMs()), ...(pace === undefined ? {} : { pace }) };
         },
         stop() {
             isStopped = true;
--- a/packages/front/src/frontFleet.steps.ts
+++ b/packages/front/src/frontFleet.steps.ts
@@ -1,6 +1,7 @@
 import type { RouteKind, Service } from "@fulmarcleat/directory";
 import type { EngineId, HostId, ManualClock, RequestId, ServiceName } from "@fulmarcleat/ids";
 import type { StoreFake } from "./createStoreFake.steps.js";
+import type { PerformanceTracker } from "./performance/createPerformanceTracker.js";
 
 /** Size, seed and faults of a fleet in memory. */
 export interface FrontFleetOptions {
@@ -30,6 +31,8 @@
     readonly domains?: number;
     /** How many requests that crash engines come at the same moment, at any hosts; 1 if it is left out. */
     readonly copies?: number;
+    /** How long work takes on the engines, as their load headers state it, in percent; if left out, they don't state it. */
+    readonly workPercent?: number;
 }
 
 /** The rate of requests that some engines name in their answers. */
@@ -159,6 +162,8 @@
     readonly handovers: readonly FleetHandover[];
     /** Returns the failure domain that a host is in. */
     readDomain(host: HostId): string;
+    /** What each host has learned of the speed of engines. */
+    readonly performances: ReadonlyMap<HostId, PerformanceTracker>;
     /** Adds a host that knows nothing. */
     addHost(): Promise<void>;
 }
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -23,6 +23,7 @@
 import { NO_LOST_PATHS } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
 import { NO_FORWARDER } from "./noForwarder.steps.js";
+import { createPerformanceTracker } from "./performance/createPerformanceTracker.js";
 import { createAnswerRelay } from "./relayAnswer.js";
 import { createRequestRunner } from "./runRequest.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
@@ -159,7 +160,7 @@
     const runner = createRequestRunner(
         context,
         clusterView,
-        createEngineLoadTracker(clock),
+        createEngineLoadTracker(clock, createPerformanceTracker(context)),
         adapters,
         streamOrigins,
         NO_QUARANTINE,
--- a/packages/front/src/silentStream.steps.ts
+++ b/packages/front/src/silentStream.steps.ts
@@ -18,6 +18,7 @@
 import { NO_LOST_PATHS } from "./enginePaths.js";
 import type { FrontContext } from "./frontContext.js";
 import { NO_FORWARDER } from "./noForwarder.steps.js";
+import { createPerformanceTracker } from "./performance/createPerformanceTracker.js";
 import { createAnswerRelay } from "./relayAnswer.js";
 import { createRequestRunner } from "./runRequest.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
@@ -324,7 +325,7 @@
     return createRequestRunner(
         context,
         clusterView,
-        createEngineLoadTracker(clock),
+        createEngineLoadTracker(clock, createPerformanceTracker(context)),
         adapters,
         streamOrigins,
         NO_QUARANTINE,
--- a/packages/front/src/startAdapterTracker.steps.ts
+++ b/packages/front/src/startAdapterTracker.steps.ts
@@ -10,6 +10,7 @@
 import { createEngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { LoadRequestOutbox } from "./createLoadRequestOutbox.js";
 import type { FrontContext } from "./frontContext.js";
+import { createPerformanceTracker } from "./performance/createPerformanceTracker.js";
 import { startAdapterTracker } from "./startAdapterTracker.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
 import type { Ownership } from "./startOwnership.js";
@@ -195,7 +196,7 @@
         context as unknown as FrontContext,
         clusterView as unknown as ClusterView,
         { find: () => undefined, isFenced: () => isFenced, findHolder: () => undefined } as unknown as Ownership,
-        createEngineLoadTracker(clock),
+        createEngineLoadTracker(clock, createPerformanceTracker(context as unknown as FrontContext)),
         outbox,
         () => peers as unknown as PeerClient,
     );
--- a/packages/front/src/startAdapterTracker.ts
+++ b/packages/front/src/startAdapterTracker.ts
@@ -171,6 +171,9 @@
     };
     const recordOwnerReport = (engine: EngineId, report: OwnerReport): void => {
         ownerReports.set(engine, { report, atMs: clock.nowMs() });
+        if (report.pace !== undefined) {
+            loadTracker.performance.recordOwnerPace(engine, report.pace);
+        }
     };
     const handleUsageReport = async (usageReport: HostUsageReport): Promise<HostUsageReply> => {
         const task = ownership.find(usageReport.engine);
@@ -187,10 +190,12 @@
             total: usageReport.total,
             queuedTokens: usageReport.queuedTokens,
         };
-        return { kind: "word", ...task.recordHostUsage(usageReport.host, usage, usageReport.started) };
+        const { host, started, seen } = usageReport;
+        return { kind: "word", ...task.recordHostUsage(host, usage, started, seen) };
     };
     const reportToOwner = async (engine: EngineId, usage: OwnUsage): Promise<void> => {
-        const usageReport = {
+        const seen = loadTracker.performance.takeSeen(engine);
+        const usageReport: HostUsageReport = {
             host: deployment.host,
             isRelayed: false,
             engine,
@@ -198,6 +203,7 @@
             total: usage.total,
             queuedTokens: loadTracker.countQueuedTokens(engine),
             started: usage.started,
+            ...(seen === undefined ? {} : { seen }),
         };
         usage.started = [];
         usage.isChanged = false;
--- a/packages/front/src/startFleetHost.steps.ts
+++ b/packages/front/src/startFleetHost.steps.ts
@@ -27,6 +27,8 @@
 import type { StoreFake } from "./createStoreFake.steps.js";
 import type { FrontContext } from "./frontContext.js";
 import { formatMember, formatMemberKey } from "./hostKeys.js";
+import { createPerformanceTracker } from "./performance/createPerformanceTracker.js";
+import type { PerformanceTracker } from "./performance/createPerformanceTracker.js";
 import { createRequestRunner } from "./runRequest.js";
 import type { RequestRunner } from "./runRequest.js";
 import type { AdapterTracker } from "./startAdapterTracker.js";
@@ -45,6 +47,8 @@
     readonly clientRequests: ReadonlyMap<RequestId, ClientRequest>;
     /** Where streams began. */
     readonly origins: Map<RequestId, StreamRecord>;
+    /** What each host has learned of the speed of engines. */
+    readonly performances: Map<HostId, PerformanceTracker>;
 }
 
 /** Name, failure domain and random numbers of a host. */
@@ -117,7 +121,8 @@
         find: (id: RequestId | undefined) => Promise.resolve(id === undefined ? undefined : fleet.origins.get(id)),
     };
     const peers = fleet.peers.connect(host);
-    const loadTracker = createEngineLoadTracker(clock);
+    const loadTracker = createEngineLoadTracker(clock, createPerformanceTracker(context));
+    fleet.performances.set(host, loadTracker.performance);
     const closures = createEngineClosures(context, view);
     const enginePaths = createEnginePaths(
         context,
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -40,6 +40,7 @@
 import { finishRequests } from "./finishRequests.js";
 import type { FrontContext } from "./frontContext.js";
 import { guardClock } from "./guardClock.js";
+import { createPerformanceTracker } from "./performance/createPerformanceTracker.js";
 import { recordRejection } from "./recordRejection.js";
 import { createRequestRunner } from "./runRequest.js";
 import { startAdapterTracker } from "./startAdapterTracker.js";
@@ -104,7 +105,7 @@
     let peers: PeerClient | undefined;
     const clusterView = createClusterView(context, health, () => peers);
     const session = startSession(context, health, clusterView);
-    const loadTracker = createEngineLoadTracker(clock);
+    const loadTracker = createEngineLoadTracker(clock, createPerformanceTracker(context));
     const closures = createEngineClosures(context, clusterView);
     const paths = createEnginePaths(
         context,
--- a/packages/performance/src/addSample.ts
+++ b/packages/performance/src/addSample.ts
@@ -17,7 +17,7 @@
  */
 export function addSample(window: SampleWindow, sample: Sample, capacity: number): SampleWindow {
     const { ms, tokens } = sample;
-    return ms >= 0 && ms <= MAX_SAMPLE_MS && tokens >= 0 && Number.isFinite(tokens)
+    return Number.isFinite(ms) && ms >= 0 && ms <= MAX_SAMPLE_MS && Number.isFinite(tokens) && tokens >= 0
         ? [...window, sample].slice(-capacity)
         : window;
 }
--- a/packages/performance/src/reducePerformance.feature
+++ b/packages/performance/src/reducePerformance.feature
@@ -14,7 +14,7 @@
         Then its certainty of first bytes is 0
 
     Scenario: One first byte that is far too late or too early moves the estimate little
-        Given an engine that reads 40 tokens in a millisecond
+        Given observations of an engine at 40 tokens in a millisecond
         When its next first byte takes 30000 ms
         Then it is taken to read 35 to 45 tokens in a millisecond
         When its next first byte takes 0 ms
--- a/packages/performance/src/reducePerformance.steps.ts
+++ b/packages/performance/src/reducePerformance.steps.ts
@@ -54,7 +54,7 @@
         strictEqual(fadeLearned(state, atMs)[what === "events" ? "events" : "reads"], Number(certainty)),
 );
 
-Given(/^an engine that reads (\d+) tokens in a millisecond$/, (tokensPerMs: string) => {
+Given(/^observations of an engine at (\d+) tokens in a millisecond$/, (tokensPerMs: string) => {
     state = UNKNOWN_PERFORMANCE;
     for (let at = 0; at < OBSERVATIONS; at += 1) {
         const tokens = at % 3 === 0 ? 0 : 2000 + at * 100;
--- a/packages/performance/src/reducePerformance.ts
+++ b/packages/performance/src/reducePerformance.ts
@@ -47,7 +47,7 @@
 /** Samples of one quantity that an engine's owner keeps. */
 export const OWNER_SAMPLES = 32;
 /** Samples of one quantity that each host keeps of an engine; they count only while no owner has reported. */
-export const HOST_SAMPLES = 12;
+export const HOST_SAMPLES = 8;
 /** Number of samples at which more of them make an estimate no more certain; lets old estimates fade in bounded time. */
 export const MAX_CERTAINTY = 16;
 /** Time without samples that halves the certainty of an estimate, in milliseconds. */
--- a/packages/performance/src/reduceWorkFactor.feature
+++ b/packages/performance/src/reduceWorkFactor.feature
@@ -1,7 +1,7 @@
 Feature: The load header's fourth number is used for a short time, against what an engine usually states
 
     Scenario Outline: <case>
-        Given an engine that has stated <usual> percent <times> times
+        Given statements of <usual> percent, <times> times
         When it states <percent> percent
         Then its slowdown <age> ms later is <slowdown>
 
--- a/packages/performance/src/reduceWorkFactor.steps.ts
+++ b/packages/performance/src/reduceWorkFactor.steps.ts
@@ -8,7 +8,7 @@
 let state: WorkFactor;
 let atMs = 0;
 
-Given(/^an engine that has stated ([\d.]+) percent (\d+) times$/, (percent: string, times: string) => {
+Given(/^statements of ([\d.]+) percent, (\d+) times$/, (percent: string, times: string) => {
     state = UNKNOWN_WORK_FACTOR;
     for (atMs = 0; atMs < Number(times) * STATEMENT_INTERVAL_MS; atMs += STATEMENT_INTERVAL_MS) {
         state = reduceWorkFactor(state, Number(percent), atMs);
--- a/packages/performance/src/reduceWorkFactor.ts
+++ b/packages/performance/src/reduceWorkFactor.ts
@@ -23,7 +23,7 @@
 /** Highest statement that is taken as it is, in percent. */
 const MAX_WORK_PERCENT = 1000;
 /** Statements that are kept for the usual one. */
-const STATED_CAPACITY = 32;
+const STATED_CAPACITY = 16;
 /** Statements from which the usual one is known; 100 counts before. */
 const MIN_STATED = 8;
 /** Interval between two statements that count for the usual one, in milliseconds; periods of slowness last 600 ms. */
--- a/packages/wire/src/residencyMessages.ts
+++ b/packages/wire/src/residencyMessages.ts
@@ -23,6 +23,28 @@
     | { readonly kind: "ready"; readonly inMs: number }
     | { readonly kind: "refused"; readonly reason: "no_room" | "not_owner" | "not_allowed" };
 
+/**
+ * What a host observed at an engine since its last report: prompt tokens and time in microseconds of each first byte, and
+ * usual times between two events of streams in microseconds; all divided by the engine's slowdown at that time.
+ */
+export type ObservedPerformance = readonly [
+    firstBytes: readonly (readonly [tokens: number, us: number])[],
+    eventsUs: readonly number[],
+];
+
+/**
+ * What an engine's owner has learned from the reports of all hosts: nanoseconds for each prompt token, microseconds to
+ * the first byte without a prompt and between two events, and the number of samples of first bytes and of events on which
+ * these rest. A time that is not known is 0.
+ */
+export type LearnedPerformance = readonly [
+    tokenNs: number,
+    idleUs: number,
+    eventUs: number,
+    firstBytes: number,
+    events: number,
+];
+
 /** Reports the requests that a host has in flight at an engine to the engine's owner. */
 export interface HostUsageReport {
     readonly engine: EngineId;
@@ -38,6 +60,8 @@
     readonly queuedTokens: number;
     /** Adapters of the requests that started since the last report. */
     readonly started: readonly AdapterName[];
+    /** Left out where there is nothing to report, and by hosts that run an earlier version. */
+    readonly seen?: ObservedPerformance;
 }
 
 /** State of an adapter in an owner report. */
@@ -59,6 +83,8 @@
     readonly queuedTokens: number;
     /** Expected time until an adapter slot is free, in milliseconds. */
     readonly placeWaitMs: number;
+    /** Left out where nothing was learned, and by hosts that run an earlier version. */
+    readonly pace?: LearnedPerformance;
 }
 
 /** An owner's reply to a usage report. */
