--- a/packages/residency/src/reduceResidency.ts
+++ b/packages/residency/src/reduceResidency.ts
@@ -15,8 +15,15 @@
 const LATE_LOAD_MS = 1500;
 /** Time until a load that is late is expected to be done, in milliseconds. */
 const LATE_STEP_MS = 25;
+/**
+ * Time after the expected end of a load up to which a missing adapter shows that loads take longer, in milliseconds; later
+ * the reason may be another one, such as an unload or a request that was held up.
+ */
+const MAX_LATENESS_MS = 100;
+/** Most by which one late load raises the expected duration, in milliseconds. */
+const MAX_LOAD_STEP_MS = 40;
 /** Longest duration of a load that is learned, in milliseconds. */
-const MAX_LOAD_MS = 1000;
+const MAX_LOAD_MS = 600;
 
 /**
  * Applies a host's report or a tick of the clock to an engine's state.
@@ -87,6 +94,11 @@
     return { ...state, seq: undefined };
 }
 
+/** Returns the expected duration of loads after one that had taken longer than so many milliseconds. */
+function learnLoad(expectedMs: number, tookMs: number): number {
+    return Math.max(expectedMs, Math.min(tookMs, expectedMs + MAX_LOAD_STEP_MS, MAX_LOAD_MS));
+}
+
 /** Expects a load later that requests have come too early for, and learns its duration. */
 function extendLoad(
     state: ResidencyState,
@@ -95,8 +107,9 @@
     { orderedAtMs, isFromCopy }: AcceptedLoad,
     atMs: number,
 ): ResidencyState {
-    const tookMs = atMs - orderedAtMs + LATE_STEP_MS;
-    const loadMs = isFromCopy ? state.loadMs : Math.min(MAX_LOAD_MS, Math.max(state.loadMs, tookMs));
+    const loadMs = isFromCopy || atMs > resident.sinceMs + MAX_LATENESS_MS
+        ? state.loadMs
+        : learnLoad(state.loadMs, atMs - orderedAtMs + LATE_STEP_MS);
     const readyAtMs = Math.max(atMs + LATE_STEP_MS, isFromCopy ? orderedAtMs + loadMs : 0);
     const residents = new Map(state.residents).set(adapter, {
         ...resident,
