--- a/packages/front/src/createEngineChooser.ts
+++ b/packages/front/src/createEngineChooser.ts
@@ -31,6 +31,8 @@
  * that shares its machine gets several prompts in a second, each of which takes some hundred milliseconds.
  */
 const PACED_REPORT_AGE_MS = 200;
+/** Wait for an adapter slot from which further engines are looked at, in milliseconds. */
+const LONG_PLACE_WAIT_MS = 100;
 /** Part of a prompt's shared tokens that its home among the engines is expected to have kept. */
 const KEPT_PART = 0.6;
 /** Longest pause between two events that is assumed for routes that state none, in milliseconds. */
@@ -113,14 +115,23 @@
         });
         const first = describe(allowed);
         const candidates = pickCandidates(first, () => random.next());
-        const ids = candidates.map(view => view.id);
         const isPaced = candidates.some(({ pace }) => pace !== undefined);
-        const hasUpdates = await adapters.refresh(ids, isPaced ? PACED_REPORT_AGE_MS : undefined);
-        const chosen = chooseModelEngine(
-            hasUpdates
-                ? describe(allowed.filter(({ entry }) => ids.includes(entry.id)))
-                : { ...first, engines: candidates },
-        );
+        /** Refreshes what is known of candidates, and returns them as they are then. */
+        const refresh = async (views: readonly ModelEngineView[]): Promise<readonly ModelEngineView[]> => {
+            const ids = views.map(view => view.id);
+            return await adapters.refresh(ids, isPaced ? PACED_REPORT_AGE_MS : undefined)
+                ? describe(allowed.filter(({ entry }) => ids.includes(entry.id))).engines
+                : views;
+        };
+        let engines = await refresh(candidates);
+        if (isPaced && engines.every(isFull)) {
+            const others = first.engines.filter(view => !candidates.includes(view));
+            engines = [
+                ...engines,
+                ...await refresh(pickCandidates({ ...first, engines: others }, () => random.next())),
+            ];
+        }
+        const chosen = chooseModelEngine({ ...first, engines });
         const known = chosen === undefined ? undefined : byId.get(chosen.id);
         return known === undefined ? undefined : { known, expectedMs: chosen?.expectedMs ?? 0 };
     };
@@ -130,3 +141,8 @@
             request.service.engine === undefined ? choosePlain(allowed) : chooseModel(request, allowed),
     };
 }
+
+/** Whether a request would wait at an engine until one of its adapter slots is free. */
+function isFull({ presence }: ModelEngineView): boolean {
+    return presence.kind === "absent" && presence.placeWaitMs >= LONG_PLACE_WAIT_MS;
+}
--- a/packages/front/src/performance/createPerformanceTracker.ts
+++ b/packages/front/src/performance/createPerformanceTracker.ts
@@ -105,6 +105,7 @@
  * Creates a tracker for the speed of engines.
  *
  * @param context - Clock, metrics and log
+ * @param isAlwaysLearning - Whether the speed of model engines is learned that don't state how long work takes
  * @returns the tracker, which knows no engine
  *
  * @example
@@ -112,6 +113,7 @@
  */
 export function createPerformanceTracker(
     context: Pick<FrontContext, "clock" | "log" | "metrics">,
+    isAlwaysLearning: boolean = false,
 ): PerformanceTracker {
     const { clock, metrics } = context;
     const services = new Map<ServiceName, ServiceRecord>();
@@ -229,7 +231,7 @@
     };
     return {
         recordLoad(entry, { engine: spec }, { workPercent }) {
-            if (workPercent === undefined) {
+            if (workPercent === undefined && !(isAlwaysLearning && spec !== undefined)) {
                 return;
             }
             const atMs = clock.nowMs();
@@ -247,7 +249,9 @@
             service.statedAtMs = atMs;
             service.eventTokens = spec?.eventTokens ?? 1;
             const record = getOrCreateRecord(service, entry.id);
-            record.work = reduceWorkFactor(record.work, workPercent, atMs);
+            if (workPercent !== undefined) {
+                record.work = reduceWorkFactor(record.work, workPercent, atMs);
+            }
             report(entry.service, [...service.engines.keys()], id => readPace({ ...entry, id }));
         },
         isLearning: name => findLearning(name) !== undefined,
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -107,7 +107,7 @@
     let peers: PeerClient | undefined;
     const clusterView = createClusterView(context, health, () => peers);
     const session = startSession(context, health, clusterView);
-    const loadTracker = createEngineLoadTracker(clock, createPerformanceTracker(context));
+    const loadTracker = createEngineLoadTracker(clock, createPerformanceTracker(context, deployment.learnsEngineSpeed));
     const closures = createEngineClosures(context, clusterView);
     const paths = createEnginePaths(
         context,
