--- a/packages/front/src/accounts/createRequestPlanner.ts
+++ b/packages/front/src/accounts/createRequestPlanner.ts
@@ -1,5 +1,5 @@
 import type { ServingConfig } from "@fulmarcleat/directory";
-import type { ClientHead } from "@fulmarcleat/platform";
+import type { ClientHead, DeploymentBounds } from "@fulmarcleat/platform";
 import type { ClusterView } from "../createClusterView.js";
 import type { ForwardMark } from "../forwardMark.js";
 import type { FrontContext } from "../frontContext.js";
@@ -37,15 +37,17 @@
 ): RequestPlanner {
     const readAccountIndex = createAccountIndexReader();
     return (head, path, mark, config) => {
-        const { configApplyMs, keyConfirmMs, refusesUnconfirmedKeys } = context.readBounds();
+        const index = readAccountIndex(clusterView.config);
         const confirmedAgoMs = clusterView.readAgeMs("config");
-        const known = {
-            config,
-            index: readAccountIndex(clusterView.config),
-            isCurrent: () => confirmedAgoMs !== undefined && confirmedAgoMs <= configApplyMs - CONFIG_RESERVE_MS,
-            confirmedAgoMs,
-            maxConfirmedAgoMs: refusesUnconfirmedKeys ? keyConfirmMs : undefined,
-        };
+        const isCurrent = (): boolean =>
+            confirmedAgoMs !== undefined && confirmedAgoMs <= context.readBounds().configApplyMs - CONFIG_RESERVE_MS;
+        const maxConfirmedAgoMs = index === undefined ? undefined : chooseConfirmLimit(context.readBounds());
+        const known = { config, index, isCurrent, confirmedAgoMs, maxConfirmedAgoMs };
         return planRequest(head, path, known, context.hash, mark);
     };
 }
+
+/** Chooses the time for which keys are accepted after a confirmation, in milliseconds; undefined for any time. */
+function chooseConfirmLimit({ keyConfirmMs, refusesUnconfirmedKeys }: DeploymentBounds): number | undefined {
+    return refusesUnconfirmedKeys ? keyConfirmMs : undefined;
+}
--- a/packages/front/src/verifyForwardMark.feature
+++ b/packages/front/src/verifyForwardMark.feature
@@ -8,6 +8,7 @@
             | nothing tried              | {"from":"front-1","sends":0,"tried":[]}                                                                   |
             | tried engines              | {"from":"front-1","sends":2,"tried":["i-1","i-2"]}                                                        |
             | a request that is counted  | {"from":"front-1","sends":0,"isCounted":true,"tried":[]}                                                  |
+            | an account                 | {"from":"front-1","sends":0,"account":"søk 引擎","tried":[]}                                              |
             | a stream's origin          | {"from":"front-1","sends":1,"tried":["i-1"],"origin":{"service":"chat","softwareVersion":"4.1"}}          |
             | an origin of no version    | {"from":"front-1","sends":1,"tried":["i-1"],"origin":{"service":"chat"}}                                  |
             | names that are not ASCII   | {"from":"forhånd-1","sends":1,"tried":["引擎"],"origin":{"service":"søk \\" ?","softwareVersion":"ü"}} |
@@ -46,6 +47,8 @@
             | {"from":"front-1","sends":"1","tried":[]}      |
             | {"from":"front-1","sends":1,"isCounted":1,"tried":[]} |
             | {"from":"","sends":1,"tried":[]}               |
+            | {"from":"front-1","sends":1,"account":"","tried":[]} |
+            | {"from":"front-1","sends":1,"account":1,"tried":[]} |
             | {"from":"front-1","sends":1}                   |
             | {"from":"front-1","sends":1,"tried":[1]}       |
             | {"from":"front-1","sends":1,"tried":[],"origin":{}} |
