--- /dev/null
+++ b/packages/accounts/src/createAccountBucket.ts
@@ -0,0 +1,193 @@
+import type { RateLimit } from "@fulmarcleat/directory";
+
+/** What an account may use at most in each sliding window. */
+export interface WindowBound {
+    readonly windowMs: number;
+    /** Share by which an account may exceed what its rate and burst allow in a window. */
+    readonly excessRatio: number;
+    /** Units by which it may exceed that in addition. */
+    readonly slack: number;
+}
+
+/** Decision on a batch of requests of one account. */
+export interface BucketGrant {
+    /** How many of the requests are granted, counted from the first. */
+    readonly granted: number;
+    /** Time until the next request may fit, in milliseconds; 0 if all were granted. */
+    readonly readyInMs: number;
+    /** Cost granted in the window that ends now. */
+    readonly used: number;
+}
+
+/** Token bucket of one account; the host that grants for the account holds it. */
+export interface AccountBucket {
+    /** Applies a limit of a new configuration; a lowered one caps the level. */
+    setLimit(limit: RateLimit, bound: WindowBound): void;
+    /** Begins to grant in place of another host, which may have granted a full window. */
+    takeOver(atMs: number): void;
+    /** Ends granting; the level no longer rises until the next `takeOver`. */
+    release(atMs: number): void;
+    /** Skips the refill of a time in which this host did not run and another one may have granted. */
+    skipPause(pausedMs: number): void;
+    /** Lowers the level to that of another host, which granted in place of this one. */
+    capLevel(level: number, atMs: number): void;
+    /** Returns the level after its refill. */
+    readLevel(atMs: number): number;
+    request(costs: readonly number[], atMs: number): BucketGrant;
+    /** Returns the cost of a request that was granted `agoMs` ago and did not run. */
+    giveBack(cost: number, agoMs: number, atMs: number): void;
+}
+
+/** Parts of the window in which granted costs are summed. */
+const SLOTS = 32;
+/** Part of the slack with which a bucket may start. */
+const START_SLACK_PART = 0.25;
+/** Time at the rate with which a bucket may start, in milliseconds. */
+const START_RATE_MS = 500;
+/** Level from which a request is granted, whatever it costs; a large one takes the level below zero. */
+const GRANT_LEVEL = 1;
+/** Milliseconds in a second. */
+const MS_PER_S = 1000;
+
+/**
+ * Creates the bucket of an account. It grants while its level is positive and while the sum over the sliding window
+ * stays within the bound.
+ *
+ * @param limit - Rate and burst over all hosts together
+ * @param bound - What the account may use at most in each sliding window
+ * @param atMs - Clock reading, in milliseconds
+ * @returns the bucket, at the level with which a new granter starts
+ *
+ * @example
+ * const bucket = createAccountBucket(limit, { windowMs: 8000, excessRatio: 0.1, slack: 110_000 }, clock.nowMs());
+ * bucket.request([5000, 1200], clock.nowMs()).granted; // 2
+ */
+export function createAccountBucket(limit: RateLimit, bound: WindowBound, atMs: number): AccountBucket {
+    let { perSecond } = limit;
+    let capacity = 0;
+    let startLevel = 0;
+    let allowed = 0;
+    let windowMs = bound.windowMs;
+    let slotMs = 0;
+    /** Costs granted, by the number of the slot; one slot more than the window, since the oldest counts in full. */
+    const slots = new Float64Array(SLOTS + 1);
+    let lastSlot = 0;
+    let used = 0;
+    let level = 0;
+    let refilledMs = atMs;
+    let releasedMs: number | undefined;
+
+    const readSlot = (number: number): number => slots[number % slots.length] ?? 0;
+    const addToSlot = (number: number, cost: number): void => {
+        slots[number % slots.length] = readSlot(number) + cost;
+        used += cost;
+    };
+    /** Drops the slots that the window has left. */
+    const advance = (nowMs: number): void => {
+        const slot = Math.floor(nowMs / slotMs);
+        const first = Math.max(lastSlot + 1, slot - SLOTS);
+        for (let next = first; next <= slot; next += 1) {
+            used -= readSlot(next);
+            slots[next % slots.length] = 0;
+        }
+        if (slot - lastSlot > SLOTS) {
+            used = 0;
+        }
+        lastSlot = Math.max(lastSlot, slot);
+    };
+    const refill = (nowMs: number): void => {
+        if (releasedMs === undefined) {
+            level = Math.min(capacity, level + Math.max(0, nowMs - refilledMs) * perSecond / MS_PER_S);
+        }
+        refilledMs = Math.max(refilledMs, nowMs);
+    };
+    /** Returns the time until the window has room for a cost, in milliseconds. */
+    const findWindowWait = (cost: number, nowMs: number): number => {
+        let excess = used + cost - allowed;
+        if (excess <= 0) {
+            return 0;
+        }
+        for (let slot = lastSlot - SLOTS; slot <= lastSlot; slot += 1) {
+            excess -= readSlot(Math.max(0, slot));
+            if (excess <= 0) {
+                return Math.max(1, (slot + SLOTS + 1) * slotMs - nowMs);
+            }
+        }
+        return windowMs;
+    };
+    const setLimit = (next: RateLimit, { windowMs: length, excessRatio, slack }: WindowBound): void => {
+        // The slack is stated in tokens; limits that count requests get none of it.
+        const ownSlack = next.unit === "tokens" ? slack : 0;
+        perSecond = next.perSecond;
+        capacity = Math.max(GRANT_LEVEL, next.burst);
+        startLevel = Math.min(
+            capacity,
+            Math.max(GRANT_LEVEL, ownSlack * START_SLACK_PART, perSecond * START_RATE_MS / MS_PER_S),
+        );
+        allowed = (perSecond * length / MS_PER_S + next.burst) * (1 + excessRatio) + Math.max(ownSlack, GRANT_LEVEL);
+        level = Math.min(level, capacity);
+        if (length !== windowMs || slotMs === 0) {
+            windowMs = length;
+            slotMs = length / SLOTS;
+            slots.fill(0);
+            used = 0;
+            lastSlot = Math.floor(refilledMs / slotMs);
+        }
+    };
+    setLimit(limit, bound);
+    level = startLevel;
+    return {
+        setLimit,
+        takeOver(nowMs) {
+            if (releasedMs !== undefined) {
+                // What an earlier start has used comes back over a window, so that repeated starts add up to one.
+                const recovered = level + (nowMs - releasedMs) * startLevel / windowMs;
+                level = Math.min(startLevel, recovered);
+                releasedMs = undefined;
+            }
+            refilledMs = nowMs;
+        },
+        release(nowMs) {
+            refill(nowMs);
+            releasedMs ??= nowMs;
+        },
+        skipPause(pausedMs) {
+            refilledMs += pausedMs;
+        },
+        capLevel(other, nowMs) {
+            refill(nowMs);
+            level = Math.min(level, other);
+        },
+        readLevel(nowMs) {
+            refill(nowMs);
+            return level;
+        },
+        request(costs, nowMs) {
+            refill(nowMs);
+            advance(nowMs);
+            let granted = 0;
+            let readyInMs = 0;
+            for (const cost of costs) {
+                const needed = Math.min(cost, GRANT_LEVEL);
+                const levelWaitMs = perSecond > 0 ? Math.max(0, needed - level) * MS_PER_S / perSecond : windowMs;
+                readyInMs = Math.max(level >= needed ? 0 : levelWaitMs, findWindowWait(cost, nowMs));
+                if (readyInMs > 0) {
+                    break;
+                }
+                level -= cost;
+                addToSlot(lastSlot, cost);
+                granted += 1;
+            }
+            return { granted, readyInMs, used };
+        },
+        giveBack(cost, agoMs, nowMs) {
+            refill(nowMs);
+            advance(nowMs);
+            level = Math.min(capacity, level + cost);
+            const slot = Math.floor((nowMs - agoMs) / slotMs);
+            if (slot >= 0 && slot >= lastSlot - SLOTS && slot <= lastSlot) {
+                addToSlot(slot, -Math.min(cost, readSlot(slot)));
+            }
+        },
+    };
+}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,3 +1,4 @@
+export type * from "./accountMessages.js";
 export { computeMac } from "./computeMac.js";
 export type * from "./crashMessages.js";
 export { createFrameReader } from "./createFrameReader.js";
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -12,6 +12,7 @@
     RequestId,
 } from "@fulmarcleat/ids";
 import type { ConfigChange, Priority, Resource } from "@fulmarcleat/resources";
+import type { AccountGrantReply, AccountGrantRequest, AccountReturn } from "./accountMessages.js";
 import type {
     CrashReply,
     CrashReport,
@@ -271,6 +272,8 @@
     readonly quarantine: { readonly request: QuarantineNotice; readonly reply: Acknowledgement };
     readonly engineLimit: { readonly request: LimitNotice; readonly reply: LimitNoticeReply };
     readonly sendGrant: { readonly request: SendGrantRequest; readonly reply: SendGrantReply };
+    readonly accountGrant: { readonly request: AccountGrantRequest; readonly reply: AccountGrantReply };
+    readonly accountReturn: { readonly request: AccountReturn; readonly reply: Acknowledgement };
     readonly engineProbe: { readonly request: EngineProbeRequest; readonly reply: EngineProbeReply };
     readonly orderRight: { readonly request: OrderRightRequest; readonly reply: OrderRightReply };
     readonly engineReach: { readonly request: EngineReachRequest; readonly reply: EngineReachReply };
