--- a/packages/accounts/src/createAccountBucket.ts
+++ b/packages/accounts/src/createAccountBucket.ts
@@ -9,6 +9,14 @@
     readonly slack: number;
 }
 
+/** What a host has granted in place of another one. */
+export interface InterimGrants {
+    /** Level of its bucket. */
+    readonly level: number;
+    /** Cost that it has granted since it took over. */
+    readonly spent: number;
+}
+
 /** Decision on a batch of requests of one account. */
 export interface BucketGrant {
     /** How many of the requests are granted, counted from the first. */
@@ -28,11 +36,11 @@
     /** Ends granting; the level no longer rises until the next `takeOver`. */
     release(atMs: number): void;
     /** Skips the refill of a time in which this host did not run and another one may have granted. */
-    skipPause(pausedMs: number): void;
-    /** Lowers the level to that of another host, which granted in place of this one. */
-    capLevel(level: number, atMs: number): void;
-    /** Returns the level after its refill. */
-    readLevel(atMs: number): number;
+    skipPause(pausedMs: number, atMs: number): void;
+    /** Takes into account what another host has granted in place of this one. */
+    merge(interim: InterimGrants, atMs: number): void;
+    /** Returns what has been granted since `takeOver`. */
+    readInterim(atMs: number): InterimGrants;
     request(costs: readonly number[], atMs: number): BucketGrant;
     /** Returns the cost of a request that was granted `agoMs` ago and did not run. */
     giveBack(cost: number, agoMs: number, atMs: number): void;
@@ -74,6 +82,7 @@
     let lastSlot = 0;
     let used = 0;
     let level = 0;
+    let spent = 0;
     let refilledMs = atMs;
     let releasedMs: number | undefined;
 
@@ -107,8 +116,8 @@
         if (excess <= 0) {
             return 0;
         }
-        for (let slot = lastSlot - SLOTS; slot <= lastSlot; slot += 1) {
-            excess -= readSlot(Math.max(0, slot));
+        for (let slot = Math.max(0, lastSlot - SLOTS); slot <= lastSlot; slot += 1) {
+            excess -= readSlot(slot);
             if (excess <= 0) {
                 return Math.max(1, (slot + SLOTS + 1) * slotMs - nowMs);
             }
@@ -145,22 +154,24 @@
                 level = Math.min(startLevel, recovered);
                 releasedMs = undefined;
             }
+            spent = 0;
             refilledMs = nowMs;
         },
         release(nowMs) {
             refill(nowMs);
             releasedMs ??= nowMs;
         },
-        skipPause(pausedMs) {
-            refilledMs += pausedMs;
+        skipPause(pausedMs, nowMs) {
+            refilledMs = Math.min(nowMs, refilledMs + pausedMs);
         },
-        capLevel(other, nowMs) {
+        merge(interim, nowMs) {
             refill(nowMs);
-            level = Math.min(level, other);
+            // Both are safe: this bucket less what the other one gave out, and the other bucket in place of this one.
+            level = Math.min(level, Math.max(level - interim.spent, interim.level));
         },
-        readLevel(nowMs) {
+        readInterim(nowMs) {
             refill(nowMs);
-            return level;
+            return { level, spent };
         },
         request(costs, nowMs) {
             refill(nowMs);
@@ -175,6 +186,7 @@
                     break;
                 }
                 level -= cost;
+                spent += cost;
                 addToSlot(lastSlot, cost);
                 granted += 1;
             }
@@ -184,6 +196,7 @@
             refill(nowMs);
             advance(nowMs);
             level = Math.min(capacity, level + cost);
+            spent -= cost;
             const slot = Math.floor((nowMs - agoMs) / slotMs);
             if (slot >= 0 && slot >= lastSlot - SLOTS && slot <= lastSlot) {
                 addToSlot(slot, -Math.min(cost, readSlot(slot)));
--- /dev/null
+++ b/packages/front/src/accounts/createAccountLimits.ts
@@ -0,0 +1,496 @@
+import { computeRequestCost, createAloneAllowance, createReturnSlots } from "@fulmarcleat/accounts";
+import type { AloneAllowance, ReturnSlots, WindowBound } from "@fulmarcleat/accounts";
+import type { ClientAccount, RateLimit, ServingConfig } from "@fulmarcleat/directory";
+import type { AccountName, CancelTimer, HostId } from "@fulmarcleat/ids";
+import { repeat } from "@fulmarcleat/ids";
+import type { TokenCount } from "@fulmarcleat/platform";
+import type {
+    AccountGrantReply,
+    AccountGrantRequest,
+    AccountReturn,
+    Acknowledgement,
+    PeerClient,
+} from "@fulmarcleat/wire";
+import type { ClusterView } from "../createClusterView.js";
+import type { FrontContext } from "../frontContext.js";
+import { sendToPeer } from "../sendToPeer.js";
+import type { AccountPermit, LimitBasis } from "./accountPermit.js";
+import { createAccountGranter } from "./createAccountGranter.js";
+import { createGranterRanks } from "./createGranterRanks.js";
+
+/** Keeps what each client account uses over all hosts within its rate limit. */
+export interface AccountLimits {
+    /** Decides whether a request may be sent. */
+    admit(account: ClientAccount, tokens: TokenCount | undefined): Promise<AccountPermit>;
+    /** Handles another host's request for grants. */
+    handleGrant(request: AccountGrantRequest, from: HostId): Promise<AccountGrantReply>;
+    /** Handles the return of a cost. */
+    handleReturn(returned: AccountReturn): Acknowledgement;
+    stop(): void;
+}
+
+/** A request that waits for a decision. */
+interface Waiting {
+    readonly cost: number;
+    isSettled: boolean;
+    readonly settle: (permit: AccountPermit) => void;
+    readonly cancelTimer: CancelTimer;
+}
+
+/** What this host knows of one account. */
+interface AccountRecord {
+    readonly account: AccountName;
+    limit: RateLimit;
+    readonly waiting: Waiting[];
+    isAsking: boolean;
+    /** Clock reading until which requests are refused without asking, in milliseconds. */
+    holdUntilMs: number;
+    used: number | undefined;
+    decidedBy: "granter" | "substitute";
+    readonly slots: ReturnSlots;
+    readonly alone: AloneAllowance;
+}
+
+/** Wait for the granter's reply, in milliseconds; replies take 1 to 4 ms, and 40 ms at a host that is briefly busy. */
+const GRANTER_TIMEOUT_MS = 40;
+/** Wait for the substitute's reply, in milliseconds; it may have to wait for the granter itself. */
+const SUBSTITUTE_TIMEOUT_MS = 80;
+/** Time for which a host that did not reply is not asked, in milliseconds. */
+const UNREACHABLE_MS = 500;
+/** The same at a host that asks the granter for others, so that a granter that is back is found soon, in milliseconds. */
+const RELAY_UNREACHABLE_MS = 200;
+/** Age of the last reply of any host up to which a granter takes itself as connected, in milliseconds. */
+const CONTACT_MS = 250;
+/** Expected time until a granter can be reached, in milliseconds. */
+const NO_GRANTER_MS = 400;
+/** Most requests of one batch. */
+const MAX_BATCH = 256;
+/** Interval of the check for pauses and changed hosts, in milliseconds. */
+const CHECK_MS = 50;
+/** Delay of that check from which the process counts as paused, in milliseconds. */
+const MIN_PAUSE_MS = 100;
+/** Part of the slack that hosts which decide alone may each use beyond their shares in a window. */
+const EXTRA_SLACK_PART = 0.25;
+/** The same for limits that count requests, in requests. */
+const EXTRA_REQUESTS = 4;
+
+/**
+ * Creates the rate limits of client accounts. For each account a granter, which all hosts rank alike, grants the
+ * requests of all hosts; the host ranked next takes its place while it does not reply.
+ *
+ * @param context - Clock, hash, random numbers, metrics and bounds
+ * @param clusterView - Live hosts and the configuration
+ * @param readPeers - Returns the client for requests to other hosts; undefined until it is connected
+ * @returns the limits; nothing is sent and no timer is set before a request of an account with a limit
+ *
+ * @example
+ * const accountLimits = createAccountLimits(context, clusterView, () => peers);
+ */
+export function createAccountLimits(
+    context: Pick<FrontContext, "clock" | "deployment" | "hash" | "metrics" | "random" | "readBounds">,
+    clusterView: Pick<ClusterView, "members" | "config">,
+    readPeers: () => Pick<PeerClient, "request"> | undefined,
+): AccountLimits {
+    const { clock, deployment, metrics, random, readBounds } = context;
+    const self = deployment.host;
+    const peerContext = { metrics, readPeers };
+    const ranks = createGranterRanks(context, clusterView);
+    const readBound = (): WindowBound => {
+        const { limitWindowMs, limitExcessRatio, limitSlack } = readBounds();
+        return { windowMs: limitWindowMs, excessRatio: limitExcessRatio, slack: limitSlack };
+    };
+    const granter = createAccountGranter(context, readBound);
+    const records = new Map<AccountName, AccountRecord>();
+    /** Clock readings at which hosts failed to reply since their last reply, in milliseconds. */
+    const failedMs = new Map<HostId, number>();
+    /** Clock reading when the last request was sent that a host has replied to, in milliseconds. */
+    let contactMs = -Infinity;
+    let lostContactMs = -Infinity;
+    let lastBatch = 0;
+    let checkedMs = clock.nowMs();
+    let appliedConfig: ServingConfig | undefined;
+    let cancelChecks: CancelTimer | undefined;
+
+    const readLimit = (account: AccountName): RateLimit | undefined => clusterView.config?.accounts?.get(account)?.limit;
+    const isFirst = (account: AccountName): boolean => ranks.list(account)[0] === self;
+    /** Finds out whether this process was paused, before anything is decided with the time that has passed. */
+    const check = (): void => {
+        const nowMs = clock.nowMs();
+        const lateMs = nowMs - checkedMs - CHECK_MS;
+        checkedMs = nowMs;
+        if (lateMs >= MIN_PAUSE_MS) {
+            granter.skipPause(lateMs);
+        }
+        const hasChanged = ranks.refresh();
+        if (hasChanged || clusterView.config !== appliedConfig) {
+            appliedConfig = clusterView.config;
+            granter.update(readLimit, isFirst);
+            [...records.keys()].filter(account => readLimit(account) === undefined)
+                .forEach(account => records.delete(account));
+        }
+    };
+    const startChecks = (): void => {
+        if (cancelChecks === undefined) {
+            checkedMs = clock.nowMs();
+            cancelChecks = repeat(clock, CHECK_MS, check);
+        }
+        else if (clock.nowMs() - checkedMs >= CHECK_MS + MIN_PAUSE_MS) {
+            check();
+        }
+    };
+    const isReachable = (host: HostId, unreachableMs: number): boolean =>
+        clock.nowMs() - (failedMs.get(host) ?? -Infinity) >= unreachableMs;
+
+    /** Sends a request and waits for a limited time; a reply that comes later goes to `onLate`. */
+    const send = async (
+        host: HostId,
+        request: AccountGrantRequest,
+        timeoutMs: number,
+        onLate: (reply: AccountGrantReply) => void = () => undefined,
+    ): Promise<AccountGrantReply | undefined> => {
+        const member = clusterView.members.get(host);
+        if (member === undefined) {
+            return undefined;
+        }
+        const sentMs = clock.nowMs();
+        let isOver = false;
+        // The exchange itself keeps the longer time-out, since its end closes the connection that others use too.
+        const exchange = sendToPeer(peerContext, member, "accountGrant", request).then(reply => {
+            if (reply !== undefined) {
+                failedMs.delete(host);
+                contactMs = Math.max(contactMs, sentMs);
+                if (isOver) {
+                    onLate(reply);
+                }
+            }
+            return reply;
+        });
+        let cancelTimer: CancelTimer = () => undefined;
+        const timeout = new Promise<undefined>(resolve => {
+            cancelTimer = clock.setTimer(timeoutMs, () => resolve(undefined));
+        });
+        const reply = await Promise.race([exchange, timeout]);
+        cancelTimer();
+        isOver = true;
+        if (reply === undefined) {
+            failedMs.set(host, clock.nowMs());
+        }
+        return reply;
+    };
+    /** As another host than the granter, passes a batch on to the granter. */
+    const relay = async (first: HostId, request: AccountGrantRequest): Promise<AccountGrantReply | undefined> => {
+        if (!isReachable(first, RELAY_UNREACHABLE_MS)) {
+            return undefined;
+        }
+        const interim = granter.readInterim(request.account) ?? request.interim;
+        const reply = await send(
+            first,
+            { ...request, role: "relayed", ...(interim === undefined ? {} : { interim }) },
+            GRANTER_TIMEOUT_MS,
+            () => granter.release(request.account),
+        );
+        if (reply !== undefined) {
+            granter.release(request.account);
+        }
+        return reply;
+    };
+    const sendReturn = (account: AccountName, cost: number, grantedMs: number, reply: AccountGrantReply): void => {
+        const returned = { account, cost, agoMs: Math.round(clock.nowMs() - grantedMs), period: reply.period };
+        const member = clusterView.members.get(reply.by);
+        if (reply.by === self) {
+            granter.giveBack(returned);
+        }
+        else if (member !== undefined) {
+            void sendToPeer(peerContext, member, "accountReturn", returned);
+        }
+    };
+    /** Whether this host, as the granter, is connected to others, so that none of them grants in its place. */
+    const hasContact = async (account: AccountName, others: readonly HostId[]): Promise<boolean> => {
+        const nowMs = clock.nowMs();
+        if (others.length === 0 || nowMs - contactMs <= CONTACT_MS) {
+            return true;
+        }
+        if (nowMs - lostContactMs < RELAY_UNREACHABLE_MS) {
+            return false;
+        }
+        const contact: AccountGrantRequest = { account, costs: [], batch: 0, role: "contact" };
+        const replies = others.map(async host => {
+            const reply = await send(host, contact, GRANTER_TIMEOUT_MS);
+            if (reply === undefined) {
+                throw new Error("no reply");
+            }
+            if (reply.interim !== undefined) {
+                granter.merge(account, reply.interim);
+            }
+        });
+        try {
+            await Promise.any(replies);
+            return true;
+        }
+        catch {
+            lostContactMs = clock.nowMs();
+            return false;
+        }
+    };
+    /** Asks for grants; undefined if no host that may grant replies. */
+    const ask = async (record: AccountRecord, request: AccountGrantRequest): Promise<AccountGrantReply | undefined> => {
+        const { account, limit } = record;
+        const sentMs = clock.nowMs();
+        const [first, second, third] = ranks.list(account);
+        if (first === undefined) {
+            return undefined;
+        }
+        const own = { account, limit, costs: request.costs, host: self, batch: request.batch };
+        if (first === self) {
+            const others = [second, third].filter(host => host !== undefined);
+            return await hasContact(account, others) ? granter.decide(own, "granter") : undefined;
+        }
+        const late: AccountGrantReply[] = [];
+        let isDecided = false;
+        let decision: AccountGrantReply | undefined;
+        /** Returns what a reply has granted that came too late to be used. */
+        const settleLate = (reply: AccountGrantReply): void => {
+            const isUsed = decision !== undefined && decision.by === reply.by && decision.period === reply.period;
+            const cost = request.costs.slice(0, reply.granted).reduce((sum, each) => sum + each, 0);
+            if (!isUsed && cost > 0) {
+                metrics.count("account_grants_total", { reply: "late" });
+                sendReturn(account, cost, sentMs, reply);
+            }
+        };
+        const onLate = (reply: AccountGrantReply): void => void (isDecided ? settleLate(reply) : late.push(reply));
+        const askInTurn = async (): Promise<AccountGrantReply | undefined> => {
+            if (isReachable(first, UNREACHABLE_MS)) {
+                const reply = await send(first, request, GRANTER_TIMEOUT_MS, onLate);
+                if (reply !== undefined) {
+                    return reply;
+                }
+            }
+            if (second === self) {
+                const interim = granter.readInterim(account);
+                const witnessed = { ...request, role: "witness", ...(interim === undefined ? {} : { interim }) } as const;
+                const reply = third === undefined
+                    ? undefined
+                    : await send(third, witnessed, SUBSTITUTE_TIMEOUT_MS, onLate);
+                if (reply?.via === "granter") {
+                    granter.release(account);
+                }
+                return third === undefined || reply?.via === "none" ? granter.decide(own, "substitute") : reply;
+            }
+            return second === undefined || !isReachable(second, UNREACHABLE_MS)
+                ? undefined
+                : await send(second, { ...request, role: "substitute" }, SUBSTITUTE_TIMEOUT_MS, onLate);
+        };
+        decision = await askInTurn();
+        if (decision?.via === "none") {
+            decision = undefined;
+        }
+        if (decision?.via === "substitute" && decision.by === second) {
+            // The granter is asked again once its substitute has reached it, so that it first learns what was granted.
+            failedMs.set(first, clock.nowMs());
+        }
+        isDecided = true;
+        late.forEach(settleLate);
+        return decision;
+    };
+
+    const countUnits = (account: AccountName, result: "granted" | "refused" | "returned" | "alone", cost: number): void =>
+        metrics.count("account_units_total", { account, result }, cost);
+    const describe = (record: AccountRecord, cost: number, decidedBy: LimitBasis["decidedBy"]): LimitBasis => ({
+        account: record.account,
+        cost,
+        used: record.used,
+        limit: record.limit.perSecond,
+        burst: record.limit.burst,
+        decidedBy,
+    });
+    const refuse = (
+        record: AccountRecord,
+        cost: number,
+        readyInMs: number,
+        decidedBy: LimitBasis["decidedBy"],
+    ): AccountPermit => {
+        countUnits(record.account, "refused", cost);
+        const waitMs = record.slots.book(cost, readyInMs, record.limit.perSecond, clock.nowMs());
+        return { kind: "refused", readyInMs: waitMs, basis: describe(record, cost, decidedBy) };
+    };
+    const grant = (record: AccountRecord, cost: number, giveBack: () => void): AccountPermit => {
+        countUnits(record.account, "granted", cost);
+        return {
+            kind: "granted",
+            giveBack: () => {
+                countUnits(record.account, "returned", cost);
+                giveBack();
+            },
+        };
+    };
+    const decideAlone = (record: AccountRecord, cost: number): AccountPermit => {
+        const { limit, alone } = record;
+        const { windowMs, slack } = readBound();
+        const extra = limit.unit === "tokens" ? slack * EXTRA_SLACK_PART : EXTRA_REQUESTS;
+        const terms = { cost, limit, hosts: ranks.hosts === 0 ? Infinity : ranks.hosts, extra, windowMs, draw: random.next(), atMs: clock.nowMs() };
+        if (!alone.admit(terms)) {
+            return refuse(record, cost, NO_GRANTER_MS, "alone");
+        }
+        countUnits(record.account, "alone", cost);
+        return grant(record, cost, () => alone.giveBack(cost));
+    };
+    const settle = (waiting: Waiting, permit: () => AccountPermit): void => {
+        if (!waiting.isSettled) {
+            waiting.isSettled = true;
+            waiting.cancelTimer();
+            waiting.settle(permit());
+        }
+    };
+    const readHoldMs = (record: AccountRecord): number => Math.max(0, record.holdUntilMs - clock.nowMs());
+    const refuseHeld = (record: AccountRecord, cost: number): AccountPermit => {
+        record.alone.recordHeld(cost, clock.nowMs());
+        return refuse(record, cost, readHoldMs(record), record.decidedBy);
+    };
+    const applyReply = (
+        record: AccountRecord,
+        batch: readonly Waiting[],
+        reply: AccountGrantReply | undefined,
+        sentMs: number,
+    ): void => {
+        metrics.count("account_grants_total", { reply: reply?.via ?? "none" });
+        if (reply === undefined) {
+            batch.forEach(waiting => settle(waiting, () => decideAlone(record, waiting.cost)));
+            return;
+        }
+        const nowMs = clock.nowMs();
+        record.used = reply.used;
+        record.decidedBy = reply.via === "substitute" ? "substitute" : "granter";
+        if (reply.granted < batch.length) {
+            record.holdUntilMs = nowMs + reply.readyInMs;
+        }
+        batch.forEach((waiting, index) => {
+            const { cost } = waiting;
+            const isGranted = index < reply.granted;
+            record.alone.recordAnswer(cost, isGranted ? cost : 0, nowMs);
+            if (!isGranted) {
+                settle(waiting, () => refuse(record, cost, reply.readyInMs, record.decidedBy));
+                return;
+            }
+            const giveBack = (): void => sendReturn(record.account, cost, sentMs, reply);
+            if (waiting.isSettled) {
+                giveBack();
+            }
+            settle(waiting, () => grant(record, cost, giveBack));
+        });
+    };
+    /** Asks for the requests that wait, one batch at a time. */
+    const pump = async (record: AccountRecord): Promise<void> => {
+        if (record.isAsking) {
+            return;
+        }
+        record.isAsking = true;
+        try {
+            while (record.waiting.length > 0) {
+                const batch = record.waiting.splice(0, MAX_BATCH).filter(({ isSettled }) => !isSettled);
+                if (readHoldMs(record) > 0) {
+                    batch.forEach(waiting => settle(waiting, () => refuseHeld(record, waiting.cost)));
+                }
+                else if (batch.length > 0) {
+                    lastBatch += 1;
+                    const sentMs = clock.nowMs();
+                    const costs = batch.map(({ cost }) => cost);
+                    const request = { account: record.account, costs, batch: lastBatch, role: "granter" } as const;
+                    applyReply(record, batch, await ask(record, request), sentMs);
+                }
+            }
+        }
+        finally {
+            record.isAsking = false;
+        }
+    };
+    const getRecord = (account: AccountName, limit: RateLimit): AccountRecord => {
+        const existing = records.get(account);
+        if (existing !== undefined) {
+            if (existing.limit.perSecond !== limit.perSecond) {
+                existing.holdUntilMs = -Infinity;
+            }
+            existing.limit = limit;
+            return existing;
+        }
+        const record: AccountRecord = {
+            account,
+            limit,
+            waiting: [],
+            isAsking: false,
+            holdUntilMs: -Infinity,
+            used: undefined,
+            decidedBy: "granter",
+            slots: createReturnSlots(),
+            alone: createAloneAllowance(),
+        };
+        records.set(account, record);
+        return record;
+    };
+    return {
+        async admit({ name, limit }, tokens) {
+            if (limit === undefined) {
+                return { kind: "unlimited" };
+            }
+            startChecks();
+            const record = getRecord(name, limit);
+            const cost = computeRequestCost(limit, tokens);
+            if (readHoldMs(record) > 0) {
+                return refuseHeld(record, cost);
+            }
+            return new Promise(resolve => {
+                const waiting: Waiting = {
+                    cost,
+                    isSettled: false,
+                    settle: resolve,
+                    // A batch in flight must not add its own time-outs to those of the next one.
+                    cancelTimer: clock.setTimer(
+                        GRANTER_TIMEOUT_MS + SUBSTITUTE_TIMEOUT_MS,
+                        () => settle(waiting, () => decideAlone(record, cost)),
+                    ),
+                };
+                record.waiting.push(waiting);
+                void pump(record);
+            });
+        },
+        async handleGrant(request, from) {
+            startChecks();
+            const { account, costs, batch, role, interim } = request;
+            const host = request.host ?? from;
+            const [first] = ranks.list(account);
+            const none = { via: "none", granted: 0, readyInMs: 0, used: 0, by: self, period: 0 } as const;
+            if (role === "contact") {
+                const own = granter.readInterim(account);
+                granter.release(account);
+                return { ...none, ...(own === undefined ? {} : { interim: own }) };
+            }
+            const limit = readLimit(account);
+            if (limit === undefined) {
+                // This host's configuration may be older than the sender's.
+                return none;
+            }
+            const own = { account, limit, costs, host, batch };
+            if (first === undefined || first === self || role === "relayed") {
+                if (interim !== undefined) {
+                    granter.merge(account, interim);
+                }
+                return granter.decide(own, "granter");
+            }
+            const reply = await relay(first, { ...request, host });
+            if (reply !== undefined && reply.via !== "none") {
+                return reply;
+            }
+            switch (role) {
+                case "granter":
+                case "substitute":
+                    return granter.decide(own, "substitute");
+                case "witness":
+                    return none;
+            }
+        },
+        handleReturn(returned) {
+            granter.giveBack(returned);
+            return { done: true };
+        },
+        stop: () => cancelChecks?.(),
+    };
+}
--- a/packages/wire/src/accountMessages.ts
+++ b/packages/wire/src/accountMessages.ts
@@ -1,5 +1,13 @@
 import type { AccountName, HostId } from "@fulmarcleat/ids";
 
+/** What a substitute has granted in place of the granter. */
+export interface AccountInterim {
+    /** Level of its bucket. */
+    readonly level: number;
+    /** Cost that it has granted since it took over. */
+    readonly spent: number;
+}
+
 /** Asks for grants of one account's requests. */
 export interface AccountGrantRequest {
     readonly account: AccountName;
@@ -17,8 +25,8 @@
      * - `contact`: the granter asks whether it is still connected
      */
     readonly role: "granter" | "substitute" | "witness" | "relayed" | "contact";
-    /** Level of the sender's bucket, if it has granted in place of the receiver. */
-    readonly level?: number;
+    /** What the sender, or the host that it relays for, has granted in place of the granter. */
+    readonly interim?: AccountInterim;
 }
 
 /** Reply to a request for grants. */
@@ -35,8 +43,8 @@
     readonly by: HostId;
     /** Number of the period in which that host has granted without a break; returns are valid only within it. */
     readonly period: number;
-    /** In a reply to a `contact`: level of the receiver's bucket, if it has granted in place of the sender. */
-    readonly level?: number;
+    /** In a reply to a `contact`: what the receiver has granted in place of the sender. */
+    readonly interim?: AccountInterim;
 }
 
 /** Returns the cost of a request that was granted and did not run. */
