--- a/packages/accounts/src/index.ts
+++ b/packages/accounts/src/index.ts
@@ -1,3 +1,8 @@
+export { authenticateRequest } from "./authenticateRequest.js";
+export type { Authentication, AuthenticationTerms, RequestCredentials } from "./authenticateRequest.js";
+export { buildAccountIndex } from "./buildAccountIndex.js";
+export type { AccountIndex } from "./buildAccountIndex.js";
+export { choosePriority } from "./choosePriority.js";
 export { computeRequestCost } from "./computeRequestCost.js";
 export { createAccountBucket } from "./createAccountBucket.js";
 export type { AccountBucket, BucketGrant, InterimGrants, WindowBound } from "./createAccountBucket.js";
