--- a/packages/accounts/src/createAccountBucket.ts
+++ b/packages/accounts/src/createAccountBucket.ts
@@ -54,12 +54,17 @@
 const START_RATE_MS = 500;
 /** Level from which a request is granted, whatever it costs; a large one takes the level below zero. */
 const GRANT_LEVEL = 1;
+/** Cost of the largest request of the platform, in tokens, by which a bucket may be overdrawn. */
+const LARGEST_REQUEST_TOKENS = 51_000;
+/** Buckets that may be overdrawn within one window: that of a granter, and that of the host which takes its place. */
+const BUCKETS = 2;
 /** Milliseconds in a second. */
 const MS_PER_S = 1000;
 
 /**
  * Creates the bucket of an account. It grants while its level is positive and while the sum over the sliding window
- * stays within the bound.
+ * stays within the bound. It holds the burst, and what the bound leaves beyond it once another granter that has granted
+ * a full window just before is accounted for.
  *
  * @param limit - Rate and burst over all hosts together
  * @param bound - What the account may use at most in each sliding window
@@ -128,12 +133,12 @@
         // The slack is stated in tokens; limits that count requests get none of it.
         const ownSlack = next.unit === "tokens" ? slack : 0;
         perSecond = next.perSecond;
-        capacity = Math.max(GRANT_LEVEL, next.burst);
-        startLevel = Math.min(
-            capacity,
-            Math.max(GRANT_LEVEL, ownSlack * START_SLACK_PART, perSecond * START_RATE_MS / MS_PER_S),
-        );
-        allowed = (perSecond * length / MS_PER_S + next.burst) * (1 + excessRatio) + Math.max(ownSlack, GRANT_LEVEL);
+        const start = Math.max(GRANT_LEVEL, ownSlack * START_SLACK_PART, perSecond * START_RATE_MS / MS_PER_S);
+        const expected = perSecond * length / MS_PER_S + next.burst;
+        allowed = expected * (1 + excessRatio) + Math.max(ownSlack, GRANT_LEVEL);
+        const largest = next.unit === "tokens" ? LARGEST_REQUEST_TOKENS : 1;
+        capacity = Math.max(GRANT_LEVEL, next.burst + Math.max(0, allowed - expected - start - BUCKETS * largest));
+        startLevel = Math.min(capacity, start);
         level = Math.min(level, capacity);
         if (length !== windowMs || slotMs === 0) {
             windowMs = length;
