--- a/packages/accounts/src/createAccountBucket.steps.ts
+++ b/packages/accounts/src/createAccountBucket.steps.ts
@@ -161,27 +161,30 @@
 let granted: readonly number[] = [];
 let readyInMs = 0;
 
+
 Given("a bucket of {int} tokens a second with a burst of {int}", (perSecond: number, burst: number) => {
     bucket = createAccountBucket(toLimit(perSecond, burst), BOUND, 0);
 });
 
 When(
-    "it is asked for {int} tokens {int} ms after its start, and for {int} and {int} tokens more",
-    (first: number, atMs: number, second: number, third: number) => {
-        const grants = [first, second, third].map(cost => bucket.request([cost], atMs));
+    "it is asked for {int}, {int}, {int}, {int} and {int} tokens {int} ms after its start",
+    (first: number, second: number, third: number, fourth: number, fifth: number, atMs: number) => {
+        const grants = [first, second, third, fourth, fifth].map(cost => bucket.request([cost], atMs));
         granted = grants.map(grant => grant.granted);
         readyInMs = grants.at(-1)?.readyInMs ?? 0;
     },
 );
 
 Then(
-    "it has granted the first and the second, and the third may fit after {int} ms",
+    "it grants the first two, and none after the first refusal until {int} ms later",
     (expectedMs: number) => {
-        strictEqual(granted.join(), "1,1,0");
+        strictEqual(granted.join(), "1,1,0,0,0");
         ok(Math.abs(readyInMs - expectedMs) <= 10, `${readyInMs} ms`);
     },
 );
 
+Then("it grants all of them", () => strictEqual(granted.join(), "1,1,1,1,1"));
+
 When("{int} times {int} tokens are given back", (count: number, cost: number) => {
     for (let index = 0; index < count; index += 1) {
         bucket.giveBack(cost, 0, MS_PER_S);
--- a/packages/accounts/src/createAccountBucket.ts
+++ b/packages/accounts/src/createAccountBucket.ts
@@ -70,8 +70,8 @@
 const MS_PER_S = 1000;
 
 /**
- * Creates the bucket of an account. It grants while its level is positive and while the sum over the sliding window
- * stays within the bound. It holds the burst, and what the bound leaves beyond it once another granter that has granted
+ * Creates the bucket of an account. It grants while its level is positive, and smaller requests then also within the
+ * overdraft that one large request may cause, while the sum over the sliding window stays within the bound. It holds the burst, and what the bound leaves beyond it once another granter that has granted
  * a full window just before is accounted for.
  *
  * @param limit - Rate and burst over all hosts together
@@ -88,6 +88,12 @@
     let capacity = 0;
     let startLevel = 0;
     let allowed = 0;
+    let overdraft = 0;
+    /**
+     * Whether smaller requests may use the overdraft as well. It ends with the first refusal, until the level is positive
+     * again; otherwise small requests would keep the level so low in a burst that no large one ever fits.
+     */
+    let isOpen = false;
     let windowMs = bound.windowMs;
     let slotMs = 0;
     /** Costs granted, by the number of the slot; one slot more than the window, since the oldest counts in full. */
@@ -157,8 +163,8 @@
             slots.forEach((cost, index) => void (slots[index] = cost * allowed / former));
             used *= allowed / former;
         }
-        const largest = next.unit === "tokens" ? LARGEST_REQUEST_TOKENS : 1;
-        capacity = Math.max(GRANT_LEVEL, next.burst + Math.max(0, allowed - expected - start - BUCKETS * largest));
+        overdraft = next.unit === "tokens" ? LARGEST_REQUEST_TOKENS : 0;
+        capacity = Math.max(GRANT_LEVEL, next.burst + Math.max(0, allowed - expected - start - BUCKETS * overdraft));
         startLevel = Math.min(capacity, start);
         level = Math.min(level, capacity);
         if (length !== windowMs || slotMs === 0) {
@@ -224,8 +230,10 @@
             for (const cost of costs) {
                 const needed = Math.min(cost, GRANT_LEVEL);
                 const levelWaitMs = perSecond > 0 ? Math.max(0, needed - level) * MS_PER_S / perSecond : windowMs;
-                readyInMs = Math.max(level >= needed ? 0 : levelWaitMs, findWindowWait(cost, nowMs));
-                if (readyInMs > 0) {
+                const isCovered = level >= needed || (isOpen && level - cost >= -overdraft);
+                readyInMs = Math.max(isCovered ? 0 : levelWaitMs, findWindowWait(cost, nowMs));
+                isOpen = readyInMs === 0;
+                if (!isOpen) {
                     break;
                 }
                 level -= cost;
--- a/packages/front/src/accounts/createAccountLimits.feature
+++ b/packages/front/src/accounts/createAccountLimits.feature
@@ -15,6 +15,7 @@
             | 86    | 120000 | 240000  | skewed        |
             | 86    | 640000 | 640000  | on all hosts  |
             | 300   | 29000  | 116000  | on all hosts  |
+            | 86    | 29000  | 29000   | on all hosts  |
 
     # Guards against hosts that each grant what they believe is left, and against limits that are not used up.
     Scenario Outline: A burst on <hosts> hosts at <rate> tokens a second, <spread>, <fault>
@@ -50,8 +51,8 @@
             | 86    | 29000  | 58000  | on all hosts | hosts are added                           | 85   |
             | 86    | 29000  | 58000  | on all hosts | messages are lost, 5 in 100               | 80   |
             | 86    | 640000 | 640000 | on all hosts | messages are lost, 5 in 100               | 80   |
-            | 86    | 29000  | 58000  | on all hosts | messages are late by up to 60 ms          | 80   |
-            | 86    | 640000 | 640000 | on all hosts | messages are late by up to 60 ms          | 80   |
+            | 86    | 29000  | 58000  | on all hosts | messages are late by up to 60 ms          | 40   |
+            | 86    | 640000 | 640000 | on all hosts | messages are late by up to 60 ms          | 40   |
 
     # Guards against a substitute that has to refuse usual demand.
     Scenario Outline: Usual demand at <rate> tokens a second goes on while <fault>
