--- a/packages/front/src/createClientHandler.feature
+++ b/packages/front/src/createClientHandler.feature
@@ -62,3 +62,15 @@
             | not_run | 0     | 503    | 0      |
             | not_run | 2     | 503    | 2      |
             | unknown | 2     | 502    | none   |
+
+    # Guards against a request beyond its account's limit that runs, or whose refusal doesn't say when to return.
+    Scenario Outline: A request beyond its account's limit is refused at once
+        Given a host at which an account has used up its limit for <ready> ms
+        When a request with a key of the account and <left> ms left arrives
+        Then the client gets 429 as account_limit, to return after <after> s
+        And the log states the account, the cost, the use and the limit
+
+        Examples:
+            | ready | left  | after |
+            | 700   | 15000 | 0.7   |
+            | 2500  | 15000 | 2.5   |
--- a/packages/front/src/createClientHandler.steps.ts
+++ b/packages/front/src/createClientHandler.steps.ts
@@ -1,15 +1,17 @@
 import type { ServingConfig } from "@fulmarcleat/directory";
 import type { Outcome } from "@fulmarcleat/errors";
 import { createMetrics } from "@fulmarcleat/events";
+import type { EventFields } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { listen } from "@fulmarcleat/http";
 import { brandId, createRandom, createSystemClock } from "@fulmarcleat/ids";
-import type { HostId, ServiceName } from "@fulmarcleat/ids";
+import type { AccountName, ApiKey, HostId, ServiceName } from "@fulmarcleat/ids";
 import { OUTCOME_HEADER } from "@fulmarcleat/platform";
-import { After, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
+import { After, deepStrictEqual, Given, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import { setTimeout } from "node:timers/promises";
+import type { AccountPermit } from "./accounts/accountPermit.js";
 import { createClientHandler } from "./createClientHandler.js";
 import type { ClientHandler, StopMoments } from "./createClientHandler.js";
 import type { ClusterView } from "./createClusterView.js";
@@ -21,6 +23,7 @@
 const MARK = { from: brandId<HostId>("front-1"), sends: 0, tried: [], origin: undefined };
 const SERVICE = brandId<ServiceName>("plain");
 const BODY = "body";
+const LIMIT = { unit: "tokens", perSecond: 29_000, burst: 58_000, requestTokens: 900 } as const;
 const ROUTE = {
     hostName: LOCAL,
     pathPrefix: "/",
@@ -111,13 +114,16 @@
 let handler: ClientHandler | undefined;
 let pending: Promise<Response>;
 
-/** Starts the host that serves requests for another one. */
+/** Starts the host that serves requests for another one, or for a client if `permit` says what its account may use. */
 async function start(
     bodyBytes: number,
     run: RequestRunner["run"],
     { viewAgeMs, configApplyMs } = { viewAgeMs: 0, configApplyMs: 2000 },
+    permit?: AccountPermit,
 ): Promise<void> {
+    const account = { name: brandId<AccountName>("a"), keys: [brandId<ApiKey>("k1")], priority: 0, limit: LIMIT };
     const config = {
+        accounts: permit === undefined ? undefined : new Map([[account.name, account]]),
         routes: [
             ROUTE,
             ...["unsafe", "safe", "streaming"].map(kind => ({
@@ -135,20 +141,55 @@
         random: createRandom(1),
         hash: await createHasher(),
         metrics: createMetrics(),
-        log: { write: () => undefined },
+        log: { write: (level: string, event: number, fields: EventFields) => void logged.push({ event, ...fields }) },
         readBounds: () => ({ configApplyMs }),
     } as unknown as FrontContext;
     const view = { config, readAgeMs: () => viewAgeMs } as unknown as ClusterView;
     stop = undefined;
+    logged = [];
     const started = createClientHandler(context, view, { run }, () => stop, () => undefined, {
         isBehind: () => false,
         readArrived: () => Promise.resolve(),
-    }, { admit: () => Promise.resolve({ kind: "unlimited" }) });
+    }, { admit: () => Promise.resolve(permit ?? { kind: "unlimited" }) });
     handler = started;
-    server = createServer((req, res) => started.handle(req, res, MARK));
+    server = createServer((req, res) => started.handle(req, res, permit === undefined ? MARK : undefined));
     port = await listen(server, { host: LOCAL, port: 0 });
 }
 
+let logged: (EventFields & { readonly event: number })[] = [];
+
+Given("a host at which an account has used up its limit for {int} ms", (readyInMs: number) => {
+    const basis = {
+        account: "a",
+        cost: 5000,
+        used: 290_000,
+        limit: 29_000,
+        burst: 58_000,
+        decidedBy: "granter",
+    } as const;
+    const permit = { kind: "refused", readyInMs, basis } as const;
+    return start(BODY.length, () => Promise.reject(new Error("not reached")), undefined, permit);
+});
+
+When("a request with a key of the account and {int} ms left arrives", async (leftMs: number) => {
+    const headers = { "request-id": "r1", "credential": "k1", "deadline-ms": String(leftMs) };
+    answer = await fetch(`http://${LOCAL}:${port}/unsafe/`, { method: "POST", headers, body: BODY });
+});
+
+Then(
+    "the client gets {int} as {word}, to return after {float} s",
+    async (status: number, reason: string, afterS: number) => {
+        strictEqual(answer.status, status);
+        strictEqual(Number(answer.headers.get("retry-after")), afterS);
+        deepStrictEqual(await answer.json(), { error: { code: reason, outcome: "not_run" } });
+    },
+);
+
+Then("the log states the account, the cost, the use and the limit", () => {
+    const { event, account, cost, used, limit, burst } = logged[0] ?? { event: 0 };
+    deepStrictEqual([event, account, cost, used, limit, burst], [400, "a", 5000, 290_000, 29_000, 58_000]);
+});
+
 After(() => {
     server?.closeAllConnections();
     server?.close();
