--- a/packages/accounts/src/index.ts
+++ b/packages/accounts/src/index.ts
@@ -3,3 +3,10 @@
 export { buildAccountIndex } from "./buildAccountIndex.js";
 export type { AccountIndex } from "./buildAccountIndex.js";
 export { choosePriority } from "./choosePriority.js";
+export { computeRequestCost } from "./computeRequestCost.js";
+export { createAccountBucket } from "./createAccountBucket.js";
+export type { AccountBucket, BucketGrant, InterimGrants, WindowBound } from "./createAccountBucket.js";
+export { createAloneAllowance } from "./createAloneAllowance.js";
+export type { AloneAllowance } from "./createAloneAllowance.js";
+export { createReturnSlots } from "./createReturnSlots.js";
+export type { ReturnSlots } from "./createReturnSlots.js";
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -1,24 +1,28 @@
 import { canFinishBeforeStop, chooseRetryAfter } from "@fulmarcleat/dispatch";
 import { toErrorStatus, toServeError } from "@fulmarcleat/errors";
 import { readBody } from "@fulmarcleat/http";
-import { OUTCOME_HEADER, parseClientHead, promisesNotRun } from "@fulmarcleat/platform";
+import { parseClientHead, promisesNotRun } from "@fulmarcleat/platform";
 import type { ClientHead } from "@fulmarcleat/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AccountLimits } from "./accounts/createAccountLimits.js";
 import { createAccountRecords } from "./accounts/createAccountRecords.js";
 import { createRequestPlanner } from "./accounts/createRequestPlanner.js";
 import { removeCredentials } from "./accounts/removeCredentials.js";
+import { runWithinLimit } from "./accounts/runWithinLimit.js";
+import type { OverLimit } from "./accounts/runWithinLimit.js";
 import { NO_ATTEMPTS } from "./applyAttempt.js";
 import type { RequestEnd } from "./applyAttempt.js";
 import type { ClientRequest } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import type { LoopTurns } from "./createLoopTurns.js";
 import type { RequestDigester } from "./createRequestDigester.js";
-import { SENDS_HEADER } from "./forwardMark.js";
 import type { ForwardMark } from "./forwardMark.js";
 import type { FrontContext } from "./frontContext.js";
 import { giveUp } from "./giveUp.js";
 import type { RequestPlan } from "./planRequest.js";
 import { createAnswerRelay, writeAnswerHead } from "./relayAnswer.js";
+import { writeRefusal } from "./replies/writeRefusal.js";
+import type { Refusal, ReplyState } from "./replies/writeRefusal.js";
 import type { RequestRunner } from "./runRequest.js";
 import { STOPPING_RETRY_MS } from "./stoppingRetry.js";
 
@@ -41,12 +45,12 @@
 
 /** Time after its deadline at which a request is aborted, in milliseconds; engines may answer right at the deadline. */
 const DEADLINE_GRACE_MS = 80;
-/** Milliseconds in a second. */
-const MS_PER_S = 1000;
 /** Longest time to receive a request's body, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000;
 /** Statuses below 500 that clients take as "come again". */
 const RETRIED_STATUSES = new Set([408, 421, 429]);
+/** Status of a refusal by the rate limit of the client's account. */
+const OVER_LIMIT_STATUS = 429;
 const SERVER_ERROR_STATUS = { badGateway: 502, gatewayTimeout: 504 } as const;
 
 /**
@@ -58,10 +62,11 @@
  * @param readStop - Returns when the process exits; undefined while no stop has begun
  * @param digestRequest - Computes the digests of requests
  * @param turns - Tells whether the process is behind in reading what has arrived
+ * @param accountLimits - Rate limits of the client accounts
  * @returns the handler and the number of requests in flight
  *
  * @example
- * createServer(createClientHandler(context, clusterView, runner, () => undefined, digestRequest, turns).handle);
+ * createServer(createClientHandler(context, clusterView, runner, () => undefined, digestRequest, turns, limits).handle);
  */
 export function createClientHandler(
     context: FrontContext,
@@ -70,6 +75,7 @@
     readStop: () => StopMoments | undefined,
     digestRequest: RequestDigester,
     turns: Pick<LoopTurns, "isBehind" | "readArrived">,
+    accountLimits: Pick<AccountLimits, "admit">,
 ): ClientHandler {
     const isStopping = (): boolean => readStop() !== undefined;
     const { clock, log, metrics, random } = context;
@@ -218,14 +224,32 @@
                     resolve(giveUp(NO_ATTEMPTS, "stopping", STOPPING_RETRY_MS));
                 })
             );
-            const end = await Promise.race([runner.run(request), refused])
+            const end = await Promise.race([runWithinLimit(request, accountLimits, next => runner.run(next)), refused])
                 .finally(() => waiting.delete(request));
+            if (end.kind === "over_limit") {
+                refuseOverLimit(request, end);
+                return;
+            }
             finishRequest(request, end, hasDisconnected);
         }
         finally {
             cancelDeadlineTimer();
         }
     };
+    const refuseOverLimit = (request: ClientRequest, { permit }: OverLimit): void => {
+        const nowMs = clock.nowMs();
+        const leftMs = request.deadlineAtMs - nowMs;
+        refuse(request.res, request.requestId, {
+            status: OVER_LIMIT_STATUS,
+            reason: "account_limit",
+            outcome: "not_run",
+            heldMs: Math.round(nowMs - request.startedMs),
+            expectedWaitMs: Math.round(permit.readyInMs),
+            // The times are staggered already, and no client fits in sooner.
+            retryAfterMs: chooseRetryAfter({ readyInMs: permit.readyInMs, leftMs, draw: 0, isCertain: true }),
+            basis: { ...permit.basis },
+        });
+    };
     const finishRequest = (request: ClientRequest, end: RequestEnd, hasDisconnected: boolean): void => {
         const tookMs = Math.round(clock.nowMs() - request.startedMs);
         metrics.record("request_duration", tookMs, { kind: request.route.kind, end: end.kind });
@@ -372,30 +396,6 @@
 
 const INTERNAL = { code: "internal", step: "serve client", peer: "caller", outcome: "unknown" } as const;
 
-/** An error response to a client. */
-interface Refusal {
-    readonly status: number;
-    readonly reason: string;
-    readonly outcome: "not_run" | "unknown" | "ran";
-    /** Time that the request was in flight before the refusal, in milliseconds. */
-    readonly heldMs: number;
-    /** Expected wait that led to the refusal, in milliseconds. */
-    readonly expectedWaitMs?: number;
-    readonly retryAfterMs: number | undefined;
-    /** Number of attempts that may have reached an engine; undefined if the request got no further than this host. */
-    readonly sends?: number;
-    /** What the refusal rests on: configuration version, and time since the store confirmed it, in milliseconds. */
-    readonly basis?: { readonly configVersion: number | undefined; readonly viewAgeMs: number | undefined };
-}
-
-/** How a response is sent. */
-interface ReplyState {
-    /** Whether the connection is closed after it. */
-    readonly isClosing: boolean;
-    /** Whether it goes to another host, which must tell this host's refusals from engines' answers. */
-    readonly isForwarded: boolean;
-}
-
 function findRequestedAdapter(head: ClientHead, clusterView: ClusterView): ClientRequest["requestedAdapter"] {
     const { adapter, model } = head;
     return adapter === undefined || model === undefined
@@ -426,25 +426,3 @@
     writeAnswerHead(res, head, reply.isClosing);
     res.end(body);
 }
-
-function writeRefusal(res: ServerResponse, refusal: Refusal, { isClosing, isForwarded }: ReplyState): void {
-    const text = JSON.stringify({ error: { code: refusal.reason, outcome: refusal.outcome } });
-    const headers: Record<string, string> = {
-        "content-type": "application/json",
-        "content-length": String(Buffer.byteLength(text)),
-    };
-    if (refusal.retryAfterMs !== undefined) {
-        headers["retry-after"] = (refusal.retryAfterMs / MS_PER_S).toFixed(3);
-    }
-    if (isClosing) {
-        headers["connection"] = "close";
-    }
-    if (isForwarded) {
-        headers[OUTCOME_HEADER] = refusal.outcome;
-        if (refusal.sends !== undefined && refusal.outcome === "not_run") {
-            headers[SENDS_HEADER] = String(refusal.sends);
-        }
-    }
-    res.writeHead(refusal.status, headers);
-    res.end(text);
-}
--- a/packages/front/src/createLoopTurns.steps.ts
+++ b/packages/front/src/createLoopTurns.steps.ts
@@ -51,6 +51,7 @@
         hash: await createHasher(),
         metrics: createMetrics(),
         log: { write: () => undefined },
+        readBounds: () => ({ configApplyMs: 3000 }),
     } as unknown as FrontContext;
     const view = { config, readAgeMs: () => 0 } as unknown as ClusterView;
     const end = { kind: "gave_up", outcome: "not_run", reason: "refused", sends: 0, readyInMs: 0 } as const;
@@ -61,7 +62,9 @@
         },
     };
     turns = createLoopTurns(clock, setImmediate);
-    const handler = createClientHandler(context, view, runner, () => undefined, () => undefined, turns);
+    const handler = createClientHandler(context, view, runner, () => undefined, () => undefined, turns, {
+        admit: () => Promise.resolve({ kind: "unlimited" }),
+    });
     server = createServer((req, res) => handler.handle(req, res));
     port = await listen(server, { host: LOCAL, port: 0 });
 });
