--- a/packages/front/src/accounts/clientAccounts.steps.ts
+++ b/packages/front/src/accounts/clientAccounts.steps.ts
@@ -203,7 +203,7 @@
     return createClientHandler(context, view, runner, () => undefined, () => undefined, {
         isBehind: () => false,
         readArrived: () => Promise.resolve(),
-    });
+    }, { admit: () => Promise.resolve({ kind: "unlimited" }) });
 }
 
 After(() => {
