--- a/packages/performance/src/learnEngines.feature
+++ b/packages/performance/src/learnEngines.feature
@@ -26,6 +26,10 @@
         When an engine is 2.5 times slower in 15% of the time, which its header states, with seeds 1 to 40
         Then in 95% of the runs it is taken for 0.6 to 1.5 times as fast as without
 
+    Scenario: An engine that is 5 times slower for 6 s, as its header states, is taken for as fast as usual, times its slowdown
+        When an engine is 5 times slower from 20 s to 26 s, which its header states, with seeds 1 to 20
+        Then in 95% of the runs it is taken for 0.6 to 1.6 times as fast as the others
+
     Scenario Outline: An engine whose header states <stated> is taken for what it is
         When an engine among ten states <stated> for 60 requests, with seeds 1 to 20
         Then in 95% of the runs it is taken for 0.6 to 1.6 times as fast as the others
--- a/packages/performance/src/learnEngines.steps.ts
+++ b/packages/performance/src/learnEngines.steps.ts
@@ -18,6 +18,10 @@
 /** Requests a second that one engine gets from all hosts. */
 const REQUESTS_PER_ENGINE_S = 3;
 const PERIOD_MS = 600;
+/** Time in which an engine is slow, and time for which it is tracked, in milliseconds. */
+const SLOW_FROM_MS = 20_000;
+const SLOW_TO_MS = 26_000;
+const TRACKED_MS = 60_000;
 
 let wrongShare = 0;
 let ratios: number[] = [];
@@ -96,6 +100,20 @@
     },
 );
 
+When(
+    /^an engine is 5 times slower from 20 s to 26 s, which its header states, with seeds 1 to (\d+)$/,
+    (seeds: string) => {
+        ratios = [];
+        for (let seed = 1; seed <= Number(seeds); seed += 1) {
+            trackSpeed(seed, factor => factor * 100, (atMs, ratio) => {
+                if (atMs >= SLOW_FROM_MS) {
+                    ratios.push(ratio);
+                }
+            });
+        }
+    },
+);
+
 When(
     /^an engine among ten states (.*) for 60 requests, with seeds 1 to (\d+)$/,
     (stated: string, seeds: string) => {
@@ -197,29 +215,37 @@
 
 /** Measures how long it takes until a slowness shows, and until its end shows, in milliseconds. */
 function trackSlowness(seed: number): { readonly down: number; readonly up: number } {
-    const random = createRandom(seed);
-    const engine = createFakeEngine({
-        readFactor: atMs => atMs >= 20_000 && atMs < 26_000 ? 5 : 1,
-        statePercent: () => 100,
+    let down = Infinity;
+    let up = Infinity;
+    trackSpeed(seed, () => 100, (atMs, ratio) => {
+        if (atMs >= SLOW_FROM_MS && atMs < SLOW_TO_MS && ratio < 1 / 3) {
+            down = Math.min(down, atMs - SLOW_FROM_MS);
+        }
+        if (atMs >= SLOW_TO_MS && ratio > 1 / 1.5) {
+            up = Math.min(up, atMs - SLOW_TO_MS);
+        }
     });
+    return { down, up };
+}
+
+/** Runs an engine that is slow for a time among nine usual ones; tells its speed as a factor on theirs. */
+function trackSpeed(
+    seed: number,
+    statePercent: (factor: number) => number,
+    onRatio: (atMs: number, ratio: number) => void,
+): void {
+    const random = createRandom(seed);
+    const readFactor = (atMs: number): number => atMs >= SLOW_FROM_MS && atMs < SLOW_TO_MS ? 5 : 1;
+    const engine = createFakeEngine({ readFactor, statePercent });
     const others = Array.from({ length: 9 }, () => createFakeEngine({}));
     const all = [engine, ...others];
-    let down = Infinity;
-    let up = Infinity;
     let atMs = 0;
-    while (atMs < 60_000) {
+    while (atMs < TRACKED_MS) {
         atMs -= Math.log(1 - random.next()) * MS_PER_S / REQUESTS_PER_ENGINE_S;
         all.forEach(each => observeRequest(each, random, atMs, true));
         const medians = computeMedians(others.map(({ state }) => state.learned));
-        const factor = readSpeed(engine, all, atMs) * (medians.tokenMs ?? 0);
-        if (atMs >= 20_000 && atMs < 26_000 && factor < 1 / 3) {
-            down = Math.min(down, atMs - 20_000);
-        }
-        if (atMs >= 26_000 && factor > 1 / 1.5) {
-            up = Math.min(up, atMs - 26_000);
-        }
+        onRatio(atMs, readSpeed(engine, all, atMs) * (medians.tokenMs ?? 0));
     }
-    return { down, up };
 }
 
 function checkTimes(times: readonly number[], percent: number, seconds: number): void {
--- a/packages/performance/src/reduceWorkFactor.feature
+++ b/packages/performance/src/reduceWorkFactor.feature
@@ -13,6 +13,7 @@
             | an engine that always states too much    | 500   | 20    | 500     | 0   | 1        |
             | one that always states too little        | 20    | 20    | 20      | 0   | 1        |
             | a slow period of one that does           | 50    | 20    | 125     | 0   | 2.5      |
+            | a long slow period is not usual          | 100   | 20    | 500     | 0   | 5        |
             | too few statements to know the usual one | 500   | 3     | 500     | 0   | 5        |
             | an impossible statement is bounded       | 100   | 20    | 1000000 | 0   | 8        |
             | a very low one too                       | 100   | 20    | 0.01    | 0   | 0.5      |
--- a/packages/performance/src/reduceWorkFactor.steps.ts
+++ b/packages/performance/src/reduceWorkFactor.steps.ts
@@ -3,7 +3,7 @@
 import type { WorkFactor } from "./reduceWorkFactor.js";
 
 /** Interval between two statements, in milliseconds. */
-const STATEMENT_INTERVAL_MS = 1000;
+const STATEMENT_INTERVAL_MS = 2000;
 
 let state: WorkFactor;
 let atMs = 0;
--- a/packages/performance/src/reduceWorkFactor.ts
+++ b/packages/performance/src/reduceWorkFactor.ts
@@ -25,9 +25,12 @@
 /** Statements that are kept for the usual one. */
 const STATED_CAPACITY = 16;
 /** Statements from which the usual one is known; 100 counts before. */
-const MIN_STATED = 8;
-/** Interval between two statements that count for the usual one, in milliseconds; periods of slowness last 600 ms. */
-const STATED_INTERVAL_MS = 300;
+const MIN_STATED = 5;
+/**
+ * Interval between two statements that count for the usual one, in milliseconds. The kept ones then span at least half a
+ * minute, so that an engine that is slow for 6 s doesn't make that usual; with 300 ms it did.
+ */
+const STATED_INTERVAL_MS = 2000;
 /** Decay of statements; long against periods in which an engine is slow, so that these don't become usual. */
 const STATED_DECAY: SampleDecay = { halfLifeSamples: 16, halfLifeMs: 60_000 };
 /** Lowest factor by which work is taken to be faster than usual. */
