--- a/packages/front/src/createFrontFleet.steps.ts
+++ b/packages/front/src/createFrontFleet.steps.ts
@@ -173,8 +173,8 @@
             retryAfter: notice?.kind === "pausing" ? String((notice.untilMs - clock.nowMs()) / MS_PER_S) : undefined,
         });
         const { workPercent } = options;
-        const load = workPercent === undefined ? [] : ["Server-Load", `1,0,64,${workPercent}`];
-        return { ...parseAnswerHead(status, [...headers, ...load]), limit: nameLimit(engine.id) };
+        const head = { ...parseAnswerHead(status, headers), limit: nameLimit(engine.id) };
+        return workPercent === undefined ? head : { ...head, load: { running: 1, waiting: 0, slots: 64, workPercent } };
     };
     const isPausing = ({ id }: SimulatedEngine): boolean => {
         const notice = notices.get(id);
