--- a/packages/directory/src/index.ts
+++ b/packages/directory/src/index.ts
@@ -12,6 +12,7 @@
 export type * from "./engineControl.js";
 export type * from "./engineEntry.js";
 export * from "./engineTransport.js";
+export { joinAccounts } from "./joinAccounts.js";
 export { joinRevision, splitRevision } from "./joinRevision.js";
 export type { EpochRevision } from "./joinRevision.js";
 export * from "./metadataStore.js";
--- a/packages/front/src/accounts/clientAccounts.steps.ts
+++ b/packages/front/src/accounts/clientAccounts.steps.ts
@@ -33,6 +33,7 @@
 import { NO_LOST_PATHS } from "../enginePaths.js";
 import type { ForwardMark } from "../forwardMark.js";
 import type { FrontContext } from "../frontContext.js";
+import { createPerformanceTracker } from "../performance/createPerformanceTracker.js";
 import { createRequestRunner } from "../runRequest.js";
 import type { AdapterTracker } from "../startAdapterTracker.js";
 
@@ -185,7 +186,7 @@
     const runner = createRequestRunner(
         context,
         view,
-        createEngineLoadTracker(context.clock),
+        createEngineLoadTracker(context.clock, createPerformanceTracker(context)),
         ADAPTERS,
         {} as StreamOrigins,
         QUARANTINE as unknown as Quarantine,
