--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -3,6 +3,8 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { BASIC_FAULT_KINDS, FAULT_KINDS } from "./planFaults.js";
+import { runLoss } from "./runLoss.js";
+import type { LossReport } from "./runLoss.js";
 import { runSoak } from "./runSoak.js";
 import type { SoakReport } from "./runSoak.js";
 
@@ -19,6 +21,11 @@
 
 const args = await yargs(hideBin(process.argv))
     .usage("$0 [options]\n\nRuns real front processes under random faults and checks the guarantees of the platform.")
+    .option("run", {
+        choices: ["faults", "loss"] as const,
+        default: "faults" as const,
+        describe: "faults: a random sequence of faults; loss: all hosts are killed within a second after streams began",
+    })
     .option("from", { type: "number", default: 1, describe: "first seed" })
     .option("count", { type: "number", default: 1, describe: "number of seeds, run one after the other" })
     .option("fresh", { type: "boolean", default: false, describe: "run random seeds instead" })
@@ -43,13 +50,16 @@
 let failed = 0;
 const seeds = await listSeeds();
 for (const seed of seeds) {
-    const report = await runSoak({
+    const size = {
         seed,
         hosts: args.hosts,
         domains: args.domains,
         modelEngines: args.engines,
         plainEngines: args.plain,
         softwareVersions: args.versions,
+    };
+    const report = args.run === "loss" ? await runLoss({ ...size, truncatesStreams: false }) : await runSoak({
+        ...size,
         lengthMs: args.seconds * MS_PER_S,
         clients: args.clients,
         kinds: args.kept ? BASIC_FAULT_KINDS : args.kinds,
@@ -58,7 +68,7 @@
     if (report.violations.length > 0) {
         failed += 1;
         await mkdir(args.logs, { recursive: true });
-        const trace = report.plan.map(planned => JSON.stringify(planned));
+        const trace = ("plan" in report ? report.plan : []).map(planned => JSON.stringify(planned));
         await writeFile(join(args.logs, `${seed}.log`), [...report.violations, ...trace, ...report.logs].join("\n"));
     }
 }
@@ -75,11 +85,17 @@
     );
 }
 
-function formatReport(
-    { seed, plan, violations, sent, answered, refused, recoveredShare }: SoakReport,
-): string {
+function formatReport(report: SoakReport | LossReport): string {
+    const { seed, violations } = report;
     const result = violations.length === 0 ? "passed" : "FAILED";
-    const head = `seed ${seed} ${result}: ${plan.length} faults, ${sent} requests, ${answered} answered, `
-        + `${refused} refused, ${(recoveredShare * 100).toFixed(0)}% answered at the end\n`;
-    return head + violations.map(line => `  ${line}\n`).join("");
+    return `seed ${seed} ${result}: ${summarize(report)}\n${violations.map(line => `  ${line}\n`).join("")}`;
+}
+
+function summarize(report: SoakReport | LossReport): string {
+    if (!("plan" in report)) {
+        return `${report.broken} of ${report.streams} streams broke off after ${Math.round(report.killedAfterMs)} ms`;
+    }
+    const { plan, sent, answered, refused, recoveredShare } = report;
+    return `${plan.length} faults, ${sent} requests, ${answered} answered, ${refused} refused, `
+        + `${(recoveredShare * 100).toFixed(0)}% answered at the end`;
 }
--- a/packages/soak/src/runSilence.ts
+++ b/packages/soak/src/runSilence.ts
@@ -1,9 +1,11 @@
 import { Agent } from "node:http";
 import { setTimeout as wait } from "node:timers/promises";
 import { checkAnswers } from "./checkAnswers.js";
+import { createStreamRequest } from "./createStreamRequest.js";
+import { loadAdapters } from "./loadAdapters.js";
 import { sendRequest } from "./sendRequest.js";
-import type { SoakAnswer, SoakRequest } from "./sendRequest.js";
-import { HOST_NAME, MODEL, startSoakFleet } from "./startSoakFleet.js";
+import type { SoakAnswer } from "./sendRequest.js";
+import { startSoakFleet } from "./startSoakFleet.js";
 import type { SoakSize } from "./startSoakFleet.js";
 import { toTarget } from "./toTarget.js";
 import { waitUntilReady } from "./waitUntilReady.js";
@@ -27,12 +29,8 @@
 
 /** Longest time until the hosts are ready after their start, in milliseconds. */
 const START_TIMEOUT_MS = 15_000;
-/** Longest time until a host serves an adapter for the first time, in milliseconds. */
-const LOAD_TIMEOUT_MS = 8000;
-/** Pause between the requests that wait for an adapter, in milliseconds. */
-const RETRY_MS = 200;
-/** Number of adapters that clients request; they fit into the slots of one engine. */
-const ADAPTERS = 4;
+/** Adapters that clients request; they fit into the slots of one engine. */
+const ADAPTERS = ["a1", "a2", "a3", "a4"];
 /** Number of streams of the clients, and of events of each; an event takes 15 ms. */
 const STREAMS = 24;
 const EVENTS = 60;
@@ -56,41 +54,21 @@
 export async function runSilence(options: SilenceOptions): Promise<SilenceReport> {
     const fleet = await startSoakFleet(options);
     const agent = new Agent({ keepAlive: true });
-    const warmUps: SoakAnswer[] = [];
-    const send = (id: string, index: number, events: number): Promise<SoakAnswer> => {
+    const send = (index: number): Promise<SoakAnswer> => {
         const front = fleet.fronts[index % fleet.fronts.length];
         if (front === undefined) {
             throw new RangeError("a fleet without hosts");
         }
-        const req: SoakRequest = {
-            id,
-            kind: "streaming",
-            hostName: HOST_NAME,
-            path: `/answers/${id}`,
-            body: "",
-            deadlineMs: DEADLINE_MS,
-            minVersion: 0,
-            generation: { model: MODEL, adapter: `a${1 + Math.floor(index / fleet.fronts.length) % ADAPTERS}`, events },
-        };
+        const adapter = ADAPTERS[Math.floor(index / fleet.fronts.length) % ADAPTERS.length] ?? "";
+        const req = createStreamRequest({ id: `stream-${index}`, adapter, events: EVENTS, deadlineMs: DEADLINE_MS });
         return sendRequest(req, toTarget(front), agent);
     };
-    const waitUntilServed = async (index: number): Promise<void> => {
-        const endsAtMs = performance.now() + LOAD_TIMEOUT_MS;
-        let status = 0;
-        for (let attempt = 0; status !== 200 && performance.now() < endsAtMs; attempt += 1) {
-            const answer = await send(`warm-up-${index}-${attempt}`, index, 1);
-            warmUps.push(answer);
-            status = answer.status;
-            await wait(RETRY_MS);
-        }
-    };
     try {
         const isReady = await waitUntilReady(fleet, START_TIMEOUT_MS);
-        const pairs = Array.from({ length: ADAPTERS * options.hosts }, (value, index) => index);
-        await Promise.all(pairs.map(waitUntilServed));
+        const warmUps = await loadAdapters(fleet, ADAPTERS, agent);
         const streams = Array.from({ length: STREAMS }, async (value, index) => {
             await wait(index * START_INTERVAL_MS);
-            return send(`stream-${index}`, index, EVENTS);
+            return send(index);
         });
         await wait(SILENT_AFTER_MS);
         for (let silence = 0; silence < options.silences; silence += 1) {
