--- a/packages/soak/src/checkAnswers.steps.ts
+++ b/packages/soak/src/checkAnswers.steps.ts
@@ -21,6 +21,8 @@
             path: "/p/",
             adapter: adapter ?? undefined,
             version: version === null ? undefined : Number(version),
+            account: undefined,
+            hasKey: false,
             startedAtMs: 0,
         };
         runs = times === "twice" ? [run, run] : [run];
--- a/packages/soak/src/drawRequest.ts
+++ b/packages/soak/src/drawRequest.ts
@@ -1,5 +1,6 @@
 import type { Random } from "@fulmarcleat/ids";
 import type { SoakRequest } from "./sendRequest.js";
+import { drawCredentials } from "./soakAccounts.js";
 import { HOST_NAME, MODEL } from "./startSoakFleet.js";
 import type { SoakFleet } from "./startSoakFleet.js";
 
@@ -14,6 +15,9 @@
     readonly adapters: number;
 }
 
+/** Share of the requests of a fleet with accounts that need no key. */
+const ANONYMOUS_SHARE = 0.1;
+
 /**
  * Draws a request of a client, for any route of the fleet.
  *
@@ -29,7 +33,13 @@
     const { id, deadlineMs } = range;
     const share = random.next();
     const adapter = drawAdapter(random, range.adapters);
-    const base = { id, hostName: HOST_NAME, deadlineMs, body: "", minVersion: 0 };
+    const credentials = fleet.keys === undefined
+        ? {}
+        : { ...drawCredentials(random), configAgeMs: findConfigAge(fleet) };
+    const base = { id, hostName: HOST_NAME, deadlineMs, body: "", minVersion: 0, ...credentials };
+    if (fleet.keys !== undefined && share < ANONYMOUS_SHARE) {
+        return { ...base, kind: "safe", path: `/open/${id}`, isAnonymous: true };
+    }
     if (share < 0.25) {
         return { ...base, kind: "safe", path: `/status/${id}` };
     }
@@ -47,6 +57,40 @@
     };
 }
 
+/**
+ * Creates a request for a lookup with a key.
+ *
+ * @param fleet - Fleet that the request is for
+ * @param apiKey - Key of the client
+ * @param range - Id and deadline
+ * @returns the request
+ *
+ * @example
+ * const req = createLookup(fleet, key, { id: "7-1", deadlineMs: 4000 });
+ */
+export function createLookup(
+    fleet: SoakFleet,
+    apiKey: string,
+    { id, deadlineMs }: Omit<RequestRange, "adapters">,
+): SoakRequest {
+    return {
+        id,
+        kind: "safe",
+        hostName: HOST_NAME,
+        path: `/status/${id}`,
+        body: "",
+        deadlineMs,
+        minVersion: 0,
+        apiKey,
+        configAgeMs: findConfigAge(fleet),
+    };
+}
+
+/** Returns for how long hosts may have been without the newest configuration, in milliseconds. */
+function findConfigAge(fleet: SoakFleet): number {
+    return fleet.isFaultFree(VERSION_TIMEOUT_MS) ? 0 : fleet.maxConfigAgeMs;
+}
+
 /**
  * Draws an adapter; those with low numbers are drawn more often.
  *
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -36,6 +36,11 @@
     .option("engines", { type: "number", default: 3, describe: "number of model engines" })
     .option("plain", { type: "number", default: 2, describe: "number of engines of the plain service" })
     .option("versions", { type: "number", default: 2, describe: "versions of the engines' software, side by side" })
+    .option("accounts", {
+        type: "boolean",
+        default: false,
+        describe: "clients send keys of accounts, which are taken away and moved, and exceed their limits",
+    })
     .option("clients", { type: "number", default: 8 })
     .option("kinds", {
         array: true,
@@ -57,6 +62,7 @@
         modelEngines: args.engines,
         plainEngines: args.plain,
         softwareVersions: args.versions,
+        hasAccounts: args.accounts,
     };
     const report = args.run === "loss" ? await runLoss({ ...size, truncatesStreams: false }) : await runSoak({
         ...size,
@@ -95,7 +101,8 @@
     if (!("plan" in report)) {
         return `${report.broken} of ${report.streams} streams broke off after ${Math.round(report.killedAfterMs)} ms`;
     }
-    const { plan, sent, answered, refused, recoveredShare } = report;
+    const { plan, sent, answered, refused, unauthenticated, limited, recoveredShare } = report;
     return `${plan.length} faults, ${sent} requests, ${answered} answered, ${refused} refused, `
+        + `${unauthenticated} without a valid key, ${limited} over limits, `
         + `${(recoveredShare * 100).toFixed(0)}% answered at the end`;
 }
--- a/packages/soak/src/planFaults.ts
+++ b/packages/soak/src/planFaults.ts
@@ -13,7 +13,7 @@
     | { readonly kind: "store_reset" | "engine_reset"; readonly index: number }
     | { readonly kind: "store_refuses" | "store_compacts" | "store_restores" }
     | { readonly kind: "engine_crash" | "engine_leaves" | "engine_fails"; readonly index: number }
-    | { readonly kind: "new_config" | "new_version" }
+    | { readonly kind: "new_config" | "new_version" | "new_keys" }
     | { readonly kind: "hosts_cut"; readonly hosts: readonly number[]; readonly mode: CutMode }
     | { readonly kind: "engine_silent"; readonly index: number };
 
@@ -69,6 +69,7 @@
     "hosts_cut",
     "engine_silent",
     "store_restores",
+    "new_keys",
 ];
 
 /**
@@ -120,6 +121,7 @@
         case "store_restores":
         case "new_config":
         case "new_version":
+        case "new_keys":
             return { kind };
         case "hosts_cut": {
             const first = draw(hosts);
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -2,14 +2,16 @@
 import type { Random } from "@fulmarcleat/ids";
 import { Agent } from "node:http";
 import { setTimeout as wait } from "node:timers/promises";
+import { checkAccounts } from "./checkAccounts.js";
 import { checkAnswers } from "./checkAnswers.js";
 import type { FrontProcess } from "./createFrontProcess.js";
-import { drawAdapter, drawRequest, VERSION_TIMEOUT_MS } from "./drawRequest.js";
+import { createLookup, drawAdapter, drawRequest, VERSION_TIMEOUT_MS } from "./drawRequest.js";
 import { planFaults } from "./planFaults.js";
 import type { Fault, FaultKind, PlannedFault } from "./planFaults.js";
 import { resumeRequest } from "./resumeRequest.js";
 import { sendRequest } from "./sendRequest.js";
 import type { SoakAnswer, SoakRequest } from "./sendRequest.js";
+import { BUSY_ACCOUNT, KEY_PREFIX, LIMIT_SLACK, moveKey } from "./soakAccounts.js";
 import { HOST_NAME, startSoakFleet } from "./startSoakFleet.js";
 import type { SoakFleet, SoakSize } from "./startSoakFleet.js";
 import { toTarget } from "./toTarget.js";
@@ -36,6 +38,10 @@
     readonly sent: number;
     readonly answered: number;
     readonly refused: number;
+    /** Number of requests that were refused for want of a valid key. */
+    readonly unauthenticated: number;
+    /** Number of requests that were refused since their account had reached its limit. */
+    readonly limited: number;
     /** Share of the requests sent after recovery that were answered, from 0 to 1. */
     readonly recoveredShare: number;
     readonly logs: readonly string[];
@@ -51,10 +57,17 @@
 const RECOVERY_SAMPLE_MS = 2000;
 /** Minimum share of requests that must be answered after recovery; the platform states a quarter. */
 const MIN_RECOVERED_SHARE = 0.25;
+/** Statuses of requests without a valid key and of those over their account's limit; more capacity changes neither. */
+const ACCOUNT_STATUSES = [401, 429];
 /** Mean pause of a client between requests, in milliseconds. */
 const MEAN_CLIENT_PAUSE_MS = 60;
 /** Deadline of each request, in milliseconds. */
 const DEADLINE_MS = 4000;
+/** Clients of the account that sends several times more than its limit, and the mean pause between their requests. */
+const BUSY_CLIENTS = 4;
+const MEAN_BUSY_PAUSE_MS = 50;
+/** Time after which hosts refuse keys without a confirmed configuration, in milliseconds; for even seeds. */
+const REVOKE_MS = 4000;
 
 /**
  * Runs front processes under a random sequence of faults and checks the answers of clients and the runs on engines.
@@ -74,7 +87,10 @@
         lengthMs: options.lengthMs,
         kinds: options.kinds,
     });
-    const fleet = await startSoakFleet(options);
+    const fleet = await startSoakFleet({
+        ...options,
+        revokeMs: options.seed % 2 === 0 ? REVOKE_MS : undefined,
+    });
     const violations: string[] = [];
     const answers: SoakAnswer[] = [];
     const agent = new Agent({ keepAlive: true });
@@ -94,11 +110,33 @@
             await wait(MEAN_CLIENT_PAUSE_MS * 2 * clientRandom.next());
         }
     };
+    /** Sends requests with the keys of the busy account, without waiting for the answers. */
+    const runBusyClient = async (client: number): Promise<void> => {
+        const clientRandom = createRandom(options.seed * 1000 + options.clients + client);
+        const sending: Promise<void>[] = [];
+        for (let sent = 0; !isOver; sent += 1) {
+            const front = fleet.fronts[Math.floor(clientRandom.next() * fleet.fronts.length)];
+            const keys = fleet.keys?.accounts.find(({ name }) => name === BUSY_ACCOUNT)?.keys ?? [];
+            const apiKey = keys[Math.floor(clientRandom.next() * keys.length)];
+            if (front !== undefined && apiKey !== undefined) {
+                const req = createLookup(fleet, apiKey, {
+                    id: `${options.seed}-busy-${client}-${sent}`,
+                    deadlineMs: DEADLINE_MS,
+                });
+                sending.push(sendRequest(req, toTarget(front), agent).then(answer => void answers.push(answer)));
+            }
+            await wait(MEAN_BUSY_PAUSE_MS * 2 * clientRandom.next());
+        }
+        await Promise.all(sending);
+    };
     try {
         if (!await waitUntilReady(fleet, START_TIMEOUT_MS)) {
             violations.push("START not every host became ready in time");
         }
         const clients = Array.from({ length: options.clients }, (value, client) => runClient(client));
+        if (fleet.keys !== undefined) {
+            clients.push(...Array.from({ length: BUSY_CLIENTS }, (value, client) => runBusyClient(client)));
+        }
         await injectFaults(fleet, plan, random);
         if (!await waitUntilReady(fleet, RECOVERY_TIMEOUT_MS)) {
             violations.push("RECOVER not every host became ready again in time");
@@ -108,27 +146,37 @@
         await wait(RECOVERY_SAMPLE_MS);
         isOver = true;
         await Promise.all(clients);
-        const sampled = answers.filter(answer => answer.sentAtMs >= recoveredAtMs);
+        const sampled = answers.filter(({ sentAtMs, status }) =>
+            sentAtMs >= recoveredAtMs && !ACCOUNT_STATUSES.includes(status)
+        );
         const recoveredShare = sampled.filter(answer => answer.status === 200 && answer.isComplete).length
             / sampled.length;
         if (recoveredShare < MIN_RECOVERED_SHARE) {
             violations.push(`RECOVER ${recoveredShare.toFixed(2)} of the requests after recovery were answered`);
         }
+        const record = fleet.readEngineRecord();
+        if (fleet.keys !== undefined) {
+            violations.push(...checkAccounts(answers, record.runs, fleet.keys, LIMIT_SLACK));
+        }
         violations.push(
-            ...checkAnswers(answers, fleet.readEngineRecord()),
+            ...checkAnswers(answers, record),
             ...fleet.fronts.flatMap(front => front.unexpectedExits),
         );
         violations.push(...await checkConfig(fleet, agent));
         violations.push(...await checkSilentLinks(fleet, agent));
+        const logs = fleet.fronts.flatMap(front => front.log.map(line => JSON.stringify(line)));
+        violations.push(...logs.filter(line => line.includes(KEY_PREFIX)).map(line => `KEY logged: ${line}`));
         return {
             seed: options.seed,
             plan,
             violations,
             sent: answers.length,
             answered: answers.filter(answer => answer.status === 200 && answer.isComplete).length,
-            refused: answers.filter(answer => answer.status === 503 || answer.status === 429).length,
+            refused: answers.filter(answer => answer.status === 503).length,
+            unauthenticated: answers.filter(answer => answer.status === 401).length,
+            limited: answers.filter(answer => answer.status === 429).length,
             recoveredShare,
-            logs: fleet.fronts.flatMap(front => front.log.map(line => JSON.stringify(line))),
+            logs,
         };
     }
     finally {
@@ -223,6 +271,7 @@
             fleet.store.setMode("refusing");
             await wait(STORE_AWAY_MS);
             restore();
+            fleet.keys?.recordReturn(fleet.clock.nowMs());
             fleet.store.setMode("serving");
             return;
         }
@@ -255,6 +304,9 @@
         case "new_config":
             fleet.publishNewConfig();
             return;
+        case "new_keys":
+            fleet.publishNewConfig(fleet.keys && moveKey(fleet.keys.accounts, random));
+            return;
         case "new_version":
             fleet.publishNewVersion(drawAdapter(random, ADAPTERS));
             return;
--- a/packages/soak/src/sendRequest.ts
+++ b/packages/soak/src/sendRequest.ts
@@ -10,6 +10,10 @@
     readonly body: string;
     /** Lowest adapter version that may run the request; it was in effect before the request was sent. */
     readonly minVersion: number;
+    /** Whether its route needs no key; false by default. */
+    readonly isAnonymous?: boolean | undefined;
+    /** For how long hosts may have been without the newest configuration when the request was sent, in milliseconds. */
+    readonly configAgeMs?: number | undefined;
 }
 
 /** What a client received for a request; times are in milliseconds of `performance.now()`. */
--- a/packages/soak/src/startSoakFleet.ts
+++ b/packages/soak/src/startSoakFleet.ts
@@ -1,7 +1,7 @@
 import { createSystemClock } from "@fulmarcleat/ids";
 import type { Clock } from "@fulmarcleat/ids";
 import { createEngineStandin, createStoreStandin, declareVersion, writeConfig } from "@fulmarcleat/platform-standin";
-import type { EngineStandin, StandinRoute, StoreStandin } from "@fulmarcleat/platform-standin";
+import type { EngineStandin, StandinAccount, StandinRoute, StoreStandin } from "@fulmarcleat/platform-standin";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -10,8 +10,11 @@
 import type { EnginePaths } from "./createEnginePaths.js";
 import { createFrontProcess } from "./createFrontProcess.js";
 import type { FrontProcess } from "./createFrontProcess.js";
+import { createKeyHistory } from "./createKeyHistory.js";
+import type { KeyHistory } from "./createKeyHistory.js";
 import { createLoopbackProxy } from "./createLoopbackProxy.js";
 import type { LoopbackProxy } from "./createLoopbackProxy.js";
+import { FIRST_ACCOUNTS, LIMIT_SLACK } from "./soakAccounts.js";
 
 /** Front processes and stand-ins of the platform; proxies are on each link to the store and in front of each engine. */
 export interface SoakFleet {
@@ -26,6 +29,10 @@
     /** Newest declared version of each adapter, and when it was declared, in milliseconds of `performance.now()`. */
     readonly versions: ReadonlyMap<string, { readonly version: number; readonly sinceMs: number }>;
     readonly configVersion: number;
+    /** Accounts of all configurations; undefined if they have none. */
+    readonly keys: KeyHistory | undefined;
+    /** For how long a host goes on with a configuration that it can't confirm, in milliseconds. */
+    readonly maxConfigAgeMs: number;
     /** Records that a fault starts now and lasts `forMs` milliseconds. */
     recordFault(forMs: number): void;
     /** Whether the last fault ended more than `forMs` milliseconds ago. */
@@ -34,8 +41,8 @@
     getEngine(index: number): EngineStandin | undefined;
     /** Starts a new engine at the index of a former one. */
     replaceEngine(index: number): Promise<void>;
-    /** Writes the next configuration version to the store. */
-    publishNewConfig(): void;
+    /** Writes the next configuration version to the store, with the accounts of the one before unless others are given. */
+    publishNewConfig(accounts?: readonly StandinAccount[]): void;
     /** Declares the next version of an adapter. */
     publishNewVersion(adapter: string): void;
     /** Runs and invalid orders of all engines, also of replaced ones. */
@@ -53,6 +60,10 @@
     readonly softwareVersions: number;
     /** Whether model engines truncate some of their streams; true by default. */
     readonly truncatesStreams?: boolean | undefined;
+    /** Whether the configuration has accounts; false by default. */
+    readonly hasAccounts?: boolean | undefined;
+    /** Time after which a host that can't confirm its configuration refuses keys, in milliseconds; undefined for never. */
+    readonly revokeMs?: number | undefined;
 }
 
 /** Host name in the requests of clients. */
@@ -78,6 +89,16 @@
     { name: "orders", kind: "unsafe", pathPrefix: "/orders/", service: PLAIN_SERVICE },
     { name: "answers", kind: "streaming", pathPrefix: "/answers/", service: MODEL_SERVICE },
 ].map(route => ({ ...route, hostName: HOST_NAME, timeoutMs: 5000 } as StandinRoute));
+/** Route whose requests need no key. */
+const OPEN_ROUTE: StandinRoute = {
+    name: "open",
+    kind: "safe",
+    hostName: HOST_NAME,
+    pathPrefix: "/open/",
+    service: PLAIN_SERVICE,
+    timeoutMs: 5000,
+    isAnonymous: true,
+};
 
 /**
  * Starts the stand-ins, proxies and front processes of a soak.
@@ -102,17 +123,20 @@
     let configVersion = 0;
     let faultsEndAtMs = -Infinity;
     let startedEngines = 0;
-    const publishNewConfig = (): void => {
+    const keys = size.hasAccounts === true ? createKeyHistory() : undefined;
+    const publishNewConfig = (accounts = keys?.accounts): void => {
         configVersion += 1;
         const added = { name: `extra-${configVersion}`, pathPrefix: `/extra-${configVersion}/` };
         writeConfig(store, {
             version: configVersion,
-            routes: [...ROUTES, { ...ROUTES[0], ...added } as StandinRoute],
+            routes: [...ROUTES, ...keys === undefined ? [] : [OPEN_ROUTE], { ...ROUTES[0], ...added } as StandinRoute],
             plainService: PLAIN_SERVICE,
             modelService: MODEL_SERVICE,
             model: MODEL,
             adapterSlots: ADAPTER_SLOTS,
+            accounts,
         });
+        keys?.record(accounts ?? [], clock.nowMs());
     };
     const startEngine = async (index: number): Promise<void> => {
         startedEngines += 1;
@@ -136,7 +160,7 @@
         engines[index] = engine;
         allEngines.push(engine);
     };
-    publishNewConfig();
+    publishNewConfig(keys === undefined ? undefined : FIRST_ACCOUNTS);
     for (let index = 0; index < size.modelEngines + size.plainEngines; index += 1) {
         await startEngine(index);
     }
@@ -155,6 +179,8 @@
             ownPorts: [firstPort + 2, firstPort + PORTS_PER_HOST - 1] as const,
             storePort: link.port,
             stopS: STOP_TIMEOUT_S,
+            revokeMs: size.revokeMs,
+            limitSlack: LIMIT_SLACK,
         };
         fronts.push(await createFrontProcess(host, folder));
     }
@@ -170,6 +196,8 @@
         get configVersion() {
             return configVersion;
         },
+        keys,
+        maxConfigAgeMs: size.revokeMs ?? Infinity,
         recordFault: forMs => void (faultsEndAtMs = Math.max(faultsEndAtMs, performance.now() + forMs)),
         isFaultFree: forMs => performance.now() - faultsEndAtMs > forMs,
         getEngine: index => engines[index],
