--- a/packages/soak/src/checkAccounts.ts
+++ b/packages/soak/src/checkAccounts.ts
@@ -121,7 +121,9 @@
     const uses = [...charged.values()].sort((a, b) => a.atMs - b.atMs);
     const most = Math.max(0, ...sumWindows(uses, WINDOW_MS).map(({ cost }) => cost));
     const allowed = (limit.perSecond * WINDOW_MS / MS_PER_S + limit.burst) * (1 + EXCESS_RATIO) + SLACK_TOKENS;
-    return most <= allowed ? [] : [`LIMIT ${name} used ${most} tokens in ${WINDOW_MS} ms, ${Math.round(allowed)} are allowed`];
+    return most <= allowed
+        ? []
+        : [`LIMIT ${name} used ${most} tokens in ${WINDOW_MS} ms, ${Math.round(allowed)} are allowed`];
 }
 
 /** Computes what a request costs its account, in tokens. */
--- a/packages/soak/src/runSoak.feature
+++ b/packages/soak/src/runSoak.feature
@@ -24,6 +24,13 @@
         When the soak of seed 1 runs for 6 s with store_restores,kill,pause,store_link,new_config
         Then the soak reports no violation
 
+    # Guards against keys and wrong accounts at engines, final refusals of valid keys, and accounts beyond their limit.
+    Scenario: Clients use keys that are taken away and moved, and one account exceeds its limit
+        Given the front program is bundled
+        When the soak of seed 1 runs for 6 s with accounts and new_keys,store_link,store_refuses
+        Then the soak reports no violation
+        And the soak refused requests without a valid key and requests over a limit
+
     Scenario: The log of a host traces a request by its id
         Given the front program is bundled
         When a soak fleet of 2 hosts serves a "streaming" request
--- a/packages/soak/src/runSoak.steps.ts
+++ b/packages/soak/src/runSoak.steps.ts
@@ -48,13 +48,13 @@
 );
 
 When(
-    /^the soak of seed (\d+) runs for (\d+) s with ([a-z_,]+)$/,
+    /^the soak of seed (\d+) runs for (\d+) s with (accounts and )?([a-z_,]+)$/,
     { timeout: STEP_TIMEOUT_MS },
-    (seed: string, seconds: string, kinds: string) => {
+    (seed: string, seconds: string, accounts: string | null, kinds: string) => {
         const names = kinds.split(",");
         const drawn = names.map(name => FAULT_KINDS.find(kind => kind === name)).filter(kind => kind !== undefined);
         strictEqual(drawn.length, names.length);
-        return runSeed(Number(seed), Number(seconds), 1, drawn);
+        return runSeed(Number(seed), Number(seconds), 1, drawn, accounts !== null);
     },
 );
 
@@ -63,6 +63,10 @@
     ok(report.answered > 0);
 });
 
+Then("the soak refused requests without a valid key and requests over a limit", () => {
+    ok(report.unauthenticated > 0 && report.limited > 0);
+});
+
 Then("every line that the processes wrote is a JSON log line", () => {
     const logged = report.logs.map(line => JSON.parse(line) as LogLine);
     ok(logged.length > 0);
@@ -124,6 +128,7 @@
     seconds: number,
     softwareVersions: number,
     kinds: readonly FaultKind[],
+    hasAccounts = false,
 ): Promise<void> {
     report = await runSoak({
         seed,
@@ -132,6 +137,7 @@
         modelEngines: 3,
         plainEngines: 2,
         softwareVersions,
+        hasAccounts,
         lengthMs: seconds * 1000,
         clients: 6,
         kinds,
