--- a/packages/front/src/performance/createLoadTimes.ts
+++ b/packages/front/src/performance/createLoadTimes.ts
@@ -9,11 +9,12 @@
 }
 
 /** Time after which half of what was learned beyond the usual duration is forgotten, in milliseconds. */
-const HALF_LIFE_MS = 20_000;
+const HALF_LIFE_MS = 3000;
 
 /**
- * Creates the expected duration of adapter loads: the longest that was learned, forgotten slowly, so that a weight store
- * that has become faster again is noticed.
+ * Creates the expected duration of adapter loads: the longest that was learned, forgotten within seconds. Requests wait
+ * for that long, and nothing shows that a load was done sooner; that loads still take longer is learned from a few
+ * requests that came too early.
  *
  * @param clock - Source of the monotonic time
  * @param usualMs - Duration that is assumed at first, and never undercut, in milliseconds
--- a/packages/front/src/startAdapterTracker.ts
+++ b/packages/front/src/startAdapterTracker.ts
@@ -14,6 +14,7 @@
     PeerAddress,
     PeerClient,
 } from "@fulmarcleat/wire";
+import { findInEntry } from "./adapters/findInEntry.js";
 import type { ClusterView } from "./createClusterView.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { LoadRequestOutbox } from "./createLoadRequestOutbox.js";
@@ -98,8 +99,6 @@
 const MAX_REFRESH_WAIT_MS = 25;
 /** How long an owner report is used, in milliseconds. */
 const REPORT_VALID_MS = 4000;
-/** Expected wait until an engine that has started again has loaded its model, in milliseconds. */
-const MODEL_WAIT_MS = 1000;
 /** Expected wait until an older version that requests are using can be replaced, in milliseconds. */
 const REPLACE_WAIT_MS = 2000;
 /** Longest time until a peer answers, in milliseconds; the wait of a load request at its owner is added. */
@@ -433,19 +432,6 @@
     }
 }
 
-function findInEntry(
-    entry: EngineEntry,
-    requestedAdapter: RequestedAdapter,
-    absent: { readonly placeWaitMs: number; readonly canLoad: boolean },
-): AdapterPresence {
-    const model = entry.models.find(({ model: name }) => name === requestedAdapter.model);
-    const held = model?.adapters.find(adapter => adapter.adapter === requestedAdapter.adapter);
-    const modelWaitMs = model === undefined ? MODEL_WAIT_MS : 0;
-    return held !== undefined && isNewEnough(held.version, requestedAdapter.version)
-        ? { kind: "present" }
-        : { kind: "absent", ...absent, placeWaitMs: absent.placeWaitMs + modelWaitMs };
-}
-
 /** Records a load that was just accepted, so that the next request counts on it before the next owner report. */
 function recordLoading(
     ownerReports: Map<EngineId, ReceivedReport>,
--- a/packages/residency/src/applyOrderReply.ts
+++ b/packages/residency/src/applyOrderReply.ts
@@ -60,6 +60,7 @@
             const previous = state.residents.get(order.adapter);
             const isFromCopy = previous === undefined && state.unloaded.has(order.adapter)
                 && (order.version === undefined || state.unloaded.get(order.adapter) === order.version);
+            const source = isFromCopy ? "copy" : previous === undefined ? "store" : "replacement";
             const durationMs = isFromCopy ? state.loadMs * COPY_LOAD_PART + COPY_LOAD_MARGIN_MS : state.loadMs;
             const readyAtMs = atMs + durationMs;
             return putResident(state, order.adapter, {
@@ -68,7 +69,7 @@
                 demand: previous?.demand ?? 1,
                 demandAtMs: previous?.demandAtMs ?? atMs,
                 sinceMs: readyAtMs,
-                load: { orderedAtMs: atMs, isFromCopy },
+                load: { orderedAtMs: atMs, source },
             });
         }
         case "unload_adapter": {
--- a/packages/residency/src/reduceResidency.feature
+++ b/packages/residency/src/reduceResidency.feature
@@ -20,6 +20,7 @@
             | a request that didn't wait for the load  | 255      |                                | 1100    | 1255  | 255     | does not read |
             | while loads are known to take longer     | 300      |                                | 1310    | 1335  | 335     | does not read |
             | a load that never ends                   | 255      |                                | 2900    | 1255  | 255     | reads         |
+            | another version waits for its requests   | 250      | as a replacement               | 1260    | 1285  | 250     | does not read |
             | a copy loads in a tenth of the time      | 250      | after it was unloaded          | 1030    | 1035  | 250     | does not read |
             | a copy that the engine no longer has     | 250      | after it was unloaded          | 1040    | 1250  | 250     | does not read |
 
--- a/packages/residency/src/reduceResidency.steps.ts
+++ b/packages/residency/src/reduceResidency.steps.ts
@@ -25,18 +25,24 @@
     state = { ...createResidencyState(MODEL, 4), seq: 3, modelPhase: "present", loadMs };
 });
 
-When(/^adapter "a" is loaded at 1000 ms(|after it was unloaded|, found missing at \d+ ms)$/, (before: string) => {
-    if (before.includes("unloaded")) {
-        state = applyOrderReply(state, LOAD, { kind: "accepted" }, 0);
-        tick(900);
-        state = applyOrderReply(state, UNLOAD, { kind: "holds_already" }, 950);
-    }
-    state = applyOrderReply(state, LOAD, { kind: "accepted" }, 1000);
-    const missing = /missing at (\d+)/.exec(before)?.[1];
-    if (missing !== undefined) {
-        reportMissing(Number(missing));
-    }
-});
+When(
+    /^adapter "a" is loaded at 1000 ms(|after it was unloaded|as a replacement|, found missing at \d+ ms)$/,
+    (before: string) => {
+        if (before.includes("unloaded")) {
+            state = applyOrderReply(state, LOAD, { kind: "accepted" }, 0);
+            tick(900);
+            state = applyOrderReply(state, UNLOAD, { kind: "holds_already" }, 950);
+        }
+        if (before === "as a replacement") {
+            state = applyOrderReply(state, { ...LOAD, version: 0 }, { kind: "holds_already" }, 0);
+        }
+        state = applyOrderReply(state, LOAD, { kind: "accepted" }, 1000);
+        const missing = /missing at (\d+)/.exec(before)?.[1];
+        if (missing !== undefined) {
+            reportMissing(Number(missing));
+        }
+    },
+);
 
 When("a request finds it missing at {int} ms", reportMissing);
 
--- a/packages/residency/src/reduceResidency.ts
+++ b/packages/residency/src/reduceResidency.ts
@@ -23,7 +23,7 @@
 /** Most by which one late load raises the expected duration, in milliseconds. */
 const MAX_LOAD_STEP_MS = 40;
 /** Longest duration of a load that is learned, in milliseconds. */
-const MAX_LOAD_MS = 600;
+const MAX_LOAD_MS = 450;
 
 /**
  * Applies a host's report or a tick of the clock to an engine's state.
@@ -104,18 +104,18 @@
     state: ResidencyState,
     adapter: AdapterName,
     resident: Resident,
-    { orderedAtMs, isFromCopy }: AcceptedLoad,
+    { orderedAtMs, source }: AcceptedLoad,
     atMs: number,
 ): ResidencyState {
-    const loadMs = isFromCopy || atMs > resident.sinceMs + MAX_LATENESS_MS
-        ? state.loadMs
-        : learnLoad(state.loadMs, atMs - orderedAtMs + LATE_STEP_MS);
-    const readyAtMs = Math.max(atMs + LATE_STEP_MS, isFromCopy ? orderedAtMs + loadMs : 0);
+    const loadMs = source === "store" && atMs <= resident.sinceMs + MAX_LATENESS_MS
+        ? learnLoad(state.loadMs, atMs - orderedAtMs + LATE_STEP_MS)
+        : state.loadMs;
+    const readyAtMs = Math.max(atMs + LATE_STEP_MS, source === "copy" ? orderedAtMs + loadMs : 0);
     const residents = new Map(state.residents).set(adapter, {
         ...resident,
         phase: { kind: "loading", readyAtMs },
         sinceMs: readyAtMs,
-        load: { orderedAtMs, isFromCopy: false },
+        load: { orderedAtMs, source: source === "copy" ? "store" : source },
     });
     const unloaded = new Map(state.unloaded);
     unloaded.delete(adapter);
--- a/packages/residency/src/residencyState.ts
+++ b/packages/residency/src/residencyState.ts
@@ -23,8 +23,11 @@
 /** A load order that an engine has accepted. */
 export interface AcceptedLoad {
     readonly orderedAtMs: number;
-    /** Whether the engine was expected to have a copy of the adapter, which loads faster. */
-    readonly isFromCopy: boolean;
+    /**
+     * Where the adapter comes from: a copy that the engine was expected to have loads faster than from the weight store,
+     * and a replacement of another version waits for the requests that use that one.
+     */
+    readonly source: "copy" | "replacement" | "store";
 }
 
 /** A pending load request: requests wait for the adapter. */
