--- a/packages/front/src/accounts/createAccountLimits.feature
+++ b/packages/front/src/accounts/createAccountLimits.feature
@@ -23,7 +23,7 @@
         When it sends 1 times its usual demand for 10 s, <spread>
         And it sends 7.5 times its usual demand for 25 s, <spread>, while <fault>
         Then every window stays within the bound
-        And at least <used> in 100 of the limit is used
+        And at least <used> in 100 of the limit of the account is used
 
         Examples:
             | hosts | rate   | burst  | spread       | fault                                     | used |
@@ -94,7 +94,7 @@
         And the limit becomes <after> tokens a second
         And it sends 10 times its usual demand for 20 s, on all hosts
         Then every window from 8 s after the change on stays within the bound
-        And from then on at least 95 in 100 of the limit is used
+        And from then on at least 95 in 100 of the limit of the account is used
 
         Examples:
             | before | after  |
--- a/packages/front/src/accounts/createAccountLimits.steps.ts
+++ b/packages/front/src/accounts/createAccountLimits.steps.ts
@@ -303,7 +303,7 @@
     () => runs.forEach(({ fleet, sinceMs }) => checkBound(fleet.decisions.filter(isGranted), sinceMs)),
 );
 
-Then("at least {int} in 100 of the limit is used", (percent: number) => {
+Then("at least {int} in 100 of the limit of the account is used", (percent: number) => {
     for (const { fleet } of runs) {
         // The first stretch is usual demand.
         const fromMs = fleet.clock.nowMs() - 25 * MS_PER_S;
@@ -320,7 +320,7 @@
 );
 
 Then(
-    "from then on at least {int} in 100 of the limit is used",
+    "from then on at least {int} in 100 of the limit of the account is used",
     (percent: number) =>
         runs.forEach(({ fleet, sinceMs }) =>
             checkUse(fleet.decisions.filter(isGranted), sinceMs, fleet.clock.nowMs(), percent)
--- a/packages/front/src/createEngineChooser.ts
+++ b/packages/front/src/createEngineChooser.ts
@@ -91,11 +91,14 @@
         const home = findHome(request, views);
         const { eventTokens } = spec;
         const promptTokens = tokens?.prompt ?? 0;
+        const ownTokens = promptTokens + (tokens?.maxOutput ?? 0);
+        const countHeldTokens = (id: EngineId): number =>
+            Math.max(loadTracker.countHeldTokens(id), adapters.countHeldTokens(id) ?? 0);
         const createWork = (id: EngineId): GenerationWork => ({
             promptTokens: promptTokens - (id === home ? sharedTokens * KEPT_PART : 0),
             eventTokens,
             maxPauseMs: route.pauseGoalMs ?? USUAL_PAUSE_GOAL_MS,
-            memoryPart: 0,
+            memoryPart: spec.memoryTokens === undefined ? 0 : (countHeldTokens(id) + ownTokens) / spec.memoryTokens,
         });
         return views.map(view => view.pace === undefined ? view : { ...view, work: createWork(view.id) });
     };
--- a/packages/front/src/createEngineLoadTracker.ts
+++ b/packages/front/src/createEngineLoadTracker.ts
@@ -8,18 +8,20 @@
 export interface EngineLoadTracker {
     /** Speed of the engines. */
     readonly performance: PerformanceTracker;
-    /** Records that a request was sent to an engine. */
-    startRequest(engine: EngineId): void;
+    /** Records that a request was sent to an engine, in whose memory it holds so many tokens at most. */
+    startRequest(engine: EngineId, heldTokens?: number): void;
     /** Records that bytes arrived from an engine. */
     recordBytes(engine: EngineId): void;
     /** Records that a request on an engine ended. */
-    finishRequest(engine: EngineId): void;
+    finishRequest(engine: EngineId, heldTokens?: number): void;
     recordHealth(engine: EngineId, message: HealthMessage): void;
     /** Records the load that an engine reported with an answer. */
     recordLoad(engine: EngineId, load: EngineLoad): void;
     /** Adds prompt tokens that wait for processing; a negative number removes them. */
     addQueuedTokens(engine: EngineId, tokens: number): void;
     countQueuedTokens(engine: EngineId): number;
+    /** Tokens that this host's requests in flight hold at most in an engine's memory. */
+    countHeldTokens(engine: EngineId): number;
     /** Describes an engine's load and health; it counts as unresponsive after the given time without a byte. */
     describeEngine(known: KnownEngine, unresponsiveAfterMs: number): EngineView;
     remove(engine: EngineId): void;
@@ -28,6 +30,7 @@
 interface EngineRecord {
     inFlight: number;
     queuedTokens: number;
+    heldTokens: number;
     /** Clock reading of the last byte, or of the first request in flight if none has arrived since, in milliseconds. */
     noBytesSinceMs: number;
     health: EngineHealth;
@@ -57,6 +60,7 @@
         const record: EngineRecord = {
             inFlight: 0,
             queuedTokens: 0,
+            heldTokens: 0,
             noBytesSinceMs: 0,
             health: UNKNOWN_HEALTH,
             reportedLoad: undefined,
@@ -66,18 +70,21 @@
     };
     return {
         performance,
-        startRequest(engine) {
+        startRequest(engine, heldTokens = 0) {
             const record = getOrCreateRecord(engine);
             if (record.inFlight === 0) {
                 record.noBytesSinceMs = clock.nowMs();
             }
             record.inFlight += 1;
+            record.heldTokens += heldTokens;
         },
         recordBytes(engine) {
             getOrCreateRecord(engine).noBytesSinceMs = clock.nowMs();
         },
-        finishRequest(engine) {
-            getOrCreateRecord(engine).inFlight -= 1;
+        finishRequest(engine, heldTokens = 0) {
+            const record = getOrCreateRecord(engine);
+            record.inFlight -= 1;
+            record.heldTokens -= heldTokens;
         },
         recordHealth(engine, message) {
             const record = getOrCreateRecord(engine);
@@ -91,6 +98,7 @@
             };
         },
         addQueuedTokens: (engine, tokens) => void (getOrCreateRecord(engine).queuedTokens += tokens),
+        countHeldTokens: engine => records.get(engine)?.heldTokens ?? 0,
         countQueuedTokens: engine => records.get(engine)?.queuedTokens ?? 0,
         describeEngine({ entry, leavesAtMs }, unresponsiveAfterMs) {
             const record = getOrCreateRecord(entry.id);
--- a/packages/front/src/createEngineSender.ts
+++ b/packages/front/src/createEngineSender.ts
@@ -156,7 +156,8 @@
             }, performance)
             : transport;
         loadTracker.addQueuedTokens(id, promptTokens);
-        loadTracker.startRequest(id);
+        const heldTokens = promptTokens + (isModel ? request.head.tokens?.maxOutput ?? 0 : 0);
+        loadTracker.startRequest(id, heldTokens);
         adapters.startRequest(id, adapter);
         limits.recordSend(entry, permit);
         paths.recordSend(entry);
@@ -165,7 +166,7 @@
             if (firstByteMs === undefined) {
                 loadTracker.addQueuedTokens(id, -promptTokens);
             }
-            loadTracker.finishRequest(id);
+            loadTracker.finishRequest(id, heldTokens);
             adapters.finishRequest(id, adapter);
             if (!isAccepted) {
                 closures.recordEnd(entry, sentMs, "failed");
--- a/packages/front/src/startAdapterTracker.ts
+++ b/packages/front/src/startAdapterTracker.ts
@@ -53,6 +53,8 @@
     countLoad(engine: EngineId): number | undefined;
     /** Prompt tokens that wait for processing on an engine over all hosts, as its owner reports. */
     countQueuedTokens(engine: EngineId): number | undefined;
+    /** Tokens that requests in flight hold at most in an engine's memory over all hosts, as its owner reports. */
+    countHeldTokens(engine: EngineId): number | undefined;
     /** Requests an adapter on an engine from the engine's owner. */
     requestLoad(
         entry: EngineEntry,
@@ -191,17 +193,14 @@
                 : await readPeers()?.request(owner, "engineUse", { ...usageReport, isRelayed: true }, PEER_TIMEOUT_MS)
                     ?? { kind: "not_owner" };
         }
-        const usage = {
-            atMs: clock.nowMs(),
-            inFlight: new Map(usageReport.inFlight),
-            total: usageReport.total,
-            queuedTokens: usageReport.queuedTokens,
-        };
-        const { host, started, seen } = usageReport;
+        const { host, inFlight, total, queuedTokens, heldTokens, started, seen } = usageReport;
+        const usage = { atMs: clock.nowMs(), inFlight: new Map(inFlight), total, queuedTokens, heldTokens };
         return { kind: "word", ...task.recordHostUsage(host, usage, started, seen) };
     };
     const reportToOwner = async (engine: EngineId, usage: OwnUsage): Promise<void> => {
         const seen = loadTracker.performance.takeSeen(engine);
+        const entry = clusterView.engines.get(engine)?.entry;
+        const isLearning = entry !== undefined && loadTracker.performance.isLearning(entry.service);
         const usageReport: HostUsageReport = {
             host: deployment.host,
             isRelayed: false,
@@ -210,6 +209,7 @@
             total: usage.total,
             queuedTokens: loadTracker.countQueuedTokens(engine),
             started: usage.started,
+            ...(isLearning ? { heldTokens: loadTracker.countHeldTokens(engine) } : {}),
             ...(seen === undefined ? {} : { seen }),
         };
         usage.started = [];
@@ -365,6 +365,7 @@
         },
         countLoad: engine => findValidReport(engine)?.load,
         countQueuedTokens: engine => findValidReport(engine)?.queuedTokens,
+        countHeldTokens: engine => findValidReport(engine)?.heldTokens,
         async requestLoad(entry, requestedAdapter, { waitMs, dueInMs }, isMissing) {
             const { adapter, model, version } = requestedAdapter;
             const loadRequest = {
--- a/packages/residency/src/describeResidency.ts
+++ b/packages/residency/src/describeResidency.ts
@@ -40,6 +40,7 @@
         load: usage.total,
         queuedTokens: usage.queuedTokens,
         placeWaitMs: estimatePlaceWait(state, usage, atMs) + estimateOrderWait(state),
+        ...(usage.heldTokens > 0 ? { heldTokens: usage.heldTokens } : {}),
         ...(state.loadMs > DEFAULT_LOAD_MS ? { loadMs: Math.round(state.loadMs) } : {}),
     };
 }
--- a/packages/residency/src/reduceResidency.feature
+++ b/packages/residency/src/reduceResidency.feature
@@ -36,3 +36,15 @@
             | it has not answered the last order   | an order at 1000 ms gets the reply "unknown" | 200  |
             | the report has to be read first      | an order at 1000 ms gets the reply "conflict" | 200 |
             | it has restarted and loads its model | its model is being loaded                    | 3000 |
+
+    # Guards against an engine that fails since the requests of many hosts together exceed its memory.
+    Scenario Outline: What requests hold in an engine's memory is added over all hosts: <case>
+        Given an owner whose loads take 255 ms, as it thinks
+        When hosts report requests that hold "<tokens>" tokens
+        Then the owner reports <held> tokens held in the engine's memory
+
+        Examples:
+            | case                                | tokens      | held  |
+            | two hosts                           | 9000 51000  | 60000 |
+            | a host that reports none            | 9000 none   | 9000  |
+            | services whose speed isn't learned  | none none   | no    |
--- a/packages/residency/src/reduceResidency.steps.ts
+++ b/packages/residency/src/reduceResidency.steps.ts
@@ -1,5 +1,5 @@
 import { brandId } from "@fulmarcleat/ids";
-import type { AdapterName, BaseModel } from "@fulmarcleat/ids";
+import type { AdapterName, BaseModel, HostId } from "@fulmarcleat/ids";
 import { Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import { applyOrderReply } from "./applyOrderReply.js";
 import { describeResidency } from "./describeResidency.js";
@@ -69,3 +69,15 @@
 Then("an adapter is expected to wait {int} ms for its order", (waitMs: number) => {
     strictEqual(describeResidency(state, 1000).placeWaitMs, waitMs);
 });
+
+When("hosts report requests that hold {string} tokens", (tokens: string) => {
+    tokens.split(" ").forEach((text, index) => {
+        const heldTokens = text === "none" ? undefined : Number(text);
+        const use = { atMs: 1000, inFlight: new Map<AdapterName, number>(), total: 1, queuedTokens: 0, heldTokens };
+        state = reduceResidency(state, { kind: "use", host: brandId<HostId>(`h${index}`), use, started: [] });
+    });
+});
+
+Then(/^the owner reports (\d+|no) tokens held in the engine's memory$/, (held: string) => {
+    strictEqual(String(describeResidency(state, 1000).heldTokens ?? "no"), held);
+});
--- a/packages/residency/src/residencyState.ts
+++ b/packages/residency/src/residencyState.ts
@@ -47,6 +47,8 @@
     readonly total: number;
     /** Prompt tokens of the requests that have not received a first byte. */
     readonly queuedTokens: number;
+    /** Tokens that the requests hold at most in the engine's memory; undefined if the host doesn't report them. */
+    readonly heldTokens?: number | undefined;
 }
 
 /** State of an engine that its owner maintains. */
--- a/packages/residency/src/sumUsage.ts
+++ b/packages/residency/src/sumUsage.ts
@@ -6,6 +6,8 @@
     readonly total: number;
     /** Prompt tokens of requests that have not received a first byte. */
     readonly queuedTokens: number;
+    /** Tokens that the requests hold at most in the engine's memory. */
+    readonly heldTokens: number;
     /** Requests in flight by adapter; only adapters in use. */
     readonly byAdapter: ReadonlyMap<AdapterName, number>;
 }
@@ -27,17 +29,19 @@
     const byAdapter = new Map<AdapterName, number>();
     let total = 0;
     let queuedTokens = 0;
+    let heldTokens = 0;
     for (const usage of state.usageByHost.values()) {
         if (atMs - usage.atMs > USAGE_VALID_MS) {
             continue;
         }
         total += usage.total;
         queuedTokens += usage.queuedTokens;
+        heldTokens += usage.heldTokens ?? 0;
         for (const [adapter, count] of usage.inFlight) {
             if (count > 0) {
                 byAdapter.set(adapter, (byAdapter.get(adapter) ?? 0) + count);
             }
         }
     }
-    return { total, queuedTokens, byAdapter };
+    return { total, queuedTokens, heldTokens, byAdapter };
 }
--- a/packages/wire/src/residencyMessages.ts
+++ b/packages/wire/src/residencyMessages.ts
@@ -60,6 +60,8 @@
     readonly queuedTokens: number;
     /** Adapters of the requests that started since the last report. */
     readonly started: readonly AdapterName[];
+    /** Tokens that the requests in flight hold at most in the engine's memory; only where its speed is learned. */
+    readonly heldTokens?: number;
     /** Left out where there is nothing to report, and by hosts that run an earlier version. */
     readonly seen?: ObservedPerformance;
 }
@@ -81,6 +83,8 @@
     readonly load: number;
     /** Prompt tokens of requests that have not received a first byte, over all hosts. */
     readonly queuedTokens: number;
+    /** Tokens that requests in flight hold at most in the engine's memory, over all hosts; only if hosts report them. */
+    readonly heldTokens?: number;
     /** Expected time until an adapter slot is free and the owner can order a load, in milliseconds. */
     readonly placeWaitMs: number;
     /** Learned duration of an adapter load, in milliseconds; absent while loads take no longer than usual. */
