Let long prompts and long streams part by cost

Owners add up the prompt tokens that come to an engine; a stream avoids engines where they will make it pause, and a long prompt costs least where others come.

--- a/packages/dispatch/src/chooseModelEngine.feature
+++ b/packages/dispatch/src/chooseModelEngine.feature
@@ -33,6 +33,9 @@
             | a long prompt, streams at a slow engine        | a:present,speed=21,load=4,prompt=9000 b:present,speed=46,load=14,prompt=9000,tokens=9000  | b      |
             | a short prompt beside the same streams         | a:present,speed=21,load=4,prompt=800 b:present,speed=46,load=14,prompt=800,tokens=9000    | a      |
             | a slow engine whose streams are late already   | a:present,speed=21,load=9,prompt=3000,tokens=12000 b:present,speed=21,load=9,prompt=3000,tokens=6000 | a |
+            | long prompts gather where others come          | a:present,speed=46,load=5,prompt=9000 b:present,speed=46,load=5,prompt=9000,prompts=40000 | b      |
+            | but not where many wait                        | a:present,speed=46,load=2,prompt=9000 b:present,speed=46,load=2,prompt=9000,prompts=40000,tokens=60000 | a |
+            | a long stream avoids them                      | a:present,speed=46,load=9,prompt=800,answer=290 b:present,speed=46,load=4,prompt=800,answer=290,prompts=40000 | a |
             | little memory for tokens is left               | a:present,speed=46,prompt=900,memory=0.95 b:present,speed=46,prompt=900,load=20           | b      |
             | a load elsewhere costs less than late streams  | a:present,speed=21,load=9,prompt=9000 b:absent,speed=46,load=2,prompt=9000                | b      |
 
--- a/packages/dispatch/src/engineView.ts
+++ b/packages/dispatch/src/engineView.ts
@@ -59,6 +59,10 @@
     readonly promptTokens: number;
     /** Tokens in one event of a stream. */
     readonly eventTokens: number;
+    /** Longest answer, in tokens. */
+    readonly outputTokens: number;
+    /** Prompt tokens that have come to the engine of late, per second; others will come while the answer runs. */
+    readonly promptTokensPerS: number;
     /** Longest pause between two events with which a stream is on time, in milliseconds. */
     readonly maxPauseMs: number;
     /** Tokens that the requests in flight at the engine hold in its memory with this one, as a part of the memory. */
--- a/packages/dispatch/src/estimateLatePauses.ts
+++ b/packages/dispatch/src/estimateLatePauses.ts
@@ -12,11 +12,14 @@
 }
 
 /** Most prompt tokens that an engine processes between two tokens of a stream; engines read prompts in such chunks. */
-const CHUNK_TOKENS = 2048;
-/** Expected pause as a part of the longest allowed one from which streams may be late; pauses vary around the estimate. */
-const RISK_PART = 0.75;
+export const CHUNK_TOKENS = 2048;
+/**
+ * Expected pause as a part of the longest allowed one from which streams may be late. An engine that shares its machine
+ * may be more than twice as slow for a part of the time.
+ */
+const RISK_PART = 0.4;
 /** Expected pause as a part of the longest allowed one from which streams are late for certain. */
-const CERTAIN_PART = 1.25;
+const CERTAIN_PART = 1.2;
 
 /**
  * Estimates the share of an engine's streams whose next event comes too late while it processes prompts. Between two
--- a/packages/dispatch/src/parseModelEngine.steps.ts
+++ b/packages/dispatch/src/parseModelEngine.steps.ts
@@ -37,6 +37,8 @@
     const work = {
         promptTokens: read("prompt") ?? 0,
         eventTokens: 5,
+        outputTokens: read("answer") ?? 50,
+        promptTokensPerS: read("prompts") ?? 0,
         maxPauseMs: 400,
         memoryPart: read("memory") ?? 0.3,
     };
--- a/packages/front/src/createEngineChooser.ts
+++ b/packages/front/src/createEngineChooser.ts
@@ -97,6 +97,8 @@
         const createWork = (id: EngineId): GenerationWork => ({
             promptTokens: promptTokens - (id === home ? sharedTokens * KEPT_PART : 0),
             eventTokens,
+            outputTokens: tokens?.maxOutput ?? 0,
+            promptTokensPerS: adapters.readPromptRate(id) ?? 0,
             maxPauseMs: route.pauseGoalMs ?? USUAL_PAUSE_GOAL_MS,
             memoryPart: spec.memoryTokens === undefined ? 0 : (countHeldTokens(id) + ownTokens) / spec.memoryTokens,
         });
--- a/packages/front/src/createEngineSender.ts
+++ b/packages/front/src/createEngineSender.ts
@@ -158,7 +158,7 @@
         loadTracker.addQueuedTokens(id, promptTokens);
         const heldTokens = promptTokens + (isModel ? request.head.tokens?.maxOutput ?? 0 : 0);
         loadTracker.startRequest(id, heldTokens);
-        adapters.startRequest(id, adapter);
+        adapters.startRequest(id, adapter, promptTokens);
         limits.recordSend(entry, permit);
         paths.recordSend(entry);
         closures.recordSend(entry);
--- a/packages/front/src/startAdapterTracker.ts
+++ b/packages/front/src/startAdapterTracker.ts
@@ -15,6 +15,8 @@
     PeerClient,
 } from "@fulmarcleat/wire";
 import { findInEntry } from "./adapters/findInEntry.js";
+import { recordLoading } from "./adapters/recordLoading.js";
+import type { ReceivedReport } from "./adapters/recordLoading.js";
 import type { ClusterView } from "./createClusterView.js";
 import type { EngineLoadTracker } from "./createEngineLoadTracker.js";
 import type { LoadRequestOutbox } from "./createLoadRequestOutbox.js";
@@ -55,6 +57,8 @@
     countQueuedTokens(engine: EngineId): number | undefined;
     /** Tokens that requests in flight hold at most in an engine's memory over all hosts, as its owner reports. */
     countHeldTokens(engine: EngineId): number | undefined;
+    /** Prompt tokens sent to an engine of late over all hosts, per second, as its owner reports. */
+    readPromptRate(engine: EngineId): number | undefined;
     /** Requests an adapter on an engine from the engine's owner. */
     requestLoad(
         entry: EngineEntry,
@@ -63,7 +67,7 @@
         isMissing: boolean,
     ): Promise<AdapterLoadReply>;
     /** Records that a request was sent to an engine. */
-    startRequest(engine: EngineId, adapter: AdapterName | undefined): void;
+    startRequest(engine: EngineId, adapter: AdapterName | undefined, promptTokens?: number): void;
     /** Records that a request on an engine ended. */
     finishRequest(engine: EngineId, adapter: AdapterName | undefined): void;
     /** Answers a load request of another host; relays it once if this host does not own the engine. */
@@ -74,18 +78,14 @@
     stop(): void;
 }
 
-/** An owner's last report on its engine. */
-interface ReceivedReport {
-    readonly report: OwnerReport;
-    readonly atMs: number;
-}
-
 /** This host's requests in flight on one engine. */
 interface OwnUsage {
     readonly inFlight: Map<AdapterName, number>;
     total: number;
     /** Adapters of the requests that started since the last usage report. */
     started: AdapterName[];
+    /** Their prompt tokens. */
+    startedTokens: number;
     isChanged: boolean;
     reportedAtMs: number;
     isReporting: boolean;
@@ -147,6 +147,7 @@
             inFlight: new Map(),
             total: 0,
             started: [],
+            startedTokens: 0,
             isChanged: false,
             reportedAtMs: -Infinity,
             isReporting: false,
@@ -193,8 +194,8 @@
                 : await readPeers()?.request(owner, "engineUse", { ...usageReport, isRelayed: true }, PEER_TIMEOUT_MS)
                     ?? { kind: "not_owner" };
         }
-        const { host, inFlight, total, queuedTokens, heldTokens, started, seen } = usageReport;
-        const usage = { atMs: clock.nowMs(), inFlight: new Map(inFlight), total, queuedTokens, heldTokens };
+        const { host, started, seen } = usageReport;
+        const usage = { ...usageReport, atMs: clock.nowMs(), inFlight: new Map(usageReport.inFlight) };
         return { kind: "word", ...task.recordHostUsage(host, usage, started, seen) };
     };
     const reportToOwner = async (engine: EngineId, usage: OwnUsage): Promise<void> => {
@@ -209,10 +210,13 @@
             total: usage.total,
             queuedTokens: loadTracker.countQueuedTokens(engine),
             started: usage.started,
-            ...(isLearning ? { heldTokens: loadTracker.countHeldTokens(engine) } : {}),
+            ...(isLearning
+                ? { heldTokens: loadTracker.countHeldTokens(engine), startedTokens: usage.startedTokens }
+                : {}),
             ...(seen === undefined ? {} : { seen }),
         };
         usage.started = [];
+        usage.startedTokens = 0;
         usage.isChanged = false;
         usage.reportedAtMs = clock.nowMs();
         if (ownership.find(engine) !== undefined) {
@@ -366,6 +370,7 @@
         countLoad: engine => findValidReport(engine)?.load,
         countQueuedTokens: engine => findValidReport(engine)?.queuedTokens,
         countHeldTokens: engine => findValidReport(engine)?.heldTokens,
+        readPromptRate: engine => findValidReport(engine)?.promptTokensPerS,
         async requestLoad(entry, requestedAdapter, { waitMs, dueInMs }, isMissing) {
             const { adapter, model, version } = requestedAdapter;
             const loadRequest = {
@@ -387,7 +392,10 @@
             }
             return reply;
         },
-        startRequest: (engine, adapter) => updateUsage(engine, adapter, 1),
+        startRequest(engine, adapter, promptTokens = 0) {
+            updateUsage(engine, adapter, 1);
+            getOrCreateUsage(engine).startedTokens += promptTokens;
+        },
         finishRequest: (engine, adapter) => updateUsage(engine, adapter, -1),
         handleLoadRequest,
         handleUsageReport,
@@ -432,25 +440,3 @@
         return { kind: "ready", inMs: LOAD_VIA_STORE_MS };
     }
 }
-
-/** Records a load that was just accepted, so that the next request counts on it before the next owner report. */
-function recordLoading(
-    ownerReports: Map<EngineId, ReceivedReport>,
-    engine: EngineId,
-    { adapter, version }: RequestedAdapter,
-    readyInMs: number,
-    atMs: number,
-): void {
-    const received = ownerReports.get(engine);
-    if (received !== undefined) {
-        const ageMs = atMs - received.atMs;
-        const others = received.report.adapters.filter(held => held.adapter !== adapter);
-        const adapters = [...others, {
-            adapter,
-            version,
-            readyInMs: readyInMs === 0 ? 0 : readyInMs + ageMs,
-            isUsed: true,
-        }];
-        ownerReports.set(engine, { report: { ...received.report, adapters }, atMs: received.atMs });
-    }
-}
--- a/packages/residency/src/describeResidency.ts
+++ b/packages/residency/src/describeResidency.ts
@@ -1,6 +1,7 @@
 import type { OwnerReport, ReportedAdapter } from "@fulmarcleat/wire";
 import { estimatePlaceWait } from "./estimatePlaceWait.js";
 import { isStalled } from "./isStalled.js";
+import { reducePromptRate } from "./reducePromptRate.js";
 import { DEFAULT_LOAD_MS } from "./residencyState.js";
 import type { ResidencyState } from "./residencyState.js";
 import { sumUsage } from "./sumUsage.js";
@@ -11,6 +12,8 @@
 const UNANSWERED_WAIT_MS = 200;
 /** Expected time until an owner may order that has to read its engine's report first, in milliseconds. */
 const REPORT_WAIT_MS = 200;
+/** Milliseconds in a second. */
+const MS_PER_S = 1000;
 
 /**
  * Creates the owner report that other hosts receive on an engine.
@@ -24,6 +27,7 @@
  */
 export function describeResidency(state: ResidencyState, atMs: number): OwnerReport {
     const usage = sumUsage(state, atMs);
+    const promptTokensPerS = Math.round(reducePromptRate(state.promptRate, 0, atMs).tokensPerMs * MS_PER_S);
     const adapters = [...state.residents].flatMap(([adapter, { version, phase }]): readonly ReportedAdapter[] => {
         const isUsed = usage.byAdapter.has(adapter);
         switch (phase.kind) {
@@ -40,6 +44,7 @@
         load: usage.total,
         queuedTokens: usage.queuedTokens,
         placeWaitMs: estimatePlaceWait(state, usage, atMs) + estimateOrderWait(state),
+        ...(promptTokensPerS > 0 ? { promptTokensPerS } : {}),
         ...(usage.heldTokens > 0 ? { heldTokens: usage.heldTokens } : {}),
         ...(state.loadMs > DEFAULT_LOAD_MS ? { loadMs: Math.round(state.loadMs) } : {}),
     };
--- a/packages/residency/src/reduceResidency.ts
+++ b/packages/residency/src/reduceResidency.ts
@@ -1,6 +1,7 @@
 import type { AdapterName, HostId } from "@fulmarcleat/ids";
 import { decayDemand } from "./decayDemand.js";
 import { isNewEnough } from "./isNewEnough.js";
+import { reducePromptRate } from "./reducePromptRate.js";
 import type { AcceptedLoad, HostUsage, LoadRequest, ResidencyState, Resident } from "./residencyState.js";
 
 /** What hosts report to an engine's owner. */
@@ -71,7 +72,8 @@
             residents.set(adapter, { ...resident, demand, demandAtMs: message.use.atMs });
         }
     }
-    return { ...state, residents, usageByHost: new Map(state.usageByHost).set(message.host, message.use) };
+    const promptRate = reducePromptRate(state.promptRate, message.use.startedTokens ?? 0, message.use.atMs);
+    return { ...state, promptRate, residents, usageByHost: new Map(state.usageByHost).set(message.host, message.use) };
 }
 
 function applyMissing(state: ResidencyState, adapter: AdapterName, atMs: number): ResidencyState {
--- a/packages/residency/src/residencyState.ts
+++ b/packages/residency/src/residencyState.ts
@@ -1,4 +1,6 @@
 import type { AdapterName, BaseModel, HostId } from "@fulmarcleat/ids";
+import { NO_PROMPTS } from "./reducePromptRate.js";
+import type { PromptRate } from "./reducePromptRate.js";
 
 /** Phase of an adapter on an engine. */
 export type ResidentPhase =
@@ -49,6 +51,8 @@
     readonly queuedTokens: number;
     /** Tokens that the requests hold at most in the engine's memory; undefined if the host doesn't report them. */
     readonly heldTokens?: number | undefined;
+    /** Prompt tokens of the requests that started since the last report; undefined if the host doesn't report them. */
+    readonly startedTokens?: number | undefined;
 }
 
 /** State of an engine that its owner maintains. */
@@ -67,6 +71,8 @@
     readonly loadMs: number;
     /** Adapters that this owner has unloaded, with their versions, the last one at the end; they load faster. */
     readonly unloaded: ReadonlyMap<AdapterName, number | undefined>;
+    /** Prompts that hosts have sent to the engine of late; none while its speed is not learned. */
+    readonly promptRate: PromptRate;
     /** Whether the engine has not answered the last order, so that no other one can be sent. */
     readonly isOrderUnanswered: boolean;
 }
@@ -93,6 +99,7 @@
         usageByHost: new Map(),
         loadMs: DEFAULT_LOAD_MS,
         unloaded: new Map(),
+        promptRate: NO_PROMPTS,
         isOrderUnanswered: false,
     };
 }
--- a/packages/wire/src/residencyMessages.ts
+++ b/packages/wire/src/residencyMessages.ts
@@ -62,6 +62,8 @@
     readonly started: readonly AdapterName[];
     /** Tokens that the requests in flight hold at most in the engine's memory; only where its speed is learned. */
     readonly heldTokens?: number;
+    /** Prompt tokens of the requests that started since the last report; only where the engine's speed is learned. */
+    readonly startedTokens?: number;
     /** Left out where there is nothing to report, and by hosts that run an earlier version. */
     readonly seen?: ObservedPerformance;
 }
@@ -85,6 +87,8 @@
     readonly queuedTokens: number;
     /** Tokens that requests in flight hold at most in the engine's memory, over all hosts; only if hosts report them. */
     readonly heldTokens?: number;
+    /** Prompt tokens that hosts have sent to the engine of late, per second; only if hosts report them. */
+    readonly promptTokensPerS?: number;
     /** Expected time until an adapter slot is free and the owner can order a load, in milliseconds. */
     readonly placeWaitMs: number;
     /** Learned duration of an adapter load, in milliseconds; absent while loads take no longer than usual. */
