--- a/packages/soak/src/checkAccounts.ts
+++ b/packages/soak/src/checkAccounts.ts
@@ -94,7 +94,7 @@
         const usual = limit === undefined ? Infinity : limit.perSecond / USUAL_DIVISOR;
         return [name, sumWindows(uses, MS_PER_S).filter(({ cost }) => cost > usual).map(({ atMs }) => atMs)];
     }));
-    const isJust = ({ req, endedAtMs }: SoakAnswer, owners: ReadonlySet<string | undefined>): boolean =>
+    const isJust = ({ endedAtMs }: SoakAnswer, owners: ReadonlySet<string | undefined>): boolean =>
         [...owners].some(name =>
             busyMoments.get(name ?? "")?.some(atMs => atMs >= endedAtMs - WINDOW_MS && atMs <= endedAtMs)
         );
