Let a host that has just started admit its saved-up share of an account's limit

Cause: what a host may admit alone began with one unit instead of half a second of its share. Three new rows of createAloneAllowance.feature failed before (2 of 5, 2 of 9, 2 of 3 admitted).

After: the rows pass.

--- a/packages/accounts/src/createAloneAllowance.feature
+++ b/packages/accounts/src/createAloneAllowance.feature
@@ -14,3 +14,15 @@
             | 6     | 10    | 1000  | 100   | 4       | 36    | 44   |
             | 6     | 10    | 1000  | 25    | 4       | 5     | 18   |
             | 86    | 1     | 3000  | 100   | 9       | 4     | 4    |
+
+    # Guards against a host that has just started and refuses an account's second request, far below its limit.
+    Scenario Outline: The first requests at one of <hosts> hosts that has just started: <count> of <cost> tokens at once
+        When a host of <hosts> that has just started decides alone on <count> requests of <cost> tokens at a limit of 29000
+        Then it admits between <admitted> and <admitted> requests
+
+        Examples:
+            | hosts | count | cost | admitted |
+            | 6     | 5     | 900  | 5        |
+            | 6     | 9     | 900  | 7        |
+            | 86    | 3     | 300  | 3        |
+            | 86    | 9     | 3000 | 2        |
--- a/packages/accounts/src/createAloneAllowance.steps.ts
+++ b/packages/accounts/src/createAloneAllowance.steps.ts
@@ -23,6 +23,16 @@
     },
 );
 
+When(
+    "a host of {int} that has just started decides alone on {int} requests of {int} tokens at a limit of {int}",
+    (hosts: number, count: number, cost: number, perSecond: number) => {
+        const alone = createAloneAllowance();
+        const limit = { unit: "tokens", perSecond, burst: 58_000, requestTokens: 900 } as const;
+        const terms = { cost, limit, hosts, extra: 27_500, windowMs: 8000, draw: 0.5, atMs: START_MS };
+        admitted = Array.from({ length: count }, () => alone.admit(terms)).filter(Boolean).length;
+    },
+);
+
 Then(
     "it admits between {int} and {int} requests",
     (least: number, most: number) => ok(admitted >= least && admitted <= most, `${admitted} admitted`),
--- a/packages/accounts/src/createAloneAllowance.ts
+++ b/packages/accounts/src/createAloneAllowance.ts
@@ -55,7 +55,8 @@
     let decayedMs = -Infinity;
     /** Clock reading of the first decision since a granter last answered, in milliseconds. */
     let sinceMs: number | undefined;
-    let share = 1;
+    /** Saved-up share; infinite before the first request, so that the first one finds all that may be saved up. */
+    let share = Infinity;
     let sharedMs = -Infinity;
     let spentExtra = 0;
     let extraMs = -Infinity;
@@ -99,7 +100,7 @@
             return false;
         },
         giveBack(cost) {
-            share = Math.min(1, share + cost);
+            share += cost;
         },
     };
 }
