--- a/packages/front/src/performance/createLoadTimes.ts
+++ b/packages/front/src/performance/createLoadTimes.ts
@@ -9,7 +9,7 @@
 }
 
 /** Time after which half of what was learned beyond the usual duration is forgotten, in milliseconds. */
-const HALF_LIFE_MS = 3000;
+const HALF_LIFE_MS = 1500;
 
 /**
  * Creates the expected duration of adapter loads: the longest that was learned, forgotten within seconds. Requests wait
--- a/packages/residency/src/reduceResidency.feature
+++ b/packages/residency/src/reduceResidency.feature
@@ -12,13 +12,13 @@
 
         Examples:
             | case                                     | expected | before                         | missing | ready | learned | reads         |
-            | a load that takes longer                 | 255      |                                | 1265    | 1290  | 290     | does not read |
-            | reported by many requests at once        | 255      | , found missing at 1262 ms     | 1265    | 1287  | 287     | does not read |
-            | still missing after it was extended      | 255      | , found missing at 1262 ms     | 1290    | 1315  | 315     | does not read |
+            | a load that takes longer                 | 255      |                                | 1265    | 1290  | 270     | does not read |
+            | reported by many requests at once        | 255      | , found missing at 1262 ms     | 1265    | 1287  | 270     | does not read |
+            | still missing after it was extended      | 255      | , found missing at 1262 ms     | 1290    | 1315  | 285     | does not read |
             | long after the expected end              | 255      |                                | 1900    | 1925  | 255     | does not read |
-            | much later, but soon after the end       | 255      |                                | 1340    | 1365  | 295     | does not read |
+            | much later, but soon after the end       | 255      |                                | 1340    | 1365  | 270     | does not read |
             | a request that didn't wait for the load  | 255      |                                | 1100    | 1255  | 255     | does not read |
-            | while loads are known to take longer     | 300      |                                | 1310    | 1335  | 335     | does not read |
+            | while loads are known to take longer     | 300      |                                | 1310    | 1335  | 315     | does not read |
             | a load that never ends                   | 255      |                                | 2900    | 1255  | 255     | reads         |
             | another version waits for its requests   | 250      | as a replacement               | 1260    | 1285  | 250     | does not read |
             | a copy loads in a tenth of the time      | 250      | after it was unloaded          | 1030    | 1035  | 250     | does not read |
--- a/packages/residency/src/reduceResidency.ts
+++ b/packages/residency/src/reduceResidency.ts
@@ -22,9 +22,9 @@
  */
 const MAX_LATENESS_MS = 100;
 /** Most by which one late load raises the expected duration, in milliseconds. */
-const MAX_LOAD_STEP_MS = 40;
+const MAX_LOAD_STEP_MS = 15;
 /** Longest duration of a load that is learned, in milliseconds. */
-const MAX_LOAD_MS = 450;
+const MAX_LOAD_MS = 350;
 
 /**
  * Applies a host's report or a tick of the clock to an engine's state.
