--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -94,7 +94,7 @@
     const peerContext = { metrics, readPeers };
     const startedMs = clock.nowMs();
     let formerVersions: readonly { readonly origin: StreamOrigin; readonly removedAtMs: number }[] = [];
-
+    /** Whether first events are held: the last record that was to be stored was stored in time. */
     let isHolding = true;
 
     const originStore = createStore(() =>
