--- a/packages/dispatch/src/chooseModelEngine.feature
+++ b/packages/dispatch/src/chooseModelEngine.feature
@@ -19,7 +19,7 @@
             | all are unresponsive: one is chosen anyway              | a:present,silent b:absent,silent  | a      |
 
     # Guards against streams that pause too long for their callers since an engine reads a long prompt between their
-    # events: 59 of 100 streams of short prompts were late on a deployment where a quarter of the engines is slow.
+    # events.
     Scenario Outline: Engines whose speed is known: <case>
         Given model engines <engines>
         Then the generation goes to "<engine>"
--- a/packages/front/src/createStreamOrigins.feature
+++ b/packages/front/src/createStreamOrigins.feature
@@ -54,7 +54,7 @@
             | it had just left, of many hosts          | v1 v2   | the engine of v1 leaves 1 s before  | 0   | v1      | 195   |
 
     # Guards against a stream that its client can't resume, since all hosts were lost between its first event and the
-    # write of its record: none of 24 went on if the hosts were killed 0.3 s after the streams began.
+    # write of its record.
     Scenario Outline: After a loss of all <hosts> hosts <ms> ms after a first event reached its client, "<versions>"
         Given <hosts> hosts and engines of the versions "<versions>"
         And the first event of a stream of version v1 has reached its client from host 0<trouble>
--- a/packages/performance/src/sampleWindow.ts
+++ b/packages/performance/src/sampleWindow.ts
@@ -1,4 +1,4 @@
-/** One measured duration. */
+/** A duration at an engine, which learned speeds are quantiles of. */
 export interface Sample {
     /** The duration, divided by the engine's slowdown at that time, in milliseconds. */
     readonly ms: number;
--- a/packages/residency/src/reduceResidency.feature
+++ b/packages/residency/src/reduceResidency.feature
@@ -1,7 +1,7 @@
 Feature: An owner learns how long adapter loads take from requests that came too early
 
-    # Guards against requests that are all turned away since a load is thought done before it is: with loads of 288 ms
-    # that were expected after 255 ms, 592 of 616 retries in 3 s were such, and the retry budget was spent.
+    # Guards against requests that are all turned away, and spend the retry budget, since a load is thought done before
+    # it is.
     Scenario Outline: <case>
         Given an owner whose loads take <expected> ms, as it thinks
         When adapter "a" is loaded at 1000 ms<before>
--- a/packages/residency/src/residencyState.ts
+++ b/packages/residency/src/residencyState.ts
@@ -104,5 +104,5 @@
     };
 }
 
-/** Assumed duration of an adapter load before the first one, in milliseconds; the deployments state 250 to 288. */
+/** Assumed duration of an adapter load before the first one, in milliseconds; platforms state 250 to 288. */
 export const DEFAULT_LOAD_MS = 255;
