Hold first events only while their records are stored within passMs

The time within which a record must be stored for the next first events to be held was 250 ms, which no rule states. An event that is passed on later than passMs (120 ms on the small deployments, 200 ms on the grown ones) makes its stream late, so that is the time now, from the settings.

--- a/packages/front/src/createStreamOrigins.steps.ts
+++ b/packages/front/src/createStreamOrigins.steps.ts
@@ -95,6 +95,7 @@
         incarnation: brandId<Incarnation>(String(incarnations += 1)),
         hash: await createHasher(),
         metrics: createMetrics(),
+        readBounds: () => ({ eventPassMs: 120 }),
         log: { write: () => undefined },
         store: {
             ...store,
--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -60,10 +60,11 @@
 const UNREACHED_INTERVAL_PER_KEEPER_MS = 40;
 /** Longest wait until a peer has stored a record, in milliseconds: two writes, and a peer that is behind. */
 const STORE_TIMEOUT_MS = 400;
-/** Longest time for which a first event is held until its record is stored, in milliseconds. */
+/**
+ * Longest time for which a first event is held until its record is stored, in milliseconds. It is held that long only
+ * once: the shortest goal of a stream is 600 ms, and a later record ends the holding.
+ */
 const MAX_HOLD_MS = 500;
-/** Time within which a record must be stored for the next first events to be held, in milliseconds. */
-const HOLDING_REPLY_MS = 250;
 /** Interval between two looks whether a service has got a second software version, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
 
@@ -84,12 +85,12 @@
  * const streamOrigins = createStreamOrigins(context, clusterView, () => peers, interval => createOriginStore(context, interval));
  */
 export function createStreamOrigins(
-    context: Pick<FrontContext, "clock" | "deployment" | "hash" | "metrics">,
+    context: Pick<FrontContext, "clock" | "deployment" | "hash" | "metrics" | "readBounds">,
     clusterView: Pick<ClusterView, "confirmEngines" | "engines" | "members" | "onEngineRemoved" | "recordedVersions">,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
     createStore: (readIntervalMs: () => number) => OriginStore,
 ): StreamOrigins {
-    const { clock, deployment, hash, metrics } = context;
+    const { clock, deployment, hash, metrics, readBounds } = context;
     const kept = new Map<RequestId, KeptOrigin>();
     const peerContext = { metrics, readPeers };
     const startedMs = clock.nowMs();
@@ -159,7 +160,7 @@
             cancelLimit = clock.setTimer(MAX_HOLD_MS, () => resolve(false));
         });
         const settled = isStored.then(isDone => {
-            isHolding = isDone && clock.nowMs() - sinceMs <= HOLDING_REPLY_MS;
+            isHolding = isDone && clock.nowMs() - sinceMs <= readBounds().eventPassMs;
             return isDone;
         });
         if (!await Promise.race([settled, limit])) {
