Soak: give proxies ports that the kernel gives to no connection

Cause: a proxy took a port of the range from which the kernel also takes the ports of outgoing connections (32768 to 60999). It closes that port for a moment, before a worker blocks it and before it listens again, and another process got it meanwhile.

Fix: proxies listen below that range, so that no connection can take their ports.

--- a/packages/soak/src/createLoopbackProxy.ts
+++ b/packages/soak/src/createLoopbackProxy.ts
@@ -2,6 +2,7 @@
 import { connect, createServer } from "node:net";
 import type { Socket } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
+import { listenApart } from "./listenApart.js";
 
 /** How a proxy treats the connections through it. */
 export type LinkMode =
@@ -86,7 +87,7 @@
         forward(client, upstream, false);
         forward(upstream, client, true);
     });
-    const port = await listen(server, { host: "127.0.0.1", port: 0 });
+    const port = await listenApart(server);
     return {
         port,
         setMode: next => void (mode = next),
