--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -19,9 +19,14 @@
     let status = EXIT.failed;
     const limit = new Promise((resolve, reject) =>
         setTimeout(() => reject(new Error("the case takes too long")), LIMIT_MS).unref());
+    const stopped = new Promise((resolve, reject) => {
+        for (const signal of ["SIGINT", "SIGTERM"]) {
+            process.once(signal, () => reject(new Error(`stopped by ${signal}`)));
+        }
+    });
     try {
         const context = { record, folder, hasTrouble: process.env.TROUBLE !== "0", onClose: close => void closers.unshift(close) };
-        const { isBroken, summary } = await Promise.race([play(context), limit]);
+        const { isBroken, summary } = await Promise.race([play(context), limit, stopped]);
         status = isBroken ? EXIT.broken : EXIT.held;
         record(`${isBroken ? "BROKEN" : "held"}: ${summary}`);
         console.log(`${isBroken ? "BROKEN" : "held"}: ${summary}`);
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -2,6 +2,7 @@
 import { createSystemClock } from "@fulmarcleat/ids";
 import { createEngineStandin, createStoreStandin } from "@fulmarcleat/platform-standin";
 import { spawn } from "node:child_process";
+import { writeFileSync } from "node:fs";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -76,7 +77,7 @@
  * Starts a front process, and starts it again when it ends by itself. As the platform does, it kills a process that
  * exceeds its memory.
  */
-export async function startFront({ name, zone, zones, storePort, folder, record, bootstrap = true }) {
+export async function startFront({ name, zone, zones, storePort, folder, record, bootstrap = true, bounds = {} }) {
     const [client, ready] = await findPorts(2);
     const first = await findRange(8);
     const file = join(folder, `${name}.json`);
@@ -89,14 +90,20 @@
         dataDir: null, discovery: "platform", entry: "vip", heartbeatMs: 1200,
         contracts: ["base", "drain", "config", "cost", "retry", "recover", "fleet", "stream", "engine", "platform"],
         faultTolerance: { machines: 1, zones: 0, regions: 0 },
-        bounds: BOUNDS,
+        bounds: { ...BOUNDS, ...bounds },
         platform: { address: `${LOOPBACK}:${storePort}`, form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20,
             valueBytes: 1_048_576, ttlMinMs: 1000 },
     };
     await writeFile(file, JSON.stringify(settings));
     const [program, ...words] = await readCommand();
     const front = { name, client, ready, first, ends: 0, peakMb: 0, child: undefined, isClosed: false, output: [], isExpected: false };
+    let starts = 0;
     const start = () => {
+        // Only the first start is that of the whole system.
+        starts += 1;
+        if (starts > 1) {
+            writeFileSync(file, JSON.stringify({ ...settings, bootstrap: false }));
+        }
         const child = spawn(program, words, {
             cwd: ROOT,
             env: { PATH: process.env.PATH, HOME: process.env.HOME, FULMARCLEAT_CONFIG: file },
