--- a/review/lib-2/clients.mjs
+++ b/review/lib-2/clients.mjs
@@ -10,7 +10,7 @@
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     return {
         /** Sends a request; resolves to how it ended. */
-        send({ method = "GET", path, deadlineMs, generation, body = "", headers = {} }) {
+        send({ method = "GET", path, deadlineMs, generation, body = "", headers = {}, signal }) {
             const id = randomBytes(8).toString("hex");
             const sentMs = performance.now();
             const result = { id, path, sentMs, status: undefined, seal: undefined, text: "", isComplete: false, error: undefined,
@@ -43,6 +43,7 @@
                         finish();
                     }
                 });
+                signal?.addEventListener("abort", () => req.destroy(new Error("the client closes its channel")), { once: true });
                 req.end(body);
             });
         },
