--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -31,30 +31,24 @@
 /** Returns the path of a temporary folder. */
 export const makeFolder = () => mkdtemp(join(tmpdir(), "review-"));
 
-/** Finds a run of free ports. */
-export async function findPorts(count) {
-    const servers = await Promise.all(Array.from({ length: count }, () =>
-        new Promise((resolve, reject) => {
-            const server = createServer();
-            server.once("error", reject);
-            server.listen(0, LOOPBACK, () => resolve(server));
-        })));
-    const ports = servers.map(server => server.address().port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-}
+/** Ports that the kernel gives to no outgoing connection, so that none is taken while a process is down. */
+const PORTS = { from: 10_000, to: 30_000 };
+const taken = new Set();
+
+const isFree = port =>
+    new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(false));
+        server.listen(port, LOOPBACK, () => server.close(() => resolve(true)));
+    });
 
-/** Finds consecutive free ports, as the settings name the range by its first and last one. */
-async function findRange(count) {
+/** Finds consecutive free ports, as the settings name a range by its first and last one; returns the first. */
+async function findPorts(count) {
     for (;;) {
-        const [first] = await findPorts(1);
-        const results = await Promise.all(Array.from({ length: count }, (unused, at) =>
-            new Promise(resolve => {
-                const server = createServer();
-                server.once("error", () => resolve(false));
-                server.listen(first + at, LOOPBACK, () => server.close(() => resolve(true)));
-            })));
-        if (results.every(Boolean) && first + count < 60_000) {
+        const first = PORTS.from + Math.floor(Math.random() * (PORTS.to - PORTS.from - count));
+        const ports = Array.from({ length: count }, (unused, at) => first + at);
+        if (ports.every(port => !taken.has(port)) && (await Promise.all(ports.map(isFree))).every(Boolean)) {
+            ports.forEach(port => taken.add(port));
             return first;
         }
     }
@@ -78,8 +72,9 @@
  * exceeds its memory.
  */
 export async function startFront({ name, zone, zones, storePort, folder, record, bootstrap = true, bounds = {} }) {
-    const [client, ready] = await findPorts(2);
-    const first = await findRange(8);
+    const client = await findPorts(10);
+    const ready = client + 1;
+    const first = client + 2;
     const file = join(folder, `${name}.json`);
     const settings = {
         node: name, role: "front", machineClass: "front", serves: ["front"], ip: LOOPBACK, zone, region: "r",
