Resume streams of a split route at the service that began them

Callers saw: after the weights of a split route had changed, most streams of before could not be taken up again: each try was answered 503 (version_gone) until the time budget ended, though the service that had begun them was still a target and served.

Cause: planRequest picked the service of a resumed request by the hash of its first request's id over the weights of now. The origin was asked for only afterwards, and engines were looked for in the picked service alone.

Change: a plan names all services of the route with a weight above 0, and the runner directs a stream whose origin is known to the service that began it. The same holds for a stream that another host hands on, and for one that began by way of another host with other weights.

Still to do: without a known origin the only version of the service that the weights pick now is taken.

--- a/packages/front/src/clientRequest.ts
+++ b/packages/front/src/clientRequest.ts
@@ -6,20 +6,26 @@
 import type { AnswerRelay } from "./relayAnswer.js";
 import type { RequestedAdapter } from "./startAdapterTracker.js";
 
+/** A service that may serve a request. */
+export interface ServiceOption {
+    readonly service: Service;
+    /** The adapter that the request needs there; undefined if it names none or the service runs no model. */
+    readonly requestedAdapter: RequestedAdapter | undefined;
+}
+
 /** A client's request while this process serves it. */
-export interface ClientRequest {
+export interface ClientRequest extends ServiceOption {
     readonly req: IncomingMessage;
     readonly res: ServerResponse;
     readonly requestId: RequestId;
     readonly head: ClientHead;
     readonly route: Route;
-    readonly service: Service;
+    /** The route's other services: a stream goes on where it began, also if a new one would go elsewhere by now. */
+    readonly alternatives: readonly ServiceOption[];
     /** The client's account; undefined without accounts in the configuration, and on anonymous routes. */
     readonly account: ClientAccount | undefined;
     /** 0 is the most urgent: the account's priority, or the route's if the account has none. */
     readonly priority: number;
-    /** The adapter that the request needs; undefined if it names none or its service runs no model. */
-    readonly requestedAdapter: RequestedAdapter | undefined;
     readonly body: Buffer;
     /** Tells whether two requests are the same; undefined while the hosts' shared key is not known. */
     readonly digest: RequestDigest | undefined;
--- a/packages/front/src/createClientHandler.ts
+++ b/packages/front/src/createClientHandler.ts
@@ -1,3 +1,4 @@
+import type { Service } from "@fulmarcleat/directory";
 import { canFinishBeforeStop, chooseRetryAfter } from "@fulmarcleat/dispatch";
 import { toErrorStatus, toServeError } from "@fulmarcleat/errors";
 import { readBody } from "@fulmarcleat/http";
@@ -12,7 +13,7 @@
 import type { OverLimit } from "./accounts/runWithinLimit.js";
 import { NO_ATTEMPTS } from "./applyAttempt.js";
 import type { RequestEnd } from "./applyAttempt.js";
-import type { ClientRequest } from "./clientRequest.js";
+import type { ClientRequest, ServiceOption } from "./clientRequest.js";
 import type { ClusterView } from "./createClusterView.js";
 import type { LoopTurns } from "./createLoopTurns.js";
 import type { RequestDigester } from "./createRequestDigester.js";
@@ -124,7 +125,7 @@
             refuseUnplanned(req, res, id, planned, 0);
             return;
         }
-        const { config, route, service, requestId } = planned;
+        const { config, route, service, alternatives, requestId } = planned;
         accounts.set(res, planned.account?.name);
         const deadlineAtMs = startedMs + Math.min(head.deadlineMs ?? Infinity, route.timeoutMs);
         const endsBeforeStop = (): boolean => {
@@ -193,16 +194,20 @@
                 ? createAnswerRelay(res, { sendsCompleteEvents: route.isResumable, isClosing: isStopping })
                 : undefined;
             const requestedAdapter = findRequestedAdapter(head, clusterView);
+            const toOption = (target: Service): ServiceOption => ({
+                service: target,
+                requestedAdapter: target.engine === undefined ? undefined : requestedAdapter,
+            });
             const request: ClientRequest = {
                 req,
                 res,
                 requestId,
                 head: removeCredentials(head, account !== undefined || clusterView.config?.accounts !== undefined),
                 route,
-                service,
+                ...toOption(service),
+                alternatives: alternatives.map(toOption),
                 account,
                 priority,
-                requestedAdapter: service.engine === undefined ? undefined : requestedAdapter,
                 body,
                 digest: digestRequest({
                     method: req.method ?? "GET",
--- a/packages/front/src/createForwarder.steps.ts
+++ b/packages/front/src/createForwarder.steps.ts
@@ -217,6 +217,7 @@
         route: { kind: "unsafe", isResumable: false, maxEngines: 2, goalMs: 100 },
         priority: 0,
         service: { name: SERVICE, maxConnections: 10, engine: undefined },
+        alternatives: [],
         requestedAdapter: undefined,
         body: Buffer.alloc(0),
         digest: undefined,
--- a/packages/front/src/planRequest.feature
+++ b/packages/front/src/planRequest.feature
@@ -15,6 +15,20 @@
             | no route, and the host may lack a newer configuration | for another path by an old configuration | 503 not_ready |
             | no id, and the host may lack a newer configuration | without an id by an old configuration | 400 bad_request |
 
+    # Guards against a stream that can't be resumed at the service that began it, since new ones go elsewhere by now.
+    Scenario Outline: After the weights have become <weights>, the service <service> may still go on with its streams: <may>
+        Given a configuration that splits the route "/answers/" evenly between the services "a" and "b"
+        And the weights become <weights>
+        When a stream that began at "<service>" is resumed 100 times
+        Then each plan allows that service: <may>
+
+        Examples:
+            | weights | service | may |
+            | 1 to 99 | a       | yes |
+            | 99 to 1 | b       | yes |
+            | 0 to 99 | a       | no  |
+            | 99 to 0 | b       | no  |
+
     # Guards against a resumed stream that goes to another service of a split route than the one that began it.
     Scenario: A client that resumes a stream reaches the service that began it
         Given a configuration that splits the route "/answers/" evenly between the services "a" and "b"
--- a/packages/front/src/planRequest.steps.ts
+++ b/packages/front/src/planRequest.steps.ts
@@ -14,6 +14,7 @@
 
 let config: ServingConfig;
 let plan: RequestPlan;
+let allowed: readonly boolean[] = [];
 let begunAt: readonly string[] = [];
 let resumedAt: readonly string[] = [];
 
@@ -30,6 +31,31 @@
     },
 );
 
+Given("the weights become {int} to {int}", (first: number, second: number) => {
+    const weights = [first, second];
+    const routes = config.routes.map(route => ({
+        ...route,
+        targets: route.targets.map((target, at) => ({ ...target, weight: weights[at] ?? 0 })),
+    }));
+    config = { ...config, routes };
+});
+
+When("a stream that began at {string} is resumed {int} times", async (service: string, count: number) => {
+    const hash = await createHasher();
+    allowed = Array.from({ length: count }, (value, at) => {
+        const ids = { requestId: brandId<RequestId>(`r${at}+`), resumedRequestId: brandId<RequestId>(`r${at}`) };
+        const known = { config, isCurrent: () => true, ...NO_ACCOUNTS };
+        const found = planRequest({ ...HEAD, ...ids, lastEventId: "1" }, "/answers/1", known, hash, undefined);
+        const services = found.kind === "planned" ? [found.service, ...found.alternatives] : [];
+        return services.some(({ name }) => name === service);
+    });
+});
+
+Then(
+    /^each plan allows that service: (yes|no)$/,
+    (expected: string) => deepStrictEqual([...new Set(allowed)], [expected === "yes"]),
+);
+
 When(/^a request (.*) is planned$/, async (request: string) => {
     const head = request.startsWith("without an id") ? { ...HEAD, requestId: undefined } : HEAD;
     const path = request.startsWith("for another path") ? "/other/1" : "/answers/1";
--- a/packages/front/src/planRequest.ts
+++ b/packages/front/src/planRequest.ts
@@ -22,7 +22,10 @@
         readonly requestId: RequestId;
         readonly config: ServingConfig;
         readonly route: Route;
+        /** The service that a new request goes to. */
         readonly service: Service;
+        /** The route's other services; a stream that began at one of them goes on there. */
+        readonly alternatives: readonly Service[];
         /** Account of the request; undefined if it needs none. */
         readonly account: ClientAccount | undefined;
         /** 0 is the most urgent. */
@@ -68,7 +71,7 @@
         return refuse("bad_request");
     }
     const route = matchRoute(config.routes, head.hostName, path);
-    // A resumed stream goes where the request that began it went.
+    // Where a resumed stream began is asked for later; without an answer it goes where its first request would go now.
     const key = head.resumedRequestId ?? requestId;
     const target = route === undefined ? undefined : pickTarget(hash, route.targets, key);
     const service = target === undefined ? undefined : config.services.get(target);
@@ -87,11 +90,20 @@
         case "no_account": {
             const account = authentication.kind === "account" ? authentication.account : undefined;
             const priority = choosePriority(account, route);
-            return { kind: "planned", requestId, config, route, service, account, priority };
+            const alternatives = listServices(config, route).filter(({ name }) => name !== service.name);
+            return { kind: "planned", requestId, config, route, service, alternatives, account, priority };
         }
     }
 }
 
+/** Lists the services that a route sends requests to. */
+function listServices(config: ServingConfig, { targets }: Route): readonly Service[] {
+    return targets
+        .filter(({ weight }) => weight > 0)
+        .map(target => config.services.get(target.service))
+        .filter(service => service !== undefined);
+}
+
 function refuse(code: ErrorCode, retryAfterMs?: number): RequestPlan {
     return { kind: "refused", status: toErrorStatus(code), reason: code, retryAfterMs };
 }
--- a/packages/front/src/runRequest.feature
+++ b/packages/front/src/runRequest.feature
@@ -18,6 +18,22 @@
             | a resumption of another service's stream | v1 v1       | send the whole stream           | began at v1 in other-models |             | gave_up not_run version_gone   |
             | a resumption whose origin is not known   | v1 v2       | send the whole stream           | began nobody knows where    |             | gave_up not_run unknown_origin |
 
+    # Guards against a stream that can't be resumed, since the weights of its route pick another service by now.
+    Scenario Outline: A stream of a split route goes on at the service that began it: <case>
+        Given engines of the versions "v1 v2" that <behaviour>
+        And engines of the versions "v1 v2" in the route's other service "other-models"
+        And a stream that <origin>
+        When a client's request for the stream runs 20 times
+        Then each run is sent to versions "<sent>" and ends as "<end>"
+
+        Examples:
+            | case                           | behaviour             | origin                      | sent                              | end                          |
+            | new streams go there           | send the whole stream | began at v2 in models       | v2                                | relayed                      |
+            | new streams go elsewhere       | send the whole stream | began at v2 in other-models | v2 of other-models                | relayed                      |
+            | its version is gone there      | send the whole stream | began at v3 in other-models |                                   | gave_up not_run version_gone |
+            | its service has left the route | send the whole stream | began at v1 in no-models    |                                   | gave_up not_run version_gone |
+            | its new engine breaks off      | break off before an event | began at v2 in other-models | v2 of other-models            | gave_up unknown no_room      |
+
     # Guards against a stream that has begun and is closed because another engine answers its resumption with a failure.
     Scenario Outline: A failed answer doesn't end a stream that has begun: <case>
         Given engines of the versions "<engines>" that break off after the first event, then fail once
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -61,6 +61,8 @@
 };
 
 let engines: Map<EngineId, KnownEngine>;
+/** Another service of the request's route. */
+let alternative: Service | undefined;
 let acts: readonly Act[] = [];
 let isResumed = false;
 let origin: StreamOrigin | undefined;
@@ -69,6 +71,7 @@
 
 Given(/^engines of the versions "(.*)" that (.*)$/, (versions: string, behaviour: string) => {
     ok(behaviour in ACTS);
+    alternative = undefined;
     acts = ACTS[behaviour] ?? [];
     engines = new Map(
         versions.split(" ").map((version, at) => {
@@ -84,6 +87,20 @@
     );
 });
 
+Given("engines of the versions {string} in the route's other service {string}", (versions: string, name: string) => {
+    alternative = { ...SERVICE, name: brandId(name) };
+    versions.split(" ").forEach((version, at) => {
+        const id = brandId<EngineId>(`other-${at}`);
+        const entry = {
+            id,
+            service: name,
+            softwareVersion: `${version} of ${name}`,
+            address: { ip: "127.0.0.1", port: 100 + at },
+        };
+        engines.set(id, { entry, isUsable: true } as unknown as KnownEngine);
+    });
+});
+
 Given("a stream that is new", () => {
     isResumed = false;
     origin = undefined;
@@ -96,7 +113,8 @@
 
 Given(/^a stream that began at (v\d+) in (\S+)$/, (version: string, service: string) => {
     isResumed = true;
-    origin = { service: brandId(service), softwareVersion: brandId<SoftwareVersion>(version) };
+    const softwareVersion = service === alternative?.name ? `${version} of ${service}` : version;
+    origin = { service: brandId(service), softwareVersion: brandId<SoftwareVersion>(softwareVersion) };
 });
 
 Then("each client has received {string}", (events: string) => {
@@ -247,6 +265,7 @@
         route: { kind: "streaming", isResumable: true, maxEngines: 3, goalMs: 100 },
         priority: 0,
         service: SERVICE,
+        alternatives: alternative === undefined ? [] : [{ service: alternative, requestedAdapter: undefined }],
         requestedAdapter: undefined,
         body: Buffer.alloc(0),
         digest: undefined,
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -25,6 +25,7 @@
 import { giveUp } from "./giveUp.js";
 import { listSuspects } from "./listSuspects.js";
 import { mayFailOver } from "./mayFailOver.js";
+import { directToOrigin } from "./origins/directToOrigin.js";
 import type { ExchangeResult } from "./runExchange.js";
 import { runWithTakeover, SILENT } from "./runWithTakeover.js";
 import type { ExchangeEvents, RunningExchange } from "./runWithTakeover.js";
@@ -275,7 +276,7 @@
         const preparation = { unownedEngines: new Set<EngineId>(), refusedGrants: 0 };
         for (let tries = 0; tries < MAX_TAKEOVER_TRIES && progress.sends < MAX_SENDS; tries += 1) {
             const next = await findOrigin(request, stream)
-                ? await chooseTarget(request, progress, { ...state, preparation })
+                ? await chooseTarget(directToOrigin(request, stream.origin), progress, { ...state, preparation })
                 : undefined;
             if (next === undefined || next.kind === "over" || request.signal.aborted || !isWanted()) {
                 return undefined;
@@ -309,18 +310,18 @@
             }
         }
     };
-    const run = async (request: ClientRequest): Promise<RequestEnd> => {
-        const { lastEventId, resumedRequestId } = request.head;
-        const { mark } = request;
+    const run = async (received: ClientRequest): Promise<RequestEnd> => {
+        const { lastEventId, resumedRequestId } = received.head;
+        const { mark } = received;
         const isResumed = lastEventId !== undefined;
         const stream: StreamState = {
             origin: mark?.origin
-                ?? (isResumed ? await streamOrigins.find(resumedRequestId, request.service) : undefined),
+                ?? (isResumed ? await streamOrigins.find(resumedRequestId, received.service) : undefined),
         };
         if (isResumed && stream.origin === undefined) {
             return giveUp(NO_ATTEMPTS, "unknown_origin", UNKNOWN_ORIGIN_RETRY_MS);
         }
-        const quarantined = quarantine.find(listSuspects(request));
+        const quarantined = quarantine.find(listSuspects(received));
         if (quarantined !== undefined) {
             return giveUp(NO_ATTEMPTS, describeQuarantine(quarantined), QUARANTINED_RETRY_MS);
         }
@@ -334,12 +335,13 @@
         };
         let progress = mark === undefined ? NO_ATTEMPTS : resumeProgress(mark);
         while (progress.sends < MAX_SENDS) {
-            if (request.signal.aborted || request.deadlineAtMs - clock.nowMs() < MIN_REMAINING_MS) {
+            if (received.signal.aborted || received.deadlineAtMs - clock.nowMs() < MIN_REMAINING_MS) {
                 return giveUp(progress, "ended", NO_ENGINE_RETRY_MS);
             }
-            if (!await findOrigin(request, stream)) {
+            if (!await findOrigin(received, stream)) {
                 return giveUp(progress, "unknown_origin", UNKNOWN_ORIGIN_RETRY_MS);
             }
+            const request = directToOrigin(received, stream.origin);
             const chosen = await chooseTarget(request, progress, state);
             if (chosen.kind === "over") {
                 return chosen.end;
--- a/packages/front/src/silentStream.steps.ts
+++ b/packages/front/src/silentStream.steps.ts
@@ -362,6 +362,7 @@
         },
         priority: 0,
         service,
+        alternatives: [],
         requestedAdapter: undefined,
         body: Buffer.alloc(0),
         digest: undefined,
