Keep on record at which service and version the streams of a route begin

After a loss of all hosts, or for clients that name no first request, hosts took the only software version of the service that the route's weights pick now, though the route had other weights, or another service, when the stream began.

Cause: nothing that outlives the hosts says what a route's weights were.

One host writes, the others follow in turn. A former rule stays for 60 s, so that two successive lists share one; a list from before a copy of the store, or beside a host of a former version, is not relied on. The only version counts only if all rules and the weights of now give the same service.

For a minute after a change of weights the streams that they move are written to the store, and their first events held for it.

--- a/packages/front/src/createClusterView.ts
+++ b/packages/front/src/createClusterView.ts
@@ -320,6 +320,10 @@
         claims: records.claims,
         quarantined: records.quarantined,
         recordedVersions: records.recordedVersions,
+        originRules: records.originRules,
+        get storeEpoch() {
+            return records.storeEpoch;
+        },
         onQuarantine: records.onQuarantine,
         onQuarantineLost: records.onQuarantineLost,
         readAgeMs,
--- a/packages/front/src/createHostRecords.ts
+++ b/packages/front/src/createHostRecords.ts
@@ -1,3 +1,4 @@
+import { splitRevision } from "@fulmarcleat/directory";
 import type { FeedListener, StoreEvent, StoreItem } from "@fulmarcleat/directory";
 import type { EventLog } from "@fulmarcleat/events";
 import type { Clock, EngineId, HostId, Suspect } from "@fulmarcleat/ids";
@@ -6,6 +7,7 @@
 import type { OwnerClaims } from "./createOwnerClaims.js";
 import {
     formatMemberKey,
+    formatOriginRuleKey,
     formatOwnerKey,
     formatQuarantineKey,
     parseHostKey,
@@ -14,6 +16,8 @@
     parseOwner,
 } from "./hostKeys.js";
 import type { Member, RecordedVersion, StoredQuarantine } from "./hostKeys.js";
+import { decodeOriginRules } from "./origins/originRulesValue.js";
+import type { RecordedRules } from "./origins/originRulesValue.js";
 import { runEach } from "./runEach.js";
 
 /** What the system's own keys in the store say. */
@@ -24,6 +28,10 @@
     readonly claims: OwnerClaims;
     /** Software versions of services that are in use, or were until lately, by their keys in the store. */
     readonly recordedVersions: ReadonlyMap<string, RecordedVersion>;
+    /** Origin rules of routes, by the routes' names. */
+    readonly originRules: ReadonlyMap<string, RecordedRules>;
+    /** How often the store has come back from a copy, as far as its keys show. */
+    readonly storeEpoch: number;
     /** Prompt parts and requests that are quarantined in the store. */
     readonly quarantined: ReadonlyMap<Suspect, StoredQuarantine>;
     /** How often the system's keys were listed; changes before the last list may have gone unseen. */
@@ -67,16 +75,20 @@
     const claims = createOwnerClaims(clock);
     const quarantined = new Map<Suspect, StoredQuarantine>();
     const recordedVersions = new Map<string, RecordedVersion>();
+    const originRules = new Map<string, RecordedRules>();
     const quarantineListeners: ((suspect: Suspect, isSet: boolean) => void)[] = [];
     const quarantineLossListeners: ((suspect: Suspect) => void)[] = [];
     const loadRequestListeners: ((loadRequests: readonly AdapterLoadRequest[]) => void)[] = [];
     /** Hosts whose entries a copy of the store lacks, and until when they may write them again, in milliseconds. */
     const unconfirmedMembers = new Map<HostId, number>();
+    let storeEpoch = 0;
     let hostKeyLists = 0;
     let hostKeysListedMs = 0;
 
     const applyHostItem = (item: StoreItem, isRestored = false): void => {
         const key = parseHostKey(item.key);
+        const { epoch } = splitRevision(item.revision);
+        storeEpoch = Math.max(storeEpoch, epoch);
         switch (key.kind) {
             case "member": {
                 const member = parseMember(key.host, item.value);
@@ -110,6 +122,9 @@
             case "version":
                 recordedVersions.set(item.key, { ...key.version, revision: item.revision });
                 return;
+            case "origin_rules":
+                originRules.set(key.route, { revision: item.revision, rules: decodeOriginRules(item.value, epoch) });
+                return;
             case "wants":
                 loadRequestListeners.forEach(listener => listener(parseLoadRequests(item.value)));
                 return;
@@ -136,6 +151,9 @@
             case "version":
                 recordedVersions.delete(text);
                 return;
+            case "origin_rules":
+                originRules.delete(key.route);
+                return;
             case "wants":
             case "other":
                 return;
@@ -167,6 +185,7 @@
                 ...[...members.keys()].filter(host => !unconfirmedMembers.has(host)).map(formatMemberKey),
                 ...[...claims.current.keys()].map(formatOwnerKey),
                 ...[...quarantined.keys()].map(formatQuarantineKey),
+                ...[...originRules.keys()].map(formatOriginRuleKey),
                 ...[...recordedVersions].filter(([, { revision }]) => revision !== 0).map(([key]) => key),
             ]
                 .filter(key => !present.has(key))
@@ -189,6 +208,10 @@
         members,
         claims,
         recordedVersions,
+        originRules,
+        get storeEpoch() {
+            return storeEpoch;
+        },
         quarantined,
         listener,
         get hostKeyLists() {
--- a/packages/front/src/createStreamOrigins.steps.ts
+++ b/packages/front/src/createStreamOrigins.steps.ts
@@ -1,4 +1,5 @@
 import type { EngineEntry, KnownEngine, Service, StoreChange } from "@fulmarcleat/directory";
+import { pickTarget } from "@fulmarcleat/dispatch";
 import { createMetrics } from "@fulmarcleat/events";
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId, createManualClock } from "@fulmarcleat/ids";
@@ -12,7 +13,7 @@
     SoftwareVersion,
 } from "@fulmarcleat/ids";
 import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
-import type { PeerClient, StreamOriginRequest, StreamRecord } from "@fulmarcleat/wire";
+import type { PeerClient, StreamOrigin, StreamOriginRequest, StreamRecord } from "@fulmarcleat/wire";
 import { setImmediate } from "node:timers/promises";
 import { createOriginStore, ORIGIN_PREFIX } from "./createOriginStore.js";
 import { createStoreFake } from "./createStoreFake.steps.js";
@@ -22,10 +23,14 @@
 import type { FrontContext } from "./frontContext.js";
 import { formatVersionKey } from "./hostKeys.js";
 import type { Member, RecordedVersion } from "./hostKeys.js";
+import type { OriginRoute } from "./origins/createRuleBook.js";
+import type { RecordedRules } from "./origins/originRulesValue.js";
+import { parseRule, parseServices } from "./origins/parseRule.steps.js";
 import { RESUMABLE_MS } from "./resumableTime.js";
 
 const STREAM = brandId<RequestId>("r1");
 const SERVICE = { name: brandId<ServiceName>("models") } as Service;
+const ROUTE: OriginRoute = { name: "answers", targets: [{ service: SERVICE.name, weight: 1 }] };
 
 let clock: ManualClock;
 let members: Map<HostId, Member>;
@@ -51,6 +56,12 @@
 /** Time for which first events were held, in milliseconds. */
 let heldMs = 0;
 let versions: readonly (string | undefined)[] = [];
+/** Services at which streams of a split route began. */
+let begunAt: ReadonlyMap<RequestId, ServiceName> = new Map();
+let foundOrigins: readonly { readonly id: RequestId; readonly origin: StreamOrigin | undefined }[] = [];
+let route = ROUTE;
+/** Origin rules that the store has on record. */
+let originRules: Map<string, RecordedRules>;
 
 const toHost = (number: number | string): HostId => brandId<HostId>(`host-${number}`);
 
@@ -117,6 +128,7 @@
     const clusterView = {
         engines: ownEngines,
         members,
+        originRules,
         recordedVersions: outOfStep === undefined ? recordedVersions : new Map([...recordedVersions].slice(0, 1)),
         confirmEngines,
         onEngineRemoved: (listener: (entry: EngineEntry) => void) => void removalListeners.push(listener),
@@ -154,6 +166,8 @@
         }),
     );
     isFirstStart = true;
+    route = ROUTE;
+    originRules = new Map();
     recordedVersions = new Map(
         [...engines.values()].map(({ entry }) => [formatVersionKey(entry), { ...entry, revision: 1 }]),
     );
@@ -177,7 +191,7 @@
     hosts.forEach((host, name) => {
         for (let stream = 0; stream < perHost; stream += 1) {
             const requestId = brandId<RequestId>(`${name}-${stream}`);
-            void host.record({ requestId, service: SERVICE.name, softwareVersion: brandId("v2") });
+            void host.record({ requestId, service: SERVICE.name, softwareVersion: brandId("v2") }, route);
         }
     });
 }
@@ -191,7 +205,7 @@
             requestId: STREAM,
             service: SERVICE.name,
             softwareVersion: brandId(version),
-        });
+        }, route);
         let hasReached = events === undefined;
         void events?.then(() => {
             hasReached = true;
@@ -228,7 +242,10 @@
     for (let stream = 0; stream < count; stream += 1) {
         const requestId = brandId<RequestId>(`away-${stream}`);
         const startedMs = clock.nowMs();
-        const held = hosts.get(toHost(0))?.record({ requestId, service: SERVICE.name, softwareVersion: undefined });
+        const held = hosts.get(toHost(0))?.record(
+            { requestId, service: SERVICE.name, softwareVersion: undefined },
+            route,
+        );
         void held?.then(() => {
             heldMs += clock.nowMs() - startedMs;
         });
@@ -268,7 +285,10 @@
         const requestId = brandId<RequestId>(`${stream}`.padStart(16, "0"));
         const softwareVersion = brandId<SoftwareVersion>(stream % 2 === 0 ? "v1" : "v2");
         began.push(requestId);
-        void hosts.get(toHost(stream % hosts.size))?.record({ requestId, service: SERVICE.name, softwareVersion });
+        void hosts.get(toHost(stream % hosts.size))?.record(
+            { requestId, service: SERVICE.name, softwareVersion },
+            route,
+        );
         if (stream % 4 === 3) {
             await advance(4 * 1000 / perSecond);
         }
@@ -285,7 +305,7 @@
     async (least: number, count: number) => {
         await losePower();
         const host = hosts.get(toHost(0));
-        const found = Promise.all(began.slice(-count).map(async id => await host?.find(id, SERVICE) !== undefined));
+        const found = Promise.all(began.slice(-count).map(async id => await host?.find(id, route) !== undefined));
         await advance(FIND_MS);
         const known = (await found).filter(Boolean).length;
         ok(least === 0 || known >= least, `${known} are known`);
@@ -320,7 +340,7 @@
         requestId: STREAM,
         service: SERVICE.name,
         softwareVersion: brandId(version),
-    });
+    }, route);
 });
 
 Given("nothing happens", () => undefined);
@@ -357,7 +377,7 @@
     const asked = [...hosts].filter(([host]) =>
         where === "every other host" ? host !== toHost(0) : host === toHost(where.slice("host ".length))
     );
-    const found = Promise.all(asked.map(async ([, host]) => (await host.find(STREAM, SERVICE))?.softwareVersion));
+    const found = Promise.all(asked.map(async ([, host]) => (await host.find(STREAM, route))?.softwareVersion));
     await advance(FIND_MS);
     versions = await found;
 });
@@ -365,7 +385,7 @@
 When("{int} streams begin at host 0", (count: number) => {
     for (let stream = 0; stream < count; stream += 1) {
         const requestId = brandId<RequestId>(`r${stream}`);
-        void hosts.get(toHost(0))?.record({ requestId, service: SERVICE.name, softwareVersion: undefined });
+        void hosts.get(toHost(0))?.record({ requestId, service: SERVICE.name, softwareVersion: undefined }, route);
     }
     strictEqual(told.length, 2 * count);
 });
@@ -375,9 +395,60 @@
 });
 
 When("the client resumes a stream without naming its first request", async () => {
-    versions = [(await hosts.get(toHost(0))?.find(undefined, SERVICE))?.softwareVersion];
+    versions = [(await hosts.get(toHost(0))?.find(undefined, route))?.softwareVersion];
 });
 
 Then("the stream began at {string}", (expected: string) => {
     deepStrictEqual([...new Set(versions)], [expected === "unknown" ? undefined : expected]);
 });
+
+let ruleRevision = 0;
+
+Given("the route leads to {string} by the rules {string} on record", (targets: string, rules: string) => {
+    route = { name: ROUTE.name, targets: parseServices(targets) };
+    for (const { service } of parseServices("models:1 others:1")) {
+        const id = brandId<EngineId>(`i-${service}`);
+        const entry = { id, service, softwareVersion: "v1" } as unknown as EngineEntry;
+        engines.set(id, { entry } as unknown as KnownEngine);
+        recordedVersions.set(formatVersionKey(entry), { ...entry, revision: 1 });
+    }
+    originRules.clear();
+    if (rules !== "none") {
+        const listed = rules.split(" / ").map(parseRule);
+        originRules.set(route.name, { revision: ruleRevision += 1, rules: listed });
+    }
+});
+
+Given("{int} streams begin", async (count: number) => {
+    const hash = await createHasher();
+    begunAt = new Map(
+        Array.from({ length: count }, (value, at) => {
+            const requestId = brandId<RequestId>(`split-${at}`);
+            return [requestId, pickTarget(hash, route.targets, requestId) ?? SERVICE.name];
+        }),
+    );
+    [...begunAt].forEach(([requestId, service], at) =>
+        void hosts.get(toHost(at % hosts.size))
+            ?.record({ requestId, service, softwareVersion: brandId("v1") }, route)
+    );
+});
+
+Given("{int} ms pass, and all hosts lose power", async (ms: number) => {
+    await advance(ms);
+    await losePower();
+});
+
+When("the clients resume these streams at every other host", async () => {
+    const asked = [...hosts.values()].slice(1);
+    const found = Promise.all(
+        [...begunAt.keys()].flatMap(id => asked.map(async host => ({ id, origin: await host.find(id, route) }))),
+    );
+    await advance(FIND_MS);
+    foundOrigins = await found;
+});
+
+Then("at least {int} in 100 are known, each where it began", (least: number) => {
+    const known = foundOrigins.filter(({ origin }) => origin !== undefined);
+    known.forEach(({ id, origin }) => strictEqual(origin?.service, begunAt.get(id)));
+    ok(100 * known.length >= least * foundOrigins.length, `${known.length} of ${foundOrigins.length}`);
+});
--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -1,4 +1,3 @@
-import type { Service } from "@fulmarcleat/directory";
 import { rankByRendezvous } from "@fulmarcleat/hashing";
 import { repeat } from "@fulmarcleat/ids";
 import type { CancelTimer, HostId, RequestId, ServiceName, SoftwareVersion } from "@fulmarcleat/ids";
@@ -7,6 +6,8 @@
 import type { OriginStore } from "./createOriginStore.js";
 import type { FrontContext } from "./frontContext.js";
 import type { Member } from "./hostKeys.js";
+import { createRuleBook } from "./origins/createRuleBook.js";
+import type { OriginRoute } from "./origins/createRuleBook.js";
 import { RESUMABLE_MS } from "./resumableTime.js";
 import { sendToPeer } from "./sendToPeer.js";
 
@@ -16,12 +17,12 @@
      * Records where a stream began, at this host and at the peers that other hosts ask first. Its first event is to be
      * held until the returned promise resolves; undefined if it can be sent at once.
      */
-    record(record: StreamRecord): Promise<void> | undefined;
+    record(record: StreamRecord, route: OriginRoute): Promise<void> | undefined;
     /**
-     * Finds where a stream began; undefined if it can't be known.
+     * Finds where a stream of a route began; undefined if it can't be known.
      * `requestId` is the request that brought its first event; undefined if the client names none.
      */
-    find(requestId: RequestId | undefined, service: Service): Promise<StreamOrigin | undefined>;
+    find(requestId: RequestId | undefined, route: OriginRoute): Promise<StreamOrigin | undefined>;
     /** Keeps another host's record; resolves to false if the store was to have it and doesn't. */
     keep(record: StreamRecord): Promise<boolean>;
     /** Answers another host's question from the records that this host keeps. */
@@ -34,8 +35,8 @@
 interface KeptOrigin {
     readonly origin: StreamOrigin;
     readonly keptUntilMs: number;
-    /** whether the stream began at this host, and the store has no record of it. */
-    readonly isUnstored: boolean;
+    /** Route of a stream that began at this host and that the store has no record of. */
+    readonly unstored: OriginRoute | undefined;
 }
 
 /** Most records that a host keeps; the oldest is dropped first. */
@@ -71,8 +72,8 @@
 /**
  * Creates the records of where streams began. They are kept in memory, at the host that served the first event and at
  * two peers that rendezvous hashing of the request's id picks from a bounded set. After a loss of all hosts only the store
- * tells where a stream can have begun: by the software versions on record if there is one, else by the stream's own
- * record, which one of few writers stores while a service has more than one. A stream's first event is held until then,
+ * tells where a stream can have begun: by the software versions on record if there is one, and the route's weights give
+ * one service, else by the stream's own record, which one of few writers stores while that is not so. A stream's first event is held until then,
  * so that whoever has received it can resume the stream; while the store is away or slow nothing is held.
  *
  * @param context - Clock, hash, metrics and this host's name
@@ -86,13 +87,17 @@
  */
 export function createStreamOrigins(
     context: Pick<FrontContext, "clock" | "deployment" | "hash" | "metrics" | "readBounds">,
-    clusterView: Pick<ClusterView, "confirmEngines" | "engines" | "members" | "onEngineRemoved" | "recordedVersions">,
+    clusterView: Pick<
+        ClusterView,
+        "confirmEngines" | "engines" | "members" | "onEngineRemoved" | "originRules" | "recordedVersions"
+    >,
     readPeers: () => Pick<PeerClient, "request"> | undefined,
     createStore: (readIntervalMs: () => number) => OriginStore,
 ): StreamOrigins {
     const { clock, deployment, hash, metrics, readBounds } = context;
     const kept = new Map<RequestId, KeptOrigin>();
     const peerContext = { metrics, readPeers };
+    const ruleBook = createRuleBook(context, clusterView);
     const startedMs = clock.nowMs();
     let formerVersions: readonly { readonly origin: StreamOrigin; readonly removedAtMs: number }[] = [];
     /** Whether first events are held: the last record that was to be stored was stored in time. */
@@ -106,10 +111,13 @@
                 Math.min(MAX_KEEPERS, clusterView.members.size) * UNREACHED_INTERVAL_PER_KEEPER_MS,
             )
     );
-    const keep = ({ requestId, service, softwareVersion }: StreamRecord, isUnstored: boolean): void => {
+    const keep = (
+        { requestId, service, softwareVersion }: StreamRecord,
+        unstored: OriginRoute | undefined,
+    ): void => {
         const atMs = clock.nowMs();
         kept.delete(requestId);
-        kept.set(requestId, { origin: { service, softwareVersion }, keptUntilMs: atMs + RESUMABLE_MS, isUnstored });
+        kept.set(requestId, { origin: { service, softwareVersion }, keptUntilMs: atMs + RESUMABLE_MS, unstored });
         for (const [id, { keptUntilMs }] of kept) {
             if (keptUntilMs > atMs && kept.size <= MAX_RECORDS) {
                 break;
@@ -192,13 +200,20 @@
     const knowsHistory = (recorded: readonly StreamOrigin[]): boolean =>
         deployment.isFirstStart || recorded.length > 0 || clock.nowMs() - startedMs >= RESUMABLE_MS;
     /**
-     * Finds the only software version that a service has had for as long as a stream may be resumed. A host that was
-     * out of step may not know the newest one, so the store is asked; it lists an engine before streams begin there.
+     * Finds the only software version that a stream can have begun at: that of a service which has had no other for as
+     * long as a stream may be resumed, if no other service of the route can have begun it. A host that was out of step
+     * may not know the newest version, so the store is asked; it lists an engine before streams begin there.
      */
-    const findOnlyVersion = async (service: ServiceName): Promise<StreamOrigin | undefined> =>
-        readOnlyVersion(service) !== undefined && await clusterView.confirmEngines()
+    const findOnlyVersion = async (
+        requestId: RequestId | undefined,
+        route: OriginRoute,
+    ): Promise<StreamOrigin | undefined> => {
+        const [service, ...others] = ruleBook.listServices(route, requestId);
+        return service !== undefined && others.length === 0 && readOnlyVersion(service) !== undefined
+                && await clusterView.confirmEngines()
             ? readOnlyVersion(service)
             : undefined;
+    };
     const listRecorded = (service: ServiceName): readonly StreamOrigin[] =>
         [...clusterView.recordedVersions.values()].filter(version => version.service === service);
     /** Lists the software versions at which streams of a service can have begun that may still be resumed. */
@@ -215,15 +230,24 @@
         const [softwareVersion] = versions;
         return knowsHistory(listRecorded(service)) && versions.size === 1 ? { service, softwareVersion } : undefined;
     };
-    /** Writes the streams of before to the store once their service has a second software version. */
+    /** Whether it follows neither from the route's weights nor from the versions of its services where a stream began. */
+    const isAmbiguous = ({ requestId, service }: StreamRecord, route: OriginRoute): boolean =>
+        listVersions(service).size > 1 || ruleBook.listServices(route, requestId).size > 1;
+    /** Writes the streams of before to the store once it is ambiguous where they began. */
     const storeEarlier = (): void => {
-        const unstored = [...kept].filter(([, { isUnstored }]) => isUnstored);
-        const services = new Set(unstored.map(([, { origin }]) => origin.service));
+        const earlier = [...kept].flatMap(([requestId, { origin, keptUntilMs, unstored }]) =>
+            unstored !== undefined && keptUntilMs > clock.nowMs()
+                ? [{ record: { requestId, ...origin }, route: unstored, keptUntilMs }]
+                : []
+        );
+        const services = new Set(earlier.map(({ record }) => record.service));
         const mixed = new Set([...services].filter(service => listVersions(service).size > 1));
-        for (const [requestId, { origin, keptUntilMs }] of unstored) {
-            if (mixed.has(origin.service) && keptUntilMs > clock.nowMs()) {
-                kept.set(requestId, { origin, keptUntilMs, isUnstored: false });
-                void originStore.add({ requestId, ...origin });
+        const changed = ruleBook.takeChanges();
+        for (const { record, route, keptUntilMs } of earlier) {
+            if (mixed.has(record.service) || changed.has(route.name) && isAmbiguous(record, route)) {
+                const { requestId, service, softwareVersion } = record;
+                kept.set(requestId, { origin: { service, softwareVersion }, keptUntilMs, unstored: undefined });
+                void originStore.add(record);
             }
         }
     };
@@ -235,33 +259,33 @@
     });
     return {
         async keep(record) {
-            keep(record, false);
+            keep(record, undefined);
             return record.isToStore === true ? originStore.add(record) : true;
         },
         answer,
         stop: repeat(clock, CHECK_INTERVAL_MS, storeEarlier),
-        record(record) {
-            const isMixed = listVersions(record.service).size > 1;
-            keep(record, !isMixed);
-            const writer = isMixed ? findWriter(record.requestId) : undefined;
+        record(record, route) {
+            const isToStore = isAmbiguous(record, route);
+            keep(record, isToStore ? undefined : route);
+            const writer = isToStore ? findWriter(record.requestId) : undefined;
             rankPeers(record.requestId, member => !member.isLeaving)
                 .filter(member => member !== writer)
                 .slice(0, writer === undefined ? COPIES : COPIES - 1)
                 .forEach(member => void sendToPeer(peerContext, member, "streamStart", record));
-            if (!isMixed) {
+            if (!isToStore) {
                 return undefined;
             }
             const held = holdUntilStored(store(record, writer));
             return isHolding ? held : undefined;
         },
-        async find(requestId, service) {
+        async find(requestId, route) {
             const own = requestId === undefined ? undefined : answer(requestId);
             if (own?.kind === "known") {
                 metrics.count("stream_origins_total", { found: "own" });
                 return { service: own.service, softwareVersion: own.softwareVersion };
             }
             const told = requestId === undefined ? undefined : await askPeers(requestId);
-            const only = told ?? await findOnlyVersion(service.name);
+            const only = told ?? await findOnlyVersion(requestId, route);
             const found = only ?? (requestId === undefined ? undefined : await originStore.find(requestId));
             const source = told !== undefined
                 ? "peer"
--- a/packages/front/src/hostKeys.steps.ts
+++ b/packages/front/src/hostKeys.steps.ts
@@ -5,6 +5,7 @@
 import { validateHeaderValue } from "node:http";
 import {
     formatMemberKey,
+    formatOriginRuleKey,
     formatOwnerKey,
     formatQuarantineKey,
     formatVersionKey,
@@ -87,6 +88,7 @@
         deepStrictEqual(parseHostKey(formatOwnerKey(engine)), { kind: "owner", engine });
         deepStrictEqual(parseHostKey(formatQuarantineKey(suspect)), { kind: "quarantine", suspect });
         deepStrictEqual(parseHostKey(formatVersionKey(version)), { kind: "version", version });
+        deepStrictEqual(parseHostKey(formatOriginRuleKey(name)), { kind: "origin_rules", route: name });
     };
     fc.assert(fc.property(carriableText, carriableText, check), { numRuns, seed: SEED });
 });
@@ -101,6 +103,8 @@
             return [key.suspect];
         case "version":
             return [key.version.service, key.version.softwareVersion ?? ""];
+        case "origin_rules":
+            return [key.route];
         case "wants":
             return [key.host];
         case "other":
--- a/packages/front/src/hostKeys.ts
+++ b/packages/front/src/hostKeys.ts
@@ -20,6 +20,7 @@
 const LOAD_REQUEST_PREFIX = `${SYSTEM_PREFIX}want/`;
 const QUARANTINE_PREFIX = `${SYSTEM_PREFIX}quarantine/`;
 const VERSION_PREFIX = `${SYSTEM_PREFIX}version/`;
+const ORIGIN_RULE_PREFIX = `${SYSTEM_PREFIX}origin-rules/`;
 const OWNER_PREFIX = `${SYSTEM_PREFIX}owner/`;
 /** Key of the secret with which hosts authenticate to each other. */
 export const PEER_SECRET_KEY = `${SYSTEM_PREFIX}peer-secret`;
@@ -36,6 +37,8 @@
     readonly forwardPort?: number | undefined;
     /** Whether the host answers others that follow its view of the store; hosts of former versions don't. */
     readonly canBeFollowed?: boolean | undefined;
+    /** Whether streams begin by the origin rules here while the store takes no records; hosts of former versions lack it. */
+    readonly followsOriginRules?: boolean | undefined;
     /** Rate of the host's link, in Mbit/s; undefined if it is unknown, or a former version has written the entry. */
     readonly linkMbps?: number | undefined;
     readonly isLeaving: boolean;
@@ -67,6 +70,7 @@
     domain: textSchema.optional(),
     forwardPort: portSchema.optional(),
     canBeFollowed: z.boolean().optional(),
+    followsOriginRules: z.boolean().optional(),
     linkMbps: z.number().positive().optional(),
     isLeaving: z.boolean(),
 });
@@ -118,6 +122,7 @@
     | { readonly kind: "wants"; readonly host: HostId }
     | { readonly kind: "quarantine"; readonly suspect: Suspect }
     | { readonly kind: "version"; readonly version: ServiceVersion }
+    | { readonly kind: "origin_rules"; readonly route: string }
     | { readonly kind: "other" };
 
 /**
@@ -149,23 +154,35 @@
         const version = parseVersionKey(key.slice(VERSION_PREFIX.length));
         return version === undefined ? { kind: "other" } : { kind: "version", version };
     }
+    if (key.startsWith(ORIGIN_RULE_PREFIX)) {
+        const route = decodeKeyPart(key.slice(ORIGIN_RULE_PREFIX.length));
+        return route === undefined ? { kind: "other" } : { kind: "origin_rules", route };
+    }
     return { kind: "other" };
 }
 
-/** Parses the part of a version's key after its prefix; undefined if another writer has put it there. */
-function parseVersionKey(text: string): ServiceVersion | undefined {
+/** Decodes an encoded part of a key; undefined if another writer has put it there. */
+function decodeKeyPart(text: string): string | undefined {
     try {
-        const [service = "", softwareVersion] = text.split("/").map(decodeURIComponent);
-        return {
-            service: brandId(service),
-            softwareVersion: softwareVersion === undefined ? undefined : brandId(softwareVersion),
-        };
+        return decodeURIComponent(text);
     }
     catch {
         return undefined;
     }
 }
 
+/** Parses the part of a version's key after its prefix; undefined if another writer has put it there. */
+function parseVersionKey(text: string): ServiceVersion | undefined {
+    const [service, softwareVersion] = text.split("/").map(decodeKeyPart);
+    const isReadable = service !== undefined && (softwareVersion !== undefined || !text.includes("/"));
+    return isReadable
+        ? {
+            service: brandId(service),
+            softwareVersion: softwareVersion === undefined ? undefined : brandId(softwareVersion),
+        }
+        : undefined;
+}
+
 /**
  * Formats the key of a host's entry.
  *
@@ -219,6 +236,19 @@
     return VERSION_PREFIX + parts.map(encodeURIComponent).join("/");
 }
 
+/**
+ * Formats the key that holds the origin rules of a route.
+ *
+ * @param route - Name of the route
+ * @returns the full key
+ *
+ * @example
+ * formatOriginRuleKey("answers"); // "fulmarcleat/origin-rules/answers"
+ */
+export function formatOriginRuleKey(route: string): string {
+    return ORIGIN_RULE_PREFIX + encodeURIComponent(route);
+}
+
 /**
  * Serializes a host's entry.
  *
@@ -229,8 +259,19 @@
  * formatMember({ incarnation, ip: "10.0.0.1", port: 7000, domain: brandId("a"), isLeaving: false });
  */
 export function formatMember(member: Omit<Member, "host">): Buffer {
-    const { incarnation, ip, port, domain, forwardPort, canBeFollowed, linkMbps, isLeaving } = member;
-    const value = { incarnation, ip, port, domain, forwardPort, canBeFollowed, linkMbps, isLeaving };
+    const { incarnation, ip, port, domain, forwardPort, canBeFollowed, followsOriginRules, linkMbps, isLeaving } =
+        member;
+    const value = {
+        incarnation,
+        ip,
+        port,
+        domain,
+        forwardPort,
+        canBeFollowed,
+        followsOriginRules,
+        linkMbps,
+        isLeaving,
+    };
     return Buffer.from(JSON.stringify(value));
 }
 
@@ -298,7 +339,8 @@
     if (!parsed.success) {
         return undefined;
     }
-    const { incarnation, ip, port, domain, forwardPort, canBeFollowed, linkMbps, isLeaving } = parsed.data;
+    const { incarnation, ip, port, domain, forwardPort, canBeFollowed, followsOriginRules, linkMbps, isLeaving } =
+        parsed.data;
     return {
         host,
         incarnation: brandId(incarnation),
@@ -307,6 +349,7 @@
         domain: domain === undefined ? undefined : brandId(domain),
         forwardPort,
         canBeFollowed,
+        followsOriginRules,
         linkMbps,
         isLeaving,
     };
--- a/packages/front/src/runRequest.ts
+++ b/packages/front/src/runRequest.ts
@@ -165,7 +165,7 @@
     ): Promise<void> | undefined => {
         const { service, softwareVersion } = entry;
         stream.origin ??= { service, softwareVersion };
-        return route.isResumable ? streamOrigins.record({ requestId, service, softwareVersion }) : undefined;
+        return route.isResumable ? streamOrigins.record({ requestId, service, softwareVersion }, route) : undefined;
     };
     const recordResult = (
         request: ClientRequest,
@@ -259,9 +259,9 @@
         return quarantined && giveUp(progress, describeQuarantine(quarantined), QUARANTINED_RETRY_MS);
     };
     /** Finds where a stream began whose first events came by way of another host. */
-    const findOrigin = async ({ relay, requestId, service }: ClientRequest, stream: StreamState): Promise<boolean> => {
+    const findOrigin = async ({ relay, requestId, route }: ClientRequest, stream: StreamState): Promise<boolean> => {
         if (relay?.hasStarted === true) {
-            stream.origin ??= await streamOrigins.find(requestId, service);
+            stream.origin ??= await streamOrigins.find(requestId, route);
         }
         return relay?.hasStarted !== true || stream.origin !== undefined;
     };
@@ -316,7 +316,7 @@
         const isResumed = lastEventId !== undefined;
         const stream: StreamState = {
             origin: mark?.origin
-                ?? (isResumed ? await streamOrigins.find(resumedRequestId, received.service) : undefined),
+                ?? (isResumed ? await streamOrigins.find(resumedRequestId, received.route) : undefined),
         };
         if (isResumed && stream.origin === undefined) {
             return giveUp(NO_ATTEMPTS, "unknown_origin", UNKNOWN_ORIGIN_RETRY_MS);
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -42,6 +42,7 @@
 import { finishRequests } from "./finishRequests.js";
 import type { FrontContext } from "./frontContext.js";
 import { guardClock } from "./guardClock.js";
+import { startOriginRules } from "./origins/startOriginRules.js";
 import { createLoadTimes } from "./performance/createLoadTimes.js";
 import { createPerformanceTracker } from "./performance/createPerformanceTracker.js";
 import { recordRejection } from "./recordRejection.js";
@@ -137,6 +138,7 @@
         readIntervalMs => createOriginStore(context, readIntervalMs),
     );
     const versionRecords = startVersionRecords(context, health, clusterView);
+    const originRules = startOriginRules(context, health, clusterView);
     const quarantine = createQuarantine(context, clusterView, () => peers, paths);
     const limits = createEngineLimits(context, clusterView, () => peers);
     const accountLimits = createAccountLimits(context, clusterView, () => peers);
@@ -252,6 +254,7 @@
             await sleep(clock, Math.max(0, DRAIN_NOTICE_MS - (clock.nowMs() - startedMs)));
             const release = async (): Promise<void> => {
                 versionRecords.stop();
+                originRules.stop();
                 if (session.lease !== undefined) {
                     await store.endLease(session.lease).catch((err: unknown) =>
                         log.write("warn", 602, { step: "end lease", reason: String(err) })
--- a/packages/front/src/startSession.ts
+++ b/packages/front/src/startSession.ts
@@ -60,6 +60,7 @@
             domain,
             forwardPort,
             canBeFollowed: true,
+            followsOriginRules: true,
             linkMbps,
             isLeaving,
         });
