Take no answer whose status HTTP doesn't have

Callers saw: an engine's message with a status from 600 to 999 as an answer, sealed, on a connection that was kept open.

Cause: undici passes on every status of three digits above 99; the HTTP transport took each from 200 on for a final response.

Change: a status above 599 (RFC 9110, section 15) breaks the exchange and its connection, like bytes that are not HTTP, in the transport to engines and between hosts, and in the driver of plain services.

--- a/packages/drivers/src/createHttpService.steps.ts
+++ b/packages/drivers/src/createHttpService.steps.ts
@@ -21,7 +21,10 @@
 Given(/^a plain service that (.*)$/, async (behaviour: string) => {
     server = createServer(socket => {
         socket.on("error", () => undefined);
-        socket.once("data", () => SERVICE_BEHAVIOURS[behaviour]?.(socket));
+        const status = /^answers with status (\d+)$/.exec(behaviour)?.[1];
+        const answer = `HTTP/1.1 ${status} Odd\r\nContent-Length: 5\r\n\r\nhello`;
+        const behave = status === undefined ? SERVICE_BEHAVIOURS[behaviour] : () => void socket.write(answer);
+        socket.once("data", () => behave?.(socket));
     });
     const port = await listen(server, { host: "127.0.0.1", port: 0 });
     service = createHttpService({ url: `http://127.0.0.1:${port}`, connectTimeoutMs: 1000 });
--- a/packages/drivers/src/createHttpService.ts
+++ b/packages/drivers/src/createHttpService.ts
@@ -1,5 +1,5 @@
 import { ServeError } from "@fulmarcleat/errors";
-import { buildResetConnector } from "@fulmarcleat/http";
+import { buildResetConnector, isValidStatus } from "@fulmarcleat/http";
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
 import { isUnsent } from "./isUnsent.js";
@@ -54,6 +54,10 @@
             body: call.body.byteLength === 0 ? null : call.body,
             signal: call.signal,
         });
+        if (!isValidStatus(res.statusCode)) {
+            await res.body.dump();
+            throw new Error(`invalid status ${res.statusCode}`);
+        }
         const body = new Uint8Array(await res.body.arrayBuffer());
         return { status: res.statusCode, headers: flattenHeaders(res.headers), body };
     }
--- a/packages/front/src/forwardTransportStreams.feature
+++ b/packages/front/src/forwardTransportStreams.feature
@@ -24,6 +24,8 @@
             | it closes without an answer      | closes the connection without an answer  | broken |       |
             | it breaks within a length        | breaks off within a length               | broken | hello |
             | it breaks between chunks         | breaks off between chunks                | broken | hello |
+            | it breaks without a length       | resets without a length                  | broken | hello |
+            | its status is none of HTTP       | answers with status 600                  | broken |       |
 
     Scenario Outline: The helping host's response closes if the host cancels <when>
         Given a helping host that answers <when>
--- a/packages/front/src/forwardTransportStreams.steps.ts
+++ b/packages/front/src/forwardTransportStreams.steps.ts
@@ -128,9 +128,15 @@
         acknowledge = () => void res.destroy();
         res.writeHead(200, ANSWER_HEADERS).write("hello");
     },
+    "resets without a length": res => {
+        acknowledge = () => void res.socket?.resetAndDestroy();
+        res.socket?.write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nhello");
+    },
+    "answers with status 600": res =>
+        void res.socket?.write("HTTP/1.1 600 Odd\r\nRequest-Id: r1\r\nContent-Length: 5\r\n\r\nhello"),
 };
 
-Given(/^a helping host that ((?:closes the|breaks off).*)$/, async (how: string) => {
+Given(/^a helping host that ((?:closes the|breaks off|resets|answers with status).*)$/, async (how: string) => {
     pair = await startForwardPair(({ res }) => BREAKS[how]?.(res));
 });
 
--- a/packages/http/src/createHttpTransport.ts
+++ b/packages/http/src/createHttpTransport.ts
@@ -9,6 +9,7 @@
 import type { Dispatcher } from "undici";
 import { createConnectionPool } from "./createConnectionPool.js";
 import type { ConnectionPool, ConnectionPoolOptions, PooledConnection } from "./createConnectionPool.js";
+import { isValidStatus } from "./isValidStatus.js";
 
 /** How a transport writes the headers of its requests and reads the heads of their answers. */
 export interface HttpFormat<Req extends EngineRequest> {
@@ -73,6 +74,10 @@
                 },
                 onHeaders(status, rawHeaders, resumeRequest) {
                     resume = resumeRequest;
+                    if (!isValidStatus(status)) {
+                        failExchange(`invalid status ${status}`);
+                        return false;
+                    }
                     if (!isSettled && status >= MIN_FINAL_STATUS) {
                         const rawTexts = (rawHeaders ?? []).map(bytes => bytes.toString("latin1"));
                         const head = readRefusal(format.parseHead(status, rawTexts, req), connection);
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -2,6 +2,7 @@
 export type { ConnectionPoolOptions } from "./createConnectionPool.js";
 export { createHttpTransport } from "./createHttpTransport.js";
 export type { HttpFormat, HttpTransport } from "./createHttpTransport.js";
+export { isValidStatus } from "./isValidStatus.js";
 export { listen } from "./listen.js";
 export { isConnectionRefused, openConnection } from "./openConnection.js";
 export { parseDecimal } from "./parseDecimal.js";
