Bound the replies of engines to orders and reports, and of the store

Callers saw: an engine whose reply to a report request or an order went on without end had each host that asked it killed for its memory, with the requests of all its other clients.

Cause: callJson collected every chunk until its time limit; in 250 ms an engine on a fast link sends hundreds of megabytes.

Change: a reply of an engine has 256 KB at most, so that 200 endless ones at once hold some 50 MB; one of the store holds 32 values of the largest size that its settings state (valueBytes). A larger one is not read on and its connection is closed. For an engine that is logged (219), counted (engine_replies_too_large_total) and counts as a failure; the order's outcome is unknown, the report is read again later, as after a time-out.

A head without end was bounded before. A reply with 32 values of the largest size is read whole.

--- a/packages/events/src/eventCatalogue.ts
+++ b/packages/events/src/eventCatalogue.ts
@@ -30,6 +30,7 @@
     216: "engine says it leaves",
     217: "engine asks for a pause",
     218: "engine notice unreadable",
+    219: "engine reply too large",
     300: "engine owned",
     301: "engine released",
     302: "engine lost",
--- a/packages/front/src/startFront.ts
+++ b/packages/front/src/startFront.ts
@@ -5,7 +5,7 @@
 import { createHasher } from "@fulmarcleat/hashing";
 import { listen } from "@fulmarcleat/http";
 import { createId, createRandom, createSystemClock, repeat, sleep } from "@fulmarcleat/ids";
-import type { Incarnation } from "@fulmarcleat/ids";
+import type { EngineId, Incarnation } from "@fulmarcleat/ids";
 import {
     createEngineControl,
     createEngineTransport,
@@ -102,7 +102,13 @@
     readSettings: () => Promise<Deployment>,
 ): Promise<RunningProgram> {
     const settings = { current: deployment };
-    const context = await createContext(deployment, policy, () => settings.current.bounds, () => closures);
+    const context = await createContext(
+        deployment,
+        policy,
+        () => settings.current.bounds,
+        () => closures,
+        engine => loadTracker.recordHealth(engine, { kind: "failed", atMs: clock.nowMs() }),
+    );
     const { clock, log, metrics, store, transport } = context;
     log.write("info", 100, { host: deployment.host, isFirstStart: deployment.isFirstStart, policy });
     const health = createStoreHealth(clock, log);
@@ -285,6 +291,7 @@
     policy: EnginePolicy,
     readBounds: () => DeploymentBounds,
     readClosures: () => EngineClosures,
+    recordFailure: (engine: EngineId) => void,
 ): Promise<FrontContext> {
     const systemClock = createSystemClock();
     const incarnation = createId<Incarnation>();
@@ -302,10 +309,15 @@
         policy,
         readBounds,
         incarnation,
-        store: createMetadataStore(deployment.store),
+        store: createMetadataStore(deployment.store, deployment.maxValueBytes),
         control: createEngineControl({
             mayCall: ({ id }) => readClosures().find(id)?.kind !== "paused",
             onNotice: ({ id }, notice) => readClosures().recordNoticeOf(id, notice),
+            onOversizedReply({ id }) {
+                log.write("warn", 219, { engine: id });
+                metrics.count("engine_replies_too_large_total");
+                recordFailure(id);
+            },
         }),
         transport: createEngineTransport({
             connectTimeoutMs: CONNECT_TIMEOUT_MS,
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,4 +1,5 @@
 export { buildResetConnector } from "./buildResetConnector.js";
+export { BodyTooLargeError, collectBody } from "./collectBody.js";
 export type { ConnectionPoolOptions } from "./createConnectionPool.js";
 export { createHttpTransport } from "./createHttpTransport.js";
 export type { HttpFormat, HttpTransport } from "./createHttpTransport.js";
