--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -10,4 +10,6 @@
 export { parseJson } from "./parseJson.js";
 export { readBody } from "./readBody.js";
 export type { ReadBodyOptions } from "./readBody.js";
+export { requestJson } from "./requestJson.js";
+export type { JsonRequest, JsonResponse } from "./requestJson.js";
 export { sendJson } from "./sendJson.js";
