Break an exchange whose stream event is larger than any is

Cause: on a route whose streams may be resumed, the relay keeps all bytes since the last complete event, without a bound. They count as life, so that nothing else ended the exchange before the route's timeout.

Change: once the incomplete event exceeds 256 KB, the exchange breaks and its connection is closed. The engine counts as failing, and the stream goes on elsewhere from its last whole event. An answer that is long because it is good consists of whole events, whose number isn't bounded.

--- a/packages/front/src/relayAnswer.ts
+++ b/packages/front/src/relayAnswer.ts
@@ -18,6 +18,8 @@
     readonly lastEventId: string | undefined;
     /** Whether the last byte received belongs to an event that is not complete. */
     readonly isInsideEvent: boolean;
+    /** Whether the event that is not complete is larger than any is, so that the bytes can't be those of a stream. */
+    readonly isEventTooLarge: boolean;
     /** Sets the head of the answer, until bytes have been sent; later heads of a resumed stream are ignored. */
     begin(head: EngineAnswerHead): void;
     /**
@@ -52,6 +54,8 @@
     isEnded: boolean;
 }
 
+/** Largest event of a stream, in bytes. */
+const MAX_EVENT_BYTES = 262_144;
 /** Length of the longest text and line ends that the next byte may turn into the end of an event: `a\r\n\r`. */
 const MAX_OPEN_END_BYTES = 4;
 const LINE_ENDS: ReadonlySet<number> = new Set(Buffer.from("\r\n"));
@@ -134,6 +138,9 @@
         get isInsideEvent() {
             return partial.some(byte => !LINE_ENDS.has(byte));
         },
+        get isEventTooLarge() {
+            return partial.length > MAX_EVENT_BYTES;
+        },
         begin(next) {
             if (!isHeadSent && held === undefined) {
                 head = next;
--- a/packages/front/src/runExchange.ts
+++ b/packages/front/src/runExchange.ts
@@ -154,6 +154,11 @@
                 if (isRelayed && relay !== undefined) {
                     const canTakeMore = relay.write(bytes, options.onStart);
                     watchHold(relay.settling);
+                    if (relay.isEventTooLarge) {
+                        exchange.cancel();
+                        finishSettled({ kind: "broken", reason: "an event is too large", framing: head?.framing });
+                        return false;
+                    }
                     if (!canTakeMore) {
                         // The engine can't send while the client takes nothing.
                         cancelSilenceTimer();
--- a/packages/front/src/runRequest.feature
+++ b/packages/front/src/runRequest.feature
@@ -75,4 +75,6 @@
             | a page, a third engine           | v1 v1 v1 | break off after the first event, then answer with a page once    | v1,v1,v1 | relayed                 | id: 1\\n\\nid: 2\\n\\n |
             | a page, no other engine is left  | v1 v1    | break off after the first event, then answer with a page once    | v1,v1    | gave_up unknown no_room | id: 1\\n\\n            |
             | an answer without a type         | v1 v1    | break off after the first event, then answer without a type once | v1,v1    | gave_up unknown no_room | id: 1\\n\\n            |
+            | an event without end, a third engine | v1 v1 v1 | break off after the first event, then send an event without end | v1,v1,v1 | relayed              | id: 1\\n\\nid: 2\\n\\n |
+            | an event without end, no other is left | v1 v1  | break off after the first event, then send an event without end | v1,v1    | gave_up unknown no_room | id: 1\\n\\n         |
             | a page after a part of an event  | v1 v1    | break off inside an event, then answer with a page once          | v1,v1    | gave_up unknown no_room | id: 1\\n\\n            |
--- a/packages/front/src/runRequest.steps.ts
+++ b/packages/front/src/runRequest.steps.ts
@@ -37,6 +37,8 @@
     | { readonly kind: "whole" }
     /** Breaks off after so many whole events. */
     | { readonly kind: "break"; readonly events: number }
+    /** Sends an event without end until the exchange is cancelled. */
+    | { readonly kind: "flood" }
     /** Answers with a failure. */
     | { readonly kind: "fail" }
     /** Answers with success and a body that is no stream. */
@@ -55,6 +57,9 @@
         { kind: "break", events: 1 },
         { kind: "page", mediaType: "" },
     ],
+    "break off after the first event, then send an event without end": [{ kind: "break", events: 1 }, {
+        kind: "flood",
+    }],
     "break off inside an event, then answer with a page once": [
         { kind: "break", events: 1.5 },
         { kind: "page", mediaType: "text/html" },
@@ -152,8 +157,9 @@
         send(req: EngineRequest, sink: AnswerSink) {
             sent.push(engines.get(req.target.id)?.entry.softwareVersion ?? "");
             const act = acts[sent.length - 1] ?? { kind: "whole" };
-            queueMicrotask(() => answer(req, sink, act));
-            return { cancel: () => undefined, resume: () => undefined };
+            let isCancelled = false;
+            queueMicrotask(() => answer(req, sink, act, () => isCancelled));
+            return { cancel: () => void (isCancelled = true), resume: () => undefined };
         },
     } as unknown as EngineTransport;
     const context = {
@@ -222,7 +228,11 @@
 /** A page with an empty line, as between two events, and a head in its middle. */
 const PAGE = "<p>overloaded</p>\n\nHTTP/1.1 500 Internal Server Error\r\n\r\n";
 
-function answer(req: EngineRequest, sink: AnswerSink, act: Act): void {
+/** Most pieces of an event without end. */
+const MAX_PIECES = 1000;
+const PIECE = Buffer.alloc(16_384, "a");
+
+function answer(req: EngineRequest, sink: AnswerSink, act: Act, isCancelled: () => boolean): void {
     const mediaType = act.kind === "page" ? act.mediaType : "text/event-stream";
     const head: EngineAnswerHead = {
         status: act.kind === "fail" ? 500 : 200,
@@ -250,6 +260,12 @@
             }
             sink.fail({ kind: "broken", reason: "ECONNRESET" });
             return;
+        case "flood":
+            for (let piece = 0; !isCancelled(); piece += 1) {
+                ok(piece < MAX_PIECES, "the event is read on");
+                sink.piece(PIECE);
+            }
+            return;
         case "fail":
             sink.end();
             return;
