Bound what the drivers of the gateway read of one reply

What could happen: a gateway, or a program with its drivers, ran out of memory, since an engine, a plain service, the host list, the weight store or the key-value service sent a reply without end.

The error is that of a broken reply, the connection is closed.

--- a/packages/drivers/src/callJson.ts
+++ b/packages/drivers/src/callJson.ts
@@ -1,9 +1,13 @@
 import { ServeError } from "@fulmarcleat/errors";
 import type { ErrorCode } from "@fulmarcleat/errors";
+import { collectBody } from "@fulmarcleat/http";
 import type { Dispatcher } from "undici";
 import type { z } from "zod";
 import { isUnsent } from "./isUnsent.js";
 
+/** Largest body of a reply, in bytes. */
+const MAX_REPLY_BYTES = 4_194_304;
+
 /** One HTTP request with a JSON reply. */
 export interface JsonCall<T> {
     readonly dispatcher: Dispatcher;
@@ -53,7 +57,8 @@
             await res.body.dump();
             throw new ServeError(`unexpected status ${res.statusCode}`, { ...details, outcome: "unknown" });
         }
-        return { status: res.statusCode, body: call.schema.parse(await res.body.json()) };
+        const text = (await collectBody(res.body, MAX_REPLY_BYTES)).toString("utf8");
+        return { status: res.statusCode, body: call.schema.parse(JSON.parse(text)) };
     }
     catch (cause) {
         if (cause instanceof ServeError) {
--- a/packages/drivers/src/createHttpEngine.ts
+++ b/packages/drivers/src/createHttpEngine.ts
@@ -1,4 +1,5 @@
 import { ServeError } from "@fulmarcleat/errors";
+import { BodyTooLargeError, collectBody } from "@fulmarcleat/http";
 import { brandId } from "@fulmarcleat/ids";
 import type { Incarnation, InstanceName, RequestId } from "@fulmarcleat/ids";
 import { createParser } from "eventsource-parser";
@@ -30,6 +31,10 @@
     readonly silenceMs: number;
 }
 
+/** Largest body of a refusal, in bytes. */
+const MAX_REFUSAL_BYTES = 65_536;
+/** Largest event of a stream, in bytes. */
+const MAX_EVENT_BYTES = 262_144;
 /** Data of the event that ends a complete stream. */
 const END_OF_STREAM = "[DONE]";
 
@@ -197,7 +202,8 @@
             outcome: "unknown",
         });
     }
-    const { error } = refusalSchema.parse(await res.body.json());
+    const text = (await collectBody(res.body, MAX_REFUSAL_BYTES)).toString("utf8");
+    const { error } = refusalSchema.parse(JSON.parse(text));
     return { kind: "refused", reason, message: error.message };
 }
 
@@ -210,8 +216,10 @@
     const decoder = new TextDecoder();
     let parsedTokens: EngineToken[] = [];
     let hasEnded = false;
+    let openBytes = 0;
     const parser = createParser({
         onEvent(event) {
+            openBytes = 0;
             if (event.data === END_OF_STREAM) {
                 hasEnded = true;
                 return;
@@ -221,7 +229,11 @@
     });
     try {
         for await (const chunk of res.body) {
+            openBytes += (chunk as Uint8Array).length;
             parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
+            if (openBytes > MAX_EVENT_BYTES) {
+                throw new BodyTooLargeError(MAX_EVENT_BYTES);
+            }
             const tokens = parsedTokens;
             parsedTokens = [];
             for (const token of tokens) {
--- a/packages/drivers/src/createHttpService.ts
+++ b/packages/drivers/src/createHttpService.ts
@@ -1,10 +1,13 @@
 import { ServeError } from "@fulmarcleat/errors";
-import { buildResetConnector, isValidStatus } from "@fulmarcleat/http";
+import { buildResetConnector, collectBody, isValidStatus } from "@fulmarcleat/http";
 import { Agent } from "undici";
 import type { Dispatcher } from "undici";
 import { isUnsent } from "./isUnsent.js";
 import type { ServiceAnswer, ServiceCall, ServiceDriver } from "./serviceDriver.js";
 
+/** Largest answer that is returned, in bytes; it is held in memory as a whole. */
+const MAX_ANSWER_BYTES = 16_777_216;
+
 /** Settings of the connection to one plain HTTP service. */
 export interface HttpServiceOptions {
     /** Address, such as `http://127.0.0.1:8080`. */
@@ -58,7 +61,7 @@
             await res.body.dump();
             throw new Error(`invalid status ${res.statusCode}`);
         }
-        const body = new Uint8Array(await res.body.arrayBuffer());
+        const body = new Uint8Array(await collectBody(res.body, MAX_ANSWER_BYTES));
         return { status: res.statusCode, headers: flattenHeaders(res.headers), body };
     }
     catch (cause) {
