Say that a new stream finds no engine, and not that its version is gone

While the store takes no records a new stream may have to begin at a certain version. If no engine of it is usable, the refusal said version_gone, which operators read as a stream that can't go on. The row of runRequest.feature that had just been written asks for no_engine now.

--- a/packages/front/src/createEnginePreparer.ts
+++ b/packages/front/src/createEnginePreparer.ts
@@ -136,7 +136,9 @@
         if (readyInMs !== undefined) {
             return waitOrRefuse(request, progress, "paused", () => readyInMs);
         }
-        const reason = origin === undefined ? "no_engine" : "version_gone";
+        // A new stream may have to begin at a certain version too; it can still come again with another id.
+        const hasBegun = request.head.lastEventId !== undefined || request.relay?.hasStarted === true;
+        const reason = origin !== undefined && hasBegun ? "version_gone" : "no_engine";
         return { kind: "over", end: giveUp(progress, reason, NO_ENGINE_RETRY_MS) };
     };
     /** Chooses the next engine and makes the adapter available there, or returns why that failed. */
--- a/packages/front/src/runRequest.feature
+++ b/packages/front/src/runRequest.feature
@@ -48,7 +48,7 @@
             | case                           | engines | behaviour                       | sent  | end                        | received             |
             | from the other version         | v1 v2   | send the whole stream           | v1,v2 | relayed                    | id: 1\\n\\nid: 2\\n\\n |
             | its engine breaks off meanwhile | v1 v2  | break off after the first event | v1,v2 | relayed                    | id: 1\\n\\nid: 2\\n\\n |
-            | its version is gone            | v1 v1   | send the whole stream           | v1    | gave_up unknown version_gone |                    |
+            | its version is gone            | v1 v1   | send the whole stream           | v1    | gave_up unknown no_engine    |                    |
 
     # Guards against a stream that has begun and is closed because another engine answers its resumption with a failure.
     Scenario Outline: A failed answer doesn't end a stream that has begun: <case>
