--- a/packages/front/src/createStreamOrigins.steps.ts
+++ b/packages/front/src/createStreamOrigins.steps.ts
@@ -160,11 +160,18 @@
     engines = new Map(
         text.split(" ").map((version, at) => {
             const id = brandId<EngineId>(`i-${at}`);
-            return [id, { entry: { id, service: SERVICE.name, softwareVersion: version } } as unknown as KnownEngine];
+            return [
+                id,
+                {
+                    entry: { id, service: SERVICE.name, softwareVersion: version },
+                    isUsable: true,
+                } as unknown as KnownEngine,
+            ];
         }),
     );
     isFirstStart = true;
     route = ROUTE;
+    health.isAvailable = true;
     originRules = new Map();
     recordedVersions = new Map(
         [...engines.values()].map(({ entry }) => [formatVersionKey(entry), { ...entry, revision: 1 }]),
@@ -276,7 +283,7 @@
     await advance(2000);
     const id = brandId<EngineId>("i-new");
     const entry = { id, service: SERVICE.name, softwareVersion: "v2" } as unknown as EngineEntry;
-    engines.set(id, { entry } as unknown as KnownEngine);
+    engines.set(id, { entry, isUsable: true } as unknown as KnownEngine);
     recordedVersions.set(formatVersionKey(entry), { ...entry, revision: 2 });
     await advance(seconds * 1000);
 });
@@ -419,13 +426,15 @@
     get hosts() {
         return hosts;
     },
+    /** Sets whether the store counts as available at all hosts. */
+    setStoreAvailable: (isAvailable: boolean) => void (health.isAvailable = isAvailable),
     /** Changes where the route leads. */
     setRoute: (next: OriginRoute) => void (route = next),
     /** Adds an engine, and its software version to the record. */
     addEngine(service: ServiceName, softwareVersion: SoftwareVersion) {
         const id = brandId<EngineId>(`i-${engines.size}`);
         const entry = { id, service, softwareVersion } as unknown as EngineEntry;
-        engines.set(id, { entry } as unknown as KnownEngine);
+        engines.set(id, { entry, isUsable: true } as unknown as KnownEngine);
         recordedVersions.set(formatVersionKey(entry), { ...entry, revision: 1 });
     },
     /** Origin rules that the store has on record. */
--- a/packages/front/src/createStreamOrigins.ts
+++ b/packages/front/src/createStreamOrigins.ts
@@ -86,9 +86,9 @@
  * Creates the records of where streams began. They are kept in memory, at the host that served the first event and at
  * two peers that rendezvous hashing of the request's id picks from a bounded set. After a loss of all hosts only the store
  * tells where a stream can have begun: by the software versions on record if there is one, and the route's weights give
- * one service, else by the stream's own record, which one of few writers stores while that is not so. A stream's first event is held until then,
- * so that whoever has received it can resume the stream. While the store is away or slow, streams begin where the origin
- * rules say, which needs no record.
+ * one service, else by the stream's own record, which one of few writers stores while that is not so. A stream's first
+ * event is held until then, so that whoever has received it can resume the stream. While the store is away or slow,
+ * streams begin where the origin rules say, which needs no record.
  *
  * @param context - Clock, hash, metrics and this host's name
  * @param health - Whether the store answers this host
@@ -254,6 +254,11 @@
             ruleBook.listServices(route, requestId).size === 1 ? ruleBook.predict(route, requestId) : undefined;
         return predict() !== undefined && await originStore.isUnrecorded(requestId) ? predict() : undefined;
     };
+    /** Whether a service has engines at which the rules let streams begin; without one, all its streams would be refused. */
+    const hasRuledEngine = (route: OriginRoute, service: ServiceName): boolean =>
+        [...clusterView.engines.values()].some(({ entry, isUsable }) =>
+            isUsable && entry.service === service && ruleBook.mayGive(route, entry)
+        );
     /** Whether it follows neither from the route's weights nor from the versions of its services where a stream began. */
     const isAmbiguous = ({ requestId, service }: StreamRecord, route: OriginRoute): boolean =>
         listVersions(service).size > 1 || ruleBook.listServices(route, requestId).size > 1;
@@ -293,10 +298,12 @@
                 return undefined;
             }
             const predicted = ruleBook.predict(route, requestId);
-            return predicted?.service === service ? predicted : undefined;
+            return predicted?.service === service && hasRuledEngine(route, service) ? predicted : undefined;
         },
         record(record, { route, mayBeginAnew }) {
-            const isToStore = isAmbiguous(record, route);
+            const predicted = ruleBook.predict(route, record.requestId);
+            const isPredicted = predicted !== undefined && isSameOrigin(predicted, record);
+            const isToStore = isAmbiguous(record, route) || predicted !== undefined && !isPredicted;
             keep(record, isToStore ? undefined : route);
             const writer = isToStore ? findWriter(record.requestId) : undefined;
             rankPeers(record.requestId, member => !member.isLeaving)
@@ -307,11 +314,10 @@
                 return undefined;
             }
             const held = holdUntilStored(store(record, writer));
-            const predicted = ruleBook.predict(route, record.requestId);
-            if (predicted !== undefined && isSameOrigin(predicted, record)) {
+            if (isPredicted) {
                 return undefined;
             }
-            if (predicted !== undefined && mayBeginAnew) {
+            if (predicted !== undefined && mayBeginAnew && hasRuledEngine(route, record.service)) {
                 return held;
             }
             return isHolding ? held.then(() => true) : undefined;
--- a/packages/front/src/origins/createRuleBook.ts
+++ b/packages/front/src/origins/createRuleBook.ts
@@ -12,6 +12,8 @@
 export interface RuleBook {
     /** Finds the origin that all of the route's rules give; undefined if they give none, or none is on record. */
     predict(route: OriginRoute, requestId: RequestId): StreamOrigin | undefined;
+    /** Whether streams of the route begin at a service and software version by one of its rules. */
+    mayGive(route: OriginRoute, origin: StreamOrigin): boolean;
     /** Lists the services at which a stream can have begun; `requestId` is undefined if the client names none. */
     listServices(route: OriginRoute, requestId: RequestId | undefined): ReadonlySet<ServiceName>;
     /** Lists the routes whose rules have changed since the last call. */
@@ -36,6 +38,13 @@
     let revisions: ReadonlyMap<string, number> = new Map();
     return {
         predict: (route, requestId) => findAgreedOrigin(hash, readRules(route) ?? [], requestId),
+        mayGive: (route, { service, softwareVersion }) =>
+            (readRules(route) ?? []).some(rule =>
+                rule.kind === "weighted" && rule.services.some(weighted =>
+                    weighted.service === service
+                    && weighted.versions.some(version => version.softwareVersion === softwareVersion)
+                )
+            ),
         listServices: (route, requestId) => listOriginServices(hash, route.targets, readRules(route), requestId),
         takeChanges() {
             const former = revisions;
--- a/packages/front/src/origins/routeOrigins.feature
+++ b/packages/front/src/origins/routeOrigins.feature
@@ -52,3 +52,19 @@
             | the route has moved after the outage | 6     | silent    | serving | models:1[v1=3,v2=3]                | others:1[v1=3] / models:1[v1=3,v2=3]                              | 120     | 0     | 30000  |
             | the store away after the loss        | 6     | serving   | silent  | models:1[v1=3,v2=3]                | models:1[v1=3,v2=3]                                               | 120     | 0     | 14400  |
             | the store back from a copy           | 6     | serving, a copy of before follows | serving | models:1[v1=3,v2=3] | models:1[v1=3,v2=3] / unknown                            | 120     | 0     | 14400  |
+
+    # Guards against a service all of whose new streams are refused in an outage, since its engines were replaced just
+    # before.
+    Scenario Outline: In an outage, the rules "<rules>", streams of engines of "<engines>" begin at <begin>
+        Given 6 hosts and engines of the versions "<engines>"
+        And the route leads to "others:1" by the rules "<rules>" on record
+        And the store doesn't answer the hosts
+        Then streams of the service "models" have to begin at "<begin>"
+
+        Examples:
+            | engines | rules                      | begin    |
+            | v1 v2   | models:1[v1=3,v2=3]        | v1 v2    |
+            | v2 v2   | models:1[v1=3,v2=3]        | v1 v2    |
+            | v3 v3   | models:1[v1=3,v2=3]        | anywhere |
+            | v1 v2   | models:1[v1=3] / unknown   | anywhere |
+            | v1 v2   | none                       | anywhere |
--- a/packages/front/src/origins/routeOrigins.steps.ts
+++ b/packages/front/src/origins/routeOrigins.steps.ts
@@ -2,7 +2,7 @@
 import { createHasher } from "@fulmarcleat/hashing";
 import { brandId } from "@fulmarcleat/ids";
 import type { RequestId, ServiceName, SoftwareVersion } from "@fulmarcleat/ids";
-import { deepStrictEqual, Given, ok, Then, When } from "@fulmarcleat/testing";
+import { deepStrictEqual, Given, ok, strictEqual, Then, When } from "@fulmarcleat/testing";
 import type { StreamOrigin } from "@fulmarcleat/wire";
 import type { StreamOrigins } from "../createStreamOrigins.js";
 import { originFleet } from "../createStreamOrigins.steps.js";
@@ -27,8 +27,8 @@
     const { addEngine, originRules, setRoute } = originFleet;
     route = { name: ROUTE_NAME, targets: parseServices(targets) };
     setRoute(route);
-    [...new Set(["models", ...route.targets.map(({ service }) => service)])].forEach(service =>
-        addEngine(brandId<ServiceName>(service), VERSIONS[0])
+    route.targets.filter(({ service }) => service !== "models").forEach(({ service }) =>
+        addEngine(service, VERSIONS[0])
     );
     originRules.clear();
     if (rules !== "none") {
@@ -114,3 +114,17 @@
 });
 
 Then("the events were held for at most {int} ms in all", (most: number) => ok(heldMs <= most, `held for ${heldMs} ms`));
+
+Given("the store doesn't answer the hosts", () => originFleet.setStoreAvailable(false));
+
+Then("streams of the service {string} have to begin at {string}", (service: string, expected: string) => {
+    const [host] = originFleet.hosts.values();
+    const required = Array.from(
+        { length: 50 },
+        (value, at) => host?.findRequired(brandId(`any-${at}`), route, brandId(service)),
+    );
+    const versions = new Set(
+        required.map(origin => origin === undefined ? "anywhere" : String(origin.softwareVersion)),
+    );
+    strictEqual([...versions].sort().join(" "), expected);
+});
