Send a held answer if its record fails in an unexpected way

The hold of a first event ends with a discarded answer only if the store has not taken the record in time. A rejected promise, which no code path gives today, would have held the answer for good; as before the change of the hold it is sent.

--- a/packages/front/src/relayAnswer.ts
+++ b/packages/front/src/relayAnswer.ts
@@ -109,7 +109,8 @@
     const write = (bytes: Buffer, beforeStart?: () => Promise<boolean> | undefined): boolean => {
         const ready = isHeadSent || held !== undefined ? undefined : beforeStart?.();
         if (ready !== undefined) {
-            const settling = ready.then(isSent => {
+            // Whatever went wrong with the record, a ready answer isn't withheld.
+            const settling = ready.catch(() => true).then(isSent => {
                 settle(isSent);
                 return isSent;
             });
