--- a/packages/front/src/logRetry.ts
+++ b/packages/front/src/attempts/logRetry.ts
@@ -1,6 +1,6 @@
 import type { EventLog } from "@fulmarcleat/events";
 import type { EngineId, RequestId } from "@fulmarcleat/ids";
-import type { ExchangeResult } from "./runExchange.js";
+import type { ExchangeResult } from "../runExchange.js";
 
 /** The attempt that is logged. */
 export interface LoggedAttempt {
