Take no reply to an order or a report whose status HTTP doesn't have

What could be seen: a message with the status 600 or 999 counted as the report of an engine, and a probe of it as a running engine.

Change: requestJson refuses a status outside 100 to 599, as the transport of clients' requests does (RFC 9110, section 15). An order's outcome is then unknown, its report fails, a probe is unclear.

--- a/packages/http/src/requestJson.ts
+++ b/packages/http/src/requestJson.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from "undici";
 import { collectBody } from "./collectBody.js";
+import { isValidStatus } from "./isValidStatus.js";
 import { parseJson } from "./parseJson.js";
 
 /** An HTTP request whose response is expected to be JSON. */
@@ -51,6 +52,10 @@
             body: hasBody ? JSON.stringify(req.body) : null,
             signal: AbortSignal.any([silence.signal, limit]),
         } as Dispatcher.RequestOptions);
+        if (!isValidStatus(statusCode)) {
+            await body.dump();
+            throw new Error(`invalid status ${statusCode}`);
+        }
         const bytes = await collectBody(body, req.maxBytes, () => void timer.refresh());
         return { status: statusCode, headers, body: parseJson(bytes.toString("utf8")) };
     }
